Serve one request end to end through separate processes

Cause: the repository was empty; the design needs a path that runs before anything else is built on it.

--- /dev/null
+++ b/src/waxwingferry/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, demo and experiments."""
--- /dev/null
+++ b/src/waxwingferry/bench/cluster.py
@@ -0,0 +1,238 @@
+"""Starts platform, targets and nodes as separate processes."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import anyio
+import httpx
+import yaml
+
+FIRST_PORT = 21000
+START_TIMEOUT_S = 20.0
+
+
+class ClusterError(Exception):
+    """A process didn't start or stop as it should."""
+
+
+@dataclasses.dataclass
+class Member:
+    """One target and its node.
+
+    Attributes:
+        name: Name of the node and the target.
+        ports: Ports by use: caller, local, peer, admin, target.
+    """
+
+    name: str
+    service: str
+    failure_domain: str
+    ports: dict[str, int]
+    node: subprocess.Popen | None = None
+    target: subprocess.Popen | None = None
+
+
+class Cluster:
+    """Real processes on loopback, stopped when the context ends.
+
+    Args:
+        services: Number of targets by service name.
+        document: The operators' document.
+        slots: Slots of each target.
+        service_time_ms: Mean service time of each target.
+        domains: Names of failure domains, given to targets in turn.
+        first_port: First of the ports used.
+    """
+
+    def __init__(
+        self,
+        services: dict[str, int],
+        document: dict,
+        slots: int = 6,
+        service_time_ms: float = 2.0,
+        domains: tuple[str, ...] = ("d1", "d2", "d3", "d4"),
+        first_port: int = FIRST_PORT,
+        seed: int = 1,
+    ):
+        self.services = services
+        self.document = document
+        self.slots = slots
+        self.service_time_ms = service_time_ms
+        self.domains = domains
+        self.next_port = first_port
+        self.seed = seed
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="waxwingferry-"))
+        self.platform_port = self._take_port()
+        self.platform: subprocess.Popen | None = None
+        self.members = [
+            self._make_member(service, number)
+            for service, count in services.items()
+            for number in range(count)
+        ]
+
+    def _take_port(self) -> int:
+        self.next_port += 1
+        return self.next_port
+
+    def _make_member(self, service: str, number: int) -> Member:
+        uses = ("caller", "local", "peer", "admin", "target")
+        return Member(
+            f"{service}-{number}",
+            service,
+            self.domains[number % len(self.domains)],
+            {use: self._take_port() for use in uses},
+        )
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform."""
+        return f"http://127.0.0.1:{self.platform_port}"
+
+    def start_process(self, module: str, *arguments: str) -> subprocess.Popen:
+        """Starts one program of the project with its log in a file."""
+        name = "-".join([module.rsplit(".", 1)[1], *arguments[-1:]])
+        path = self.directory / f"{name.replace('/', '_')}.log"
+        with path.open("ab") as file:
+            return subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=file,
+                stderr=file,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def start_node(self, member: Member) -> None:
+        """Starts the node of a member."""
+        content = {
+            "node": member.name,
+            "caller_port": member.ports["caller"],
+            "local_port": member.ports["local"],
+            "peer_port": member.ports["peer"],
+            "admin_port": member.ports["admin"],
+            "region": "r1",
+            "failure_domain": member.failure_domain,
+            "platform_url": self.platform_url,
+            "seed_peers": [
+                {"host": "127.0.0.1", "port": other.ports["peer"]}
+                for other in self.members[:3]
+            ],
+        }
+        path = self.directory / f"node-{member.name}.yaml"
+        path.write_text(yaml.safe_dump(content), encoding="utf-8")
+        member.node = self.start_process(
+            "waxwingferry.process.node", "--settings_file", str(path)
+        )
+
+    def start_target(self, member: Member, **changes) -> None:
+        """Starts the target of a member."""
+        content = {
+            "name": member.name,
+            "service": member.service,
+            "slots": self.slots,
+            "port": member.ports["target"],
+            "node_port": member.ports["local"],
+            "service_time_ms": self.service_time_ms,
+            "seed": self.seed * 1000 + member.ports["target"],
+            **changes,
+        }
+        path = self.directory / f"target-{member.name}.yaml"
+        path.write_text(yaml.safe_dump(content), encoding="utf-8")
+        member.target = self.start_process(
+            "waxwingferry.emulator.main",
+            "target",
+            "--settings_file",
+            str(path),
+        )
+
+    async def start(self) -> None:
+        """Starts everything and waits until all nodes know all targets."""
+        self.platform = self.start_process(
+            "waxwingferry.emulator.main",
+            "platform",
+            "--port",
+            str(self.platform_port),
+        )
+        async with httpx.AsyncClient(trust_env=False) as client:
+            await self._write_document(client)
+            for member in self.members:
+                self.start_node(member)
+                self.start_target(member)
+            await self._wait_ready(client)
+
+    async def _write_document(self, client: httpx.AsyncClient) -> None:
+        value = {"revision": 1, "document": self.document}
+        write = {"key": "document/current", "value": value, "if_version": 0}
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            with contextlib.suppress(httpx.HTTPError):
+                reply = await client.post(
+                    f"{self.platform_url}/table/transact",
+                    json={"writes": [write]},
+                )
+                if reply.status_code == 200:
+                    return
+            await anyio.sleep(0.1)
+        raise ClusterError("the platform stand-in did not start")
+
+    async def _wait_ready(self, client: httpx.AsyncClient) -> None:
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        pending = list(self.members)
+        while pending and time.monotonic() < deadline_s:
+            status = await self.status(client, pending[0])
+            known = status.get("members", {})
+            if len(known) == len(self.members) and status["revision"]:
+                pending.pop(0)
+            else:
+                await anyio.sleep(0.1)
+        if pending:
+            raise ClusterError(f"node {pending[0].name} did not get ready")
+
+    async def status(self, client: httpx.AsyncClient, member: Member) -> dict:
+        """Returns a node's status, or an empty one if it doesn't answer."""
+        port = member.ports["admin"]
+        try:
+            reply = await client.get(f"http://127.0.0.1:{port}/status")
+        except httpx.HTTPError:
+            return {}
+        return reply.json()
+
+    async def ledgers(self, client: httpx.AsyncClient) -> dict[str, dict]:
+        """Returns the ledgers of all targets by name."""
+        result = {}
+        for member in self.members:
+            port = member.ports["target"]
+            reply = await client.get(f"http://127.0.0.1:{port}/_ledger")
+            result[member.name] = reply.json()
+        return result
+
+    def stop(self) -> None:
+        """Stops all processes that were started, nodes first."""
+        nodes = [member.node for member in self.members]
+        targets = [member.target for member in self.members]
+        for group in (nodes, targets, [self.platform]):
+            running = [item for item in group if item is not None]
+            for process in running:
+                process.send_signal(signal.SIGTERM)
+            for process in running:
+                try:
+                    process.wait(10)
+                except subprocess.TimeoutExpired:
+                    process.kill()
+                    process.wait()
+
+
+@contextlib.asynccontextmanager
+async def run_cluster(*args, **kwargs) -> AsyncIterator[Cluster]:
+    """Runs a cluster inside the context."""
+    cluster = Cluster(*args, **kwargs)
+    try:
+        await cluster.start()
+        yield cluster
+    finally:
+        cluster.stop()
--- /dev/null
+++ b/src/waxwingferry/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/src/waxwingferry/connection/pool.py
@@ -0,0 +1,75 @@
+"""Connections to one address, kept open between calls."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import socket
+import time
+
+import anyio
+import anyio.abc
+
+from waxwingferry.connection import http1
+
+IDLE_LIMIT_S = 10.0
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ConnectError(Exception):
+    """No connection could be opened, so nothing has been sent."""
+
+
+Connect = Callable[[str, int], Awaitable[anyio.abc.ByteStream]]
+
+
+async def connect_tcp(host: str, port: int) -> anyio.abc.ByteStream:
+    """Opens a TCP connection without delayed sends.
+
+    Raises:
+        ConnectError: The peer refused or did not answer in time.
+    """
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await anyio.connect_tcp(host, port)
+    except (OSError, TimeoutError) as error:
+        raise ConnectError(f"cannot connect to {host}:{port}") from error
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return stream
+
+
+class Pool:
+    """Idle connections to one address; each carries one call at a time."""
+
+    def __init__(self, host: str, port: int, connect: Connect = connect_tcp):
+        self.host = host
+        self.port = port
+        self.connect = connect
+        self.idle: list[http1.ClientConnection] = []
+
+    async def acquire(self) -> http1.ClientConnection:
+        """Returns an idle connection, or opens one.
+
+        Raises:
+            ConnectError: No connection could be opened.
+        """
+        oldest_s = time.monotonic() - IDLE_LIMIT_S
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.last_used_s >= oldest_s:
+                return connection
+            await connection.close()
+        stream = await self.connect(self.host, self.port)
+        return http1.ClientConnection(stream)
+
+    async def release(self, connection: http1.ClientConnection) -> None:
+        """Takes a connection back; closes it unless it is clean."""
+        if not (connection.reusable and connection.ended):
+            await connection.close()
+            return
+        connection.last_used_s = time.monotonic()
+        self.idle.append(connection)
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        while self.idle:
+            await self.idle.pop().close()
--- /dev/null
+++ b/src/waxwingferry/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the targets."""
--- /dev/null
+++ b/src/waxwingferry/emulator/main.py
@@ -0,0 +1,53 @@
+"""waxwingferry-emulator: runs one stand-in until SIGTERM."""
+
+import pathlib
+
+import anyio
+import pydantic
+import uvloop
+import yaml
+
+from waxwingferry.emulator import platform
+from waxwingferry.emulator import target
+from waxwingferry.process import program
+from waxwingferry.process import settings
+
+_BACKEND = {"loop_factory": uvloop.new_event_loop}
+
+
+def run_platform(port: int, host: str = "127.0.0.1") -> None:
+    """Runs the platform stand-in.
+
+    Args:
+        port: Port to listen on.
+        host: IP number to listen on.
+    """
+    anyio.run(platform.serve, host, port, backend_options=_BACKEND)
+
+
+def run_target(settings_file: str) -> None:
+    """Runs a target stand-in.
+
+    Args:
+        settings_file: Path of the YAML file with its settings.
+    """
+    text = pathlib.Path(settings_file).read_text(encoding="utf-8")
+    try:
+        options = target.TargetSettings.model_validate(yaml.safe_load(text))
+    except pydantic.ValidationError as error:
+        raise settings.SettingsError(
+            f"{settings_file}: {settings.describe_error(error)}"
+        ) from error
+    anyio.run(target.TargetStandIn(options).run, backend_options=_BACKEND)
+
+
+def main() -> None:
+    """Runs the program."""
+    program.run_program(
+        "waxwingferry-emulator",
+        {"platform": run_platform, "target": run_target},
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/waxwingferry/emulator/platform.py
@@ -0,0 +1,160 @@
+"""Stand-in for the platform: a table service and an object store."""
+
+import dataclasses
+from typing import Any
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.config
+import starlette.applications
+import starlette.requests
+import starlette.responses
+import starlette.routing
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults the stand-in brings about.
+
+    Attributes:
+        down: Every request is refused with 503 before it has an effect.
+        delay_s: Time added to each answer.
+        lose_answers: Number of writes whose answer will be lost after the
+            write took effect.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+
+
+class PlatformStandIn:
+    """Rows, objects and faults of one stand-in process."""
+
+    def __init__(self):
+        self.rows: dict[str, dict[str, Any]] = {}
+        self.objects: dict[str, bytes] = {}
+        self.version = 0
+        self.faults = Faults()
+        self.reads = 0
+        self.writes = 0
+
+    def make_app(self) -> starlette.applications.Starlette:
+        """Returns the ASGI application."""
+        route = starlette.routing.Route
+        return starlette.applications.Starlette(
+            routes=[
+                route("/table/row", self.read),
+                route("/table/rows", self.scan),
+                route("/table/transact", self.transact, methods=["POST"]),
+                route("/objects/{name:path}", self.get_object),
+                route("/objects/{name:path}", self.put_object, methods=["PUT"]),
+                route("/control/faults", self.set_faults, methods=["POST"]),
+                route("/control/counts", self.get_counts),
+            ]
+        )
+
+    async def _enter(self) -> starlette.responses.Response | None:
+        if self.faults.delay_s:
+            await anyio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            return _json({"error": "outage"}, 503)
+        return None
+
+    async def read(self, request: starlette.requests.Request):
+        """Returns one row."""
+        self.reads += 1
+        refusal = await self._enter()
+        return refusal or _json(
+            {"row": self.rows.get(request.query_params["key"])}
+        )
+
+    async def scan(self, request: starlette.requests.Request):
+        """Returns the rows of a prefix written after a version."""
+        self.reads += 1
+        refusal = await self._enter()
+        if refusal:
+            return refusal
+        prefix = request.query_params["prefix"]
+        after = int(request.query_params.get("after_version", "0"))
+        rows = [
+            row
+            for key, row in self.rows.items()
+            if key.startswith(prefix) and row["version"] > after
+        ]
+        return _json({"rows": rows})
+
+    async def transact(self, request: starlette.requests.Request):
+        """Applies all writes of a transaction, or none."""
+        self.writes += 1
+        refusal = await self._enter()
+        if refusal:
+            return refusal
+        writes = (await request.json())["writes"]
+        for write in writes:
+            row = self.rows.get(write["key"])
+            wanted = write["if_version"]
+            if wanted is not None and wanted != _live_version(row):
+                return _json({"key": write["key"], "row": row}, 409)
+        versions = []
+        for write in writes:
+            self.version += 1
+            versions.append(self.version)
+            self.rows[write["key"]] = {
+                "key": write["key"],
+                "value": write["value"],
+                "version": self.version,
+            }
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return _json({"error": "answer lost"}, 504)
+        return _json({"versions": versions})
+
+    async def get_object(self, request: starlette.requests.Request):
+        """Returns an object."""
+        self.reads += 1
+        refusal = await self._enter()
+        if refusal:
+            return refusal
+        data = self.objects.get(request.path_params["name"])
+        if data is None:
+            return _json({"error": "no such object"}, 404)
+        return starlette.responses.Response(data)
+
+    async def put_object(self, request: starlette.requests.Request):
+        """Writes an object."""
+        self.writes += 1
+        refusal = await self._enter()
+        if refusal:
+            return refusal
+        self.objects[request.path_params["name"]] = await request.body()
+        return starlette.responses.Response(status_code=204)
+
+    async def set_faults(self, request: starlette.requests.Request):
+        """Sets the faults in force from now on."""
+        self.faults = Faults(**await request.json())
+        return _json({})
+
+    async def get_counts(self, request: starlette.requests.Request):
+        """Returns the numbers of reads and writes so far."""
+        return _json({"reads": self.reads, "writes": self.writes})
+
+
+def _live_version(row: dict[str, Any] | None) -> int:
+    if row is None or row["value"] is None:
+        return 0
+    return row["version"]
+
+
+def _json(data: Any, status: int = 200) -> starlette.responses.Response:
+    return starlette.responses.JSONResponse(data, status)
+
+
+async def serve(host: str, port: int) -> None:
+    """Serves the stand-in until SIGTERM."""
+    config = hypercorn.config.Config()
+    config.bind = [f"{host}:{port}"]
+    config.loglevel = "warning"
+    config.graceful_timeout = 0.5
+    app = PlatformStandIn().make_app()
+    await hypercorn.asyncio.serve(app, config)  # type: ignore[arg-type]
--- /dev/null
+++ b/src/waxwingferry/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one process: settings, admission, routing, members."""
--- /dev/null
+++ b/src/waxwingferry/process/metrics.py
@@ -0,0 +1,19 @@
+"""Counters of one node, in Prometheus form."""
+
+import aioprometheus
+
+
+class Metrics:
+    """All counters and gauges of a node, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = aioprometheus.Registry()
+        self.calls = self._counter("calls", "Calls by how they ended.")
+        self.refusals = self._counter("refusals", "Refusals by reason.")
+        self.retries = self._counter("retries", "Retries by reason.")
+        self.events = self._counter("events", "Rare events by name.")
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(
+            f"waxwingferry_{name}_total", doc, registry=self.registry
+        )
--- /dev/null
+++ b/src/waxwingferry/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request: calls, attempts, outcomes and claims."""
--- /dev/null
+++ b/src/waxwingferry/request/call.py
@@ -0,0 +1,136 @@
+"""A call as it enters a node, and the attempts made for it."""
+
+from collections.abc import AsyncIterator
+import dataclasses
+import time
+
+from waxwingferry.connection import http1
+
+ATTEMPT_HEADER = "x-waxwing-attempt"
+DEADLINE_HEADER = "x-waxwing-deadline-ms"
+DEPTH_HEADER = "x-waxwing-depth"
+INCARNATION_HEADER = "x-waxwing-incarnation"
+LOAD_HEADER = "x-waxwing-load"
+MEMBER_HEADER = "x-waxwing-member"
+RETRY_HEADER = "x-waxwing-retry"
+SERVICE_HEADER = "x-waxwing-service"
+KEY_HEADER = "idempotency-key"
+
+MAX_DEPTH = 14
+MAX_BUFFERED_BODY_BYTES = 65536
+
+# Fields that only the system sets; a caller's own values are removed.
+INTERNAL_HEADERS = frozenset(
+    {ATTEMPT_HEADER, INCARNATION_HEADER, LOAD_HEADER, SERVICE_HEADER}
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Deadline:
+    """A point in time by the monotonic clock, in seconds."""
+
+    at_s: float
+
+    def remaining_s(self) -> float:
+        """Returns the time left in seconds, possibly negative."""
+        return self.at_s - time.monotonic()
+
+
+def make_deadline(remaining_s: float) -> Deadline:
+    """Returns the deadline that lies remaining_s seconds ahead."""
+    return Deadline(time.monotonic() + remaining_s)
+
+
+@dataclasses.dataclass(slots=True)
+class Body:
+    """A request body: its buffered first part and the rest, if any.
+
+    Attributes:
+        buffered: The bytes read so far.
+        rest: Further parts. A body with a rest can be sent only once.
+    """
+
+    buffered: bytes
+    rest: AsyncIterator[bytes] | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request of a caller at its entry node."""
+
+    call_id: str
+    service: str
+    method: str
+    target: str
+    headers: http1.Headers
+    body: Body
+    deadline: Deadline
+    member: str
+    depth: int
+    idempotent: bool
+    is_retry: bool = False
+    key: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One try to run a call at one target."""
+
+    attempt_id: str
+    service: str
+    method: str
+    target: str
+    headers: http1.Headers
+    body: Body
+    deadline: Deadline
+    member: str
+    depth: int
+    incarnation: str
+    is_retry: bool = False
+
+
+def make_attempt(call: Call, number: int, incarnation: str) -> Attempt:
+    """Returns the attempt with the given number, from 1."""
+    return Attempt(
+        f"{call.call_id}.{number}",
+        call.service,
+        call.method,
+        call.target,
+        call.headers,
+        call.body,
+        call.deadline,
+        call.member,
+        call.depth,
+        incarnation,
+        call.is_retry or number > 1,
+    )
+
+
+def hop_headers(attempt: Attempt) -> http1.Headers:
+    """Returns the fields of an attempt with those of the system added."""
+    remaining_ms = max(int(attempt.deadline.remaining_s() * 1000), 0)
+    headers = [
+        item
+        for item in attempt.headers
+        if item[0] not in _REPLACED and item[0] not in http1.HOP_BY_HOP
+    ]
+    headers += [
+        (ATTEMPT_HEADER, attempt.attempt_id),
+        (DEADLINE_HEADER, str(remaining_ms)),
+        (DEPTH_HEADER, str(attempt.depth)),
+        (INCARNATION_HEADER, attempt.incarnation),
+        (SERVICE_HEADER, attempt.service),
+        (MEMBER_HEADER, attempt.member),
+    ]
+    if attempt.is_retry:
+        headers.append((RETRY_HEADER, "1"))
+    return headers
+
+
+_REPLACED = INTERNAL_HEADERS | {
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    MEMBER_HEADER,
+    RETRY_HEADER,
+    "expect",
+}
--- /dev/null
+++ b/src/waxwingferry/request/entry.py
@@ -0,0 +1,244 @@
+"""The entry node: one call from its caller to a target and back."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import random
+import time
+
+from waxwingferry.connection import http1
+from waxwingferry.process import members
+from waxwingferry.process import metrics
+from waxwingferry.process import routing
+from waxwingferry.request import call
+from waxwingferry.request import forward
+from waxwingferry.request import outcome
+from waxwingferry.request import receive
+from waxwingferry.version import document
+
+MAX_ATTEMPTS = 3
+
+
+class Entry:
+    """Answers callers.
+
+    Args:
+        node: Name of this node.
+        revision: Returns the newest document known, or None.
+        known: The targets known.
+        router: Chooses targets.
+        forwarder: Sends attempts to other nodes.
+        receiver: Runs attempts at the node's own target.
+        counters: Metrics of the node.
+        rng: Source of call identities.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        revision: Callable[[], document.Revision | None],
+        known: members.Members,
+        router: routing.Router,
+        forwarder: forward.Forwarder,
+        receiver: receive.Receiver,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ):
+        self.node = node
+        self.revision = revision
+        self.known = known
+        self.router = router
+        self.forwarder = forwarder
+        self.receiver = receiver
+        self.counters = counters
+        self.rng = rng
+
+    async def handle(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        """Answers one request of a caller."""
+        made = await self._make_call(connection, head)
+        if isinstance(made, outcome.NotRun):
+            await self._refuse(connection, made)
+            return
+        await self._run(connection, made)
+
+    async def _make_call(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> call.Call | outcome.NotRun:
+        revision = self.revision()
+        if revision is None:
+            return outcome.NotRun(outcome.Reason.NO_DOCUMENT)
+        match = revision.match_route(head.method, head.target)
+        if match is None:
+            return outcome.NotRun(outcome.Reason.NO_ROUTE, 404)
+        service, route = match
+        find = http1.find_header
+        try:
+            depth = int(find(head.headers, call.DEPTH_HEADER, "0")) + 1
+            limit_ms = int(
+                find(head.headers, call.DEADLINE_HEADER, str(route.deadline_ms))
+            )
+        except ValueError:
+            return outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
+        if depth > call.MAX_DEPTH:
+            return outcome.NotRun(outcome.Reason.TOO_DEEP)
+        deadline_ms = min(limit_ms, route.deadline_ms)
+        return call.Call(
+            call_id=f"{self.rng.getrandbits(64):016x}",
+            service=service.name,
+            method=head.method,
+            target=head.target,
+            headers=http1.end_to_end_headers(head.headers),
+            body=await read_body(connection),
+            deadline=call.make_deadline(deadline_ms / 1000),
+            member=find(head.headers, service.member_header, ""),
+            depth=depth,
+            idempotent=route.idempotent,
+            is_retry=find(head.headers, call.RETRY_HEADER) == "1",
+            key=find(head.headers, call.KEY_HEADER),
+        )
+
+    async def _run(
+        self, connection: http1.ServerConnection, made: call.Call
+    ) -> None:
+        tried: set[str] = set()
+        last: outcome.NotRun | outcome.Unknown = outcome.NotRun(
+            outcome.Reason.NO_TARGET
+        )
+        for number in range(1, MAX_ATTEMPTS + 1):
+            revision = self.revision()
+            assert revision is not None
+            candidate = self.router.choose(
+                self.known.by_service.get(made.service, []),
+                revision.domains_out,
+                tried,
+            )
+            if candidate is None:
+                break
+            tried.add(candidate.node)
+            attempt = call.make_attempt(made, number, candidate.incarnation)
+            async with self._execute(candidate, attempt) as result:
+                if isinstance(result, outcome.Answer):
+                    await relay_answer(connection, result, attempt.attempt_id)
+                    self.counters.calls.inc({"outcome": "answered"})
+                    return
+                last = result
+            if not _may_retry(made, last):
+                break
+            self.counters.retries.inc({"reason": last.reason.value})
+        await self._refuse(connection, last)
+
+    @contextlib.asynccontextmanager
+    async def _execute(
+        self, candidate: routing.Candidate, attempt: call.Attempt
+    ) -> AsyncIterator[outcome.Outcome]:
+        candidate.in_flight += 1
+        own = candidate.node == self.node
+        executor = (
+            self.receiver.execute(attempt)
+            if own
+            else self.forwarder.execute(candidate, attempt)
+        )
+        try:
+            async with executor as result:
+                if _is_refused_connection(result):
+                    candidate.refused_at_s = time.monotonic()
+                yield result
+        finally:
+            candidate.in_flight -= 1
+
+    async def _refuse(
+        self,
+        connection: http1.ServerConnection,
+        refusal: outcome.NotRun | outcome.Unknown,
+    ) -> None:
+        kind = "not_run" if isinstance(refusal, outcome.NotRun) else "unknown"
+        self.counters.refusals.inc(
+            {"kind": kind, "reason": refusal.reason.value}
+        )
+        self.counters.calls.inc({"outcome": kind})
+        await send_refusal(connection, refusal)
+
+
+async def relay_answer(
+    connection: http1.ServerConnection,
+    answer: outcome.Answer,
+    attempt_id: str,
+    extra: http1.Headers | None = None,
+) -> None:
+    """Passes an answer on chunk by chunk.
+
+    An answer that is cut short ends the connection before the end of the
+    message, so that nobody takes it for whole.
+    """
+    dropped = (call.ATTEMPT_HEADER, call.LOAD_HEADER, outcome.OUTCOME_HEADER)
+    headers = [item for item in answer.head.headers if item[0] not in dropped]
+    headers.append((outcome.OUTCOME_HEADER, "answered"))
+    headers.append((call.ATTEMPT_HEADER, attempt_id))
+    headers += extra or []
+    first = await answer.receive_chunk()
+    whole = first is None
+    second = None if whole else await answer.receive_chunk()
+    if second is None:
+        await connection.send_head(answer.head.status, headers, first or b"")
+        return
+    await connection.send_head(answer.head.status, headers)
+    chunk: bytes | None = first
+    while chunk is not None:
+        await connection.send_chunk(chunk)
+        chunk, second = second, None
+        if chunk is None:
+            chunk = await answer.receive_chunk()
+    await connection.send_end()
+
+
+async def send_refusal(
+    connection: http1.ServerConnection,
+    refusal: outcome.NotRun | outcome.Unknown,
+    extra: http1.Headers | None = None,
+) -> None:
+    """Answers with a refusal and what it proves."""
+    headers = outcome.refusal_headers(refusal) + (extra or [])
+    body = f"{refusal.reason.value}\n".encode()
+    await connection.send_head(refusal.status, headers, body)
+
+
+async def read_body(connection: http1.ServerConnection) -> call.Body:
+    """Buffers a small body; a larger one is streamed after its start."""
+    parts: list[bytes] = []
+    size = 0
+    while size <= call.MAX_BUFFERED_BODY_BYTES:
+        chunk = await connection.receive_chunk()
+        if chunk is None:
+            return call.Body(b"".join(parts))
+        parts.append(chunk)
+        size += len(chunk)
+    return call.Body(b"".join(parts), _iterate_body(connection))
+
+
+async def _iterate_body(
+    connection: http1.ServerConnection,
+) -> AsyncIterator[bytes]:
+    while (chunk := await connection.receive_chunk()) is not None:
+        yield chunk
+
+
+def _may_retry(made: call.Call, last: outcome.NotRun | outcome.Unknown) -> bool:
+    if made.is_retry or made.body.rest is not None:
+        return False
+    if made.deadline.remaining_s() <= 0:
+        return False
+    match last:
+        case outcome.NotRun():
+            return True
+        case outcome.Unknown():
+            return made.idempotent
+    return False
+
+
+def _is_refused_connection(result: outcome.Outcome) -> bool:
+    return (
+        isinstance(result, outcome.NotRun)
+        and result.reason is outcome.Reason.CONNECTION_REFUSED
+    )
--- /dev/null
+++ b/src/waxwingferry/request/outcome.py
@@ -0,0 +1,97 @@
+"""The three ways an attempt can end, and the reasons for them."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import enum
+
+from waxwingferry.connection import http1
+
+OUTCOME_HEADER = "x-waxwing-outcome"
+REASON_HEADER = "x-waxwing-reason"
+
+
+class Reason(enum.Enum):
+    """Why a call was refused or its outcome is unknown."""
+
+    NO_ROUTE = "no_route"
+    NO_DOCUMENT = "no_document"
+    NO_TARGET = "no_target"
+    DOMAIN_OUT = "domain_out"
+    LEAVING = "leaving"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    TOO_DEEP = "too_deep"
+    TARGET_REFUSED = "target_refused"
+    CONNECTION_REFUSED = "connection_refused"
+    WRONG_INCARNATION = "wrong_incarnation"
+    FENCED = "fenced"
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIM_BUDGET = "claim_budget"
+    KEY_MISMATCH = "key_mismatch"
+    CLAIM_HELD = "claim_held"
+    CONNECTION_LOST = "connection_lost"
+    CONNECTION_SILENT = "connection_silent"
+    TIMEOUT = "timeout"
+    ANSWER_CUT = "answer_cut"
+    ANSWER_MISMATCH = "answer_mismatch"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """The target's answer; its body follows chunk by chunk.
+
+    Attributes:
+        head: Status and fields of the answer.
+        receive_chunk: Returns the next part of the body, None at the end.
+            Raises http1.HttpError when the answer is cut short.
+    """
+
+    head: http1.ResponseHead
+    receive_chunk: Callable[[], Awaitable[bytes | None]]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NotRun:
+    """Proof that the request did not run and never will."""
+
+    reason: Reason
+    status: int = 503
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unknown:
+    """The request may or may not have run."""
+
+    reason: Reason
+    status: int = 502
+
+
+Outcome = Answer | NotRun | Unknown
+
+
+def refusal_headers(outcome: NotRun | Unknown) -> http1.Headers:
+    """Returns the fields that tell the caller what a refusal proves."""
+    word = "not-run" if isinstance(outcome, NotRun) else "unknown"
+    return [
+        (OUTCOME_HEADER, word),
+        (REASON_HEADER, outcome.reason.value),
+        ("content-type", "text/plain"),
+    ]
+
+
+def parse_refusal(head: http1.ResponseHead) -> NotRun | Unknown | None:
+    """Returns the refusal that a node sent, or None for an answer."""
+    word = http1.find_header(head.headers, OUTCOME_HEADER)
+    if word not in ("not-run", "unknown"):
+        return None
+    try:
+        reason = Reason(http1.find_header(head.headers, REASON_HEADER))
+    except ValueError:
+        return Unknown(Reason.ANSWER_MISMATCH)
+    if word == "not-run":
+        return NotRun(reason, head.status)
+    return Unknown(reason, head.status)
