--- /dev/null
+++ b/src/waxwingferry/cli/main.py
@@ -0,0 +1,207 @@
+"""waxwingferry: the operators' command line."""
+
+import re
+from typing import Any
+
+import yaml
+
+from waxwingferry.cli import client
+from waxwingferry.process import program
+from waxwingferry.process import settings
+from waxwingferry.version import document
+
+DOMAIN_TRIES = 5
+_BASE_LINE = re.compile(r"^# revision: (\d+)$", re.MULTILINE)
+
+
+def validate(file: str) -> int:
+    """Checks a document without sending it anywhere.
+
+    Args:
+        file: Path of the YAML file.
+    """
+    _load_document(file)
+    print(f"{file}: good")
+    return 0
+
+
+def show(revision: int = 0) -> int:
+    """Prints the document in force, with its revision in the first line.
+
+    Args:
+        revision: Print this earlier revision instead.
+    """
+    number, content = client.make_client().get_document(revision)
+    print(_to_text(number, content), end="")
+    return 0
+
+
+def apply(file: str, why: str, base: int = -1) -> int:
+    """Puts a document in force everywhere.
+
+    Args:
+        file: Path of the YAML file.
+        why: The reason, for the history.
+        base: Revision that the file was made from, if it lacks the first
+            line that show prints.
+    """
+    content = _load_document(file)
+    text = settings.read_file(file)
+    line = _BASE_LINE.search(text)
+    if base < 0 and line is None:
+        raise program.UsageError(
+            f"{file}: no line '# revision: N' and no --base; "
+            "start from the output of show, or pass --base 0 for the first"
+        )
+    number = base if base >= 0 or line is None else int(line.group(1))
+    data = content.model_dump(mode="json", exclude_unset=True)
+    revision = client.make_client().put_document(data, number, why)
+    print(f"revision {revision} accepted; the next change is based on it")
+    return 0
+
+
+def back(revision: int, why: str) -> int:
+    """Puts an earlier revision in force again, as a new revision.
+
+    Args:
+        revision: The earlier revision.
+        why: The reason, for the history.
+    """
+    admin = client.make_client()
+    current, _ = admin.get_document()
+    _, content = admin.get_document(revision)
+    new = admin.put_document(content, current, why)
+    print(f"revision {new} accepted, with the content of {revision}")
+    return 0
+
+
+def diff(file: str = "", old: int = 0, new: int = 0) -> int:
+    """Prints what differs between revisions, or from a file.
+
+    Args:
+        file: Compare this file instead of a newer revision.
+        old: The older revision; 0 is the one in force.
+        new: The newer revision; 0 is the one in force.
+    """
+    admin = client.make_client()
+    number, content = admin.get_document(old)
+    before = document.Document.model_validate(content or {})
+    if file:
+        after, name = _load_document(file), file
+    else:
+        new_number, new_content = admin.get_document(new)
+        after = document.Document.model_validate(new_content or {})
+        name = f"revision {new_number}"
+    text = document.compare(before, after, (f"revision {number}", name))
+    print(text or "no difference")
+    return 0
+
+
+def history(last: int = 10) -> int:
+    """Prints who changed the document, when and why; newest first.
+
+    Args:
+        last: Number of revisions to print.
+    """
+    for row in client.make_client().get_history(last):
+        print(f"{row['revision']:6} {row['when']} {row['who']}: {row['why']}")
+    return 0
+
+
+def status() -> int:
+    """Prints what each node given knows; fails if one does not answer."""
+    admin = client.make_client()
+    failed = False
+    for address in admin.addresses:
+        data = admin.get_status(address)
+        if data is None:
+            print(f"{address}: no answer")
+            failed = True
+            continue
+        print(
+            f"{address}: {data['node']} revision {data['revision']} "
+            f"members {len(data['members'])} load {data['load']}"
+        )
+    return program.EXIT_FAILURE if failed else 0
+
+
+def domain_out(name: str, why: str = "domain out") -> int:
+    """Takes a failure domain out: it gets no new work.
+
+    Args:
+        name: Name of the failure domain.
+        why: The reason, for the history.
+    """
+    return _set_domain(name, "out", why)
+
+
+def domain_in(name: str, why: str = "domain in") -> int:
+    """Lets a failure domain take work again.
+
+    Args:
+        name: Name of the failure domain.
+        why: The reason, for the history.
+    """
+    return _set_domain(name, "in", why)
+
+
+def _set_domain(name: str, state: str, why: str) -> int:
+    """Changes one state; a change made meanwhile by others is kept."""
+    admin = client.make_client()
+    for _ in range(DOMAIN_TRIES):
+        number, content = admin.get_document()
+        domains = (content or {}).get("failure_domains", [])
+        found = [item for item in domains if item["name"] == name]
+        if not found:
+            allowed = ", ".join(item["name"] for item in domains) or "none"
+            raise program.UsageError(
+                f"name = {name!r}: must be one of {allowed}"
+            )
+        if found[0]["state"] == state:
+            print(f"{name} is {state} already, by revision {number}")
+            return 0
+        found[0]["state"] = state
+        try:
+            revision = admin.put_document(content, number, why)
+        except client.ConflictError as error:
+            print(f"another change came first, trying again: {error}")
+            continue
+        print(f"revision {revision} accepted: {name} is {state}")
+        return 0
+    raise program.CommandError(f"{DOMAIN_TRIES} other changes came first")
+
+
+def _load_document(file: str) -> document.Document:
+    data = settings.parse_yaml(settings.read_file(file), file)
+    checked, errors = document.check(data)
+    if checked is None:
+        raise settings.SettingsError(
+            "\n".join(f"{file}: {line}" for line in errors)
+        )
+    return checked
+
+
+def _to_text(number: int, content: Any) -> str:
+    head = f"# revision: {number}\n"
+    return head + yaml.safe_dump(content or {}, sort_keys=False)
+
+
+COMMANDS = {
+    "validate": validate,
+    "apply": apply,
+    "back": back,
+    "show": show,
+    "status": status,
+    "history": history,
+    "diff": diff,
+    "domain": {"out": domain_out, "in": domain_in},
+}
+
+
+def main() -> None:
+    """Runs the program."""
+    program.run_program("waxwingferry", COMMANDS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/waxwingferry/cli/tests/test_messages.py
@@ -0,0 +1,211 @@
+"""What operators read when they make a mistake; the texts are snapshots."""
+
+import pytest
+
+from waxwingferry.bench import main as bench
+from waxwingferry.cli import main as cli
+from waxwingferry.emulator import main as emulator
+from waxwingferry.process import node
+from waxwingferry.version import document
+
+PROGRAMS = {
+    "waxwingferry": cli.main,
+    "waxwingferry-node": node.main,
+    "waxwingferry-bench": bench.main,
+    "waxwingferry-emulator": emulator.main,
+}
+
+GOOD_SETTINGS = """\
+node: n1
+caller_port: 26101
+local_port: 26102
+peer_port: 26103
+admin_port: 26104
+region: r1
+failure_domain: d1
+platform_url: http://127.0.0.1:26100
+"""
+
+GOOD_DOCUMENT = """\
+services:
+  - name: desk
+    routes:
+      - path_prefix: /desk/
+failure_domains:
+  - {name: d1, region: r1}
+"""
+
+
+@pytest.fixture
+def run(monkeypatch, capsys):
+    """Runs a program; returns exit code, output and error output."""
+
+    def run_program(name, *arguments):
+        monkeypatch.setattr("sys.argv", [name, *arguments])
+        monkeypatch.setenv("COLUMNS", "80")
+        monkeypatch.setenv("PAGER", "")
+        with pytest.raises(SystemExit) as stop:
+            PROGRAMS[name]()
+        printed = capsys.readouterr()
+        return stop.value.code, printed.out, printed.err
+
+    return run_program
+
+
+@pytest.fixture
+def write(tmp_path, monkeypatch):
+    """Writes a file into the current directory."""
+    monkeypatch.chdir(tmp_path)
+
+    def write_file(text):
+        (tmp_path / "file.yaml").write_text(text, encoding="utf-8")
+        return "file.yaml"
+
+    return write_file
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_version_is_one_line(run, name):
+    """Guards against fire taking --version for a command."""
+    code, out, err = run(name, "--version")
+    assert (code, err) == (0, "")
+    assert out.startswith(f"{name} ")
+    assert out.count("\n") == 1
+
+
+@pytest.mark.parametrize("name", ["waxwingferry", "waxwingferry-node"])
+def test_help_goes_to_output(run, snapshot, name):
+    """Guards against fire's pager and its help on error output."""
+    code, out, err = run(name, "--help")
+    assert (code, err) == (0, "")
+    assert out == snapshot
+
+
+def test_help_of_one_command(run, snapshot):
+    """Guards against a command running when its help is asked."""
+    code, out, err = run("waxwingferry", "apply", "--help")
+    assert (code, err) == (0, "")
+    assert out == snapshot
+
+
+@pytest.mark.parametrize(
+    "name", ["waxwingferry-bench", "waxwingferry-emulator"]
+)
+def test_help_of_tools(run, name):
+    """Guards against the tools' help failing."""
+    code, out, err = run(name, "--help")
+    assert (code, err) == (0, "")
+    assert out.startswith("NAME")
+
+
+@pytest.mark.parametrize(
+    ("name", "arguments"),
+    [
+        ("waxwingferry", []),
+        ("waxwingferry", ["aply"]),
+        ("waxwingferry", ["domain", "away", "d1"]),
+        ("waxwingferry", ["apply", "file.yaml"]),
+        ("waxwingferry", ["apply", "file.yaml", "--wy", "typo"]),
+        ("waxwingferry", ["history", "--last", "many"]),
+        ("waxwingferry", ["validate", "a.yaml", "b.yaml"]),
+        ("waxwingferry", ["show", "--", "--interactive"]),
+        ("waxwingferry", ["show"]),
+        ("waxwingferry-node", []),
+        ("waxwingferry-node", ["--settings_file", "missing.yaml"]),
+        ("waxwingferry-node", ["--setings_file", "missing.yaml"]),
+        ("waxwingferry-bench", ["demo", "--seed", "x"]),
+        ("waxwingferry-emulator", ["platform", "--prot", "1"]),
+    ],
+)
+def test_bad_arguments_give_one_line(
+    run, write, snapshot, monkeypatch, name, arguments
+):
+    """Fire alone prints a usage text of several lines."""
+    write(GOOD_DOCUMENT)
+    monkeypatch.delenv("WAXWINGFERRY_NODES", raising=False)
+    code, out, err = run(name, *arguments)
+    assert (code, out) == (2, "")
+    assert err.count("\n") == 1
+    assert err == snapshot
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        "caller_port: 70000",
+        "prot: 1",
+        "node: Not A Name",
+        "log: {level: loud}",
+        "admin_tokens: {ann: short-secret}",
+        "platform_url: 10.0.0.1:80",
+        "seed_peers: [{host: 10.0.0.1}]",
+        "region: [",
+    ],
+)
+def test_bad_settings_give_one_line(run, write, snapshot, change):
+    """Guards against tracebacks, and against secrets in messages."""
+    key = change.partition(":")[0]
+    lines = [
+        line
+        for line in GOOD_SETTINGS.splitlines()
+        if not line.startswith(f"{key}:")
+    ]
+    file = write("\n".join([*lines, change]))
+    code, out, err = run("waxwingferry-node", "--settings_file", file)
+    assert (code, out) == (2, "")
+    assert err.count("\n") == 1
+    assert err == snapshot
+    assert "short-secret" not in err
+
+
+def test_key_given_twice_is_refused(run, write, snapshot):
+    """YAML keeps the last of two values without a word."""
+    file = write(GOOD_SETTINGS + "node: n2\n")
+    code, _, err = run("waxwingferry-node", "--settings_file", file)
+    assert code == 2
+    assert err == snapshot
+
+
+def test_good_document(run, write):
+    """Guards against refusing a good document."""
+    file = write(GOOD_DOCUMENT)
+    assert run("waxwingferry", "validate", file) == (
+        0,
+        "file.yaml: good\n",
+        "",
+    )
+
+
+def test_every_error_of_a_document_names_its_place(run, write, snapshot):
+    """Guards against telling only the first of several errors."""
+    file = write(
+        """\
+services:
+  - name: desk
+    routes:
+      - {path_prefix: desk, deadline_ms: 0}
+      - {path_prefix: /a, methods: [get]}
+  - {name: registry, routes: []}
+failure_domains:
+  - {name: d1, region: r1, state: away}
+bugets: {}
+"""
+    )
+    code, out, err = run("waxwingferry", "validate", file)
+    assert (code, out) == (2, "")
+    assert err == snapshot
+
+
+def test_names_and_routes_that_collide(snapshot):
+    """Guards against two routes that claim the same requests."""
+    route = {"path_prefix": "/a"}
+    _, errors = document.check(
+        {
+            "services": [
+                {"name": "desk", "routes": [route, route]},
+                {"name": "desk", "routes": [{"path_prefix": "/b"}]},
+                {"name": "registry", "routes": [route]},
+            ]
+        }
+    )
+    assert errors == snapshot
--- a/src/waxwingferry/emulator/main.py
+++ b/src/waxwingferry/emulator/main.py
@@ -1,11 +1,7 @@
 """waxwingferry-emulator: runs one stand-in until SIGTERM."""
 
-import pathlib
-
 import anyio
-import pydantic
 import uvloop
-import yaml
 
 from waxwingferry.emulator import platform
 from waxwingferry.emulator import target
@@ -31,13 +27,7 @@
     Args:
         settings_file: Path of the YAML file with its settings.
     """
-    text = pathlib.Path(settings_file).read_text(encoding="utf-8")
-    try:
-        options = target.TargetSettings.model_validate(yaml.safe_load(text))
-    except pydantic.ValidationError as error:
-        raise settings.SettingsError(
-            f"{settings_file}: {settings.describe_error(error)}"
-        ) from error
+    options = settings.load_model(target.TargetSettings, settings_file)
     anyio.run(target.TargetStandIn(options).run, backend_options=_BACKEND)
 
 
--- a/src/waxwingferry/process/admin.py
+++ b/src/waxwingferry/process/admin.py
@@ -1,16 +1,55 @@
-"""The administration listener: status, health and metrics."""
+"""The administration listener: document, status, health and metrics.
+
+    GET  /document            {"revision", "document"}
+    GET  /document?revision=N the same for an earlier revision
+    PUT  /document            {"base", "document", "why", "change_id"}
+        200 {"revision"}; 409 another change came first; 422 {"errors"};
+        503 nothing written; 504 undecided, to be resolved by its history
+    GET  /history?last=N      {"history": [...]}, newest first
+
+/healthz, /status and /metrics need no token. All else needs the header
+"authorization: Bearer TOKEN" with a token from the settings.
+"""
+
+from collections.abc import Callable
+import hmac
+import json
+from typing import Annotated
+from typing import Any
 
 import aioprometheus
 import hypercorn.asyncio
 import hypercorn.config
+import pydantic
 import starlette.applications
 import starlette.requests
 import starlette.responses
 import starlette.routing
+import structlog
 
+from waxwingferry.process import configuration
 from waxwingferry.process import members
 from waxwingferry.process import metrics
+from waxwingferry.process import platform
+from waxwingferry.process import settings
 from waxwingferry.request import receive
+from waxwingferry.version import document
+
+MAX_BODY_BYTES = 512 * 1024
+MAX_HISTORY = 100
+
+log = structlog.get_logger()
+
+
+class ChangeRequest(pydantic.BaseModel):
+    """Body of PUT /document."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    base: Annotated[int, pydantic.Field(ge=0)]
+    document: Any
+    why: Annotated[str, pydantic.Field(min_length=1, max_length=500)]
+    change_id: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{32}$")]
 
 
 class Admin:
@@ -21,7 +60,9 @@
         known: The targets known.
         receiver: Admission to the node's own target.
         counters: Metrics of the node.
-        revision: Returns the number of the document in force, or 0.
+        configured: The document in force.
+        tokens: Bearer token of each operator by name.
+        extra_status: Returns further entries for /status.
     """
 
     def __init__(
@@ -30,24 +71,48 @@
         known: members.Members,
         receiver: receive.Receiver,
         counters: metrics.Metrics,
-        revision,
+        configured: configuration.Configuration,
+        tokens: dict[str, pydantic.SecretStr],
+        extra_status: Callable[[], dict[str, Any]] = dict,
     ):
         self.node = node
         self.known = known
         self.receiver = receiver
         self.counters = counters
-        self.revision = revision
+        self.configured = configured
+        self.tokens = tokens
+        self.extra_status = extra_status
 
     def make_app(self) -> starlette.applications.Starlette:
         """Returns the ASGI application."""
         route = starlette.routing.Route
-        return starlette.applications.Starlette(
-            routes=[
-                route("/healthz", self.get_health),
-                route("/status", self.get_status),
-                route("/metrics", self.get_metrics),
+        routes = [
+            route("/healthz", self.get_health),
+            route("/status", self.get_status),
+            route("/metrics", self.get_metrics),
+        ]
+        if self.tokens:
+            routes += [
+                route("/document", self.get_document, methods=["GET"]),
+                route("/document", self.put_document, methods=["PUT"]),
+                route("/history", self.get_history),
             ]
-        )
+        return starlette.applications.Starlette(routes=routes)
+
+    def find_operator(self, request: starlette.requests.Request) -> str | None:
+        """Returns who sent a request, or None without a valid token.
+
+        All tokens are compared, each in constant time, so that the time
+        taken tells nothing about them.
+        """
+        kind, _, given = request.headers.get("authorization", "").partition(" ")
+        found = None
+        for name, token in self.tokens.items():
+            wanted = token.get_secret_value().encode()
+            same = hmac.compare_digest(given.encode(), wanted)
+            if same and kind.lower() == "bearer":
+                found = name
+        return found
 
     async def get_health(self, request: starlette.requests.Request):
         """Answers 200 while the node runs."""
@@ -55,12 +120,13 @@
 
     async def get_status(self, request: starlette.requests.Request):
         """Returns what the node knows, as JSON."""
-        return starlette.responses.JSONResponse(
+        return _json(
             {
                 "node": self.node,
                 "incarnation": self.receiver.incarnation,
-                "revision": self.revision(),
+                "revision": self.configured.number,
                 "load": self.receiver.load(),
+                **self.extra_status(),
                 "members": {
                     name: {
                         "service": item.service,
@@ -80,6 +146,80 @@
         content, headers = aioprometheus.render(self.counters.registry, accept)
         return starlette.responses.Response(content, headers=headers)
 
+    async def get_document(self, request: starlette.requests.Request):
+        """Returns the document in force, or an earlier revision."""
+        if self.find_operator(request) is None:
+            return _refuse_stranger()
+        wanted = _parse_number(request, "revision", self.configured.number)
+        if wanted is None:
+            return _json({"error": "revision: must be an integer >= 0"}, 422)
+        revision = self.configured.revision
+        if revision is not None and wanted == revision.number:
+            content = revision.document.model_dump(mode="json")
+            return _json({"revision": wanted, "document": content})
+        if wanted == 0:
+            return _json({"revision": 0, "document": None})
+        try:
+            row = await self.configured.read_history(wanted)
+        except platform.PlatformError as error:
+            return _json({"error": str(error)}, 503)
+        if row is None:
+            return _json({"error": f"revision {wanted} is not there"}, 404)
+        return _json({"revision": wanted, "document": row["document"]})
+
+    async def get_history(self, request: starlette.requests.Request):
+        """Returns who changed the document, when and why; newest first."""
+        if self.find_operator(request) is None:
+            return _refuse_stranger()
+        last = _parse_number(request, "last", 10)
+        if last is None or not 1 <= last <= MAX_HISTORY:
+            return _json({"error": f"last: must be 1 to {MAX_HISTORY}"}, 422)
+        rows: list[dict[str, Any]] = []
+        try:
+            await self.configured.read()
+            number = self.configured.number
+            while number > 0 and len(rows) < last:
+                row = await self.configured.read_history(number)
+                if row is not None:
+                    row = {k: v for k, v in row.items() if k != "document"}
+                    rows.append(row)
+                number -= 1
+                if row is None:
+                    break
+        except platform.PlatformError as error:
+            return _json({"error": str(error)}, 503)
+        return _json({"history": rows})
+
+    async def put_document(self, request: starlette.requests.Request):
+        """Accepts a new document, or tells why not."""
+        who = self.find_operator(request)
+        if who is None:
+            return _refuse_stranger()
+        body = await _read_body(request)
+        if body is None:
+            limit = f"body: must be at most {MAX_BODY_BYTES} bytes"
+            return _json({"errors": [limit]}, 413)
+        try:
+            asked = ChangeRequest.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            return _json({"errors": [settings.describe_error(error)]}, 422)
+        checked, errors = document.check(asked.document)
+        if checked is None:
+            return _json({"errors": errors}, 422)
+        change = configuration.Change(
+            checked, asked.base, who, asked.why, asked.change_id
+        )
+        result = await self.configured.accept(change)
+        log.info(
+            "document change",
+            who=who,
+            why=asked.why,
+            base=asked.base,
+            change_id=asked.change_id,
+            result=type(result).__name__,
+        )
+        return _describe_result(result, asked.change_id)
+
     async def serve(self, host: str, port: int, stop) -> None:
         """Serves until the awaitable stop() returns."""
         config = hypercorn.config.Config()
@@ -91,3 +231,55 @@
             config,
             shutdown_trigger=stop,
         )
+
+
+async def _read_body(request: starlette.requests.Request) -> bytes | None:
+    """Returns the body, or None if it is too long."""
+    parts = bytearray()
+    async for chunk in request.stream():
+        parts += chunk
+        if len(parts) > MAX_BODY_BYTES:
+            return None
+    return bytes(parts)
+
+
+def _describe_result(
+    result: configuration.Result, change_id: str
+) -> starlette.responses.Response:
+    match result:
+        case configuration.Accepted(revision):
+            return _json({"revision": revision})
+        case configuration.Conflict():
+            return _json(
+                {
+                    "error": "another change came first; nothing was written",
+                    "revision": result.revision,
+                    "who": result.who,
+                    "why": result.why,
+                    "difference": result.difference,
+                },
+                409,
+            )
+        case configuration.Unavailable(reason):
+            return _json({"error": f"nothing was written: {reason}"}, 503)
+        case configuration.Undecided(reason):
+            return _json({"error": reason, "change_id": change_id}, 504)
+
+
+def _parse_number(
+    request: starlette.requests.Request, name: str, default: int
+) -> int | None:
+    text = request.query_params.get(name, str(default))
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def _refuse_stranger() -> starlette.responses.Response:
+    response = _json({"error": "authorization: a bearer token is needed"}, 401)
+    response.headers["www-authenticate"] = "Bearer"
+    return response
+
+
+def _json(data: Any, status: int = 200) -> starlette.responses.Response:
+    return starlette.responses.Response(
+        json.dumps(data) + "\n", status, media_type="application/json"
+    )
--- /dev/null
+++ b/src/waxwingferry/process/gossip.py
@@ -0,0 +1,297 @@
+"""Gossip between nodes: JSON datagrams over UDP.
+
+Each second a node sends a digest to one random peer: the revision of its
+document, a fingerprint of its member rows, and the rows that changed lately.
+A peer that knows something newer answers with a digest of its own. News is
+passed on at once to four random peers, and each item a bounded number of
+times. What datagrams miss is fetched over the peer listener.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import time
+from typing import Annotated
+from typing import Literal
+
+import anyio
+import msgspec
+import structlog
+
+from waxwingferry.process import members
+
+MAX_DATAGRAM_BYTES = 1200
+DIGEST_INTERVAL_S = 1.0
+JITTER = 0.2
+FANOUT = 4
+# One pass to 4 peers reaches 98% of the nodes, three passes all of 660 but
+# with a probability of 0.4%; digests reach the rest.
+PASSES = 3
+COALESCE_S = 0.01
+PASS_INTERVAL_S = 0.25
+RECENT_S = 30.0
+# The budget for all control is 22 KB/s a node.
+BYTES_PER_S = 11_000.0
+BURST_BYTES = 33_000.0
+# Digests to seeds join groups of nodes that know nothing of each other.
+SEED_SHARE = 0.1
+# Digests differ for a moment while news is under way.
+MISMATCHES_BEFORE_SYNC = 3
+SYNC_INTERVAL_S = 30.0
+
+Address = tuple[str, int]
+
+log = structlog.get_logger()
+
+
+class Datagram(msgspec.Struct):
+    """One message between two nodes.
+
+    Attributes:
+        sender: Name of the node that sent it.
+        kind: A digest may be answered with a reply; replies and news are
+            not answered.
+        revision: Revision of the sender's document, or 0.
+        fingerprint: Hash over all member rows of the sender.
+        rows: Member rows that are new or changed lately.
+    """
+
+    sender: members.Text
+    kind: Literal["digest", "reply", "news"]
+    revision: members.Counter
+    fingerprint: int
+    rows: Annotated[list[members.MemberRow], msgspec.Meta(max_length=16)] = []
+
+
+@dataclasses.dataclass(slots=True)
+class _Item:
+    """News that is being passed on."""
+
+    row: members.MemberRow | None
+    passes: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """What one node sent and received."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    malformed: int = 0
+    oversized: int = 0
+    delayed: int = 0
+
+
+class Gossip:
+    """The gossip of one node.
+
+    Args:
+        known: The members known; their news comes from on_news.
+        revision: Returns the revision of the document in force, or 0.
+        send: Sends a datagram; it may get lost.
+        rng: Source of peers and jitter.
+        seeds: Addresses used while no peers are known.
+        clock: Monotonic time in seconds.
+
+    Attributes:
+        newer_from: A peer that has a newer document, and its revision.
+        sync_from: A peer whose member rows differ for long.
+    """
+
+    def __init__(
+        self,
+        known: members.Members,
+        revision: Callable[[], int],
+        send: Callable[[Address, bytes], None],
+        rng: random.Random,
+        seeds: tuple[Address, ...] = (),
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.known = known
+        self.revision = revision
+        self.send = send
+        self.rng = rng
+        self.seeds = seeds
+        self.clock = clock
+        self.counts = Counts()
+        self.news: dict[str, _Item] = {}
+        self.has_news = anyio.Event()
+        self.newer_from: tuple[Address, int] | None = None
+        self.sync_from: Address | None = None
+        self.wants = anyio.Event()
+        self.mismatches = 0
+        self.synced_s = clock() - SYNC_INTERVAL_S
+        self.tokens = BURST_BYTES
+        self.tokens_s = clock()
+        self.encoder = msgspec.json.Encoder()
+        self.decoder = msgspec.json.Decoder(Datagram)
+
+    def add_row(self, row: members.MemberRow) -> None:
+        """Passes a new member row on."""
+        self.news[row.node] = _Item(row)
+        self.has_news.set()
+
+    def add_revision(self) -> None:
+        """Passes the news of a new document on."""
+        self.news[""] = _Item(None)
+        self.has_news.set()
+
+    def receive(self, data: bytes, address: Address) -> None:
+        """Handles one datagram; a bad one is counted and dropped."""
+        self.counts.received += 1
+        self.counts.received_bytes += len(data)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            self.counts.oversized += 1
+            return
+        try:
+            datagram = self.decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            self.counts.malformed += 1
+            return
+        if datagram.sender == self.known.node:
+            return
+        self.known.clear(datagram.sender)
+        self.known.apply_all(datagram.rows)
+        own_revision = self.revision()
+        if datagram.revision > own_revision:
+            self._want_document(address, datagram.revision)
+        same = datagram.fingerprint == self.known.fingerprint
+        if datagram.kind != "news":
+            self._note_mismatch(same, address)
+        behind = datagram.revision < own_revision or not same
+        if datagram.kind == "digest" and behind:
+            self.send_digest(address, "reply")
+
+    def _want_document(self, address: Address, revision: int) -> None:
+        if self.newer_from is None or self.newer_from[1] <= revision:
+            self.newer_from = (address, revision)
+        self.wants.set()
+
+    def _note_mismatch(self, same: bool, address: Address) -> None:
+        if same:
+            self.mismatches = 0
+            return
+        self.mismatches += 1
+        due = self.clock() - self.synced_s >= SYNC_INTERVAL_S
+        if self.mismatches >= MISMATCHES_BEFORE_SYNC and due:
+            self.mismatches = 0
+            self.synced_s = self.clock()
+            self.sync_from = address
+            self.wants.set()
+
+    def send_digest(
+        self, address: Address, kind: Literal["digest", "reply"] = "digest"
+    ) -> None:
+        """Sends what this node knows, as far as it fits."""
+        recent = self.known.recent_rows(self.clock() - RECENT_S)
+        data, _ = self._encode(kind, recent)
+        self._transmit(address, data)
+
+    def _encode(
+        self, kind: Literal["digest", "reply", "news"], rows: list
+    ) -> tuple[bytes, int]:
+        """Returns a datagram and how many of the rows are in it."""
+        datagram = Datagram(
+            self.known.node, kind, self.revision(), self.known.fingerprint
+        )
+        size = len(self.encoder.encode(datagram))
+        for row in rows[:16]:
+            size += len(self.encoder.encode(row)) + 1
+            if size > MAX_DATAGRAM_BYTES:
+                break
+            datagram.rows.append(row)
+        data = self.encoder.encode(datagram)
+        assert len(data) <= MAX_DATAGRAM_BYTES
+        return data, len(datagram.rows)
+
+    def _transmit(self, address: Address, data: bytes) -> None:
+        now_s = self.clock()
+        gained = (now_s - self.tokens_s) * BYTES_PER_S
+        self.tokens = min(self.tokens + gained, BURST_BYTES)
+        self.tokens_s = now_s
+        if self.tokens < len(data):
+            self.counts.delayed += 1
+            return
+        self.tokens -= len(data)
+        assert 0 <= self.tokens <= BURST_BYTES
+        self.counts.sent += 1
+        self.counts.sent_bytes += len(data)
+        self.send(address, data)
+
+    def choose_peers(self, count: int) -> list[Address]:
+        """Returns random peers, or seeds while no peers are known."""
+        peers: list[Address] = [row.address for row in self.known.peers()]
+        peers = peers or list(self.seeds)
+        return self.rng.sample(peers, min(count, len(peers)))
+
+    def tick(self) -> None:
+        """Sends the digest of this second."""
+        if self.seeds and self.rng.random() < SEED_SHARE:
+            self.send_digest(self.rng.choice(self.seeds))
+            return
+        for address in self.choose_peers(1):
+            self.send_digest(address)
+
+    def pass_on(self) -> None:
+        """Passes pending news on to random peers, once."""
+        items = list(self.news.items())
+        while items:
+            # Rows wait when the budget for bytes is spent, newest first.
+            if self.tokens_left() < FANOUT * MAX_DATAGRAM_BYTES:
+                return
+            rows = [item.row for _, item in items if item.row is not None]
+            data, fitted = self._encode("news", rows)
+            sent = _take_sent(items, fitted)
+            for address in self.choose_peers(FANOUT):
+                self._transmit(address, data)
+            for key, item in sent:
+                item.passes += 1
+                assert item.passes <= PASSES
+                if item.passes == PASSES:
+                    del self.news[key]
+
+    def tokens_left(self) -> float:
+        """Returns the bytes that may be sent now."""
+        gained = (self.clock() - self.tokens_s) * BYTES_PER_S
+        return min(self.tokens + gained, BURST_BYTES)
+
+    async def run_digests(self) -> None:
+        """Sends a digest each second."""
+        while True:
+            await anyio.sleep(
+                DIGEST_INTERVAL_S * self.rng.uniform(1 - JITTER, 1 + JITTER)
+            )
+            self.tick()
+
+    async def run_news(self) -> None:
+        """Passes news on as soon as there is some."""
+        while True:
+            await self.has_news.wait()
+            self.has_news = anyio.Event()
+            await anyio.sleep(COALESCE_S)
+            while self.news:
+                self.pass_on()
+                with anyio.move_on_after(PASS_INTERVAL_S):
+                    await self.has_news.wait()
+                self.has_news = anyio.Event()
+
+
+def _take_sent(items: list, fitted: int) -> list:
+    """Removes the items that one datagram carries from a list.
+
+    The revision is in every datagram, so its item is taken with the first.
+    """
+    sent = []
+    rest = []
+    for key, item in items:
+        if item.row is None:
+            sent.append((key, item))
+        elif fitted > 0:
+            fitted -= 1
+            sent.append((key, item))
+        else:
+            rest.append((key, item))
+    items[:] = rest
+    return sent
--- a/src/waxwingferry/process/members.py
+++ b/src/waxwingferry/process/members.py
@@ -1,95 +1,384 @@
-"""Membership: this node's row in the table, and the rows of the others."""
+"""Membership: the newest row of each node, and which targets may be used.
+
+Rows of one node are ordered by (generation, change, incarnation):
+
+- A process takes its generation once, at its start: its wall clock in
+  milliseconds, but above every generation that the table or a peer knows for
+  its name. A clock that was set back therefore can't put a new process behind
+  its predecessor, and a clock step while the process runs has no effect.
+- The change number counts the rows that one process announced.
+- The incarnation only orders two processes that took the same generation.
+
+Renewals do not change the order. They are only in the table, and are seen as
+a new version of the row.
+"""
 
-from collections.abc import Awaitable
 from collections.abc import Callable
-import random
+from collections.abc import Iterable
+import dataclasses
+import time
+from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import anyio
+import msgspec
 import structlog
+import xxhash
 
-from waxwingferry.process import platform
 from waxwingferry.process import routing
 
 PREFIX = "members/"
-RENEW_INTERVAL_S = 60.0
-READ_INTERVAL_S = 1.0
+LEASE_TTL_S = 180.0
+# Age that one read may add: a longer gap means that reads failed, and the
+# writers could not renew either.
+MAX_AGE_STEP_S = 45.0
+# A row this old without renewal belongs to a VM that was replaced.
+FORGET_AFTER_S = 3600.0
+# Direct evidence is acted on at once, and checked again after this time.
+SUSPECT_RETRY_MIN_S = 1.0
+SUSPECT_RETRY_MAX_S = 10.0
+MAX_MEMBERS = 5000
 
 log = structlog.get_logger()
 
+# So that a row always fits in a datagram, whatever its values are.
+Text = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][\w.:-]{0,62}\Z")]
+Counter = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
+class MemberRow(msgspec.Struct, frozen=True):
+    """What one node says of itself and its target.
+
+    Attributes:
+        generation: Order of the processes of one node.
+        change: Order of the rows of one process.
+    """
+
+    node: Text
+    service: Text
+    version: Text
+    region: Text
+    failure_domain: Text
+    host: Text
+    peer_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
+    incarnation: Text
+    state: Literal["ready", "draining", "leaving"]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    generation: Counter = 0
+    change: Counter = 0
+
+    @property
+    def order(self) -> tuple[int, int, str]:
+        """Of two rows of one node, the one with the higher order wins."""
+        return (self.generation, self.change, self.incarnation)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Address of the node's peer listener."""
+        return (self.host, self.peer_port)
+
+    def fingerprint(self) -> int:
+        """Returns a hash of the node and its order."""
+        text = f"{self.node}:{self.generation}:{self.change}:{self.incarnation}"
+        return xxhash.xxh3_64_intdigest(text.encode())
+
+
+class RowError(Exception):
+    """A row is malformed."""
+
+
+def parse_row(data: Any) -> MemberRow:
+    """Checks a row that came as JSON data.
+
+    Raises:
+        RowError: It is malformed.
+    """
+    try:
+        return msgspec.convert(data, MemberRow)
+    except msgspec.ValidationError as error:
+        raise RowError(str(error)) from error
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """A row with what this node knows about it.
+
+    Attributes:
+        changed_s: Monotonic time at which the row came.
+        version: Version of the row in the table, or 0 if it is not known.
+        age_s: Time since the last renewal seen, counted only while the
+            table could be read.
+        suspect: Whether direct evidence says that the node is dead.
+    """
+
+    row: MemberRow
+    changed_s: float
+    version: int = 0
+    age_s: float = 0.0
+    suspect: bool = False
+    suspect_until_s: float = 0.0
+    suspect_delay_s: float = SUSPECT_RETRY_MIN_S
+
 
 class Members:
     """The targets known to this node.
 
+    Attributes:
+        candidates: All targets by node, for the entry.
+        forgotten: Orders of rows that were dropped, so that a peer that
+            still has them can't bring them back.
+        fingerprint: Hash over all rows, whatever their order of arrival.
+
     Args:
-        table: The platform's table.
         node: Name of this node.
-        rng: Source of jitter.
+        clock: Monotonic time in seconds.
+        on_news: Called with each row that is newer than the one known.
+        on_rival: Called with a row of this node's name that this process
+            did not write and that wins against its own.
     """
 
-    def __init__(self, table: platform.Table, node: str, rng: random.Random):
-        self.table = table
+    def __init__(
+        self,
+        node: str,
+        clock: Callable[[], float] = time.monotonic,
+        on_news: Callable[[MemberRow], None] = lambda row: None,
+        on_rival: Callable[[MemberRow], None] = lambda row: None,
+    ):
         self.node = node
-        self.rng = rng
-        self.own: dict[str, Any] | None = None
+        self.clock = clock
+        self.on_news = on_news
+        self.on_rival = on_rival
+        self.own: MemberRow | None = None
         self.own_changed = anyio.Event()
+        self.records: dict[str, Record] = {}
         self.candidates: dict[str, routing.Candidate] = {}
-        self.by_service: dict[str, list[routing.Candidate]] = {}
-        self.version = 0
+        self.forgotten: dict[str, tuple[int, int, str]] = {}
+        self.usable: dict[str, list[routing.Candidate]] | None = None
+        self.fingerprint = 0
+        self.last_read_s: float | None = None
 
-    def announce(self, row: dict[str, Any]) -> None:
-        """Sets this node's row; the writer task stores it."""
+    @property
+    def by_service(self) -> dict[str, list[routing.Candidate]]:
+        """Targets that may be used, by service.
+
+        Those with a lapsed lease or evidence against them are used only if
+        no others are left.
+        """
+        if self.usable is None:
+            self.usable = self._group_usable()
+        return self.usable
+
+    def announce(self, row: MemberRow) -> None:
+        """Sets this node's own row, as the next change of this process."""
+        assert row.node == self.node
+        if self.own is not None:
+            assert row.generation >= self.own.generation
+            number = self.own.change + 1
+            row = msgspec.structs.replace(row, change=number)
         self.own = row
-        self.apply(self.node, row)
+        self._store(row)
         self.own_changed.set()
+        self.on_news(row)
+
+    def apply(self, row: MemberRow) -> bool:
+        """Takes a row if it is newer; returns whether it was."""
+        if row.node == self.node:
+            self._check_rival(row)
+            return False
+        old = self.records.get(row.node)
+        if old is not None and row.order <= old.row.order:
+            return False
+        if row.order <= self.forgotten.get(row.node, _LOWEST_ORDER):
+            return False
+        if old is None and len(self.records) >= MAX_MEMBERS:
+            log.error("member list is full", node=row.node)
+            return False
+        self._store(row)
+        self.on_news(row)
+        return True
+
+    def _check_rival(self, row: MemberRow) -> None:
+        if self.own is None or row.incarnation == self.own.incarnation:
+            return
+        if row.order > self.own.order:
+            self.on_rival(row)
+
+    def _store(self, row: MemberRow) -> None:
+        old = self.records.get(row.node)
+        if old is not None:
+            # The promise that a row never goes back, whatever the network
+            # or the table delivers.
+            assert row.order > old.row.order
+            self.fingerprint ^= old.row.fingerprint()
+        self.fingerprint ^= row.fingerprint()
+        self.records[row.node] = Record(row, self.clock())
+        self._update_candidate(row)
+        self.usable = None
+
+    def _update_candidate(self, row: MemberRow) -> None:
+        old = self.candidates.get(row.node)
+        if old is not None and old.incarnation == row.incarnation:
+            # Calls in flight hold this object and count in it.
+            for name in _SHARED_FIELDS:
+                setattr(old, name, getattr(row, name))
+            return
+        values = {name: getattr(row, name) for name in _SHARED_FIELDS}
+        self.candidates[row.node] = routing.Candidate(**values)
+
+    def apply_renewed(self, row: MemberRow, version: int) -> None:
+        """Takes a row that its node wrote or renewed in the table just now."""
+        if row.order <= self.forgotten.get(row.node, _LOWEST_ORDER):
+            del self.forgotten[row.node]
+        self.apply(row)
+        record = self.records.get(row.node)
+        if record is not None and record.row.incarnation == row.incarnation:
+            record.version = version
+            self.renew(row.node)
+
+    def renew(self, node: str) -> None:
+        """Notes that a node renewed its lease or was heard directly."""
+        record = self.records.get(node)
+        if record is None:
+            return
+        if record.age_s > LEASE_TTL_S:
+            self.usable = None
+        record.age_s = 0.0
+
+    def note_read(self) -> list[Record]:
+        """Ages all leases by the time since the last good read.
+
+        Returns:
+            The records that are so old that they were forgotten.
+        """
+        now_s = self.clock()
+        last_s, self.last_read_s = self.last_read_s, now_s
+        if last_s is None:
+            return []
+        step_s = min(now_s - last_s, MAX_AGE_STEP_S)
+        for record in self.records.values():
+            record.age_s += step_s
+        self.usable = None
+        old = [
+            record
+            for node, record in self.records.items()
+            if record.age_s > FORGET_AFTER_S and node != self.node
+        ]
+        for record in old:
+            self._forget(record.row)
+        return old
+
+    def _forget(self, row: MemberRow) -> None:
+        del self.records[row.node]
+        del self.candidates[row.node]
+        self.fingerprint ^= row.fingerprint()
+        while len(self.forgotten) >= MAX_MEMBERS:
+            del self.forgotten[next(iter(self.forgotten))]
+        self.forgotten[row.node] = row.order
+        log.info("member forgotten", node=row.node)
+
+    def find_suspects(self) -> list[MemberRow]:
+        """Returns the nodes that are due for a check by connecting.
 
-    def apply(self, node: str, value: dict[str, Any] | None) -> None:
-        """Takes the newest row of a node, or its removal."""
-        old = self.candidates.get(node)
-        if value is None:
-            self.candidates.pop(node, None)
-        else:
-            new = routing.Candidate(node=node, **value)
-            if old is not None and old.incarnation == new.incarnation:
-                new.in_flight = old.in_flight
-                new.load = old.load
-            self.candidates[node] = new
-        self.by_service = {}
+        These are nodes that refused a connection since the last call, and
+        suspects whose time to be checked again has come.
+        """
+        now_s = self.clock()
+        found = []
+        for node, record in self.records.items():
+            if node == self.node:
+                continue
+            refused_s = self.candidates[node].refused_at_s
+            refused = now_s - refused_s < 2 * SUSPECT_RETRY_MIN_S
+            if record.suspect:
+                if now_s >= record.suspect_until_s:
+                    found.append(record.row)
+            elif refused and refused_s > 0:
+                found.append(record.row)
+        return found
+
+    def suspect(self, node: str) -> None:
+        """Notes direct evidence that a node is dead; it is not used."""
+        record = self.records.get(node)
+        if record is None or node == self.node:
+            return
+        if record.suspect:
+            doubled_s = record.suspect_delay_s * 2
+            record.suspect_delay_s = min(doubled_s, SUSPECT_RETRY_MAX_S)
+        record.suspect_until_s = self.clock() + record.suspect_delay_s
+        if not record.suspect:
+            record.suspect = True
+            log.warning("member does not answer", node=node)
+            self.usable = None
+
+    def clear(self, node: str) -> None:
+        """Notes that a node answers; it is used again."""
+        record = self.records.get(node)
+        if record is None or not record.suspect:
+            return
+        record.suspect = False
+        record.suspect_delay_s = SUSPECT_RETRY_MIN_S
+        log.info("member answers again", node=node)
+        self.usable = None
+
+    def _is_current(self, node: str) -> bool:
+        record = self.records[node]
+        return not record.suspect and record.age_s <= LEASE_TTL_S
+
+    def _group_usable(self) -> dict[str, list[routing.Candidate]]:
+        groups: dict[str, list[routing.Candidate]] = {}
         for item in self.candidates.values():
-            self.by_service.setdefault(item.service, []).append(item)
-
-    async def run_writer(self) -> None:
-        """Writes this node's row on change and before its lease ends."""
-        while True:
-            with anyio.move_on_after(RENEW_INTERVAL_S):
-                await self.own_changed.wait()
-            self.own_changed = anyio.Event()
-            if self.own is not None:
-                await self._write(self.own)
-
-    async def _write(self, row: dict[str, Any]) -> None:
-        write = platform.Write(PREFIX + self.node, row)
-        delay_s = 0.1
-        while True:
-            try:
-                await self.table.transact([write])
-                return
-            except platform.PlatformError as error:
-                log.warning("member row not written", error=str(error))
-            await anyio.sleep(delay_s * self.rng.uniform(0.5, 1.5))
-            delay_s = min(delay_s * 2, 5.0)
-
-    async def run_reader(self, extra: Callable[[], Awaitable[None]]) -> None:
-        """Reads changed rows, and calls extra after each read."""
-        while True:
-            try:
-                rows = await self.table.scan(PREFIX, self.version)
-                for row in rows:
-                    self.version = max(self.version, row.version)
-                    name = row.key.removeprefix(PREFIX)
-                    if name != self.node:
-                        self.apply(name, row.value)
-                await extra()
-            except platform.PlatformError as error:
-                log.warning("members not read", error=str(error))
-            await anyio.sleep(READ_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+            groups.setdefault(item.service, []).append(item)
+        return {
+            service: self._choose_usable(items)
+            for service, items in groups.items()
+        }
+
+    def _choose_usable(
+        self, items: list[routing.Candidate]
+    ) -> list[routing.Candidate]:
+        current = [item for item in items if self._is_current(item.node)]
+        if any(item.state == "ready" for item in current):
+            return current
+        return items
+
+    def recent_rows(self, newer_than_s: float) -> list[MemberRow]:
+        """Returns rows that came after a monotonic time, newest first."""
+        recent = [
+            record
+            for record in self.records.values()
+            if record.changed_s >= newer_than_s
+        ]
+        recent.sort(key=lambda record: -record.changed_s)
+        return [record.row for record in recent]
+
+    def all_rows(self) -> list[MemberRow]:
+        """Returns the newest row of each node."""
+        return [record.row for record in self.records.values()]
+
+    def peers(self) -> list[MemberRow]:
+        """Returns the other nodes that gossip can be sent to."""
+        return [
+            record.row
+            for node, record in self.records.items()
+            if node != self.node and not record.suspect
+        ]
+
+    def apply_all(self, rows: Iterable[MemberRow]) -> int:
+        """Takes several rows; returns how many were newer."""
+        return sum(self.apply(row) for row in rows)
+
+
+_LOWEST_ORDER = (-1, -1, "")
+_SHARED_FIELDS = (
+    "node",
+    "service",
+    "version",
+    "region",
+    "failure_domain",
+    "host",
+    "peer_port",
+    "incarnation",
+    "state",
+    "slots",
+)
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -3,9 +3,9 @@
 import json
 import random
 import signal
-from typing import Any
 
 import anyio
+import msgspec
 import pydantic
 import structlog
 import uvloop
@@ -13,13 +13,18 @@
 from waxwingferry.connection import http1
 from waxwingferry.connection import serve
 from waxwingferry.process import admin
+from waxwingferry.process import configuration
+from waxwingferry.process import gossip
+from waxwingferry.process import lease
 from waxwingferry.process import logs
 from waxwingferry.process import members
 from waxwingferry.process import metrics
+from waxwingferry.process import peers
 from waxwingferry.process import platform
 from waxwingferry.process import program
 from waxwingferry.process import routing
 from waxwingferry.process import settings
+from waxwingferry.process import spread
 from waxwingferry.process import target
 from waxwingferry.request import entry
 from waxwingferry.request import forward
@@ -40,6 +45,7 @@
         options: Settings of the node.
         table: The platform's table.
         rng: Source of all random choices.
+        client: Fetches from peers.
     """
 
     def __init__(
@@ -47,14 +53,17 @@
         options: settings.NodeSettings,
         table: platform.Table,
         rng: random.Random,
+        client: peers.PeerClient,
     ):
         self.options = options
         self.table = table
         self.rng = rng
-        self.revision: document.Revision | None = None
         self.incarnation = f"{rng.getrandbits(64):016x}"
+        self.ready = False
         self.counters = metrics.Metrics()
-        self.members = members.Members(table, options.node, rng)
+        self.stop_asked = anyio.Event()
+        self.stopped = anyio.Event()
+        self._make_control(client)
         self.receiver = receive.Receiver(
             self.incarnation, self.own_domain_is_out
         )
@@ -71,29 +80,82 @@
         self.peer = peer.PeerHandler(self.receiver, self.get_revision)
         self.callers = serve.Server(self.entry.handle)
         self.local = serve.Server(self.handle_local)
-        self.peers = serve.Server(self.peer.handle, INTERIM_INTERVAL_S)
+        self.peers = serve.Server(self.handle_peer, INTERIM_INTERVAL_S)
         self.admin = admin.Admin(
             options.node,
             self.members,
             self.receiver,
             self.counters,
-            self.get_revision_number,
+            self.configured,
+            options.admin_tokens,
+            self.get_control_status,
+        )
+
+    def _make_control(self, client: peers.PeerClient) -> None:
+        """Makes what spreads the document and the members."""
+        options = self.options
+        seeds = tuple((peer.host, peer.port) for peer in options.seed_peers)
+        self.datagrams = peers.Datagrams(options.host, options.peer_port)
+        self.configured = configuration.Configuration(self.table)
+        self.members = members.Members(options.node)
+        self.gossip = gossip.Gossip(
+            self.members,
+            lambda: self.configured.number,
+            self.datagrams.send,
+            self.rng,
+            seeds,
+        )
+        self.lease = lease.Lease(
+            self.table,
+            self.members,
+            self.rng,
+            on_superseded=lambda: self.stop_asked.set(),
+        )
+        self.members.on_news = self.gossip.add_row
+        self.members.on_rival = self.lease.meet_rival
+        self.configured.on_change = self.gossip.add_revision
+        self.spread = spread.Spread(
+            self.configured,
+            self.members,
+            self.lease,
+            self.gossip,
+            client,
+            self.counters,
+            self.rng,
+            seeds,
         )
-        self.stopped = anyio.Event()
 
     def get_revision(self) -> document.Revision | None:
-        """Returns the document in force, or None."""
-        return self.revision
+        """Returns the document to act on, or None.
 
-    def get_revision_number(self) -> int:
-        """Returns the number of the document in force, or 0."""
-        return self.revision.number if self.revision else 0
+        There is none while a process that was paused catches up, because a
+        newer document may be in force everywhere else.
+        """
+        return None if self.spread.is_stale() else self.configured.revision
+
+    def get_control_status(self) -> dict:
+        """Returns the entries of /status about spread and membership."""
+        return {
+            "lease": {
+                "current": self.lease.is_current(),
+                "confirmed": self.lease.confirmed,
+                "superseded": self.lease.superseded,
+                "writes": self.lease.writes,
+                "reads": self.spread.reads,
+            },
+            "gossip": msgspec.to_builtins(self.gossip.counts),
+        }
 
     def own_domain_is_out(self) -> bool:
-        """Tells whether this node's failure domain is out."""
-        if self.revision is None:
+        """Tells whether this node's failure domain takes no work.
+
+        A process that was paused does not know, and takes none.
+        """
+        revision = self.configured.revision
+        if revision is None:
             return False
-        return self.options.failure_domain in self.revision.domains_out
+        out = self.options.failure_domain in revision.domains_out
+        return out or self.spread.is_stale()
 
     async def handle_local(
         self, connection: http1.ServerConnection, head: http1.RequestHead
@@ -111,36 +173,49 @@
             return
         if self.receiver.announce(announcement):
             log.info("target announced", **announcement.model_dump())
-            self.members.announce(self.make_row(announcement))
+            self.announce()
         reply = {"node": self.options.node, "incarnation": self.incarnation}
         await connection.send_head(200, [], json.dumps(reply).encode())
 
-    def make_row(self, announcement: target.Announcement) -> dict[str, Any]:
-        """Returns this node's member row."""
-        state = "leaving" if self.receiver.leaving else announcement.state
-        return {
-            "service": announcement.service,
-            "version": announcement.version,
-            "region": self.options.region,
-            "failure_domain": self.options.failure_domain,
-            "host": self.options.host,
-            "peer_port": self.options.peer_port,
-            "incarnation": self.incarnation,
-            "state": state,
-            "slots": announcement.slots,
-        }
-
-    async def read_document(self) -> None:
-        """Takes the newest document from the table; never an older one."""
-        row = await self.table.read(document.DOCUMENT_KEY)
-        if row is None or row.value is None:
-            return
-        number = row.value["revision"]
-        if number <= self.get_revision_number():
+    async def handle_peer(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        """Answers another node."""
+        if head.target in (peers.DOCUMENT_PATH, peers.MEMBERS_PATH):
+            await peers.answer(
+                connection, head.target, self.configured, self.members
+            )
             return
-        content = document.Document.model_validate(row.value["document"])
-        self.revision = document.Revision(number, content)
-        log.info("document in force", revision=number)
+        await self.peer.handle(connection, head)
+
+    def announce(self) -> None:
+        """Tells all nodes of this one, once it knows enough to take work."""
+        if self.ready and self.receiver.link is not None:
+            announcement = self.receiver.link.announcement
+            self.members.announce(self.make_row(announcement))
+
+    def make_row(self, announcement: target.Announcement) -> members.MemberRow:
+        """Returns this node's next member row."""
+        leaving = self.receiver.leaving
+        return members.MemberRow(
+            node=self.options.node,
+            service=announcement.service,
+            version=announcement.version,
+            region=self.options.region,
+            failure_domain=self.options.failure_domain,
+            host=self.options.host,
+            peer_port=self.options.peer_port,
+            incarnation=self.incarnation,
+            state="leaving" if leaving else announcement.state,
+            slots=announcement.slots,
+            generation=self.lease.generation,
+        )
+
+    async def learn(self) -> None:
+        """Learns document and members, then announces this node."""
+        await self.spread.learn()
+        self.ready = True
+        self.announce()
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then stops gracefully."""
@@ -157,24 +232,40 @@
                 options.admin_port,
                 self.stopped.wait,
             )
-            group.start_soon(self.members.run_writer)
-            group.start_soon(self.members.run_reader, self.read_document)
+            for task in (
+                self.learn,
+                self.lease.run,
+                self.spread.run_reader,
+                self.spread.run_fetcher,
+                self.spread.run_suspects,
+                self.spread.run_watch,
+                self.gossip.run_digests,
+                self.gossip.run_news,
+                self.wait_for_signal,
+            ):
+                group.start_soon(task)
+            group.start_soon(self.datagrams.run, self.gossip.receive)
             log.info("node started", node=options.node)
-            with anyio.open_signal_receiver(
-                signal.SIGTERM, signal.SIGINT
-            ) as signals:
-                async for _ in signals:
-                    break
+            await self.stop_asked.wait()
             await self.stop()
             group.cancel_scope.cancel()
+        self.datagrams.close()
+
+    async def wait_for_signal(self) -> None:
+        """Asks for a stop at SIGTERM or SIGINT."""
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                self.stop_asked.set()
+                return
 
     async def stop(self) -> None:
         """Announces the leave, then waits for all work in flight."""
         log.info("node stopping", node=self.options.node)
         self.receiver.leaving = True
-        if self.receiver.link is not None:
-            row = self.make_row(self.receiver.link.announcement)
-            self.members.announce(row)
+        if not self.lease.superseded:
+            self.announce()
         await anyio.sleep(LEAVE_DELAY_S)
         await self.callers.drain()
         await self.local.drain()
@@ -188,8 +279,12 @@
     rng: random.Random = random.SystemRandom()
     if options.random_seed is not None:
         rng = random.Random(options.random_seed)
-    async with platform.make_client(options.platform_url) as client:
-        node = Node(options, platform.HttpTable(client), rng)
+    async with (
+        platform.make_client(options.platform_url) as client,
+        peers.make_client() as peer_client,
+    ):
+        table = platform.HttpTable(client)
+        node = Node(options, table, rng, peers.PeerClient(peer_client))
         await node.run()
 
 
--- /dev/null
+++ b/src/waxwingferry/process/peers.py
@@ -0,0 +1,165 @@
+"""What nodes fetch from each other besides gossip.
+
+GET /_peer/document -> {"revision", "document"}; 404 without a document
+GET /_peer/members  -> {"rows": [...]}
+"""
+
+from collections.abc import Callable
+import json
+import socket
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
+import structlog
+
+from waxwingferry.connection import http1
+from waxwingferry.connection import pool
+from waxwingferry.process import configuration
+from waxwingferry.process import gossip
+from waxwingferry.process import members
+
+DOCUMENT_PATH = "/_peer/document"
+MEMBERS_PATH = "/_peer/members"
+FETCH_TIMEOUT_S = 2.0
+MAX_DATAGRAMS_AT_ONCE = 64
+
+log = structlog.get_logger()
+
+
+class PeerError(Exception):
+    """A peer gave no usable answer."""
+
+
+class PeerClient:
+    """Fetches documents and member rows from peers.
+
+    Args:
+        http: HTTP client with a time limit.
+    """
+
+    def __init__(self, http: httpx.AsyncClient):
+        self.http = http
+
+    async def fetch_document(self, address: gossip.Address) -> tuple[int, Any]:
+        """Returns a peer's revision and its content.
+
+        Raises:
+            PeerError: The peer gave no usable answer.
+        """
+        data = await self._get(address, DOCUMENT_PATH)
+        if type(data.get("revision")) is not int or "document" not in data:
+            raise PeerError(f"{address[0]}:{address[1]}: not a document")
+        return data["revision"], data["document"]
+
+    async def fetch_members(
+        self, address: gossip.Address
+    ) -> list[members.MemberRow]:
+        """Returns all member rows that a peer knows.
+
+        Raises:
+            PeerError: The peer gave no usable answer.
+        """
+        data = await self._get(address, MEMBERS_PATH)
+        try:
+            return msgspec.convert(data.get("rows"), list[members.MemberRow])
+        except msgspec.ValidationError as error:
+            raise PeerError(str(error)) from error
+
+    async def _get(self, address: gossip.Address, path: str) -> dict[str, Any]:
+        url = f"http://{address[0]}:{address[1]}{path}"
+        try:
+            reply = await self.http.get(url)
+            data = reply.json() if reply.status_code == 200 else None
+        except (httpx.HTTPError, OSError, ValueError) as error:
+            raise PeerError(f"{url}: {error!r}") from error
+        if not isinstance(data, dict):
+            raise PeerError(f"{url}: status {reply.status_code}")
+        return data
+
+
+def make_client() -> httpx.AsyncClient:
+    """Returns the HTTP client for peers."""
+    return httpx.AsyncClient(timeout=FETCH_TIMEOUT_S, trust_env=False)
+
+
+async def answer(
+    connection: http1.ServerConnection,
+    path: str,
+    configured: configuration.Configuration,
+    known: members.Members,
+) -> None:
+    """Answers a request for the document or the member rows."""
+    while await connection.receive_chunk() is not None:
+        pass
+    data: dict[str, Any]
+    if path == MEMBERS_PATH:
+        data = {"rows": [msgspec.to_builtins(row) for row in known.all_rows()]}
+    elif configured.revision is None:
+        await connection.send_head(404, [], b"no document\n")
+        return
+    else:
+        revision = configured.revision
+        content = revision.document.model_dump(mode="json")
+        data = {"revision": revision.number, "document": content}
+    headers = [("content-type", "application/json")]
+    await connection.send_head(200, headers, json.dumps(data).encode())
+
+
+async def is_alive(
+    address: gossip.Address, connect: pool.Connect = pool.connect_tcp
+) -> bool:
+    """Tells whether a peer accepts a connection."""
+    try:
+        stream = await connect(*address)
+    except pool.ConnectError:
+        return False
+    await anyio.aclose_forcefully(stream)
+    return True
+
+
+class Datagrams:
+    """The UDP socket of a node.
+
+    Args:
+        host: IP number to bind to.
+        port: Port to bind to.
+    """
+
+    def __init__(self, host: str, port: int):
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.socket = socket.socket(family, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        self.socket.bind((host, port))
+        self.unsent = 0
+
+    def send(self, address: gossip.Address, data: bytes) -> None:
+        """Sends a datagram, or counts that it could not be sent."""
+        try:
+            self.socket.sendto(data, address)
+        except OSError:
+            self.unsent += 1
+
+    async def run(
+        self, receive: Callable[[bytes, gossip.Address], None]
+    ) -> None:
+        """Calls receive with each datagram, until cancelled."""
+        while True:
+            await anyio.wait_readable(self.socket)
+            for _ in range(MAX_DATAGRAMS_AT_ONCE):
+                try:
+                    data, address = self.socket.recvfrom(
+                        gossip.MAX_DATAGRAM_BYTES + 1
+                    )
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    # A refused datagram of before is reported here.
+                    log.debug("datagram refused", error=str(error))
+                    continue
+                receive(data, address[:2])
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self.socket.close()
--- a/src/waxwingferry/process/program.py
+++ b/src/waxwingferry/process/program.py
@@ -1,10 +1,18 @@
-"""What all programs share: arguments, version and exit codes."""
+"""What all programs share: arguments, version, help and exit codes."""
 
 from collections.abc import Callable
+import contextlib
+import dataclasses
+import functools
+import inspect
+import io
+import re
 import sys
+from typing import Any
 
 import fire
 import fire.core
+import fire.decorators
 
 import waxwingferry
 from waxwingferry.process import settings
@@ -12,25 +20,174 @@
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
 
+Commands = Callable | dict[str, Any]
 
-def run_program(name: str, commands: Callable | dict[str, Callable]) -> None:
+
+class CommandError(Exception):
+    """A command failed; the message is one line for the operator."""
+
+
+class UsageError(Exception):
+    """An argument is not allowed; the message is one line."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Bound:
+    """A command with its arguments, before it runs."""
+
+    run: Callable[[], Any]
+
+
+def run_program(name: str, commands: Commands) -> None:
     """Runs a program's commands and exits.
 
     Exit code 0 means success, 1 a failed run, 2 bad arguments or settings.
 
     Args:
         name: Name of the program.
-        commands: One command, or commands by name. A command's result is
-            its exit code; None counts as 0.
+        commands: One command, or commands by name, which may nest. A
+            command's result is its exit code; None counts as 0. Arguments
+            of commands are annotated with str, int, float or bool.
     """
-    if sys.argv[1:] == ["--version"]:
+    arguments = sys.argv[1:]
+    if arguments == ["--version"]:
         print(f"{name} {waxwingferry.__version__}")
         sys.exit(0)
     try:
-        result = fire.Fire(commands, name=name, serialize=lambda _: None)
-    except fire.core.FireExit as stop:
-        sys.exit(EXIT_USAGE if stop.code else 0)
-    except settings.SettingsError as error:
+        bound = _bind(name, commands, arguments)
+        result = bound.run() if bound is not None else 0
+    except (UsageError, settings.SettingsError) as error:
         print(f"{name}: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
+    except CommandError as error:
+        print(f"{name}: {error}", file=sys.stderr)
+        sys.exit(EXIT_FAILURE)
     sys.exit(result if isinstance(result, int) else 0)
+
+
+def _bind(name: str, commands: Commands, arguments: list[str]) -> _Bound | None:
+    """Returns the command that the arguments name; None after the help."""
+    asks_help = any(item in ("--help", "-h") for item in arguments)
+    if not asks_help:
+        _check(commands, arguments)
+    # Fire writes its own usage text and may start a pager; both are
+    # captured, and commands run only after this block.
+    printed = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(printed):
+            bound = fire.Fire(
+                _defer(commands, not asks_help),
+                command=arguments,
+                name=name,
+                serialize=lambda _: None,
+            )
+    except fire.core.FireExit as stop:
+        if not asks_help:
+            text = stop.trace.elements[-1].ErrorAsStr()
+            raise UsageError(" ".join(text.split())) from stop
+        print(_clean_help(printed.getvalue()))
+        return None
+    if not isinstance(bound, _Bound):
+        raise UsageError(f"arguments = {arguments!r}: too many")
+    return bound
+
+
+def _check(commands: Commands, arguments: list[str]) -> None:
+    """Checks command names and flags, for messages in one line."""
+    rest = list(arguments)
+    while isinstance(commands, dict):
+        allowed = f"must be one of {', '.join(commands)}"
+        if not rest:
+            raise UsageError(f"command: missing; {allowed}")
+        word = rest.pop(0)
+        if word not in commands:
+            raise UsageError(f"command = {word!r}: {allowed}")
+        commands = commands[word]
+    parameters = inspect.signature(commands).parameters
+    flags = ", ".join(f"--{item}" for item in parameters) or "none"
+    given = {
+        item.lstrip("-").partition("=")[0].replace("-", "_"): item
+        for item in rest
+        if re.match(r"--?[A-Za-z]|--$", item)
+    }
+    for word, item in given.items():
+        if word not in parameters and word.removeprefix("no") not in parameters:
+            raise UsageError(f"{item}: unknown flag; allowed flags: {flags}")
+    values = _count_positional(rest, parameters)
+    if values > len(parameters) - len(given):
+        text = " ".join(rest)
+        raise UsageError(f"arguments = {text!r}: too many; flags: {flags}")
+    required = [
+        item.name
+        for item in parameters.values()
+        if item.default is inspect.Parameter.empty and item.name not in given
+    ]
+    if len(required) > values:
+        raise UsageError(f"--{required[values]}: missing; flags: {flags}")
+
+
+def _count_positional(rest: list[str], parameters) -> int:
+    count = 0
+    after_flag = False
+    for item in rest:
+        if item.startswith("--"):
+            name = item[2:].replace("-", "_")
+            known = parameters.get(name)
+            after_flag = known is not None and known.annotation is not bool
+        else:
+            count += not after_flag
+            after_flag = False
+    return count
+
+
+def _defer(commands: Commands, parse: bool) -> Commands:
+    """Returns the commands so that calling one only binds arguments.
+
+    Args:
+        commands: One command, or commands by name.
+        parse: Whether to check the values by their annotations; fire's help
+            would list the attribute that this sets.
+    """
+    if isinstance(commands, dict):
+        return {name: _defer(item, parse) for name, item in commands.items()}
+    command = commands
+
+    @functools.wraps(command)
+    def bind(*args, **kwargs):
+        return _Bound(functools.partial(command, *args, **kwargs))
+
+    if not parse:
+        return bind
+    # Without these, fire reads a text such as "a, b" as a tuple.
+    parsers = {
+        item.name: _make_parser(item)
+        for item in inspect.signature(command).parameters.values()
+    }
+    return fire.decorators.SetParseFns(**parsers)(bind)
+
+
+def _make_parser(parameter: inspect.Parameter) -> Callable[[str], Any]:
+    kind = parameter.annotation
+    allowed = {
+        int: "an integer",
+        float: "a number",
+        bool: "True or False",
+    }.get(kind, "text")
+
+    def parse(text: str) -> Any:
+        try:
+            if kind is bool:
+                return {"True": True, "False": False}[text]
+            return kind(text) if kind in (int, float) else text
+        except (ValueError, KeyError):
+            raise UsageError(
+                f"--{parameter.name} = {text!r}: must be {allowed}"
+            ) from None
+
+    return parse
+
+
+def _clean_help(text: str) -> str:
+    """Removes fire's notice and its notes on other syntaxes."""
+    text = re.sub(r"\AINFO: .*\n+", "", text)
+    return text.partition("\nNOTES\n")[0].strip("\n")
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -2,13 +2,21 @@
 
 import pathlib
 from typing import Annotated
+from typing import Any
 from typing import Literal
+from typing import TypeVar
 
 import pydantic
 import yaml
 
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
+Token = Annotated[pydantic.SecretStr, pydantic.Field(min_length=16)]
+
+_ModelType = TypeVar("_ModelType", bound=pydantic.BaseModel)
+
+MAX_SHOWN_CHARS = 80
+SECRET_KEYS = frozenset({"admin_tokens"})
 
 
 class SettingsError(Exception):
@@ -43,6 +51,8 @@
         local_port: Port on 127.0.0.1 for the node's own target.
         peer_port: Port for other nodes, TCP and UDP.
         admin_port: Port for operators.
+        admin_tokens: Bearer token of each operator by name. Without any,
+            the admin listener serves health, metrics and status only.
         region: Region that the VM is in.
         failure_domain: Failure domain that the VM is in.
         platform_url: Base URL of the platform's services.
@@ -59,35 +69,119 @@
     local_port: Port
     peer_port: Port
     admin_port: Port
+    admin_tokens: dict[Name, Token] = {}
     region: Name
     failure_domain: Name
-    platform_url: str
+    platform_url: Annotated[str, pydantic.Field(pattern=r"^https?://\S+$")]
     seed_peers: tuple[PeerAddress, ...] = ()
     log: LogSettings = LogSettings()
     random_seed: int | None = None
 
 
-def load_settings(path: str) -> NodeSettings:
-    """Reads and checks a settings file.
+class _Loader(yaml.SafeLoader):
+    """Refuses a key that is given twice; YAML itself keeps the last."""
+
+    def construct_mapping(self, node, deep=False):
+        """See yaml.SafeLoader."""
+        seen = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, deep=True)
+            if isinstance(key, str) and key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key!r} is given twice", node.start_mark
+                )
+            seen.add(key if isinstance(key, str) else id(key_node))
+        return super().construct_mapping(node, deep)
+
+
+def parse_yaml(text: str, place: str) -> Any:
+    """Parses YAML.
 
     Raises:
-        SettingsError: In one line: the key, the value and what is allowed.
+        SettingsError: In one line, with the place given.
     """
     try:
-        data = yaml.safe_load(pathlib.Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
+        return yaml.load(text, _Loader)  # noqa: S506
     except yaml.YAMLError as error:
         line = " ".join(str(error).split())
-        raise SettingsError(f"{path}: not valid YAML: {line}") from error
+        raise SettingsError(f"{place}: not valid YAML: {line}") from error
+
+
+def read_file(path: str) -> str:
+    """Returns the text of a file.
+
+    Raises:
+        SettingsError: It can't be read.
+    """
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not UTF-8 text") from error
+
+
+def load_settings(path: str) -> NodeSettings:
+    """Reads and checks a settings file.
+
+    Raises:
+        SettingsError: In one line: the key, the value and what is allowed.
+    """
+    return load_model(NodeSettings, path)
+
+
+def load_model(kind: type[_ModelType], path: str) -> _ModelType:
+    """Reads a YAML file and checks it against a model.
+
+    Raises:
+        SettingsError: In one line: the key, the value and what is allowed.
+    """
+    data = parse_yaml(read_file(path), path)
     try:
-        return NodeSettings.model_validate(data)
+        return kind.model_validate(data)
     except pydantic.ValidationError as error:
-        raise SettingsError(f"{path}: {describe_error(error)}") from error
+        line = describe_error(error, list(kind.model_fields))
+        raise SettingsError(f"{path}: {line}") from error
 
 
-def describe_error(error: pydantic.ValidationError) -> str:
-    """Returns the first validation error in one line."""
-    first = error.errors()[0]
-    place = ".".join(str(part) for part in first["loc"]) or "document"
-    return f"{place} = {first['input']!r}: {first['msg']}"
+def describe_error(
+    error: pydantic.ValidationError, allowed: list[str] | None = None
+) -> str:
+    """Returns the first validation error in one line.
+
+    Args:
+        error: The errors found.
+        allowed: Keys allowed at the top, named when a key is unknown.
+    """
+    first = error.errors(include_url=False)[0]
+    return describe_detail(first, allowed)
+
+
+def describe_detail(detail: Any, allowed: list[str] | None = None) -> str:
+    """Returns one of pydantic's error details in one line."""
+    place = ".".join(str(part) for part in detail["loc"])
+    value = repr(detail["input"])
+    if len(value) > MAX_SHOWN_CHARS:
+        value = value[:MAX_SHOWN_CHARS] + "..."
+    if SECRET_KEYS.intersection(detail["loc"]):
+        value = "(hidden)"
+    message = detail["msg"].removeprefix("Value error, ")
+    match detail["type"]:
+        case "missing":
+            return f"{place}: missing; this key is required"
+        case "extra_forbidden":
+            message = "unknown key"
+            if allowed and len(detail["loc"]) == 1:
+                message += f"; allowed keys: {', '.join(allowed)}"
+        case "too_short" | "string_too_short":
+            unit = "characters" if "string" in detail["type"] else "items"
+            if SECRET_KEYS.intersection(detail["loc"]):
+                unit = "characters"
+            least = detail["ctx"]["min_length"]
+            message = f"must have at least {least} {unit}"
+        case "model_type" | "dict_type":
+            message = "must be a mapping of keys to values"
+        case "value_error" if not place:
+            # A check over the whole content, which names the place itself.
+            return message
+    return f"{place or 'content'} = {value}: {message}"
--- /dev/null
+++ b/src/waxwingferry/process/spread.py
@@ -0,0 +1,229 @@
+"""How a node learns of documents and members, and keeps up with them."""
+
+from collections.abc import Callable
+import random
+import time
+
+import anyio
+import structlog
+
+from waxwingferry.process import configuration
+from waxwingferry.process import gossip
+from waxwingferry.process import lease
+from waxwingferry.process import members
+from waxwingferry.process import metrics
+from waxwingferry.process import peers
+from waxwingferry.process import platform
+
+LEARN_RETRY_S = 0.5
+LEARN_RETRY_MAX_S = 5.0
+FETCH_RETRY_S = 0.3
+SUSPECT_INTERVAL_S = 0.5
+MAX_CHECKS_AT_ONCE = 8
+TICK_S = 0.5
+# A process that did not run for this long may have missed a document.
+PAUSE_LIMIT_S = 5.0
+REFRESH_TIMEOUT_S = 3.0
+
+log = structlog.get_logger()
+
+
+class Spread:
+    """Keeps the document and the members of one node up to date.
+
+    Args:
+        configured: The document in force.
+        known: The members known.
+        held: This node's lease.
+        chatter: The gossip of this node.
+        client: Fetches from peers.
+        counters: Metrics of the node.
+        rng: Source of jitter.
+        seeds: Peers asked while the platform does not answer.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        configured: configuration.Configuration,
+        known: members.Members,
+        held: lease.Lease,
+        chatter: gossip.Gossip,
+        client: peers.PeerClient,
+        counters: metrics.Metrics,
+        rng: random.Random,
+        seeds: tuple[gossip.Address, ...],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.configured = configured
+        self.known = known
+        self.held = held
+        self.chatter = chatter
+        self.client = client
+        self.counters = counters
+        self.rng = rng
+        self.seeds = seeds
+        self.clock = clock
+        self.alive_s = clock()
+        self.stale = False
+        self.reads = 0
+
+    def is_stale(self) -> bool:
+        """Tells whether the process was paused and has not caught up.
+
+        It is asked before each use of the document, because a call may be
+        handled before any other task of a process that wakes up.
+        """
+        if self.clock() - self.alive_s > PAUSE_LIMIT_S:
+            self.stale = True
+        return self.stale
+
+    async def learn(self) -> None:
+        """Learns document and members; returns when the node may work.
+
+        The table is asked first. While it does not answer, the seed peers
+        are; without either, the node goes on asking and takes no work.
+        """
+        delay_s = LEARN_RETRY_S
+        while not await self._learn_once():
+            log.warning("neither platform nor seed peers answer")
+            await anyio.sleep(delay_s * self.rng.uniform(0.5, 1.5))
+            delay_s = min(delay_s * 2, LEARN_RETRY_MAX_S)
+
+    async def _learn_once(self) -> bool:
+        try:
+            await self._read_table()
+            return True
+        except platform.PlatformError as error:
+            log.warning("platform not read", error=str(error))
+        return await self._learn_from_peers()
+
+    async def _learn_from_peers(self) -> bool:
+        """Asks all seed peers, so that the newest document among them wins."""
+        found = False
+        for address in self._ask_order():
+            try:
+                rows = await self.client.fetch_members(address)
+                self.known.apply_all(rows)
+                self._outrank(rows)
+                await self._fetch_document(address)
+                found = True
+            except peers.PeerError as error:
+                log.info("peer not asked", error=str(error))
+        return found and self.configured.number > 0
+
+    def _ask_order(self) -> list[gossip.Address]:
+        return self.rng.sample(list(self.seeds), len(self.seeds))
+
+    def _outrank(self, rows: list[members.MemberRow]) -> None:
+        """Starts above the generation that peers know of this name."""
+        for row in rows:
+            if row.node == self.known.node and not self.held.confirmed:
+                own = self.known.own
+                if own is None or own.incarnation != row.incarnation:
+                    self.held.outrank(row.generation)
+
+    async def _fetch_document(self, address: gossip.Address) -> bool:
+        number, content = await self.client.fetch_document(address)
+        return self.configured.offer(number, content)
+
+    async def _read_table(self) -> None:
+        self.reads += 2
+        await self.configured.read()
+        await self.held.read_rows()
+
+    async def run_reader(self) -> None:
+        """Reads what changed in the table every 30 s."""
+        while True:
+            interval_s = lease.READ_INTERVAL_S
+            await anyio.sleep(
+                interval_s * self.rng.uniform(1 - lease.JITTER, 1)
+            )
+            try:
+                await self._read_table()
+            except platform.PlatformError as error:
+                self.counters.events.inc({"event": "platform_not_read"})
+                log.warning("platform not read", error=str(error))
+
+    async def run_fetcher(self) -> None:
+        """Fetches what gossip tells that peers have."""
+        while True:
+            await self.chatter.wants.wait()
+            self.chatter.wants = anyio.Event()
+            newer, self.chatter.newer_from = self.chatter.newer_from, None
+            if newer is not None and newer[1] > self.configured.number:
+                await self._fetch_newer(newer[0])
+            source, self.chatter.sync_from = self.chatter.sync_from, None
+            if source is not None:
+                await self._sync_members(source)
+
+    async def _fetch_newer(self, address: gossip.Address) -> None:
+        try:
+            await self._fetch_document(address)
+            return
+        except peers.PeerError as error:
+            log.info("document not fetched", error=str(error))
+        self.counters.events.inc({"event": "document_not_fetched"})
+        try:
+            await self.configured.read()
+        except platform.PlatformError as error:
+            log.info("document not read", error=str(error))
+        # The next datagram that names a newer revision starts another try.
+        await anyio.sleep(FETCH_RETRY_S * self.rng.uniform(0.5, 1.5))
+
+    async def _sync_members(self, address: gossip.Address) -> None:
+        self.counters.events.inc({"event": "members_synced"})
+        try:
+            rows = await self.client.fetch_members(address)
+            self.known.apply_all(rows)
+        except peers.PeerError as error:
+            log.info("members not fetched", error=str(error))
+
+    async def run_suspects(self) -> None:
+        """Checks members that refused connections, by connecting."""
+        while True:
+            await anyio.sleep(SUSPECT_INTERVAL_S)
+            due = self.known.find_suspects()
+            chosen = due[:MAX_CHECKS_AT_ONCE]
+            async with anyio.create_task_group() as group:
+                for row in chosen:
+                    group.start_soon(self._check, row)
+
+    async def _check(self, row: members.MemberRow) -> None:
+        if await peers.is_alive(row.address):
+            self.known.clear(row.node)
+            return
+        self.counters.events.inc({"event": "member_suspected"})
+        self.known.suspect(row.node)
+
+    async def run_watch(self) -> None:
+        """Notices pauses of this process, and catches up after one."""
+        while True:
+            if self.is_stale():
+                await self._refresh()
+            self.alive_s = self.clock()
+            await anyio.sleep(TICK_S)
+
+    async def _refresh(self) -> None:
+        """Asks the table, then peers, for what was missed while paused."""
+        paused_s = self.clock() - self.alive_s
+        log.warning("process was paused", paused_s=round(paused_s, 1))
+        self.counters.events.inc({"event": "paused"})
+        with anyio.move_on_after(REFRESH_TIMEOUT_S):
+            try:
+                await self._read_table()
+                if self.held.confirmed:
+                    await self.held.write_once()
+            except platform.PlatformError:
+                await self._refresh_from_peers()
+        # With neither, the node is cut off and goes on by what it knows.
+        self.stale = False
+
+    async def _refresh_from_peers(self) -> None:
+        for address in self.chatter.choose_peers(gossip.FANOUT):
+            try:
+                await self._fetch_document(address)
+                self.known.apply_all(await self.client.fetch_members(address))
+                return
+            except peers.PeerError as error:
+                log.info("peer not asked", error=str(error))
--- a/src/waxwingferry/version/document.py
+++ b/src/waxwingferry/version/document.py
@@ -1,14 +1,22 @@
 """The operators' document: services, routes and failure domains."""
 
+from collections.abc import Iterator
+import difflib
 from typing import Annotated
+from typing import Any
 from typing import Literal
 
 import pydantic
+import yaml
+
+from waxwingferry.process import settings
 
 DOCUMENT_KEY = "document/current"
 
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
 
+Method = Annotated[str, pydantic.Field(pattern=r"^[A-Z]{1,20}$")]
+
 
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -25,7 +33,10 @@
     """
 
     path_prefix: Annotated[str, pydantic.Field(pattern=r"^/\S*$")]
-    methods: tuple[str, ...] = ("GET", "HEAD")
+    methods: Annotated[tuple[Method, ...], pydantic.Field(min_length=1)] = (
+        "GET",
+        "HEAD",
+    )
     idempotent: bool = False
     deadline_ms: Annotated[int, pydantic.Field(ge=1, le=600_000)] = 5000
 
@@ -78,19 +89,82 @@
     budgets: Budgets = Budgets()
 
     @pydantic.model_validator(mode="after")
-    def check_names(self) -> "Document":
-        """Refuses two services or failure domains of one name."""
-        for kind, items in (
-            ("services", self.services),
-            ("failure_domains", self.failure_domains),
-        ):
-            names = [item.name for item in items]
-            doubled = sorted({n for n in names if names.count(n) > 1})
-            if doubled:
-                raise ValueError(f"{kind}: {doubled[0]!r} is named twice")
+    def check_whole(self) -> "Document":
+        """Refuses what single keys can't show, such as doubled names."""
+        problems = [*_find_doubled_names(self), *_find_doubled_routes(self)]
+        if problems:
+            raise ValueError("\n".join(problems))
         return self
 
 
+def _find_doubled_names(document: Document) -> Iterator[str]:
+    for kind, names in (
+        ("services", [item.name for item in document.services]),
+        ("failure_domains", [item.name for item in document.failure_domains]),
+    ):
+        for index, name in enumerate(names):
+            if name in names[:index]:
+                yield f"{kind}.{index}.name = {name!r}: is named twice"
+
+
+def _find_doubled_routes(document: Document) -> Iterator[str]:
+    """Yields routes that leave open which one a request belongs to."""
+    seen: dict[tuple[str, str], str] = {}
+    for number, service in enumerate(document.services):
+        for index, route in enumerate(service.routes):
+            place = f"services.{number}.routes.{index}"
+            for method in dict.fromkeys(route.methods):
+                key = (route.path_prefix, method)
+                first = seen.setdefault(key, place)
+                if first != place:
+                    yield (
+                        f"{place}.path_prefix = {route.path_prefix!r}: "
+                        f"{method} belongs to {first} already"
+                    )
+
+
+def check(data: Any) -> tuple[Document | None, list[str]]:
+    """Checks a document whole.
+
+    Returns:
+        The document and no errors, or None and every error in a line that
+        names its place, the value and what is allowed.
+    """
+    try:
+        return Document.model_validate(data), []
+    except pydantic.ValidationError as error:
+        lines = [
+            settings.describe_detail(detail, list(Document.model_fields))
+            for detail in error.errors(include_url=False)
+            if not _counts_refused_items(detail)
+        ]
+        return None, [part for line in lines for part in line.splitlines()]
+
+
+def _counts_refused_items(detail: Any) -> bool:
+    """Tells whether a list is too short only because its items are bad."""
+    if detail["type"] != "too_short":
+        return False
+    return len(detail["input"]) >= detail["ctx"]["min_length"]
+
+
+def to_yaml(document: Document) -> str:
+    """Returns a document as YAML, in the order of the schema."""
+    data = document.model_dump(mode="json")
+    return yaml.safe_dump(data, sort_keys=False)
+
+
+def compare(old: Document, new: Document, names: tuple[str, str]) -> str:
+    """Returns a unified diff of two documents; empty if they are equal."""
+    lines = difflib.unified_diff(
+        to_yaml(old).splitlines(),
+        to_yaml(new).splitlines(),
+        *names,
+        lineterm="",
+    )
+    return "\n".join(lines)
+
+
 class Revision:
     """One accepted document with the look-ups that calls need.
 
