Add the bench framework and stand-in targets with faults

Cause: decisions about routing, admission and retries have to be measured under faults, and nothing could bring them about.

--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -46,7 +46,8 @@
         services: Number of targets by service name.
         document: The operators' document.
         slots: Slots of each target.
-        service_time_ms: Mean service time of each target.
+        behaviour: How each target behaves at first; see
+            emulator.target.Behaviour.
         domains: Names of failure domains, given to targets in turn.
         first_port: First of the ports used.
     """
@@ -56,7 +57,7 @@
         services: dict[str, int],
         document: dict,
         slots: int = 6,
-        service_time_ms: float = 2.0,
+        behaviour: dict | None = None,
         domains: tuple[str, ...] = ("d1", "d2", "d3", "d4"),
         first_port: int = FIRST_PORT,
         seed: int = 1,
@@ -64,12 +65,12 @@
         self.services = services
         self.document = document
         self.slots = slots
-        self.service_time_ms = service_time_ms
+        self.behaviour = behaviour or {}
         self.domains = domains
         self.next_port = first_port
         self.seed = seed
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="waxwingferry-"))
-        self.platform_port = self._take_port()
+        self.platform_port = self.take_port()
         self.platform: subprocess.Popen | None = None
         self.members = [
             self._make_member(service, number)
@@ -77,7 +78,8 @@
             for number in range(count)
         ]
 
-    def _take_port(self) -> int:
+    def take_port(self) -> int:
+        """Returns a port that nothing of this cluster uses yet."""
         self.next_port += 1
         return self.next_port
 
@@ -87,7 +89,7 @@
             f"{service}-{number}",
             service,
             self.domains[number % len(self.domains)],
-            {use: self._take_port() for use in uses},
+            {use: self.take_port() for use in uses},
         )
 
     @property
@@ -137,7 +139,7 @@
             "slots": self.slots,
             "port": member.ports["target"],
             "node_port": member.ports["local"],
-            "service_time_ms": self.service_time_ms,
+            "behaviour": self.behaviour,
             "seed": self.seed * 1000 + member.ports["target"],
             **changes,
         }
@@ -211,6 +213,21 @@
             result[member.name] = reply.json()
         return result
 
+    async def control_target(
+        self, client: httpx.AsyncClient, member: Member, **changes
+    ) -> None:
+        """Changes how a stand-in target behaves."""
+        port = member.ports["target"]
+        url = f"http://127.0.0.1:{port}/_control"
+        (await client.post(url, json=changes)).raise_for_status()
+
+    async def set_platform_faults(
+        self, client: httpx.AsyncClient, **faults
+    ) -> None:
+        """Sets the platform's faults; see emulator.platform.Faults."""
+        url = f"{self.platform_url}/control/faults"
+        (await client.post(url, json=faults)).raise_for_status()
+
     def stop(self) -> None:
         """Stops all processes that were started, nodes first."""
         nodes = [member.node for member in self.members]
--- a/src/waxwingferry/bench/demo.py
+++ b/src/waxwingferry/bench/demo.py
@@ -129,6 +129,7 @@
         entry["request"]
         for data in ledgers.values()
         for entry in data["ledger"]
+        if entry["write"]
     )
     doubled = sum(1 for count in ran.values() if count > 1)
     lost = tally.lost + len(tally.written - set(ran))
--- /dev/null
+++ b/src/waxwingferry/bench/experiment.py
@@ -0,0 +1,119 @@
+"""What every experiment takes and returns."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import importlib
+import json
+import pathlib
+import pkgutil
+from typing import Any
+
+from waxwingferry.bench import experiments
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """Options of one run.
+
+    Attributes:
+        seed: Seed of all random choices of the run.
+        first_port: First of the loopback ports used.
+        duration_s: Length of each loaded phase in seconds.
+    """
+
+    seed: int = 1
+    first_port: int = 27000
+    duration_s: float = 8.0
+
+
+@dataclasses.dataclass
+class Table:
+    """A table to print: a title, column names and rows."""
+
+    title: str
+    columns: list[str]
+    rows: list[list[Any]] = dataclasses.field(default_factory=list)
+
+    def format(self) -> str:
+        """Returns the table as aligned text."""
+        cells = [[_format_cell(cell) for cell in row] for row in self.rows]
+        lines = [self.columns, *cells]
+        widths = [max(len(line[i]) for line in lines) for i in _span(lines)]
+        text = [self.title]
+        for line in lines:
+            padded = [line[0].ljust(widths[0])]
+            padded += [c.rjust(widths[i + 1]) for i, c in enumerate(line[1:])]
+            text.append("  " + "  ".join(padded))
+        return "\n".join(text)
+
+
+def _span(lines: list[list[str]]) -> range:
+    return range(len(lines[0]))
+
+
+def _format_cell(value: Any) -> str:
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
+
+
+@dataclasses.dataclass
+class Report:
+    """Tables, figures and checked promises of one run.
+
+    Attributes:
+        tables: Tables to print.
+        figures: Figures by name, for the JSON file.
+        checks: Number of checks made by name of the promise.
+        violations: One line for each broken promise.
+    """
+
+    tables: list[Table] = dataclasses.field(default_factory=list)
+    figures: dict[str, Any] = dataclasses.field(default_factory=dict)
+    checks: dict[str, int] = dataclasses.field(default_factory=dict)
+    violations: list[str] = dataclasses.field(default_factory=list)
+
+    def check(self, promise: str, holds: bool, detail: str = "") -> None:
+        """Counts one check, and records a violation if it does not hold."""
+        self.checks[promise] = self.checks.get(promise, 0) + 1
+        if not holds:
+            self.violations.append(f"{promise}: {detail}")
+
+
+Run = Callable[[Options], Awaitable[Report]]
+
+
+def find_experiments() -> dict[str, Run]:
+    """Returns the run function of each experiment by command name."""
+    found = {}
+    for item in pkgutil.iter_modules(experiments.__path__):
+        if item.name == "tests":
+            continue
+        module = importlib.import_module(f"{experiments.__name__}.{item.name}")
+        found[item.name.replace("_", "-")] = module.run
+    return found
+
+
+def print_report(name: str, options: Options, report: Report) -> None:
+    """Prints tables, checks and violations."""
+    for table in report.tables:
+        print(table.format())
+    for promise, count in sorted(report.checks.items()):
+        broken = sum(v.startswith(promise + ":") for v in report.violations)
+        print(f"check: {promise}: {count} checks, {broken} broken")
+    for line in report.violations[:20]:
+        print(f"violation: {line}")
+    verdict = "failed" if report.violations else "passed"
+    if not report.checks:
+        verdict = "failed (nothing was checked)"
+    print(f"{name}: seed {options.seed}: {verdict}")
+
+
+def write_json(path: str, name: str, options: Options, report: Report) -> None:
+    """Writes a report as JSON."""
+    data = {
+        "experiment": name,
+        "options": dataclasses.asdict(options),
+        **dataclasses.asdict(report),
+    }
+    text = json.dumps(data, indent=2, sort_keys=True)
+    pathlib.Path(path).write_text(text + "\n", encoding="utf-8")
--- /dev/null
+++ b/src/waxwingferry/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: one module each, with a function run(options)."""
--- /dev/null
+++ b/src/waxwingferry/bench/experiments/added_latency.py
@@ -0,0 +1,172 @@
+"""Latency and processor time that the nodes add to a call.
+
+Open-loop load at the two-year rate of one target, in turn against the target
+called directly, through its own node (one pass), through another node (two
+passes), and through one hypercorn and httpx pass as the baseline. The phases
+are interleaved in short rounds, so that noise of the machine meets all.
+"""
+
+import random
+import signal
+
+import anyio
+import psutil
+
+from waxwingferry.bench import cluster
+from waxwingferry.bench import experiment
+from waxwingferry.bench import load
+
+RATE_PER_S = 258.0
+TARGET_ADDED_MS = 1.1
+ROUNDS = 4
+SLOTS = 64
+
+DOCUMENT = {
+    "services": [
+        {
+            "name": "registry",
+            "routes": [
+                {
+                    "path_prefix": "/registry/",
+                    "methods": ["GET"],
+                    "idempotent": True,
+                    "deadline_ms": 5000,
+                }
+            ],
+        }
+    ],
+    "failure_domains": [{"name": "d1", "region": "r1"}],
+}
+
+BASELINE = "hypercorn + httpx"
+DIRECT = "direct"
+ONE_PASS = "one pass"
+TWO_PASSES = "two passes"
+
+
+def make_plan(port: int, label: str, duration_s: float) -> load.Plan:
+    """Returns the load of one phase."""
+
+    def make_request(rng: random.Random, number: int) -> load.Request:
+        return load.Request(
+            ("127.0.0.1", port),
+            "GET",
+            "/registry/prices",
+            label,
+            f"{label}-{number}",
+        )
+
+    return load.Plan(RATE_PER_S, duration_s, make_request)
+
+
+def processor_time_s(pids: list[int]) -> float:
+    """Returns the processor time used so far by processes, in seconds."""
+    total = 0.0
+    for pid in pids:
+        times = psutil.Process(pid).cpu_times()
+        total += times.user + times.system
+    return total
+
+
+async def run(options: experiment.Options) -> experiment.Report:
+    """Runs the experiment."""
+    services = {"registry": 1, "other": 1}
+    async with cluster.run_cluster(
+        services,
+        DOCUMENT,
+        slots=SLOTS,
+        behaviour={"service_time_ms": 0.0},
+        domains=("d1",),
+        first_port=options.first_port,
+        seed=options.seed,
+    ) as running:
+        return await _measure(options, running)
+
+
+async def _measure(
+    options: experiment.Options, running: cluster.Cluster
+) -> experiment.Report:
+    own, other = running.members
+    baseline_port = running.take_port()
+    baseline = running.start_process(
+        "waxwingferry.bench.baseline",
+        f"--port={baseline_port}",
+        f"--target_port={own.ports['target']}",
+    )
+    assert own.node is not None
+    assert other.node is not None
+    phases = {
+        DIRECT: (own.ports["target"], []),
+        ONE_PASS: (own.ports["caller"], [own.node.pid]),
+        TWO_PASSES: (
+            other.ports["caller"],
+            [own.node.pid, other.node.pid],
+        ),
+        BASELINE: (baseline_port, [baseline.pid]),
+    }
+    try:
+        await anyio.sleep(1.5)
+        return await _run_phases(options, phases)
+    finally:
+        baseline.send_signal(signal.SIGTERM)
+        baseline.wait(10)
+
+
+async def _run_phases(options, phases) -> experiment.Report:
+    recorder = load.Recorder()
+    used_s = dict.fromkeys(phases, 0.0)
+    generator = load.LoadGenerator(random.Random(options.seed), recorder)
+    for round_number in range(ROUNDS + 1):
+        if round_number == 1:
+            # The first round warms up the target's limit and all pools.
+            recorder = generator.recorder = load.Recorder()
+            used_s = dict.fromkeys(phases, 0.0)
+        for label, (port, pids) in phases.items():
+            begin_s = processor_time_s(pids)
+            duration_s = options.duration_s / ROUNDS
+            await generator.run(make_plan(port, label, duration_s))
+            used_s[label] += processor_time_s(pids) - begin_s
+    return _make_report(recorder, used_s, phases)
+
+
+def _make_report(recorder, used_s, phases) -> experiment.Report:
+    report = experiment.Report()
+    table = experiment.Table(
+        f"latency at {RATE_PER_S:.0f} calls/s (ms), timed from the "
+        "scheduled send",
+        ["path", "calls", "p50", "p99", "p99.9", "added p50", "added p99"]
+        + ["processor ms/call"],
+    )
+    direct = recorder.percentiles_ms(DIRECT)
+    for label in phases:
+        values = recorder.percentiles_ms(label)
+        calls = recorder.histograms[label].get_total_count()
+        added = [
+            value - base for value, base in zip(values, direct, strict=True)
+        ]
+        cost_ms = 1000 * used_s[label] / max(calls, 1)
+        table.rows.append([label, calls, *values, added[0], added[1], cost_ms])
+        report.figures[label] = {
+            "calls": calls,
+            "p50_ms": values[0],
+            "p99_ms": values[1],
+            "p99.9_ms": values[2],
+            "added_p50_ms": added[0],
+            "added_p99_ms": added[1],
+            "processor_ms_per_call": cost_ms,
+        }
+    report.tables.append(table)
+    for label in (ONE_PASS, TWO_PASSES):
+        report.check(
+            "every call through the nodes is answered",
+            recorder.unanswered[label] == 0,
+            f"{label}: {recorder.unanswered[label]} not answered; reasons "
+            f"{dict(recorder.reasons)}",
+        )
+    added_ms = report.figures[TWO_PASSES]["added_p99_ms"]
+    report.check(
+        f"two passes add at most {TARGET_ADDED_MS} ms at p99",
+        added_ms <= TARGET_ADDED_MS,
+        f"{added_ms:.3f} ms",
+    )
+    return report
--- /dev/null
+++ b/src/waxwingferry/bench/load.py
@@ -0,0 +1,240 @@
+"""Open-loop load: Poisson arrivals, timed from their scheduled send."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import random
+import time
+
+import anyio
+from hdrh import histogram
+
+from waxwingferry.connection import http1
+from waxwingferry.connection import pool
+
+MAX_LATENCY_US = 60_000_000
+PERCENTILES = (50.0, 99.0, 99.9)
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One request to send.
+
+    Attributes:
+        address: Host and port to send it to.
+        label: Name under which its latency is recorded.
+        request_id: Sent as x-request-id; the answer must echo it.
+    """
+
+    address: tuple[str, int]
+    method: str
+    target: str
+    label: str
+    request_id: str
+    headers: http1.Headers = dataclasses.field(default_factory=list)
+    body: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """How one request ended.
+
+    Attributes:
+        status: Status code, or 0 if no whole answer came.
+        outcome: answered, not-run, unknown or no-answer.
+        reason: Reason of a refusal, or the error without an answer.
+        latency_s: Time from the scheduled send to the end of the answer.
+        crossed: Whether the answer belonged to another request.
+        body: The whole body.
+    """
+
+    request: Request
+    status: int
+    outcome: str
+    reason: str
+    scheduled_s: float
+    latency_s: float
+    crossed: bool = False
+    body: bytes = b""
+
+
+@dataclasses.dataclass
+class Plan:
+    """A load to make.
+
+    Attributes:
+        rate_per_s: Mean arrivals per second.
+        duration_s: Length of the load.
+        make_request: Makes the request with a number from a random source.
+        timeout_s: Time after which the load generator gives up on a call.
+        max_open: Calls open at a time; more are recorded as no-answer.
+    """
+
+    rate_per_s: float
+    duration_s: float
+    make_request: Callable[[random.Random, int], Request]
+    timeout_s: float = 10.0
+    max_open: int = 2000
+
+
+class Recorder:
+    """Results of a load, with latency histograms by label.
+
+    Args:
+        keep: Whether each result is kept, not only counted.
+    """
+
+    def __init__(self, keep: bool = False):
+        self.keep = keep
+        self.results: list[Result] = []
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.reasons: collections.Counter[str] = collections.Counter()
+        self.crossed = 0
+        self.unanswered: collections.Counter[str] = collections.Counter()
+        self.histograms: dict[str, histogram.HdrHistogram] = {}
+
+    def record(self, result: Result) -> None:
+        """Adds one result; latency counts only for whole answers."""
+        self.outcomes[result.outcome] += 1
+        if result.reason:
+            self.reasons[result.reason] += 1
+        self.crossed += result.crossed
+        self.unanswered[result.request.label] += result.outcome != "answered"
+        if self.keep:
+            self.results.append(result)
+        if result.outcome == "answered":
+            self._histogram(result.request.label).record_value(
+                min(int(result.latency_s * 1e6), MAX_LATENCY_US)
+            )
+
+    def _histogram(self, label: str) -> histogram.HdrHistogram:
+        if label not in self.histograms:
+            self.histograms[label] = histogram.HdrHistogram(
+                1, MAX_LATENCY_US, 3
+            )
+        return self.histograms[label]
+
+    def percentiles_ms(self, label: str) -> list[float]:
+        """Returns p50, p99 and p99.9 in milliseconds."""
+        values = self._histogram(label)
+        return [
+            values.get_value_at_percentile(percentile) / 1000
+            for percentile in PERCENTILES
+        ]
+
+
+class LoadGenerator:
+    """Sends requests over pooled connections, one per call.
+
+    Args:
+        rng: Source of arrivals and requests.
+        recorder: Takes the results.
+    """
+
+    def __init__(self, rng: random.Random, recorder: Recorder):
+        self.rng = rng
+        self.recorder = recorder
+        self.pools: dict[tuple[str, int], pool.Pool] = {}
+        self.open = 0
+
+    async def run(self, plan: Plan) -> None:
+        """Makes the load and waits for all calls to end."""
+        next_s = time.monotonic()
+        end_s = next_s + plan.duration_s
+        number = 0
+        async with anyio.create_task_group() as group:
+            while True:
+                next_s += self.rng.expovariate(plan.rate_per_s)
+                if next_s >= end_s:
+                    break
+                delay_s = next_s - time.monotonic()
+                if delay_s > 0:
+                    await anyio.sleep(delay_s)
+                number += 1
+                request = plan.make_request(self.rng, number)
+                group.start_soon(self._call, plan, request, next_s)
+        for item in self.pools.values():
+            await item.close()
+
+    async def _call(
+        self, plan: Plan, request: Request, scheduled_s: float
+    ) -> None:
+        if self.open >= plan.max_open:
+            self._record(request, scheduled_s, 0, "no-answer", "max_open")
+            return
+        self.open += 1
+        try:
+            with anyio.fail_after(plan.timeout_s):
+                await self._exchange(plan, request, scheduled_s)
+        except TimeoutError:
+            self._record(request, scheduled_s, 0, "no-answer", "timeout")
+        except (pool.ConnectError, http1.HttpError) as error:
+            reason = type(error).__name__
+            self._record(request, scheduled_s, 0, "no-answer", reason)
+        finally:
+            self.open -= 1
+
+    async def _exchange(
+        self, plan: Plan, request: Request, scheduled_s: float
+    ) -> None:
+        peer = self.pools.get(request.address)
+        if peer is None:
+            peer = self.pools[request.address] = pool.Pool(*request.address)
+        connection = await peer.acquire()
+        try:
+            headers = [
+                ("host", f"{request.address[0]}:{request.address[1]}"),
+                ("x-request-id", request.request_id),
+                *request.headers,
+            ]
+            await connection.send_request(
+                request.method, request.target, headers, request.body
+            )
+            head = await connection.receive_head(plan.timeout_s)
+            while head.status < 200:
+                head = await connection.receive_head(plan.timeout_s)
+            parts = []
+            while part := await connection.receive_chunk(plan.timeout_s):
+                parts.append(part)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await peer.release(connection)
+        self._record_answer(request, scheduled_s, head, b"".join(parts))
+
+    def _record_answer(self, request, scheduled_s, head, body) -> None:
+        find = http1.find_header
+        outcome = find(head.headers, "x-waxwing-outcome", "answered")
+        reason = find(head.headers, "x-waxwing-reason")
+        echoed = find(head.headers, "x-request-id", request.request_id)
+        self._record(
+            request,
+            scheduled_s,
+            head.status,
+            outcome,
+            reason,
+            crossed=outcome == "answered" and echoed != request.request_id,
+            body=body,
+        )
+
+    def _record(
+        self, request, scheduled_s, status, outcome, reason, **more
+    ) -> None:
+        latency_s = time.monotonic() - scheduled_s
+        self.recorder.record(
+            Result(
+                request,
+                status,
+                outcome,
+                reason,
+                scheduled_s,
+                latency_s,
+                **more,
+            )
+        )
+
+
+async def run_load(plan: Plan, seed: int, keep: bool = False) -> Recorder:
+    """Makes one load and returns its results."""
+    recorder = Recorder(keep)
+    await LoadGenerator(random.Random(seed), recorder).run(plan)
+    return recorder
--- a/src/waxwingferry/emulator/platform.py
+++ b/src/waxwingferry/emulator/platform.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform: a table service and an object store."""
 
 import dataclasses
+import random
 from typing import Any
 
 import anyio
@@ -21,11 +22,17 @@
         delay_s: Time added to each answer.
         lose_answers: Number of writes whose answer will be lost after the
             write took effect.
+        lose_share: Share of further writes whose answer is lost likewise.
+        fail_share: Share of requests refused before they have an effect.
+        seed: Seed of the choices for both shares.
     """
 
     down: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
+    lose_share: float = 0.0
+    fail_share: float = 0.0
+    seed: int = 1
 
 
 class PlatformStandIn:
@@ -36,6 +43,7 @@
         self.objects: dict[str, bytes] = {}
         self.version = 0
         self.faults = Faults()
+        self.rng = random.Random(1)
         self.reads = 0
         self.writes = 0
 
@@ -57,10 +65,16 @@
     async def _enter(self) -> starlette.responses.Response | None:
         if self.faults.delay_s:
             await anyio.sleep(self.faults.delay_s)
-        if self.faults.down:
+        if self.faults.down or self.rng.random() < self.faults.fail_share:
             return _json({"error": "outage"}, 503)
         return None
 
+    def _loses_answer(self) -> bool:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return True
+        return self.rng.random() < self.faults.lose_share
+
     async def read(self, request: starlette.requests.Request):
         """Returns one row."""
         self.reads += 1
@@ -105,8 +119,7 @@
                 "value": write["value"],
                 "version": self.version,
             }
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
+        if self._loses_answer():
             return _json({"error": "answer lost"}, 504)
         return _json({"versions": versions})
 
@@ -133,6 +146,7 @@
     async def set_faults(self, request: starlette.requests.Request):
         """Sets the faults in force from now on."""
         self.faults = Faults(**await request.json())
+        self.rng = random.Random(self.faults.seed)
         return _json({})
 
     async def get_counts(self, request: starlette.requests.Request):
--- a/src/waxwingferry/emulator/target.py
+++ b/src/waxwingferry/emulator/target.py
@@ -1,20 +1,86 @@
-"""Stand-in for a target: slots, a ledger, announcements and drains."""
+"""Stand-in for a target: slots, cold start, ledger, faults and drains.
 
+Requests are served on any path. A path "/SERVICE/chain/N" makes the target
+call "/SERVICE/chain/N-1" through its own node before it answers, which
+makes call chains of any depth.
+
+Control, on the same port:
+
+    GET  /_ledger   what ran here, as JSON
+    POST /_control  JSON object that replaces some fields of Behaviour
+    GET  /_health, /_load   endpoints that lag and may mislead
+"""
+
+import collections
+import dataclasses
 import json
 import random
 import signal
+import time
 from typing import Annotated
+from typing import Any
+from typing import Literal
 
 import anyio
 import httpx
 import pydantic
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import pool
 from waxwingferry.connection import serve
 from waxwingferry.process import target as target_interface
 from waxwingferry.request import call
 
 ANNOUNCE_INTERVAL_S = 1.0
+OVERLOAD_SLOWDOWN = 5.0
+SPEED_STEP_S = 0.005
+
+
+class Behaviour(pydantic.BaseModel):
+    """How a stand-in target behaves from now on.
+
+    Attributes:
+        service_time_ms: Mean service time; exponentially distributed.
+        speed_shift: Largest factor by which the speed changes within
+            milliseconds; 1 keeps the speed constant.
+        neighbour_slowdown: Factor while a noisy neighbour is active.
+        neighbour_share: Share of the time that the neighbour is active.
+        cold_bears: Requests at a time that a cold target bears.
+        warm_after: Requests served until one more at a time is borne.
+        fail_share: Share of requests answered 500 at once.
+        fail_path: Only requests whose path starts with it fail or are slow.
+        slow_factor: Factor on the service time of matching requests.
+        shed: Every request is refused as not run.
+        hang: Requests get no answer.
+        cut_share: Share of answers cut short after their first half.
+        cross_share: Share of answers that carry another attempt's identity.
+        answer_bytes: Size of the answer's filler in bytes.
+        health: What /_health says, whatever the truth is.
+        load: What /_load says; None tells the truth of load_lag_s ago.
+        load_lag_s: Age of what /_load tells.
+        draining: The target announces that it drains.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    service_time_ms: Annotated[float, pydantic.Field(ge=0)] = 2.0
+    speed_shift: Annotated[float, pydantic.Field(ge=1)] = 1.0
+    neighbour_slowdown: Annotated[float, pydantic.Field(ge=1)] = 1.0
+    neighbour_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
+    cold_bears: Annotated[int, pydantic.Field(ge=1)] | None = None
+    warm_after: Annotated[int, pydantic.Field(ge=1)] = 10
+    fail_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
+    fail_path: str = "/"
+    slow_factor: Annotated[float, pydantic.Field(ge=0)] = 1.0
+    shed: bool = False
+    hang: bool = False
+    cut_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
+    cross_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
+    answer_bytes: Annotated[int, pydantic.Field(ge=0)] = 100
+    health: Literal["up", "down"] = "up"
+    load: int | None = None
+    load_lag_s: Annotated[float, pydantic.Field(ge=0)] = 0.5
+    draining: bool = False
 
 
 class TargetSettings(pydantic.BaseModel):
@@ -26,9 +92,9 @@
         version: Version that it announces.
         slots: Requests that it works on at a time; more are shed.
         port: Port that it listens on.
-        node_port: Local port of its node.
-        service_time_ms: Mean time that a request takes.
+        node_port: Local port of its node; 0 announces nothing.
         seed: Seed of its random choices.
+        behaviour: How it behaves at first.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -36,12 +102,62 @@
     name: str
     service: str
     version: str = "v1"
-    slots: int = 6
+    slots: Annotated[int, pydantic.Field(ge=1)] = 6
     host: str = "127.0.0.1"
     port: int
-    node_port: int
-    service_time_ms: Annotated[float, pydantic.Field(ge=0)] = 2.0
+    node_port: int = 0
     seed: int = 1
+    behaviour: Behaviour = Behaviour()
+
+
+@dataclasses.dataclass(slots=True)
+class LedgerEntry:
+    """One request that began to run.
+
+    Attributes:
+        request: The caller's x-request-id.
+        attempt: Identity of the attempt.
+        key: Idempotency key, or empty.
+        write: Whether the request has an effect that must not repeat.
+        state: running, done, failed or cancelled.
+        started_s: Wall-clock time of the start.
+    """
+
+    request: str
+    attempt: str
+    key: str
+    member: str
+    path: str
+    write: bool
+    started_s: float
+    state: str = "running"
+
+
+class Speed:
+    """Speed of a target that changes within milliseconds.
+
+    Args:
+        rng: Source of the changes.
+    """
+
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+        self.factor = 1.0
+        self.step = -1
+        self.neighbour_until_s = 0.0
+
+    def slowdown(self, behaviour: Behaviour, now_s: float) -> float:
+        """Returns the factor on service times at a time."""
+        step = int(now_s / SPEED_STEP_S)
+        if step != self.step:
+            self.step = step
+            self.factor = self.rng.uniform(1.0, behaviour.speed_shift)
+            if self.rng.random() < behaviour.neighbour_share / 20:
+                # A burst of the neighbour lasts twenty steps on average.
+                self.neighbour_until_s = now_s + 20 * SPEED_STEP_S
+        if now_s < self.neighbour_until_s:
+            return self.factor * behaviour.neighbour_slowdown
+        return self.factor
 
 
 class TargetStandIn:
@@ -53,65 +169,190 @@
 
     def __init__(self, options: TargetSettings):
         self.options = options
+        self.behaviour = options.behaviour
         self.rng = random.Random(options.seed)
-        self.incarnation = f"{self.rng.getrandbits(32):08x}"
+        self.speed = Speed(random.Random(options.seed + 1))
+        self.incarnation = f"{random.SystemRandom().getrandbits(32):08x}"
         self.in_flight = 0
-        self.most_in_flight = 0
-        self.shed = 0
-        self.ledger: list[dict[str, str]] = []
-        self.draining = False
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.ledger: list[LedgerEntry] = []
+        self.warmth = 0
+        self.loads: collections.deque[tuple[float, int]] = collections.deque()
+        self.last_attempt = ""
         self.server = serve.Server(self.handle)
+        self.node = pool.Pool("127.0.0.1", options.node_port)
+
+    def bears(self) -> int:
+        """Returns the requests at a time that the target bears now."""
+        if self.behaviour.cold_bears is None:
+            return self.options.slots
+        grown = self.warmth // self.behaviour.warm_after
+        return min(self.behaviour.cold_bears + grown, self.options.slots)
 
     async def handle(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Answers one request."""
-        while await connection.receive_chunk() is not None:
-            pass
-        if head.target == "/_ledger":
-            body = json.dumps(
-                {
-                    "ledger": self.ledger,
-                    "most_in_flight": self.most_in_flight,
-                    "shed": self.shed,
-                }
-            )
-            await connection.send_head(200, [], body.encode())
+        parts = []
+        while (chunk := await connection.receive_chunk()) is not None:
+            parts.append(chunk)
+        if head.target.startswith("/_"):
+            await self._control(connection, head, b"".join(parts))
             return
         attempt = http1.find_header(head.headers, call.ATTEMPT_HEADER)
         echo = [(call.ATTEMPT_HEADER, attempt)]
-        if self.in_flight >= self.options.slots:
-            self.shed += 1
+        if self.behaviour.shed or self.in_flight >= self.options.slots:
+            self.counts["shed"] += 1
             echo.append((target_interface.NOT_RUN_HEADER, "true"))
             await connection.send_head(503, echo, b"shed\n")
             return
-        self.in_flight += 1
-        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        await self._run(connection, head, echo)
+
+    async def _run(self, connection, head, echo) -> None:
+        entry = self._enter(head)
         try:
-            await self._work(connection, head, attempt, echo)
+            await self._work(head)
+            entry.state = "done"
+            await self._answer(connection, head, echo, entry)
+        except http1.HttpError:
+            raise
         finally:
+            if entry.state == "running":
+                entry.state = "cancelled"
+                self.counts["cancelled"] += 1
             self.in_flight -= 1
+            self.warmth += 1
+
+    def _enter(self, head: http1.RequestHead) -> LedgerEntry:
+        find = http1.find_header
+        entry = LedgerEntry(
+            find(head.headers, "x-request-id"),
+            find(head.headers, call.ATTEMPT_HEADER),
+            find(head.headers, call.KEY_HEADER),
+            find(head.headers, call.MEMBER_HEADER),
+            head.target,
+            head.method not in ("GET", "HEAD"),
+            time.time(),
+        )
+        self.ledger.append(entry)
+        self.in_flight += 1
+        self.loads.append((time.monotonic(), self.in_flight))
+        self.counts["started"] += 1
+        self.counts["most_in_flight"] = max(
+            self.counts["most_in_flight"], self.in_flight
+        )
+        if self.in_flight > self.bears():
+            self.counts["overloads"] += 1
+        return entry
+
+    async def _work(self, head: http1.RequestHead) -> None:
+        behaviour = self.behaviour
+        if behaviour.hang:
+            await anyio.sleep(600)
+        mean_s = behaviour.service_time_ms / 1000
+        duration_s = self.rng.expovariate(1 / mean_s) if mean_s else 0.0
+        duration_s *= self.speed.slowdown(behaviour, time.monotonic())
+        if head.target.startswith(behaviour.fail_path):
+            duration_s *= behaviour.slow_factor
+        if self.in_flight > self.bears():
+            duration_s *= OVERLOAD_SLOWDOWN
+        if duration_s:
+            await anyio.sleep(duration_s)
+        if "/chain/" in head.target:
+            await self._call_next(head)
 
-    async def _work(self, connection, head, attempt, echo) -> None:
-        mean_s = self.options.service_time_ms / 1000
-        if mean_s:
-            await anyio.sleep(self.rng.expovariate(1 / mean_s))
-        request_id = http1.find_header(head.headers, "x-request-id")
-        if head.method not in ("GET", "HEAD"):
-            self.ledger.append({"request": request_id, "attempt": attempt})
-        body = json.dumps(
-            {"target": self.options.name, "request": request_id}
-        ).encode()
+    async def _call_next(self, head: http1.RequestHead) -> None:
+        """Calls the next link of a chain through the own node."""
+        prefix, _, number = head.target.rpartition("/")
+        if int(number) <= 0:
+            return
+        passed_on = (
+            call.DEADLINE_HEADER,
+            call.DEPTH_HEADER,
+            call.RETRY_HEADER,
+            call.MEMBER_HEADER,
+            "x-request-id",
+        )
+        headers = [item for item in head.headers if item[0] in passed_on]
+        headers.append(("host", "127.0.0.1"))
+        connection = await self.node.acquire()
+        try:
+            await connection.send_request(
+                head.method, f"{prefix}/{int(number) - 1}", headers
+            )
+            reply = await connection.receive_head(60)
+            while await connection.receive_chunk(60) is not None:
+                pass
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.node.release(connection)
+        if reply.status != 200:
+            self.counts["nested_failures"] += 1
+
+    async def _answer(self, connection, head, echo, entry) -> None:
+        behaviour = self.behaviour
+        matches = head.target.startswith(behaviour.fail_path)
+        if matches and self.rng.random() < behaviour.fail_share:
+            entry.state = "failed"
+            await connection.send_head(500, echo, b"failed\n")
+            return
+        if self.rng.random() < behaviour.cross_share:
+            echo = [(call.ATTEMPT_HEADER, self.last_attempt or "0.1")]
+        self.last_attempt = entry.attempt
+        content = {
+            "target": self.options.name,
+            "version": self.options.version,
+            "request": entry.request,
+            "filler": "x" * behaviour.answer_bytes,
+        }
+        body = json.dumps(content).encode()
         echo.append(("content-type", "application/json"))
-        echo.append(("x-request-id", request_id))
+        echo.append(("x-request-id", entry.request))
+        if self.rng.random() < behaviour.cut_share:
+            echo.append(("content-length", str(len(body))))
+            await connection.send_head(200, echo, None)
+            await connection.send_chunk(body[: len(body) // 2])
+            raise http1.HttpError("answer cut short on purpose")
         await connection.send_head(200, echo, body)
 
+    async def _control(self, connection, head, body: bytes) -> None:
+        data: Any
+        match head.target:
+            case "/_ledger":
+                entries = [dataclasses.asdict(item) for item in self.ledger]
+                data = {"ledger": entries, "counts": dict(self.counts)}
+            case "/_control":
+                changes = json.loads(body)
+                if changes.pop("turn_cold", False):
+                    self.warmth = 0
+                values = self.behaviour.model_dump() | changes
+                self.behaviour = Behaviour.model_validate(values)
+                data = self.behaviour.model_dump()
+            case "/_health":
+                data = {"status": self.behaviour.health}
+            case "/_load":
+                data = {"in_flight": self._reported_load()}
+            case _:
+                await connection.send_head(404, [], b"")
+                return
+        await connection.send_head(200, [], json.dumps(data).encode())
+
+    def _reported_load(self) -> int:
+        if self.behaviour.load is not None:
+            return self.behaviour.load
+        oldest_s = time.monotonic() - self.behaviour.load_lag_s
+        value = 0
+        while self.loads and self.loads[0][0] <= oldest_s:
+            value = self.loads.popleft()[1]
+        return value
+
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then drains."""
         async with anyio.create_task_group() as group:
             options = self.options
             group.start_soon(self.server.serve, options.host, options.port)
-            group.start_soon(self._announce)
+            if options.node_port:
+                group.start_soon(self._announce)
             with anyio.open_signal_receiver(
                 signal.SIGTERM, signal.SIGINT
             ) as signals:
@@ -120,23 +361,27 @@
             await self.server.drain()
             group.cancel_scope.cancel()
 
-    async def _announce(self) -> None:
+    def make_announcement(self) -> dict[str, Any]:
+        """Returns what the target says of itself now."""
         options = self.options
-        url = f"http://127.0.0.1:{options.node_port}/_local/announce"
+        return {
+            "service": options.service,
+            "version": options.version,
+            "slots": options.slots,
+            "host": options.host,
+            "port": options.port,
+            "incarnation": self.incarnation,
+            "state": "draining" if self.behaviour.draining else "ready",
+        }
+
+    async def _announce(self) -> None:
+        port = self.options.node_port
+        url = f"http://127.0.0.1:{port}/_local/announce"
         async with httpx.AsyncClient(trust_env=False, timeout=1.0) as client:
             while True:
-                content = {
-                    "service": options.service,
-                    "version": options.version,
-                    "slots": options.slots,
-                    "host": options.host,
-                    "port": options.port,
-                    "incarnation": self.incarnation,
-                    "state": "draining" if self.draining else "ready",
-                }
                 interval_s = ANNOUNCE_INTERVAL_S
                 try:
-                    await client.post(url, json=content)
+                    await client.post(url, json=self.make_announcement())
                 except httpx.HTTPError:
                     interval_s = 0.1
                 await anyio.sleep(interval_s)
