Test spread, leases and operator races; send rows as arrays

Seeded tests cover loss, delay, duplication, cuts, pauses, lost answers, races, outages, mass return and the command line against the admin API.

--- /dev/null
+++ b/src/waxwingferry/cli/tests/test_commands.py
@@ -0,0 +1,199 @@
+"""The command line against the administration API of a node."""
+
+import anyio.from_thread
+import httpx
+import pydantic
+import pytest
+
+from waxwingferry.cli import client
+from waxwingferry.cli import main
+from waxwingferry.process import admin
+from waxwingferry.process import configuration
+from waxwingferry.process import members
+from waxwingferry.process import metrics
+from waxwingferry.process import program
+from waxwingferry.process.tests import fakes
+from waxwingferry.request import receive
+
+TOKENS = {
+    "ann": pydantic.SecretStr("a" * 16),
+    "ben": pydantic.SecretStr("b" * 16),
+}
+DOCUMENT = """\
+# revision: 0
+services:
+  - name: desk
+    routes:
+      - path_prefix: /desk/
+failure_domains:
+  - {name: d1, region: r1}
+  - {name: d2, region: r1}
+"""
+
+
+class Bridge(httpx.BaseTransport):
+    """Carries requests of a synchronous client to an ASGI application.
+
+    Attributes:
+        lose: Answers of PUT requests to lose after they took effect.
+    """
+
+    def __init__(self, app, portal):
+        self.inner = httpx.ASGITransport(app=app)
+        self.portal = portal
+        self.lose = 0
+        self.refused: set[str] = set()
+
+    async def _send(self, request):
+        reply = await self.inner.handle_async_request(request)
+        return reply.status_code, reply.headers, await reply.aread()
+
+    def handle_request(self, request):
+        """See httpx.BaseTransport."""
+        if request.url.host in self.refused:
+            raise httpx.ConnectError("refused")
+        status, headers, body = self.portal.call(self._send, request)
+        if request.method == "PUT" and self.lose:
+            self.lose -= 1
+            raise httpx.ReadTimeout("lost")
+        return httpx.Response(status, headers=headers, content=body)
+
+
+def _make_app(tokens, table):
+    known = members.Members("n0")
+    receiver = receive.Receiver("i0", lambda: False)
+    configured = configuration.Configuration(table)
+    served = admin.Admin(
+        "n0", known, receiver, metrics.Metrics(), configured, tokens
+    )
+    return served.make_app()
+
+
+@pytest.fixture
+def table():
+    """The platform's table."""
+    return fakes.Table()
+
+
+@pytest.fixture
+def bridge(table, monkeypatch, tmp_path):
+    """Connects the command line to a node; the current directory is empty."""
+    monkeypatch.chdir(tmp_path)
+    (tmp_path / "file.yaml").write_text(DOCUMENT, encoding="utf-8")
+    with anyio.from_thread.start_blocking_portal() as portal:
+        made = Bridge(_make_app(TOKENS, table), portal)
+        monkeypatch.setattr(
+            client,
+            "make_client",
+            lambda: client.Client(["dead:1", "n0:2"], "a" * 16, made),
+        )
+        yield made
+
+
+def test_a_document_is_applied_shown_and_taken_back(bridge, capsys):
+    """Guards against a change without its history."""
+    bridge.refused = {"dead"}
+    assert main.apply("file.yaml", why="first, and only") == 0
+    assert main.domain_out("d1", why="switch") == 0
+    assert main.back(1, why="back") == 0
+    capsys.readouterr()
+    main.history()
+    lines = [
+        line.split(" ann: ")[1] for line in capsys.readouterr().out.splitlines()
+    ]
+    assert lines == ["back", "switch", "first, and only"]
+    main.diff(old=1, new=3)
+    assert capsys.readouterr().out == "no difference\n"
+    main.diff(old=1, new=2)
+    assert "+  state: out" in capsys.readouterr().out
+    main.show()
+    assert capsys.readouterr().out.startswith("# revision: 3\n")
+
+
+def test_the_loser_of_a_race_is_shown_what_changed(bridge, capsys):
+    """Guards against an old file that undoes a later change."""
+    main.apply("file.yaml", why="first")
+    with open("file.yaml", "w", encoding="utf-8") as file:
+        file.write(DOCUMENT.replace("revision: 0", "revision: 1"))
+    main.domain_out("d2", why="switch")
+    with pytest.raises(client.ConflictError) as refusal:
+        main.apply("file.yaml", why="late")
+    assert "revision 2 by ann: switch" in str(refusal.value)
+    assert "+  state: out" in str(refusal.value)
+
+
+def test_a_lost_answer_is_resolved_by_reading(bridge, table, capsys):
+    """Guards against a change that is sent again after it took effect."""
+    bridge.lose = 1
+    assert main.apply("file.yaml", why="first") == 0
+    assert "revision 1 accepted" in capsys.readouterr().out
+    assert table.writes == 1
+
+
+def test_a_file_without_a_base_is_refused(bridge):
+    """Guards against a change based on whatever is in force."""
+    with open("file.yaml", "w", encoding="utf-8") as file:
+        file.write(DOCUMENT.partition("\n")[2])
+    with pytest.raises(program.UsageError, match="--base"):
+        main.apply("file.yaml", why="first")
+
+
+def test_an_unknown_failure_domain_is_refused(bridge):
+    """Guards against taking out a domain that nothing is in."""
+    main.apply("file.yaml", why="first")
+    with pytest.raises(program.UsageError, match="one of d1, d2"):
+        main.domain_out("d3")
+
+
+def test_an_outage_is_told(bridge, table):
+    """Guards against a change that is thought to be accepted."""
+    table.down = True
+    with pytest.raises(program.CommandError, match="nothing was written"):
+        main.apply("file.yaml", why="first")
+
+
+@pytest.mark.parametrize(
+    ("token", "status"),
+    [("", 401), ("a" * 15, 401), ("c" * 16, 401), ("b" * 16, 200)],
+)
+def test_the_document_needs_a_token(bridge, token, status):
+    """Guards against a document that a stranger can read or change."""
+    with httpx.Client(transport=bridge) as stranger:
+        headers = {"authorization": f"Bearer {token}"}
+        for path in ("/document", "/history"):
+            reply = stranger.get(f"http://n0{path}", headers=headers)
+            assert reply.status_code == status
+        if status == 401:
+            reply = stranger.put("http://n0/document", headers=headers)
+            assert reply.status_code == 401
+        assert stranger.get("http://n0/status").status_code == 200
+
+
+def test_without_tokens_only_health_metrics_and_status_are_served(table):
+    """Guards against an open administration API by omission."""
+    with anyio.from_thread.start_blocking_portal() as portal:
+        made = Bridge(_make_app({}, table), portal)
+        with httpx.Client(transport=made, base_url="http://n0") as stranger:
+            for path in ("/healthz", "/metrics", "/status"):
+                assert stranger.get(path).status_code == 200
+            for path in ("/document", "/history"):
+                assert stranger.get(path).status_code == 404
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b"{", 422),
+        (b'{"base": 0, "document": {}, "why": ""}', 422),
+        (b'{"base": 0, "document": {"x": 1}, "why": "w"', 422),
+        (b" " * (admin.MAX_BODY_BYTES + 1), 413),
+    ],
+)
+def test_malformed_changes_are_refused_with_reasons(bridge, body, status):
+    """Guards against a traceback on input of an operator's own tools."""
+    with httpx.Client(transport=bridge) as operator:
+        headers = {"authorization": "Bearer " + "a" * 16}
+        url = "http://n0/document"
+        reply = operator.put(url, headers=headers, content=body)
+        assert reply.status_code == status
+        assert reply.json()["errors"]
--- a/src/waxwingferry/process/lease.py
+++ b/src/waxwingferry/process/lease.py
@@ -170,7 +170,7 @@
         assert row is not None
         self.writes += 1
         started_s = self.clock()
-        write = platform.Write(self.key, msgspec.to_builtins(row), self.version)
+        write = platform.Write(self.key, members.format_row(row), self.version)
         try:
             versions = await self.table.transact([write])
             self.version = versions[0]
@@ -208,7 +208,8 @@
             raise platform.PlatformError("the member row was removed")
         if row.value.get("incarnation") == self._incarnation():
             self.version = row.version
-            if row.value == msgspec.to_builtins(self.known.own):
+            own = self.known.own
+            if own is not None and row.value == members.format_row(own):
                 return True
             raise platform.PlatformError("the member row has an older change")
         if self.confirmed:
--- a/src/waxwingferry/process/members.py
+++ b/src/waxwingferry/process/members.py
@@ -47,9 +47,12 @@
 Counter = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
-class MemberRow(msgspec.Struct, frozen=True):
+class MemberRow(msgspec.Struct, frozen=True, array_like=True):
     """What one node says of itself and its target.
 
+    It is a JSON array on the wire, where eight rows fit in a datagram, and
+    an object in the table. New fields go to the end.
+
     Attributes:
         generation: Order of the processes of one node.
         change: Order of the rows of one process.
@@ -89,15 +92,21 @@
 
 
 def parse_row(data: Any) -> MemberRow:
-    """Checks a row that came as JSON data.
+    """Checks a row from the table.
 
     Raises:
         RowError: It is malformed.
     """
     try:
-        return msgspec.convert(data, MemberRow)
-    except msgspec.ValidationError as error:
-        raise RowError(str(error)) from error
+        values = [data[name] for name in MemberRow.__struct_fields__]
+        return msgspec.convert(values, MemberRow)
+    except (msgspec.ValidationError, KeyError, TypeError) as error:
+        raise RowError(repr(error)) from error
+
+
+def format_row(row: MemberRow) -> dict[str, Any]:
+    """Returns a row as the table holds it."""
+    return msgspec.structs.asdict(row)
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/src/waxwingferry/process/tests/fakes.py
@@ -0,0 +1,291 @@
+"""A table, a clock and a network in memory, with faults from a seed."""
+
+import dataclasses
+import heapq
+import random
+
+import anyio
+
+from waxwingferry.process import configuration
+from waxwingferry.process import gossip
+from waxwingferry.process import members
+from waxwingferry.process import platform
+
+
+class Clock:
+    """Time that only the test moves."""
+
+    def __init__(self, now_s: float = 1000.0):
+        self.now_s = now_s
+
+    def __call__(self) -> float:
+        """Returns the time."""
+        return self.now_s
+
+    async def sleep(self, delay_s: float) -> None:
+        """Moves the time on, and lets other tasks run."""
+        self.now_s += delay_s
+        await anyio.lowlevel.checkpoint()
+
+
+class Timeline(Clock):
+    """Time that moves on when all tasks sleep."""
+
+    def __init__(self):
+        super().__init__()
+        self.sleepers: list = []
+        self.count = 0
+
+    async def sleep(self, delay_s: float) -> None:
+        """Waits until the time has come."""
+        self.count += 1
+        event = anyio.Event()
+        entry = (self.now_s + delay_s, self.count, event)
+        heapq.heappush(self.sleepers, entry)
+        await event.wait()
+
+    async def run(self, duration_s: float) -> None:
+        """Wakes sleepers in order for a time."""
+        end_s = self.now_s + duration_s
+        await self._settle()
+        while self.sleepers and self.sleepers[0][0] <= end_s:
+            self.now_s, _, event = heapq.heappop(self.sleepers)
+            event.set()
+            await self._settle()
+        self.now_s = end_s
+
+    async def _settle(self) -> None:
+        for _ in range(12):
+            await anyio.lowlevel.checkpoint()
+
+
+class Table:
+    """A table in memory.
+
+    Attributes:
+        down: All requests fail before they have an effect.
+        lose_share: Share of writes whose answer is lost.
+        on_write: Called at each write.
+    """
+
+    def __init__(self, rng: random.Random | None = None):
+        self.rng = rng or random.Random(1)
+        self.rows: dict[str, platform.Row] = {}
+        self.version = 0
+        self.writes = 0
+        self.down = False
+        self.lose_share = 0.0
+        self.on_write = lambda: None
+
+    def value(self, key: str) -> dict:
+        """Returns the value of a row that is there."""
+        value = self.rows[key].value
+        assert value is not None
+        return value
+
+    async def _enter(self) -> None:
+        await anyio.lowlevel.checkpoint()
+        if self.down:
+            raise platform.PlatformError("outage")
+
+    async def read(self, key):
+        """See platform.Table."""
+        await self._enter()
+        return self.rows.get(key)
+
+    async def scan(self, prefix, after_version=0):
+        """See platform.Table."""
+        await self._enter()
+        return [
+            row
+            for key, row in self.rows.items()
+            if key.startswith(prefix) and row.version > after_version
+        ]
+
+    async def transact(self, writes):
+        """See platform.Table."""
+        await self._enter()
+        self.writes += 1
+        self.on_write()
+        for write in writes:
+            row = self.rows.get(write.key)
+            live = row is not None and row.value is not None
+            version = row.version if row is not None and live else 0
+            if write.if_version not in (None, version):
+                raise platform.ConflictError(write.key, row)
+        versions = []
+        for write in writes:
+            self.version += 1
+            versions.append(self.version)
+            row = platform.Row(write.key, write.value, self.version)
+            self.rows[write.key] = row
+        await anyio.lowlevel.checkpoint()
+        if self.rng.random() < self.lose_share:
+            raise platform.PlatformError("answer lost")
+        return versions
+
+
+def make_row(number: int, **changes) -> members.MemberRow:
+    """Returns the row of node n<number>."""
+    values = {
+        "node": f"n{number}",
+        "service": "desk",
+        "version": "v1",
+        "region": "r1",
+        "failure_domain": f"d{number % 4 + 1}",
+        "host": "127.0.0.1",
+        "peer_port": 10_000 + number,
+        "incarnation": f"{number:016x}",
+        "state": "ready",
+        "slots": 6,
+        "generation": 1,
+        "change": 1,
+        **changes,
+    }
+    return members.MemberRow(**values)
+
+
+@dataclasses.dataclass
+class Faults:
+    """What happens to datagrams, as shares; delays in seconds."""
+
+    loss: float = 0.0
+    duplicate: float = 0.0
+    delay_s: tuple[float, float] = (0.0005, 0.002)
+
+
+class FakeNode:
+    """One node's members, document and gossip on a fake network."""
+
+    def __init__(self, network: "Network", number: int, own: bool = True):
+        self.network = network
+        self.address = ("127.0.0.1", 10_000 + number)
+        self.paused_until_s = 0.0
+        self.passing = False
+        self.revisions = [0]
+        name = f"n{number}"
+        self.members = members.Members(name, network.clock)
+        self.configured = configuration.Configuration(Table())
+        self.gossip = gossip.Gossip(
+            self.members,
+            lambda: self.configured.number,
+            lambda to, data: network.send(self.address, to, data),
+            network.rng,
+            (("127.0.0.1", 10_000),),
+            network.clock,
+        )
+        self.members.on_news = self.gossip.add_row
+        self.configured.on_change = self._on_change
+        if own:
+            self.members.announce(make_row(number))
+
+    def _on_change(self) -> None:
+        self.revisions.append(self.configured.number)
+        self.gossip.add_revision()
+
+    def fetch(self) -> None:
+        """Does at once what the fetcher task does over TCP."""
+        newer, self.gossip.newer_from = self.gossip.newer_from, None
+        if newer is not None:
+            source = self.network.reach(self.address, newer[0])
+            if source is not None and source.configured.revision is not None:
+                revision = source.configured.revision
+                content = revision.document.model_dump(mode="json")
+                self.configured.offer(revision.number, content)
+        sync, self.gossip.sync_from = self.gossip.sync_from, None
+        if sync is not None:
+            source = self.network.reach(self.address, sync)
+            if source is not None:
+                self.members.apply_all(source.members.all_rows())
+
+
+class Network:
+    """Delivers datagrams between nodes in the order of time."""
+
+    def __init__(self, rng: random.Random, faults: Faults):
+        self.rng = rng
+        self.faults = faults
+        self.clock = Clock()
+        self.nodes: dict[gossip.Address, FakeNode] = {}
+        self.groups: dict[gossip.Address, int] = {}
+        self.queue: list = []
+        self.count = 0
+
+    def add(self, number: int, own: bool = True) -> FakeNode:
+        """Starts a node."""
+        node = FakeNode(self, number, own)
+        self.nodes[node.address] = node
+        self.at(self.rng.uniform(0, 1), self._tick, node)
+        return node
+
+    def at(self, delay_s: float, action, *args) -> None:
+        """Runs an action later."""
+        self.count += 1
+        time_s = self.clock.now_s + delay_s
+        heapq.heappush(self.queue, (time_s, self.count, action, args))
+
+    def reach(self, source, to) -> FakeNode | None:
+        """Returns the node at an address unless it is cut off."""
+        node = self.nodes.get(to)
+        if node is None or node.paused_until_s > self.clock.now_s:
+            return None
+        same = self.groups.get(source, 0) == self.groups.get(to, 0)
+        return node if same else None
+
+    def send(self, source, to, data: bytes) -> None:
+        """Sends a datagram, with the faults in force."""
+        if self.groups.get(source, 0) != self.groups.get(to, 0):
+            return
+        copies = 1 + (self.rng.random() < self.faults.duplicate)
+        for _ in range(copies):
+            if self.rng.random() >= self.faults.loss:
+                delay_s = self.rng.uniform(*self.faults.delay_s)
+                self.at(delay_s, self._deliver, source, to, data)
+
+    def _deliver(self, source, to, data: bytes) -> None:
+        node = self.nodes.get(to)
+        if node is None:
+            return
+        if node.paused_until_s > self.clock.now_s:
+            # The socket of a paused process keeps its datagrams.
+            wait_s = node.paused_until_s - self.clock.now_s
+            self.at(wait_s, self._deliver, source, to, data)
+            return
+        node.gossip.receive(data, source)
+        node.fetch()
+        self._pass_on_later(node)
+
+    def _pass_on_later(self, node: FakeNode) -> None:
+        if node.gossip.has_news.is_set() and not node.passing:
+            node.passing = True
+            node.gossip.has_news = anyio.Event()
+            self.at(gossip.COALESCE_S, self._pass_on, node)
+
+    def _pass_on(self, node: FakeNode) -> None:
+        if node.paused_until_s > self.clock.now_s:
+            self.at(1.0, self._pass_on, node)
+            return
+        node.gossip.pass_on()
+        node.passing = bool(node.gossip.news)
+        if node.passing:
+            self.at(gossip.PASS_INTERVAL_S, self._pass_on, node)
+
+    def _tick(self, node: FakeNode) -> None:
+        if self.nodes.get(node.address) is not node:
+            return
+        if node.paused_until_s <= self.clock.now_s:
+            node.gossip.tick()
+            self._pass_on_later(node)
+        jitter = self.rng.uniform(1 - gossip.JITTER, 1 + gossip.JITTER)
+        self.at(gossip.DIGEST_INTERVAL_S * jitter, self._tick, node)
+
+    def run(self, duration_s: float, until=lambda: False) -> float:
+        """Runs for a time, or until a condition holds; returns the time."""
+        start_s = self.clock.now_s
+        end_s = start_s + duration_s
+        while self.queue and self.queue[0][0] <= end_s and not until():
+            self.clock.now_s, _, action, args = heapq.heappop(self.queue)
+            action(*args)
+        if not until():
+            self.clock.now_s = end_s
+        return self.clock.now_s - start_s
--- /dev/null
+++ b/src/waxwingferry/process/tests/test_configuration.py
@@ -0,0 +1,134 @@
+"""Accepting documents: races, lost answers and outages."""
+
+import random
+
+import anyio
+import pytest
+
+from waxwingferry.process import configuration
+from waxwingferry.process.tests import fakes
+from waxwingferry.version import document
+
+pytestmark = pytest.mark.anyio
+
+
+def _make_document(number: int) -> document.Document:
+    route = document.Route(path_prefix=f"/{number}")
+    service = document.Service(name="desk", routes=(route,))
+    return document.Document(services=(service,))
+
+
+def _make_change(base: int, rng: random.Random, number: int = 0):
+    change_id = f"{rng.getrandbits(128):032x}"
+    content = _make_document(number)
+    return configuration.Change(
+        content, base, "ann", f"why {number}", change_id
+    )
+
+
+async def _sleep(delay_s: float) -> None:
+    await anyio.lowlevel.checkpoint()
+
+
+@pytest.mark.parametrize("seed", range(20))
+async def test_of_racing_operators_one_wins_and_none_is_lost(seed):
+    """Guards against a change that silently replaces another's."""
+    rng = random.Random(seed)
+    table = fakes.Table(rng)
+    table.lose_share = 0.4
+    nodes = [configuration.Configuration(table, sleep=_sleep) for _ in range(4)]
+    results = {}
+
+    async def operate(operator: int) -> None:
+        for step in range(6):
+            node = rng.choice(nodes)
+            change = _make_change(node.number, rng, operator * 10 + step)
+            results[change.change_id] = (change, await node.accept(change))
+            await anyio.lowlevel.checkpoint()
+
+    async with anyio.create_task_group() as group:
+        for operator in range(5):
+            group.start_soon(operate, operator)
+    await nodes[0].read()
+    history = {}
+    for number in range(1, nodes[0].number + 1):
+        row = await nodes[0].read_history(number)
+        assert row is not None
+        history[row["change_id"]] = row
+    accepted = {
+        change_id: (change, result)
+        for change_id, (change, result) in results.items()
+        if isinstance(result, configuration.Accepted)
+    }
+    assert set(accepted) == set(history)
+    for change_id, (change, result) in accepted.items():
+        row = history[change_id]
+        assert row["revision"] == result.revision == change.base + 1
+        assert (row["who"], row["why"]) == (change.who, change.why)
+    assert all(
+        isinstance(result, configuration.Accepted | configuration.Conflict)
+        for _, result in results.values()
+    )
+
+
+async def test_the_loser_is_shown_what_changed():
+    """Guards against a refusal that leaves the operator to search."""
+    table, rng = fakes.Table(), random.Random(1)
+    one = configuration.Configuration(table)
+    two = configuration.Configuration(table)
+    await one.accept(_make_change(0, rng, 1))
+    await two.read()
+    await one.accept(_make_change(1, rng, 2))
+    result = await two.accept(_make_change(1, rng, 3))
+    assert isinstance(result, configuration.Conflict)
+    assert (result.revision, result.who, result.why) == (2, "ann", "why 2")
+    assert "-  - path_prefix: /1" in result.difference
+    assert "+  - path_prefix: /2" in result.difference
+    assert two.number == 2
+
+
+async def test_a_lost_answer_is_read_back_and_not_written_twice():
+    """Guards against a second write after the first took effect."""
+    table, rng = fakes.Table(), random.Random(1)
+    table.lose_share = 1.0
+    node = configuration.Configuration(table, sleep=_sleep)
+    result = await node.accept(_make_change(0, rng))
+    assert result == configuration.Accepted(1)
+    assert table.writes == 1
+
+
+async def test_an_outage_refuses_changes_before_any_write():
+    """Guards against a change that takes effect after it was refused."""
+    table = fakes.Table()
+    table.down = True
+    node = configuration.Configuration(table, sleep=_sleep)
+    result = await node.accept(_make_change(0, random.Random(1)))
+    assert isinstance(result, configuration.Unavailable)
+    assert table.writes == 0
+
+
+async def test_an_outage_after_the_write_is_undecided():
+    """Guards against calling a change refused that may be in the table."""
+    table = fakes.Table()
+
+    class Broken(fakes.Table):
+        async def transact(self, writes):
+            """Applies the writes, then the platform goes down."""
+            await table.transact(writes)
+            self.down = True
+            return await self.read("")
+
+    broken = Broken()
+    node = configuration.Configuration(broken, sleep=_sleep)
+    result = await node.accept(_make_change(0, random.Random(1)))
+    assert isinstance(result, configuration.Undecided)
+
+
+def test_an_older_revision_is_never_put_in_force():
+    """Guards against a path around the check in offer()."""
+    node = configuration.Configuration(fakes.Table())
+    content = _make_document(1)
+    assert node.offer(5, content.model_dump(mode="json"))
+    assert not node.offer(4, content.model_dump(mode="json"))
+    with pytest.raises(configuration.OlderRevisionError):
+        node._put_in_force(document.Revision(5, content))
--- /dev/null
+++ b/src/waxwingferry/process/tests/test_gossip.py
@@ -0,0 +1,194 @@
+"""Gossip under loss, delay, duplication, reordering, cuts and pauses."""
+
+import itertools
+import random
+
+import msgspec
+import pytest
+
+from waxwingferry.process import configuration
+from waxwingferry.process import gossip
+from waxwingferry.process.tests import fakes
+
+CONTENT = {"services": [{"name": "desk", "routes": [{"path_prefix": "/"}]}]}
+NODES = 24
+
+
+def _make_network(seed: int, faults: fakes.Faults, nodes=NODES):
+    network = fakes.Network(random.Random(seed), faults)
+    for number in range(nodes):
+        network.add(number)
+    return network
+
+
+def _agree(network) -> bool:
+    nodes = list(network.nodes.values())
+    first = nodes[0]
+    return all(
+        node.configured.number == first.configured.number
+        and node.members.fingerprint == first.members.fingerprint
+        and len(node.members.records) == len(nodes)
+        for node in nodes
+    )
+
+
+def _check_order(network) -> None:
+    for node in network.nodes.values():
+        assert node.revisions == sorted(set(node.revisions))
+
+
+def _cause_trouble(network, rng, numbers) -> None:
+    """Brings about one random event."""
+    addresses = list(network.nodes)
+    match rng.randrange(5):
+        case 0:
+            writer = network.nodes[rng.choice(addresses)]
+            writer.configured.offer(next(numbers), CONTENT)
+        case 1:
+            network.groups = {a: rng.randrange(2) for a in addresses}
+        case 2:
+            network.groups = {}
+        case 3:
+            node = network.nodes[rng.choice(addresses)]
+            node.paused_until_s = network.clock.now_s + rng.uniform(0, 20)
+        case 4:
+            node = network.nodes[rng.choice(addresses)]
+            state = rng.choice(["ready", "draining"])
+            row = msgspec.structs.replace(node.members.own, state=state)
+            node.members.announce(row)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_revisions_never_go_back_and_all_converge(seed):
+    """Guards against an older revision after a newer one, and islands."""
+    faults = fakes.Faults(loss=0.2, duplicate=0.1, delay_s=(0.0, 2.0))
+    network = _make_network(seed, faults)
+    rng = random.Random(seed + 1000)
+    numbers = itertools.count(1)
+    network.run(5)
+    for _ in range(25):
+        _cause_trouble(network, rng, numbers)
+        network.run(rng.uniform(0, 3))
+        _check_order(network)
+    network.groups = {}
+    network.faults = fakes.Faults(loss=0.2)
+    network.run(20)
+    network.run(120, lambda: _agree(network))
+    assert _agree(network)
+    _check_order(network)
+
+
+def test_a_long_cut_heals_without_the_platform():
+    """Guards against rows that no digest carries any more."""
+    network = _make_network(2, fakes.Faults())
+    network.run(20, lambda: _agree(network))
+    network.groups = {a: index % 2 for index, a in enumerate(network.nodes)}
+    for node in network.nodes.values():
+        node.members.announce(node.members.own)
+    network.run(3 * gossip.RECENT_S)
+    assert not _agree(network)
+    network.groups = {}
+    network.run(3 * gossip.SYNC_INTERVAL_S, lambda: _agree(network))
+    assert _agree(network)
+
+
+def test_an_explicit_leave_spreads_without_the_platform():
+    """Guards against work sent to a node that said that it leaves."""
+    network = _make_network(3, fakes.Faults())
+    network.run(10, lambda: _agree(network))
+    leaving = network.nodes[("127.0.0.1", 10_005)]
+    row = msgspec.structs.replace(leaving.members.own, state="leaving")
+    leaving.members.announce(row)
+
+    def known() -> bool:
+        return all(
+            node.members.candidates["n5"].state == "leaving"
+            for node in network.nodes.values()
+        )
+
+    assert network.run(3, known) < 3
+
+
+def test_delayed_rows_of_an_earlier_process_do_not_come_back():
+    """Guards against a row that a restarted node sent before its restart."""
+    network = _make_network(4, fakes.Faults(), 3)
+    node = network.nodes[("127.0.0.1", 10_000)]
+    node.members.apply(fakes.make_row(1, generation=5, incarnation="new"))
+    old = gossip.Datagram("n1", "news", 0, 0, [fakes.make_row(1, change=99)])
+    node.gossip.receive(msgspec.json.encode(old), ("127.0.0.1", 10_001))
+    assert node.members.candidates["n1"].incarnation == "new"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{",
+        b"\xff\xfe",
+        b"[]",
+        b'{"sender": "n1"}',
+        b"[" * 1100,
+        msgspec.json.encode(gossip.Datagram("n1", "news", -1, 0)),
+        msgspec.json.encode(gossip.Datagram("no name", "news", 1, 0)),
+    ],
+)
+def test_malformed_datagrams_are_counted_and_dropped(data):
+    """Guards against an exception that ends the receiving task."""
+    network = _make_network(5, fakes.Faults(), 1)
+    node = network.nodes[("127.0.0.1", 10_000)]
+    node.gossip.receive(data, ("127.0.0.1", 10_001))
+    assert node.gossip.counts.malformed == 1
+
+
+def test_oversized_datagrams_are_counted_and_dropped():
+    """Guards against reading a datagram that was cut at the limit."""
+    network = _make_network(5, fakes.Faults(), 1)
+    node = network.nodes[("127.0.0.1", 10_000)]
+    data = b" " * (gossip.MAX_DATAGRAM_BYTES + 1)
+    node.gossip.receive(data, ("127.0.0.1", 10_001))
+    assert node.gossip.counts.oversized == 1
+
+
+def test_random_bytes_never_raise():
+    """Guards against input that the decoder answers with another error."""
+    network = _make_network(5, fakes.Faults(), 1)
+    node = network.nodes[("127.0.0.1", 10_000)]
+    rng = random.Random(5)
+    good = msgspec.json.encode(
+        gossip.Datagram("n1", "digest", 1, 0, [fakes.make_row(1)])
+    )
+    for _ in range(2000):
+        data = bytearray(good)
+        for _ in range(rng.randrange(1, 6)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
+        node.gossip.receive(bytes(data), ("127.0.0.1", 10_001))
+
+
+def test_a_row_always_fits_in_a_datagram():
+    """Guards against news that can never be sent."""
+    names = "node service version region failure_domain host incarnation"
+    longest = dict.fromkeys(names.split(), "x" * 63)
+    network = _make_network(6, fakes.Faults(), 2)
+    node = network.nodes[("127.0.0.1", 10_000)]
+    node.members.apply(fakes.make_row(7, **longest, generation=2**53))
+    node.gossip.pass_on()
+    assert not [item for item in node.gossip.news.values() if not item.passes]
+
+
+def test_mass_return_stays_within_the_byte_budget():
+    """Guards against a storm of gossip when 60 nodes return at once."""
+    network = _make_network(7, fakes.Faults(), 60)
+    seconds = network.run(60, lambda: _agree(network))
+    assert _agree(network)
+    for node in network.nodes.values():
+        allowed = gossip.BURST_BYTES + seconds * gossip.BYTES_PER_S
+        assert node.gossip.counts.sent_bytes <= allowed
+
+
+def test_a_document_that_is_not_understood_changes_nothing():
+    """Guards against a crash when a newer program wrote the document."""
+    configured = configuration.Configuration(fakes.Table())
+    assert configured.offer(1, CONTENT)
+    assert not configured.offer(2, {"unknown": True})
+    assert configured.number == 1
+    assert configured.offer(3, CONTENT)
--- /dev/null
+++ b/src/waxwingferry/process/tests/test_lease.py
@@ -0,0 +1,244 @@
+"""Member rows: leases, the order of processes, outages and mass return."""
+
+import random
+
+import anyio
+import pytest
+
+from waxwingferry.process import lease
+from waxwingferry.process import members
+from waxwingferry.process import platform
+from waxwingferry.process.tests import fakes
+
+pytestmark = pytest.mark.anyio
+
+
+class Holder:
+    """One process with its lease."""
+
+    def __init__(self, table, clock, wall_s, incarnation, number=1):
+        self.superseded = False
+        self.members = members.Members(f"n{number}", clock)
+        self.lease = lease.Lease(
+            table,
+            self.members,
+            random.Random(incarnation),
+            clock,
+            lambda: wall_s,
+            clock.sleep,
+            self.step_aside,
+        )
+        self.members.on_rival = self.lease.meet_rival
+        row = fakes.make_row(
+            number,
+            incarnation=incarnation,
+            generation=self.lease.generation,
+        )
+        self.members.announce(row)
+
+    def step_aside(self):
+        """Notes that a later process has the name."""
+        self.superseded = True
+
+    @property
+    def own(self):
+        """The process's own row."""
+        return self.members.own
+
+
+async def test_a_clock_set_back_does_not_put_a_new_process_behind():
+    """Guards against nodes that ignore a restarted node's rows."""
+    table, clock = fakes.Table(), fakes.Clock()
+    old = Holder(table, clock, 2000.0, "old")
+    await old.lease.write_once()
+    new = Holder(table, clock, 1000.0, "new")
+    await new.lease.write_once()
+    assert new.own.order > old.own.order
+    assert table.value("members/n1")["incarnation"] == "new"
+
+
+async def test_a_paused_holder_finds_out_before_it_writes():
+    """Guards against a woken process that takes its name back."""
+    table, clock = fakes.Table(), fakes.Clock()
+    old = Holder(table, clock, 1000.0, "old")
+    await old.lease.write_once()
+    clock.now_s += members.LEASE_TTL_S + 1
+    assert not old.lease.is_current()
+    new = Holder(table, clock, 1001.0, "new")
+    await new.lease.write_once()
+    await old.lease.write_once()
+    assert old.superseded
+    assert not new.superseded
+    assert table.value("members/n1")["incarnation"] == "new"
+
+
+async def test_a_confirmed_process_steps_aside_for_a_later_one():
+    """Guards against two processes of one name that both go on."""
+    table, clock = fakes.Table(), fakes.Clock()
+    old = Holder(table, clock, 1000.0, "old")
+    await old.lease.write_once()
+    new = Holder(table, clock, 1001.0, "new")
+    old.members.apply(new.own)
+    assert old.superseded
+
+
+async def test_a_fresh_process_outranks_a_predecessor_from_the_future():
+    """Guards against a fresh VM that gives way to a dead one's row."""
+    table, clock = fakes.Table(), fakes.Clock()
+    table.down = True
+    new = Holder(table, clock, 1000.0, "new")
+    dead = fakes.make_row(1, generation=9_000_000_000, incarnation="dead")
+    new.members.apply(dead)
+    assert not new.superseded
+    assert new.own.order > dead.order
+
+
+async def test_contests_without_the_table_end():
+    """Guards against endless news of two live processes of one name."""
+    table, clock = fakes.Table(), fakes.Clock()
+    one = Holder(table, clock, 1000.0, "one")
+    two = Holder(table, clock, 1000.0, "two")
+    for _ in range(50):
+        one.members.apply(two.own)
+        two.members.apply(one.own)
+    assert one.own.generation < 1_000_100
+    await one.lease.write_once()
+    await two.lease.write_once()
+    await one.lease.write_once()
+    assert one.superseded
+    assert not two.superseded
+
+
+@pytest.mark.parametrize("seed", range(5))
+async def test_lost_answers_are_not_taken_for_rivals(seed):
+    """Guards against a holder that steps aside for its own write."""
+    rng = random.Random(seed)
+    table, clock = fakes.Table(rng), fakes.Clock()
+    table.lose_share = 0.5
+    holder = Holder(table, clock, 1000.0, "one")
+    for _ in range(100):
+        if rng.random() < 0.3:
+            holder.members.announce(holder.own)
+        try:
+            await holder.lease.write_once()
+        except platform.PlatformError:
+            continue
+        value = table.value("members/n1")
+        assert value["change"] == holder.own.change
+    assert not holder.superseded
+
+
+async def test_an_outage_never_empties_the_list():
+    """Guards against dropping all members when no lease can be renewed."""
+    table, clock = fakes.Table(), fakes.Clock()
+    holders = [Holder(table, clock, 1000.0, f"i{n}", n) for n in range(4)]
+    for holder in holders:
+        await holder.lease.write_once()
+    reader = holders[0]
+    await reader.lease.read_rows()
+    table.down = True
+    for _ in range(200):
+        clock.now_s += 30
+        with pytest.raises(platform.PlatformError):
+            await reader.lease.read_rows()
+    assert len(reader.members.by_service["desk"]) == 4
+    table.down = False
+    await reader.lease.read_rows()
+    # The others had no time to renew yet; none is preferred over them.
+    assert len(reader.members.by_service["desk"]) == 4
+
+
+async def test_a_lapsed_lease_is_used_only_if_no_other_is_left():
+    """Guards against work for a VM that is gone, and against no target."""
+    table, clock = fakes.Table(), fakes.Clock()
+    one = Holder(table, clock, 1000.0, "one", 1)
+    two = Holder(table, clock, 1000.0, "two", 2)
+    await one.lease.write_once()
+    await two.lease.write_once()
+    for _ in range(10):
+        await one.lease.read_rows()
+        await one.lease.write_once()
+        clock.now_s += 30
+    assert [c.node for c in one.members.by_service["desk"]] == ["n1"]
+    one.members.announce(fakes.make_row(1, state="draining", generation=2e6))
+    assert len(one.members.by_service["desk"]) == 2
+
+
+async def test_a_row_of_a_replaced_vm_is_forgotten_and_stays_so():
+    """Guards against members that gossip brings back for ever."""
+    table, clock = fakes.Table(), fakes.Clock()
+    one = Holder(table, clock, 1000.0, "one", 1)
+    dead = Holder(table, clock, 1000.0, "two", 2)
+    await dead.lease.write_once()
+    for _ in range(130):
+        await one.lease.read_rows()
+        clock.now_s += 30
+    assert list(one.members.records) == ["n1"]
+    assert not one.members.apply(dead.own)
+    assert table.rows["members/n2"].value is None
+    back = Holder(table, clock, 2000.0, "three", 2)
+    assert one.members.apply(back.own)
+
+
+async def test_evidence_takes_a_member_out_until_it_answers():
+    """Guards against calls to a dead target for a whole lease."""
+    clock = fakes.Clock()
+    known = members.Members("n0", clock)
+    known.apply_all([fakes.make_row(1), fakes.make_row(2)])
+    known.candidates["n1"].refused_at_s = clock.now_s
+    assert [row.node for row in known.find_suspects()] == ["n1"]
+    known.suspect("n1")
+    assert [c.node for c in known.by_service["desk"]] == ["n2"]
+    known.suspect("n2")
+    assert len(known.by_service["desk"]) == 2
+    clock.now_s += 1.5
+    assert [row.node for row in known.find_suspects()] == ["n1", "n2"]
+    known.clear("n1")
+    assert [c.node for c in known.by_service["desk"]] == ["n1"]
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_flapping_writes_are_bounded(seed):
+    """Guards against a target that changes state each second."""
+    table, clock = fakes.Table(random.Random(seed)), fakes.Clock()
+    table.lose_share = 0.3
+    holder = Holder(table, clock, 1000.0, "one")
+    start_s = clock.now_s
+    async with anyio.create_task_group() as group:
+        group.start_soon(holder.lease.run)
+        while clock.now_s < start_s + 600:
+            holder.members.announce(holder.own)
+            await anyio.lowlevel.checkpoint()
+        group.cancel_scope.cancel()
+    elapsed_s = clock.now_s - start_s
+    bound = lease.WRITE_BURST + elapsed_s * lease.WRITES_PER_S
+    assert 1 < table.writes <= bound + 1
+
+
+@pytest.mark.parametrize(("nodes", "outage_s"), [(110, 0), (220, 300)])
+async def test_a_mass_return_is_spread_over_seconds(nodes, outage_s):
+    """Guards against a storm of writes at a start or after an outage."""
+    timeline = fakes.Timeline()
+    table = fakes.Table()
+    times_s: list[float] = []
+    table.on_write = lambda: times_s.append(timeline.now_s)
+    table.down = outage_s > 0
+    holders = [
+        Holder(table, timeline, 1000.0, f"i{number}", number)
+        for number in range(nodes)
+    ]
+    async with anyio.create_task_group() as group:
+        for holder in holders:
+            group.start_soon(holder.lease.run)
+        if outage_s:
+            await timeline.run(outage_s)
+            table.down = False
+        await timeline.run(40)
+        group.cancel_scope.cancel()
+    assert len(table.rows) == nodes
+    busiest = max(
+        sum(0 <= other_s - time_s < 1 for other_s in times_s)
+        for time_s in times_s
+    )
+    # The platform sustains several hundred writes/s for everything.
+    assert busiest <= 100
