Measure the cost and speed of gossip

Cause: the budget for control is 2.6% of a core and 22 KB/s a node, and a document must be in force within 3 s at 660 members. Change: benchmarks/gossip_cost.py measures processor time on real sockets, and bytes and spread with all members in one process.

--- /dev/null
+++ b/benchmarks/gossip_cost.py
@@ -0,0 +1,226 @@
+"""Cost and speed of gossip, for the figures of docs/spread.md.
+
+    PYTHONPATH=src python benchmarks/gossip_cost.py [--seed N]
+
+Processor time is measured on real UDP sockets on loopback. Bytes and the
+time until a change is known everywhere come from all members in one process,
+with simulated time, 0.5 to 2 ms for a datagram and 20 ms for a fetch.
+"""
+
+import argparse
+import json
+import logging
+import random
+import time
+import tracemalloc
+
+import anyio
+import anyio.lowlevel
+import structlog
+
+from waxwingferry.process import gossip
+from waxwingferry.process import lease
+from waxwingferry.process import members
+from waxwingferry.process import peers
+from waxwingferry.process.tests import fakes
+
+SIZES = (10, 50, 110, 220, 660)
+DATAGRAMS = 4000
+BURST = 50
+STEADY_S = 10.0
+CHANGES = 10
+CPU_BUDGET = 0.026
+BYTES_BUDGET_PER_S = 22_000
+IN_FORCE_S = 3.0
+CONTENT = {"services": [{"name": "desk", "routes": [{"path_prefix": "/"}]}]}
+LOSSES = (0.0, 0.01, 0.1)
+RETURNING = 110
+
+
+def make_pair(size: int, rng: random.Random):
+    """Returns two nodes that know all members, with real sockets."""
+    pair = []
+    for number in range(2):
+        known = members.Members(f"n{number}")
+        known.announce(fakes.make_row(number))
+        known.apply_all(fakes.make_row(n) for n in range(size) if n != number)
+        socket = peers.Datagrams("127.0.0.1", 0)
+        chatter = gossip.Gossip(known, lambda: 1, socket.send, rng)
+        for record in known.records.values():
+            record.changed_s -= 2 * gossip.RECENT_S
+        pair.append((known, socket, chatter))
+    return pair
+
+
+async def measure_datagrams(size: int, rows: int, rng: random.Random):
+    """Returns seconds of processor time to send and to receive a datagram."""
+    one, two = make_pair(size, rng)
+    address = two[1].socket.getsockname()
+    # Nothing is answered, so that only one direction is measured.
+    two[2].send = lambda *_: None
+    for record in list(one[0].records.values())[:rows]:
+        record.changed_s = time.monotonic()
+    sending_s = 0.0
+    start_s = time.process_time()
+    async with anyio.create_task_group() as group:
+        group.start_soon(two[1].run, two[2].receive)
+        for sent in range(BURST, DATAGRAMS + 1, BURST):
+            before_s = time.process_time()
+            for _ in range(BURST):
+                one[2].tokens = gossip.BURST_BYTES
+                one[2].send_digest(address)
+            sending_s += time.process_time() - before_s
+            for _ in range(100):
+                if two[2].counts.received >= sent:
+                    break
+                await anyio.lowlevel.checkpoint()
+        group.cancel_scope.cancel()
+    receiving_s = time.process_time() - start_s - sending_s
+    received = two[2].counts.received
+    one[1].close()
+    two[1].close()
+    return sending_s / DATAGRAMS, receiving_s / received
+
+
+def make_network(size: int, rng: random.Random):
+    """Returns a network whose nodes know each other."""
+    network = fakes.Network(rng, fakes.Faults())
+    for number in range(size):
+        network.add(number)
+    rows = [node.members.own for node in network.nodes.values()]
+    for node in network.nodes.values():
+        node.members.apply_all(rows)
+        node.gossip.news.clear()
+        for record in node.members.records.values():
+            record.changed_s -= 2 * gossip.RECENT_S
+    return network
+
+
+def measure_bytes(network) -> float:
+    """Returns the bytes per second that a node sends and receives."""
+    nodes = network.nodes.values()
+
+    def total() -> int:
+        counts = [node.gossip.counts for node in nodes]
+        return sum(c.sent_bytes + c.received_bytes for c in counts)
+
+    before = total()
+    network.run(STEADY_S)
+    return (total() - before) / STEADY_S / len(nodes)
+
+
+def measure_spread(network, rng: random.Random) -> list[float]:
+    """Returns the seconds until each of several changes is in force."""
+    nodes = list(network.nodes.values())
+    times_s = []
+    first = max(node.configured.number for node in nodes) + 1
+    for number in range(first, first + CHANGES):
+        rng.choice(nodes).configured.offer(number, CONTENT)
+        for node in nodes:
+            network._pass_on_later(node)
+
+        def known(number=number) -> bool:
+            return all(n.configured.number == number for n in nodes)
+
+        times_s.append(network.run(30, known))
+        network.run(1)
+    return times_s
+
+
+def measure_return(network, rng: random.Random, count: int):
+    """Returns seconds until all know of many new rows, and bytes a node."""
+    nodes = list(network.nodes.values())
+    before = [node.gossip.counts.sent_bytes for node in nodes]
+    for node in rng.sample(nodes, count):
+        wait_s = rng.uniform(0, lease.MASS_RETURN_SPREAD_S)
+        network.at(wait_s, node.members.announce, node.members.own)
+        network.at(wait_s, network._pass_on_later, node)
+    network.run(lease.MASS_RETURN_SPREAD_S)
+
+    def agreed() -> bool:
+        first = nodes[0].members.fingerprint
+        return all(n.members.fingerprint == first for n in nodes)
+
+    seconds = lease.MASS_RETURN_SPREAD_S + network.run(60, agreed)
+    sent = [
+        node.gossip.counts.sent_bytes - old
+        for node, old in zip(nodes, before, strict=True)
+    ]
+    return seconds, sum(sent) / len(sent), max(sent), agreed()
+
+
+def measure_memory(size: int) -> int:
+    """Returns the bytes that one node's member table takes."""
+    tracemalloc.start()
+    known = members.Members("n0")
+    known.apply_all(fakes.make_row(n) for n in range(1, size))
+    taken = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return taken
+
+
+def table_bytes_per_s(size: int) -> float:
+    """Returns the bytes per second of reading renewed rows."""
+    row = members.format_row(fakes.make_row(1))
+    stored = {"key": "members/n1", "value": row, "version": 10**6}
+    return size / lease.RENEW_INTERVAL_S * len(json.dumps(stored))
+
+
+def print_costs(rng: random.Random) -> None:
+    """Prints processor time and bytes by number of members."""
+    print(
+        "members  send us  recv us  with 8 rows  cpu %  gossip B/s  table B/s"
+    )
+    for size in SIZES:
+        send_s, receive_s = anyio.run(measure_datagrams, size, 0, rng)
+        full = anyio.run(measure_datagrams, size, 8, rng)
+        network = make_network(size, rng)
+        gossip_bytes = measure_bytes(network)
+        reading = table_bytes_per_s(size)
+        # A digest is sent and one is received each second on average.
+        share = (send_s + receive_s) / gossip.DIGEST_INTERVAL_S
+        print(
+            f"{size:7} {send_s * 1e6:8.0f} {receive_s * 1e6:8.0f}"
+            f" {full[0] * 1e6:5.0f}+{full[1] * 1e6:<5.0f}"
+            f" {share * 100:7.3f} {gossip_bytes:11.0f} {reading:10.0f}"
+        )
+        assert share < CPU_BUDGET
+        assert gossip_bytes + reading < BYTES_BUDGET_PER_S
+
+
+def print_spread(rng: random.Random) -> None:
+    """Prints how fast changes spread among all members."""
+    size = SIZES[-1]
+    network = make_network(size, rng)
+    for loss in LOSSES:
+        network.faults.loss = loss
+        times_s = sorted(measure_spread(network, rng))
+        print(
+            f"{size} members, loss {loss:.0%}: a document is in force "
+            f"everywhere after {times_s[len(times_s) // 2]:.2f} s (median), "
+            f"{times_s[-1]:.2f} s (worst of {len(times_s)})"
+        )
+        assert times_s[-1] < IN_FORCE_S
+    network.faults.loss = 0.0
+    seconds, mean, most, agreed = measure_return(network, rng, RETURNING)
+    print(
+        f"{size} members, {RETURNING} return: all agree ({agreed}) after "
+        f"{seconds:.1f} s; {mean / 1000:.0f} KB sent a node, "
+        f"{most / 1000:.0f} KB at most"
+    )
+
+
+def main() -> None:
+    """Prints all figures; fails if one is over its budget."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    level = structlog.make_filtering_bound_logger(logging.ERROR)
+    structlog.configure(wrapper_class=level)
+    rng = random.Random(parser.parse_args().seed)
+    print_costs(rng)
+    print_spread(rng)
+    print(f"member table of 660: {measure_memory(660) / 1e6:.2f} MB")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/waxwingferry/process/tests/fakes.py
+++ b/src/waxwingferry/process/tests/fakes.py
@@ -205,6 +205,7 @@
     def __init__(self, rng: random.Random, faults: Faults):
         self.rng = rng
         self.faults = faults
+        self.fetch_delay_s = 0.02
         self.clock = Clock()
         self.nodes: dict[gossip.Address, FakeNode] = {}
         self.groups: dict[gossip.Address, int] = {}
@@ -252,9 +253,14 @@
             self.at(wait_s, self._deliver, source, to, data)
             return
         node.gossip.receive(data, source)
-        node.fetch()
+        self.at(self.fetch_delay_s, self._fetch, node)
         self._pass_on_later(node)
 
+    def _fetch(self, node: FakeNode) -> None:
+        if node.paused_until_s <= self.clock.now_s:
+            node.fetch()
+            self._pass_on_later(node)
+
     def _pass_on_later(self, node: FakeNode) -> None:
         if node.gossip.has_news.is_set() and not node.passing:
             node.passing = True
