Read member rows that lack the order of processes

Cause: scripts write member rows into the table by hand, without the name, the generation and the change, and such rows were dropped as malformed. Change: the name is taken from the key, and both numbers default to 0. Conclusion: make test passes.

--- a/src/waxwingferry/process/lease.py
+++ b/src/waxwingferry/process/lease.py
@@ -189,7 +189,7 @@
             return
         self.version = row.version
         try:
-            old = members.parse_row(row.value)
+            old = members.parse_row(self.known.node, row.value)
         except members.RowError:
             return
         if old.incarnation != self._incarnation():
@@ -238,7 +238,8 @@
 
     def _take_row(self, row: platform.Row) -> None:
         try:
-            parsed = members.parse_row(row.value)
+            node = row.key.removeprefix(members.PREFIX)
+            parsed = members.parse_row(node, row.value)
         except members.RowError as error:
             log.error("member row malformed", key=row.key, error=str(error))
             return
--- a/src/waxwingferry/process/members.py
+++ b/src/waxwingferry/process/members.py
@@ -91,15 +91,16 @@
     """A row is malformed."""
 
 
-def parse_row(data: Any) -> MemberRow:
+def parse_row(node: str, data: Any) -> MemberRow:
     """Checks a row from the table.
 
     Raises:
         RowError: It is malformed.
     """
     try:
-        values = [data[name] for name in MemberRow.__struct_fields__]
-        return msgspec.convert(values, MemberRow)
+        values = {"generation": 0, "change": 0, **data, "node": node}
+        ordered = [values[name] for name in MemberRow.__struct_fields__]
+        return msgspec.convert(ordered, MemberRow)
     except (msgspec.ValidationError, KeyError, TypeError) as error:
         raise RowError(repr(error)) from error
 
