--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,314 @@
+"""Measures the slopes that docs/CAPACITY.md is worked out from.
+
+Each function returns points (x, y) at several sizes, measured on real
+processes on loopback or on the real objects in this process.
+"""
+
+import dataclasses
+import random
+import time
+
+import anyio
+import httpx
+import numpy as np
+import psutil
+
+from waxwingferry.bench import cluster
+from waxwingferry.bench import load
+from waxwingferry.bench.experiments import added_latency
+from waxwingferry.connection import pool
+from waxwingferry.process import routing
+from waxwingferry.version import document
+
+FIRST_PORT = 28000
+RATES_PER_S = (60, 120, 180, 258)
+MEMBER_COUNTS = (0, 110, 220, 440, 660)
+CONNECTION_COUNTS = (0, 100, 200, 400)
+CANDIDATE_COUNTS = (5, 15, 30, 60, 120)
+SERVICE_COUNTS = (2, 5, 11, 22)
+NODE_COUNTS = (2, 4, 6, 8)
+IDLE_S = 8.0
+
+
+@dataclasses.dataclass
+class Slope:
+    """Points of one measurement and the line fitted to them.
+
+    Attributes:
+        name: Name of the measurement.
+        x_label: What x counts.
+        y_label: What y is, with its unit.
+        points: Pairs of x and y.
+    """
+
+    name: str
+    x_label: str
+    y_label: str
+    points: list[tuple[float, float]]
+    slope: float = 0.0
+    intercept: float = 0.0
+    slope_error: float = 0.0
+
+    def fit(self) -> "Slope":
+        """Fits a line by least squares; slope_error is its standard error."""
+        x, y = np.array(self.points, dtype=float).T
+        (slope, intercept), covariance = np.polyfit(x, y, 1, cov="unscaled")
+        residual = y - (slope * x + intercept)
+        variance = (residual**2).sum() / max(len(x) - 2, 1)
+        self.slope = float(slope)
+        self.intercept = float(intercept)
+        self.slope_error = float(np.sqrt(covariance[0, 0] * variance))
+        return self
+
+    def at(self, x: float) -> float:
+        """Returns the fitted value at x."""
+        return self.intercept + self.slope * x
+
+
+async def measure_passes() -> list[Slope]:
+    """Processor time of entry and target's node against the call rate."""
+    entry_points = []
+    target_points = []
+    async with cluster.run_cluster(
+        {"registry": 1, "other": 1},
+        added_latency.DOCUMENT,
+        slots=64,
+        behaviour={"service_time_ms": 0.0},
+        domains=("d1",),
+        first_port=FIRST_PORT,
+    ) as running:
+        target, entry = running.members
+        assert target.node is not None
+        assert entry.node is not None
+        await anyio.sleep(1.5)
+        for rate in (RATES_PER_S[0], *RATES_PER_S):
+            plan = added_latency.make_plan(
+                entry.ports["caller"], "passes", IDLE_S
+            )
+            plan.rate_per_s = rate
+            begin = [
+                added_latency.processor_time_s([process.pid])
+                for process in (entry.node, target.node)
+            ]
+            recorder = await load.run_load(plan, seed=int(rate))
+            achieved = recorder.outcomes["answered"] / IDLE_S
+            used = [
+                added_latency.processor_time_s([process.pid]) - started
+                for process, started in zip(
+                    (entry.node, target.node), begin, strict=True
+                )
+            ]
+            entry_points.append((achieved, 1000 * used[0] / IDLE_S))
+            target_points.append((achieved, 1000 * used[1] / IDLE_S))
+    y_label = "processor time (ms/s)"
+    # The first load warms up limits and pools and is not used.
+    return [
+        Slope("entry pass", "calls/s", y_label, entry_points[1:]).fit(),
+        Slope("target pass", "calls/s", y_label, target_points[1:]).fit(),
+    ]
+
+
+def _member_row(number: int) -> dict:
+    return {
+        "service": f"s{number % 22}",
+        "version": "v1",
+        "region": f"r{number % 2}",
+        "failure_domain": f"d{number % 6}",
+        "host": "127.0.0.1",
+        "peer_port": 1 + number,
+        "incarnation": f"{number:016x}",
+        "state": "ready",
+        "slots": 8,
+    }
+
+
+async def measure_members() -> list[Slope]:
+    """Memory and idle processor time of a node against known members."""
+    memory = []
+    processor = []
+    for index, count in enumerate(MEMBER_COUNTS):
+        running = cluster.Cluster(
+            {"registry": 1},
+            added_latency.DOCUMENT,
+            domains=("d1",),
+            first_port=FIRST_PORT + 100 + index * 20,
+        )
+        try:
+            await running.start()
+            node = running.members[0].node
+            assert node is not None
+            async with httpx.AsyncClient(trust_env=False) as client:
+                await _write_members(client, running, count)
+                await _wait_for_members(client, running, count + 1)
+            begin_s = added_latency.processor_time_s([node.pid])
+            await anyio.sleep(IDLE_S)
+            used_s = added_latency.processor_time_s([node.pid]) - begin_s
+            resident = psutil.Process(node.pid).memory_info().rss
+            memory.append((count, resident / 1e6))
+            processor.append((count, 1000 * used_s / IDLE_S))
+        finally:
+            running.stop()
+    return [
+        Slope("memory by members", "members", "resident MB", memory).fit(),
+        Slope(
+            "control by members",
+            "members",
+            "processor time (ms/s)",
+            processor,
+        ).fit(),
+    ]
+
+
+async def _write_members(client, running, count: int) -> None:
+    writes = [
+        {
+            "key": f"members/x{number}",
+            "value": _member_row(number),
+            "if_version": None,
+        }
+        for number in range(count)
+    ]
+    if writes:
+        url = f"{running.platform_url}/table/transact"
+        (await client.post(url, json={"writes": writes})).raise_for_status()
+
+
+async def _wait_for_members(client, running, count: int) -> None:
+    with anyio.fail_after(60):
+        while True:
+            status = await running.status(client, running.members[0])
+            if len(status.get("members", {})) >= count:
+                return
+            await anyio.sleep(0.2)
+
+
+async def measure_connections() -> Slope:
+    """Memory of a node against idle peer connections."""
+    points = []
+    running = cluster.Cluster(
+        {"registry": 1},
+        added_latency.DOCUMENT,
+        domains=("d1",),
+        first_port=FIRST_PORT + 300,
+    )
+    streams = []
+    try:
+        await running.start()
+        member = running.members[0]
+        assert member.node is not None
+        await anyio.sleep(2)
+        for count in CONNECTION_COUNTS:
+            while len(streams) < count:
+                streams.append(
+                    await pool.connect_tcp("127.0.0.1", member.ports["peer"])
+                )
+            await anyio.sleep(0.5)
+            resident = psutil.Process(member.node.pid).memory_info().rss
+            points.append((count, resident / 1e6))
+    finally:
+        for stream in streams:
+            await stream.aclose()
+        running.stop()
+    return Slope(
+        "memory by connections", "connections", "resident MB", points
+    ).fit()
+
+
+def measure_choice() -> Slope:
+    """Time of one choice against the number of candidates."""
+    points = []
+    for count in CANDIDATE_COUNTS:
+        candidates = [
+            routing.Candidate(node=f"n{number}", **_member_row(number))
+            for number in range(count)
+        ]
+        router = routing.Router(random.Random(1))
+        repeats = 5000
+        begin_s = time.perf_counter()
+        for _ in range(repeats):
+            router.choose(candidates, frozenset(), set())
+        elapsed_s = time.perf_counter() - begin_s
+        points.append((count, 1e6 * elapsed_s / repeats))
+    return Slope("choice", "candidates", "time (us)", points).fit()
+
+
+def measure_document() -> list[Slope]:
+    """Size and checking time of the document against its services."""
+    size = []
+    seconds = []
+    for count in SERVICE_COUNTS:
+        content = _make_document(count)
+        text = content.model_dump_json()
+        size.append((count, len(text) / 1000))
+        repeats = 50
+        begin_s = time.perf_counter()
+        for _ in range(repeats):
+            parsed = document.Document.model_validate_json(text)
+            document.Revision(1, parsed)
+        elapsed_s = time.perf_counter() - begin_s
+        seconds.append((count, 1000 * elapsed_s / repeats))
+    return [
+        Slope("document size", "services", "kB", size).fit(),
+        Slope("document check", "services", "time (ms)", seconds).fit(),
+    ]
+
+
+def _make_document(count: int) -> document.Document:
+    services = [
+        {
+            "name": f"s{number}",
+            "member_weights": {f"m{m}": 1.0 for m in range(3)},
+            "routes": [
+                {"path_prefix": f"/s{number}/r{route}/", "idempotent": True}
+                for route in range(6)
+            ],
+        }
+        for number in range(count)
+    ]
+    domains = [
+        {"name": f"d{number}", "region": f"r{number % 2}"}
+        for number in range(6)
+    ]
+    return document.Document.model_validate(
+        {"services": services, "failure_domains": domains}
+    )
+
+
+async def measure_platform() -> list[Slope]:
+    """Platform reads and writes per second against the number of nodes."""
+    reads = []
+    writes = []
+    for index, count in enumerate(NODE_COUNTS):
+        running = cluster.Cluster(
+            {"registry": count},
+            added_latency.DOCUMENT,
+            first_port=FIRST_PORT + 400 + index * 60,
+        )
+        try:
+            await running.start()
+            url = f"{running.platform_url}/control/counts"
+            async with httpx.AsyncClient(trust_env=False) as client:
+                await anyio.sleep(2)
+                begin = (await client.get(url)).json()
+                await anyio.sleep(2 * IDLE_S)
+                end = (await client.get(url)).json()
+        finally:
+            running.stop()
+        span_s = 2 * IDLE_S
+        reads.append((count, (end["reads"] - begin["reads"]) / span_s))
+        writes.append((count, (end["writes"] - begin["writes"]) / span_s))
+    return [
+        Slope("platform reads", "nodes", "reads/s", reads).fit(),
+        Slope("platform writes", "nodes", "writes/s", writes).fit(),
+    ]
+
+
+async def measure_all() -> list[Slope]:
+    """Runs all measurements, one after the other."""
+    slopes = await measure_passes()
+    slopes += await measure_members()
+    slopes.append(await measure_connections())
+    slopes.append(measure_choice())
+    slopes += measure_document()
+    slopes += await measure_platform()
+    return slopes
