--- a/src/waxwingferry/bench/load.py
+++ b/src/waxwingferry/bench/load.py
@@ -123,8 +123,88 @@
         ]
 
 
+class Client:
+    """Sends requests over pooled connections and reports how they end.
+
+    Args:
+        timeout_s: Time after which a call is given up.
+    """
+
+    def __init__(self, timeout_s: float = 10.0):
+        self.timeout_s = timeout_s
+        self.pools: dict[tuple[str, int], pool.Pool] = {}
+
+    async def send(self, request: Request, scheduled_s: float) -> Result:
+        """Sends one request; a failure is a Result without an answer."""
+        try:
+            with anyio.fail_after(self.timeout_s):
+                return await self._exchange(request, scheduled_s)
+        except TimeoutError:
+            return make_no_answer(request, scheduled_s, "timeout")
+        except (pool.ConnectError, http1.HttpError) as error:
+            reason = type(error).__name__
+            return make_no_answer(request, scheduled_s, reason)
+
+    async def _exchange(self, request: Request, scheduled_s: float) -> Result:
+        peer = self.pools.get(request.address)
+        if peer is None:
+            peer = self.pools[request.address] = pool.Pool(*request.address)
+        connection = await peer.acquire()
+        try:
+            headers = [
+                ("host", f"{request.address[0]}:{request.address[1]}"),
+                ("x-request-id", request.request_id),
+                *request.headers,
+            ]
+            await connection.send_request(
+                request.method, request.target, headers, request.body
+            )
+            head = await connection.receive_head(self.timeout_s)
+            while head.status < 200:
+                head = await connection.receive_head(self.timeout_s)
+            parts = []
+            while part := await connection.receive_chunk(self.timeout_s):
+                parts.append(part)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await peer.release(connection)
+        return _make_result(request, scheduled_s, head, b"".join(parts))
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        for item in self.pools.values():
+            await item.close()
+
+
+def make_no_answer(request: Request, scheduled_s: float, reason: str) -> Result:
+    """Returns the result of a call that got no whole answer."""
+    latency_s = time.monotonic() - scheduled_s
+    return Result(request, 0, "no-answer", reason, scheduled_s, latency_s)
+
+
+def _make_result(
+    request: Request,
+    scheduled_s: float,
+    head: http1.ResponseHead,
+    body: bytes,
+) -> Result:
+    find = http1.find_header
+    outcome = find(head.headers, "x-waxwing-outcome", "answered")
+    echoed = find(head.headers, "x-request-id", request.request_id)
+    return Result(
+        request,
+        head.status,
+        outcome,
+        find(head.headers, "x-waxwing-reason"),
+        scheduled_s,
+        time.monotonic() - scheduled_s,
+        crossed=outcome == "answered" and echoed != request.request_id,
+        body=body,
+    )
+
+
 class LoadGenerator:
-    """Sends requests over pooled connections, one per call.
+    """Makes open-loop load.
 
     Args:
         rng: Source of arrivals and requests.
@@ -134,11 +214,12 @@
     def __init__(self, rng: random.Random, recorder: Recorder):
         self.rng = rng
         self.recorder = recorder
-        self.pools: dict[tuple[str, int], pool.Pool] = {}
+        self.client = Client()
         self.open = 0
 
     async def run(self, plan: Plan) -> None:
         """Makes the load and waits for all calls to end."""
+        self.client.timeout_s = plan.timeout_s
         next_s = time.monotonic()
         end_s = next_s + plan.duration_s
         number = 0
@@ -153,85 +234,21 @@
                 number += 1
                 request = plan.make_request(self.rng, number)
                 group.start_soon(self._call, plan, request, next_s)
-        for item in self.pools.values():
-            await item.close()
+        await self.client.close()
 
     async def _call(
         self, plan: Plan, request: Request, scheduled_s: float
     ) -> None:
         if self.open >= plan.max_open:
-            self._record(request, scheduled_s, 0, "no-answer", "max_open")
+            result = make_no_answer(request, scheduled_s, "max_open")
+            self.recorder.record(result)
             return
         self.open += 1
         try:
-            with anyio.fail_after(plan.timeout_s):
-                await self._exchange(plan, request, scheduled_s)
-        except TimeoutError:
-            self._record(request, scheduled_s, 0, "no-answer", "timeout")
-        except (pool.ConnectError, http1.HttpError) as error:
-            reason = type(error).__name__
-            self._record(request, scheduled_s, 0, "no-answer", reason)
+            self.recorder.record(await self.client.send(request, scheduled_s))
         finally:
             self.open -= 1
 
-    async def _exchange(
-        self, plan: Plan, request: Request, scheduled_s: float
-    ) -> None:
-        peer = self.pools.get(request.address)
-        if peer is None:
-            peer = self.pools[request.address] = pool.Pool(*request.address)
-        connection = await peer.acquire()
-        try:
-            headers = [
-                ("host", f"{request.address[0]}:{request.address[1]}"),
-                ("x-request-id", request.request_id),
-                *request.headers,
-            ]
-            await connection.send_request(
-                request.method, request.target, headers, request.body
-            )
-            head = await connection.receive_head(plan.timeout_s)
-            while head.status < 200:
-                head = await connection.receive_head(plan.timeout_s)
-            parts = []
-            while part := await connection.receive_chunk(plan.timeout_s):
-                parts.append(part)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await peer.release(connection)
-        self._record_answer(request, scheduled_s, head, b"".join(parts))
-
-    def _record_answer(self, request, scheduled_s, head, body) -> None:
-        find = http1.find_header
-        outcome = find(head.headers, "x-waxwing-outcome", "answered")
-        reason = find(head.headers, "x-waxwing-reason")
-        echoed = find(head.headers, "x-request-id", request.request_id)
-        self._record(
-            request,
-            scheduled_s,
-            head.status,
-            outcome,
-            reason,
-            crossed=outcome == "answered" and echoed != request.request_id,
-            body=body,
-        )
-
-    def _record(
-        self, request, scheduled_s, status, outcome, reason, **more
-    ) -> None:
-        latency_s = time.monotonic() - scheduled_s
-        self.recorder.record(
-            Result(
-                request,
-                status,
-                outcome,
-                reason,
-                scheduled_s,
-                latency_s,
-                **more,
-            )
-        )
-
 
 async def run_load(plan: Plan, seed: int, keep: bool = False) -> Recorder:
     """Makes one load and returns its results."""
