Keep the ledgers of stand-in targets in files

Cause: a killed target lost its ledger, so a run with kills could not count what had run.

Conclusion: runs that kill targets can now be judged from ledgers.

--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import json
 import pathlib
 import signal
 import subprocess
@@ -139,6 +140,7 @@
             "slots": self.slots,
             "port": member.ports["target"],
             "node_port": member.ports["local"],
+            "ledger_file": str(self.ledger_path(member)),
             "behaviour": self.behaviour,
             "seed": self.seed * 1000 + member.ports["target"],
             **changes,
@@ -204,15 +206,33 @@
             return {}
         return reply.json()
 
-    async def ledgers(self, client: httpx.AsyncClient) -> dict[str, dict]:
-        """Returns the ledgers of all targets by name."""
+    def ledger_path(self, member: Member) -> pathlib.Path:
+        """Returns the file that holds a target's ledger."""
+        return self.directory / f"ledger-{member.name}.jsonl"
+
+    def read_ledgers(self) -> dict[str, list[dict]]:
+        """Returns the ledger of each target, over all its starts."""
         result = {}
         for member in self.members:
-            port = member.ports["target"]
-            reply = await client.get(f"http://127.0.0.1:{port}/_ledger")
-            result[member.name] = reply.json()
+            entries: dict[str, dict] = {}
+            path = self.ledger_path(member)
+            lines = (
+                path.read_text("utf-8").splitlines() if path.exists() else []
+            )
+            for line in lines:
+                entry = json.loads(line)
+                entries[entry["entry_id"]] = entry
+            result[member.name] = list(entries.values())
         return result
 
+    async def counts(
+        self, client: httpx.AsyncClient, member: Member
+    ) -> dict[str, int]:
+        """Returns the counters of a running target."""
+        port = member.ports["target"]
+        reply = await client.get(f"http://127.0.0.1:{port}/_ledger")
+        return reply.json()["counts"]
+
     async def control_target(
         self, client: httpx.AsyncClient, member: Member, **changes
     ) -> None:
--- a/src/waxwingferry/bench/demo.py
+++ b/src/waxwingferry/bench/demo.py
@@ -215,17 +215,15 @@
                     caller = Caller(f"c{number}", rng, running.members, tally)
                     work.start_soon(caller.run)
             group.cancel_scope.cancel()
-        async with httpx.AsyncClient(trust_env=False) as client:
-            ledgers = await running.ledgers(client)
         _say("stopping")
-    return _finish(tally, ledgers)
+    return _finish(tally, running.read_ledgers())
 
 
-def _finish(tally: Tally, ledgers: dict[str, dict]) -> int:
+def _finish(tally: Tally, ledgers: dict[str, list[dict]]) -> int:
     ran = collections.Counter(
         entry["request"]
-        for data in ledgers.values()
-        for entry in data["ledger"]
+        for ledger in ledgers.values()
+        for entry in ledger
         if entry["write"] and entry["state"] == "done"
     )
     doubled = sum(1 for count in ran.values() if count > 1)
--- a/src/waxwingferry/emulator/target.py
+++ b/src/waxwingferry/emulator/target.py
@@ -14,12 +14,14 @@
 import collections
 import dataclasses
 import json
+import pathlib
 import random
 import signal
 import time
 from typing import Annotated
 from typing import Any
 from typing import Literal
+from typing import TextIO
 
 import anyio
 import httpx
@@ -93,6 +95,8 @@
         slots: Requests that it works on at a time; more are shed.
         port: Port that it listens on.
         node_port: Local port of its node; 0 announces nothing.
+        ledger_file: File that each change of the ledger is appended to, so
+            that it outlives the process; empty keeps it in memory only.
         seed: Seed of its random choices.
         behaviour: How it behaves at first.
     """
@@ -106,6 +110,7 @@
     host: str = "127.0.0.1"
     port: int
     node_port: int = 0
+    ledger_file: str = ""
     seed: int = 1
     behaviour: Behaviour = Behaviour()
 
@@ -115,6 +120,7 @@
     """One request that began to run.
 
     Attributes:
+        entry_id: Name of the entry, unique over all starts of the target.
         request: The caller's x-request-id.
         attempt: Identity of the attempt.
         key: Idempotency key, or empty.
@@ -123,6 +129,7 @@
         started_s: Wall-clock time of the start.
     """
 
+    entry_id: str
     request: str
     attempt: str
     key: str
@@ -181,6 +188,10 @@
         self.last_attempt = ""
         self.server = serve.Server(self.handle)
         self.node = pool.Pool("127.0.0.1", options.node_port)
+        self.file: TextIO | None = None
+        if options.ledger_file:
+            path = pathlib.Path(options.ledger_file)
+            self.file = path.open("a", encoding="utf-8", buffering=1)
 
     def bears(self) -> int:
         """Returns the requests at a time that the target bears now."""
@@ -213,19 +224,20 @@
         try:
             await self._work(head)
             entry.state = "done"
+            self._store(entry)
             await self._answer(connection, head, echo, entry)
-        except http1.HttpError:
-            raise
         finally:
             if entry.state == "running":
                 entry.state = "cancelled"
                 self.counts["cancelled"] += 1
             self.in_flight -= 1
             self.warmth += 1
+            self._store(entry)
 
     def _enter(self, head: http1.RequestHead) -> LedgerEntry:
         find = http1.find_header
         entry = LedgerEntry(
+            f"{self.incarnation}-{len(self.ledger)}",
             find(head.headers, "x-request-id"),
             find(head.headers, call.ATTEMPT_HEADER),
             find(head.headers, call.KEY_HEADER),
@@ -235,6 +247,7 @@
             time.time(),
         )
         self.ledger.append(entry)
+        self._store(entry)
         self.in_flight += 1
         self.loads.append((time.monotonic(), self.in_flight))
         self.counts["started"] += 1
@@ -245,6 +258,12 @@
             self.counts["overloads"] += 1
         return entry
 
+    def _store(self, entry: LedgerEntry) -> None:
+        # A line is handed to the operating system at once, so a killed
+        # process loses nothing that it had begun.
+        if self.file is not None:
+            self.file.write(json.dumps(dataclasses.asdict(entry)) + "\n")
+
     async def _work(self, head: http1.RequestHead) -> None:
         behaviour = self.behaviour
         if behaviour.hang:
