--- a/src/waxwingferry/emulator/target.py
+++ b/src/waxwingferry/emulator/target.py
@@ -127,6 +127,7 @@
         write: Whether the request has an effect that must not repeat.
         state: running, done, failed or cancelled.
         started_s: Wall-clock time of the start.
+        overload: Whether it began beyond what the target bore.
     """
 
     entry_id: str
@@ -138,6 +139,7 @@
     write: bool
     started_s: float
     state: str = "running"
+    overload: bool = False
 
 
 class Speed:
@@ -247,7 +249,6 @@
             time.time(),
         )
         self.ledger.append(entry)
-        self._store(entry)
         self.in_flight += 1
         self.loads.append((time.monotonic(), self.in_flight))
         self.counts["started"] += 1
@@ -256,6 +257,8 @@
         )
         if self.in_flight > self.bears():
             self.counts["overloads"] += 1
+            entry.overload = True
+        self._store(entry)
         return entry
 
     def _store(self, entry: LedgerEntry) -> None:
