Add a randomised soak run that combines the faults

Cause: single faults say little; the promises have to hold when kills, freezes, drains, cold targets, platform outages, domain moves and operators' races come together.

--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+import uuid
 
 import anyio
 import httpx
@@ -17,6 +18,8 @@
 
 FIRST_PORT = 21000
 START_TIMEOUT_S = 20.0
+ADMIN_TOKEN = "bench-token-for-loopback-only"
+_AUTHORIZATION = {"authorization": f"Bearer {ADMIN_TOKEN}"}
 
 
 class ClusterError(Exception):
@@ -118,6 +121,7 @@
             "local_port": member.ports["local"],
             "peer_port": member.ports["peer"],
             "admin_port": member.ports["admin"],
+            "admin_tokens": {"bench": ADMIN_TOKEN},
             "region": "r1",
             "failure_domain": member.failure_domain,
             "platform_url": self.platform_url,
@@ -206,6 +210,56 @@
             return {}
         return reply.json()
 
+    async def read_document(
+        self, client: httpx.AsyncClient, member: Member
+    ) -> dict | None:
+        """Returns {"revision", "document"} as a node knows it, or None."""
+        port = member.ports["admin"]
+        try:
+            reply = await client.get(
+                f"http://127.0.0.1:{port}/document",
+                headers=_AUTHORIZATION,
+            )
+        except httpx.HTTPError:
+            return None
+        return reply.json() if reply.status_code == 200 else None
+
+    async def write_document(
+        self,
+        client: httpx.AsyncClient,
+        member: Member,
+        current: dict,
+        why: str,
+    ) -> int | None:
+        """Accepts a changed document through a node.
+
+        Args:
+            client: Client for the request.
+            member: Its node takes the change.
+            current: Result of read_document with the document changed.
+            why: Reason given in the history.
+
+        Returns:
+            The new revision, or None if the change was not accepted.
+        """
+        port = member.ports["admin"]
+        change = {
+            "base": current["revision"],
+            "document": current["document"],
+            "why": why,
+            "change_id": uuid.uuid4().hex,
+        }
+        try:
+            reply = await client.put(
+                f"http://127.0.0.1:{port}/document",
+                headers=_AUTHORIZATION,
+                json=change,
+                timeout=10,
+            )
+        except httpx.HTTPError:
+            return None
+        return reply.json()["revision"] if reply.status_code == 200 else None
+
     def ledger_path(self, member: Member) -> pathlib.Path:
         """Returns the file that holds a target's ledger."""
         return self.directory / f"ledger-{member.name}.jsonl"
@@ -236,10 +290,20 @@
     async def control_target(
         self, client: httpx.AsyncClient, member: Member, **changes
     ) -> None:
-        """Changes how a stand-in target behaves."""
+        """Changes how a stand-in target behaves.
+
+        A target that was just started may not listen yet, so a refused
+        connection is tried again for a while.
+        """
         port = member.ports["target"]
         url = f"http://127.0.0.1:{port}/_control"
-        (await client.post(url, json=changes)).raise_for_status()
+        with anyio.fail_after(START_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(httpx.TransportError):
+                    reply = await client.post(url, json=changes)
+                    reply.raise_for_status()
+                    return
+                await anyio.sleep(0.1)
 
     async def set_platform_faults(
         self, client: httpx.AsyncClient, **faults
--- /dev/null
+++ b/src/waxwingferry/bench/faults.py
@@ -0,0 +1,307 @@
+"""Brings about faults in a running cluster, one at a time or together."""
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+import random
+import signal
+import subprocess
+import time
+from typing import Any
+
+import anyio
+import anyio.to_thread
+import httpx
+
+from waxwingferry.bench import cluster
+
+OUT_GRACE_S = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Fault:
+    """One fault that was brought about.
+
+    Attributes:
+        begin_s: Wall-clock time.
+        end_s: Wall-clock time at which it was healed, or 0 while it lasts.
+    """
+
+    name: str
+    victim: str
+    begin_s: float
+    end_s: float = 0.0
+
+
+class Injector:
+    """Brings about random faults and heals them.
+
+    Args:
+        running: The cluster.
+        client: Client for control requests.
+        rng: Source of all choices.
+
+    Attributes:
+        faults: All faults brought about so far.
+        busy: Names of members and parts with a fault now.
+        turned_cold: Targets that turned cold without a restart.
+        accepted: Wall-clock time and number of each accepted revision.
+        race_winners: Number of accepted changes of each race.
+    """
+
+    def __init__(
+        self,
+        running: cluster.Cluster,
+        client: httpx.AsyncClient,
+        rng: random.Random,
+    ):
+        self.running = running
+        self.client = client
+        self.rng = rng
+        self.faults: list[Fault] = []
+        self.busy: set[str] = set()
+        self.turned_cold: set[str] = set()
+        self.accepted: list[tuple[float, int]] = []
+        self.race_winners: list[int] = []
+        self.kinds: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            "kill node": self.kill_node,
+            "freeze node": self.freeze_node,
+            "restart node": self.restart_node,
+            "kill target": self.kill_target,
+            "freeze target": self.freeze_target,
+            "target turns cold": self.turn_target_cold,
+            "target slow": self.slow_target,
+            "target sheds": self.shed_target,
+            "answers cut": self.cut_answers,
+            "answers crossed": self.cross_answers,
+            "target drains": self.drain_target,
+            "platform down": self.stop_platform,
+            "platform slow": self.slow_platform,
+            "platform loses answers": self.lose_platform_answers,
+            "domain out": self.take_domain_out,
+            "operators race": self.race_operators,
+        }
+
+    async def run(self, duration_s: float, mean_pause_s: float) -> None:
+        """Brings about faults until the time is over; heals all of them."""
+        end_s = time.monotonic() + duration_s
+        names = list(self.kinds)
+        self.rng.shuffle(names)
+        number = 0
+        async with anyio.create_task_group() as group:
+            while time.monotonic() < end_s:
+                # Goes through all kinds in turn, so that each one occurs.
+                name = names[number % len(names)]
+                number += 1
+                group.start_soon(self.kinds[name])
+                await anyio.sleep(self.rng.expovariate(1 / mean_pause_s))
+
+    def _begin(self, name: str, victim: str) -> Fault:
+        fault = Fault(name, victim, time.time())
+        self.faults.append(fault)
+        return fault
+
+    def _pick(self) -> cluster.Member | None:
+        """Returns a member without a fault, and marks it as busy."""
+        free = [m for m in self.running.members if m.name not in self.busy]
+        if len(free) <= len(self.running.members) // 2:
+            return None
+        member = self.rng.choice(free)
+        self.busy.add(member.name)
+        return member
+
+    def _end(self, member: cluster.Member, fault: Fault) -> None:
+        fault.end_s = time.time()
+        self.busy.discard(member.name)
+
+    async def _pause(self, low_s: float, high_s: float) -> None:
+        await anyio.sleep(self.rng.uniform(low_s, high_s))
+
+    async def _stop(self, process: subprocess.Popen | None, number) -> None:
+        assert process is not None
+        process.send_signal(number)
+        await anyio.to_thread.run_sync(process.wait, 30)
+
+    async def kill_node(self) -> None:
+        """Kills a node and starts it again."""
+        if member := self._pick():
+            fault = self._begin("kill node", member.name)
+            await self._stop(member.node, signal.SIGKILL)
+            await self._pause(0.1, 2.0)
+            self.running.start_node(member)
+            self._end(member, fault)
+
+    async def restart_node(self) -> None:
+        """Stops a node gracefully and starts it again."""
+        if member := self._pick():
+            fault = self._begin("restart node", member.name)
+            await self._stop(member.node, signal.SIGTERM)
+            self.running.start_node(member)
+            self._end(member, fault)
+
+    async def kill_target(self) -> None:
+        """Kills a target and starts it again, cold."""
+        if member := self._pick():
+            fault = self._begin("kill target", member.name)
+            await self._stop(member.target, signal.SIGKILL)
+            await self._pause(0.1, 2.0)
+            self.running.start_target(member)
+            self._end(member, fault)
+
+    async def _freeze(self, name: str, use: str) -> None:
+        if member := self._pick():
+            process = getattr(member, use)
+            fault = self._begin(name, member.name)
+            process.send_signal(signal.SIGSTOP)
+            try:
+                await self._pause(0.3, 4.0)
+            finally:
+                process.send_signal(signal.SIGCONT)
+                self._end(member, fault)
+
+    async def freeze_node(self) -> None:
+        """Stops a node for a while and lets it go on."""
+        await self._freeze("freeze node", "node")
+
+    async def freeze_target(self) -> None:
+        """Stops a target for a while and lets it go on."""
+        await self._freeze("freeze target", "target")
+
+    async def _change_target(self, name: str, **changes: Any) -> None:
+        if member := self._pick():
+            fault = self._begin(name, member.name)
+            if "turn_cold" in changes:
+                self.turned_cold.add(member.name)
+            try:
+                await self.running.control_target(
+                    self.client, member, **changes
+                )
+                await self._pause(1.0, 3.0)
+                normal = dict.fromkeys(changes, None)
+                normal |= {
+                    "slow_factor": 1.0,
+                    "shed": False,
+                    "cut_share": 0.0,
+                    "cross_share": 0.0,
+                    "draining": False,
+                }
+                healed = {k: normal[k] for k in changes if k != "turn_cold"}
+                await self.running.control_target(self.client, member, **healed)
+            finally:
+                self._end(member, fault)
+
+    async def turn_target_cold(self) -> None:
+        """Makes a target cold without warning."""
+        await self._change_target("target turns cold", turn_cold=True)
+
+    async def slow_target(self) -> None:
+        """Makes a target ten times as slow."""
+        await self._change_target("target slow", slow_factor=10.0)
+
+    async def shed_target(self) -> None:
+        """Makes a target refuse everything as not run."""
+        await self._change_target("target sheds", shed=True)
+
+    async def cut_answers(self) -> None:
+        """Cuts a part of a target's answers short."""
+        await self._change_target("answers cut", cut_share=0.3)
+
+    async def cross_answers(self) -> None:
+        """Gives a part of a target's answers another attempt's identity."""
+        await self._change_target("answers crossed", cross_share=0.3)
+
+    async def drain_target(self) -> None:
+        """Lets a target announce that it drains."""
+        await self._change_target("target drains", draining=True)
+
+    async def _change_platform(self, name: str, **faults: Any) -> None:
+        if "platform" in self.busy:
+            return
+        self.busy.add("platform")
+        fault = self._begin(name, "platform")
+        await self.running.set_platform_faults(self.client, **faults)
+        await self._pause(1.0, 5.0)
+        await self.running.set_platform_faults(self.client)
+        fault.end_s = time.time()
+        self.busy.discard("platform")
+
+    async def stop_platform(self) -> None:
+        """Takes the platform down for a while."""
+        await self._change_platform("platform down", down=True)
+
+    async def slow_platform(self) -> None:
+        """Makes the platform slow for a while."""
+        await self._change_platform("platform slow", delay_s=0.3)
+
+    async def lose_platform_answers(self) -> None:
+        """Loses answers of the platform after writes took effect."""
+        seed = self.rng.randrange(2**31)
+        await self._change_platform(
+            "platform loses answers", lose_share=0.3, seed=seed
+        )
+
+    async def take_domain_out(self) -> None:
+        """Takes a failure domain out through the document, and back in."""
+        if "domain" in self.busy:
+            return
+        self.busy.add("domain")
+        name = self.rng.choice(self.running.domains)
+        try:
+            if not await self._set_domain(name, "out"):
+                return
+            fault = self._begin("domain out", name)
+            await self._pause(OUT_GRACE_S + 2.0, OUT_GRACE_S + 4.0)
+            # The domain counts as back in before the change is written.
+            fault.end_s = time.time()
+            accepted = await self._set_domain(name, "in")
+            while not accepted:
+                # The platform may be down, so the operator tries again.
+                await anyio.sleep(0.3)
+                accepted = await self._set_domain(name, "in")
+        finally:
+            self.busy.discard("domain")
+
+    def _pick_operator(self) -> cluster.Member:
+        """Returns a member whose node an operator may use now."""
+        free = [m for m in self.running.members if m.name not in self.busy]
+        return self.rng.choice(free or self.running.members)
+
+    async def _set_domain(self, name: str, state: str) -> bool:
+        member = self._pick_operator()
+        current = await self.running.read_document(self.client, member)
+        if current is None:
+            return False
+        for domain in current["document"]["failure_domains"]:
+            if domain["name"] == name:
+                domain["state"] = state
+        why = f"failure domain {name} {state}"
+        return await self._accept(member, current, why)
+
+    async def _accept(
+        self, member: cluster.Member, current: dict, why: str
+    ) -> bool:
+        number = await self.running.write_document(
+            self.client, member, current, why
+        )
+        if number is None:
+            return False
+        self.accepted.append((time.time(), number))
+        return True
+
+    async def race_operators(self) -> None:
+        """Lets two operators accept changes of one revision at once."""
+        first, second = self._pick_operator(), self._pick_operator()
+        current = await self.running.read_document(self.client, first)
+        if current is None:
+            return
+        fault = self._begin("operators race", "document")
+        results: list[bool] = []
+
+        async def accept(member: cluster.Member, why: str) -> None:
+            results.append(await self._accept(member, current, why))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(accept, first, "first of two")
+            group.start_soon(accept, second, "second of two")
+        fault.end_s = time.time()
+        self.race_winners.append(sum(results))
