--- a/src/waxwingferry/process/admin.py
+++ b/src/waxwingferry/process/admin.py
@@ -76,6 +76,7 @@
 
     async def get_metrics(self, request: starlette.requests.Request):
         """Returns the metrics in Prometheus text form."""
+        self.receiver.update_gauges()
         accept = request.headers.getlist("accept")
         content, headers = aioprometheus.render(self.counters.registry, accept)
         return starlette.responses.Response(content, headers=headers)
--- a/src/waxwingferry/process/admission.py
+++ b/src/waxwingferry/process/admission.py
@@ -1,82 +1,334 @@
-"""Admission to one target: an exact limit and a bounded queue."""
+"""Admission to one target: an exact limit and a fair, bounded queue."""
 
-import collections
+from collections.abc import Callable
 import dataclasses
+import enum
+import time
 
 import anyio
 
+from waxwingferry.process import estimate as estimates
+from waxwingferry.process import fairness
+from waxwingferry.process import limit as limits
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
-COLD_LIMIT = 1
 QUEUE_PER_SLOT = 2
+# A waiter looks this often whether the target still takes work.
+RECHECK_S = 0.25
+# Lower bound of a cost, so that shares also hold before the first answer.
+MIN_COST_S = 1e-4
 
 
-@dataclasses.dataclass(slots=True)
+class Ending(enum.Enum):
+    """How a dispatched attempt ended."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    REFUSED = "refused"
+    LOST = "lost"
+    ABANDONED = "abandoned"
+    NOT_SENT = "not_sent"
+
+
+class State(enum.Enum):
+    """Where an attempt is in its way through admission."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
 class Permit:
-    """The right to send one attempt to the target."""
+    """One attempt's way through the queue to the target.
+
+    Attributes:
+        route: Route whose service times the attempt follows.
+        deadline_s: Monotonic time at which the attempt is of no more use.
+        refusal: Why the attempt was refused, if it was.
+        is_trial: Whether it goes to the target against the estimate.
+        saturated: Whether the limit was reached at the dispatch.
+        in_flight: Attempts in flight just after the dispatch.
+    """
+
+    route: str
+    deadline_s: float
+    state: State = State.QUEUED
+    refusal: outcome.NotRun | None = None
+    share: "fairness.Share[Permit] | None" = None
+    epoch: int = 0
+    is_trial: bool = False
+    saturated: bool = False
+    in_flight: int = 0
+    started_s: float = 0.0
+    head_s: float = 0.0
+    charged_s: float = 0.0
+    event: anyio.Event | None = None
+
+    def mark_head(self, now_s: float) -> None:
+        """Notes when the answer began; a slow reader comes after that."""
+        self.head_s = now_s
 
-    member: str
+    def wake(self) -> None:
+        """Wakes the task that waits for this permit."""
+        if self.event is not None:
+            self.event.set()
+
+
+def _ready() -> outcome.Reason | None:
+    return None
+
+
+def _equal_weight(member: str) -> float:
+    return 1.0
+
+
+def _ignore_reset(cause: limits.Cause) -> None:
+    pass
 
 
 class Admission:
     """Decides which attempts go to the target, and when.
 
     The invariant in_flight <= limit <= slots is asserted at each dispatch.
+    A place stays taken for a short time after an attempt was abandoned,
+    because the target works on until it notices.
 
     Args:
         slots: Requests that the target can work on at a time.
+        weight: Returns the weight of a member.
+        closed: Returns why no work goes to the target, or None.
+        on_reset: Is called when the limit went back to cold.
+        rule: How the limit grows.
+        clock: Returns the monotonic time in seconds.
     """
 
-    def __init__(self, slots: int):
-        self.slots = slots
-        self.limit = min(COLD_LIMIT, slots)
-        self.in_flight = 0
-        self.successes = 0
-        self.waiting: collections.deque[anyio.Event] = collections.deque()
+    def __init__(
+        self,
+        slots: int,
+        weight: Callable[[str], float] = _equal_weight,
+        closed: Callable[[], outcome.Reason | None] = _ready,
+        on_reset: Callable[[limits.Cause], None] = _ignore_reset,
+        rule: limits.GrowthRule = limits.DEFAULT_RULE,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.closed = closed
+        self.on_reset = on_reset
+        self.clock = clock
+        self.limit = limits.Limit(slots, rule, clock)
+        self.queue: fairness.FairQueue[Permit] = fairness.FairQueue(weight)
+        self.running = 0
+        self.lingering: list[float] = []
+        self.estimate = estimates.Estimate(clock)
+
+    @property
+    def in_flight(self) -> int:
+        """Places taken at the target."""
+        return self.running + len(self.lingering)
 
     async def acquire(
-        self, member: str, deadline: call.Deadline
+        self, member: str, deadline: call.Deadline, route: str = ""
     ) -> Permit | outcome.NotRun:
         """Waits for a free place, or refuses."""
-        if self.in_flight < self.limit and not self.waiting:
-            return self._dispatch(member)
-        if len(self.waiting) >= QUEUE_PER_SLOT * self.slots:
-            return outcome.NotRun(outcome.Reason.QUEUE_FULL)
-        event = anyio.Event()
-        self.waiting.append(event)
+        permit = self.submit(member, deadline.at_s, route)
         try:
-            with anyio.move_on_after(max(deadline.remaining_s(), 0)):
-                await event.wait()
-        finally:
-            if not event.is_set():
-                self.waiting.remove(event)
-        if not event.is_set():
-            return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
-        return Permit(member)
-
-    def _dispatch(self, member: str) -> Permit:
-        self.in_flight += 1
-        assert self.in_flight <= self.limit <= self.slots
-        return Permit(member)
-
-    def release(self, permit: Permit, succeeded: bool) -> None:
+            while permit.state is State.QUEUED:
+                permit.event = anyio.Event()
+                with anyio.move_on_after(self.find_wait_s(permit)):
+                    await permit.event.wait()
+                self.advance()
+        except BaseException:
+            self.withdraw(permit)
+            raise
+        return permit.refusal or permit
+
+    def submit(self, member: str, deadline_s: float, route: str = "") -> Permit:
+        """Queues an attempt and dispatches what can be; never waits."""
+        self.advance()
+        permit = Permit(self.estimate.bound_route(route), deadline_s)
+        reason = self.closed()
+        if reason is None and self._is_hopeless(permit, member):
+            reason = outcome.Reason.DEADLINE_TOO_SHORT
+        if reason is None and not self._make_room(member):
+            reason = outcome.Reason.QUEUE_FULL
+        if reason is not None:
+            _refuse(permit, reason)
+            return permit
+        permit.share = self.queue.push(member, permit)
+        self._dispatch_queued()
+        assert len(self.queue) <= QUEUE_PER_SLOT * self.limit.slots
+        return permit
+
+    def withdraw(self, permit: Permit) -> None:
+        """Takes back an attempt that nobody waits for any more."""
+        if permit.state is State.QUEUED:
+            self._leave_queue(permit)
+            permit.state = State.ENDED
+        elif permit.state is State.RUNNING:
+            self.release(permit, Ending.NOT_SENT)
+
+    def release(self, permit: Permit, ending: Ending) -> None:
         """Gives a place back and learns from how the attempt ended."""
-        self.in_flight -= 1
-        if succeeded:
-            self._grow()
-        while self.waiting and self.in_flight < self.limit:
-            self.in_flight += 1
-            assert self.in_flight <= self.limit <= self.slots
-            self.waiting.popleft().set()
-
-    def _grow(self) -> None:
-        self.successes += 1
-        if self.successes >= self.limit and self.limit < self.slots:
-            self.successes = 0
-            self.limit = min(self.limit * 2, self.slots)
-
-    def reset_cold(self) -> None:
+        assert permit.state is State.RUNNING
+        assert permit.share is not None
+        permit.state = State.ENDED
+        self.running -= 1
+        used_s = self.clock() - permit.started_s
+        unsent = ending in (Ending.NOT_SENT, Ending.SHED, Ending.REFUSED)
+        cost_s = 0.0 if unsent else used_s
+        self.queue.settle(permit.share, permit.charged_s, cost_s)
+        self._learn(permit, ending, used_s)
+        self.advance()
+
+    def resize(self, slots: int) -> None:
+        """Takes a new number of slots; work in flight goes on."""
+        self.limit.resize(slots)
+        self._shorten_queue()
+        self.advance()
+
+    def reset(self, cause: limits.Cause) -> None:
         """Starts again at the cold limit; work in flight goes on."""
-        self.limit = min(COLD_LIMIT, self.slots)
-        self.successes = 0
+        self.limit.reset(cause)
+        if cause in limits.PACED:
+            self.estimate.clear()
+        self.on_reset(cause)
+
+    def advance(self) -> None:
+        """Does what time has brought: expiries, then dispatches."""
+        now_s = self.clock()
+        if self.lingering:
+            self.lingering = [at_s for at_s in self.lingering if at_s > now_s]
+        self._refuse_expired(now_s)
+        self._dispatch_queued()
+
+    def find_wait_s(self, permit: Permit) -> float:
+        """Returns how long a queued attempt may wait before advance()."""
+        wakes_s = [permit.deadline_s, *self.lingering]
+        return min(max(min(wakes_s) - self.clock(), 0.0), RECHECK_S)
+
+    def _dispatch_queued(self) -> None:
+        while self.queue:
+            reason = self.closed()
+            if reason is not None:
+                self._refuse_all(reason)
+                return
+            if self.in_flight >= self.limit.value:
+                return
+            cost_s = max(self.estimate.all.mean(), MIN_COST_S)
+            permit = self.queue.pop(cost_s)
+            if self._is_too_late(permit, 0.0):
+                assert permit.share is not None
+                self.queue.settle(permit.share, cost_s, 0.0)
+                _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
+                continue
+            self._dispatch(permit, cost_s)
+
+    def _dispatch(self, permit: Permit, cost_s: float) -> None:
+        self.running += 1
+        limit = self.limit
+        assert self.in_flight <= limit.value <= limit.slots
+        assert self.closed() is None
+        assert permit.state is State.QUEUED
+        assert permit.deadline_s > self.clock()
+        permit.state = State.RUNNING
+        permit.epoch = limit.epoch
+        permit.in_flight = self.in_flight
+        permit.saturated = self.in_flight == limit.value
+        permit.started_s = self.clock()
+        permit.charged_s = cost_s
+        permit.wake()
+
+    def _learn(self, permit: Permit, ending: Ending, used_s: float) -> None:
+        match ending:
+            case Ending.ANSWERED:
+                self.estimate.record(permit.route, used_s)
+                head_s = permit.head_s or self.clock()
+                if self.limit.record_answer(
+                    permit.epoch,
+                    head_s - permit.started_s,
+                    permit.saturated,
+                ):
+                    self.on_reset(limits.Cause.SLOW)
+            case Ending.SHED:
+                if self.limit.record_shed(permit.epoch, permit.in_flight):
+                    self.on_reset(limits.Cause.SHED)
+            case Ending.REFUSED | Ending.LOST:
+                if permit.epoch == self.limit.epoch:
+                    lost = ending is Ending.LOST
+                    self.reset(
+                        limits.Cause.LOST if lost else limits.Cause.REFUSED
+                    )
+            case Ending.ABANDONED:
+                self._abandon(permit, used_s)
+
+    def _abandon(self, permit: Permit, used_s: float) -> None:
+        """Holds the place while the target may still be at work."""
+        hold_s = self.estimate.find_linger_s(permit.route, used_s)
+        self.lingering.append(self.clock() + hold_s)
+        self.estimate.record_abandoned(permit.route, used_s)
+
+    def _is_hopeless(self, permit: Permit, member: str) -> bool:
+        """Tells whether a new attempt can't be expected to end in time."""
+        if self.in_flight < self.limit.value and not self.queue:
+            return self._is_too_late(permit, 0.0)
+        mean_s = self.estimate.all.mean()
+        share = self.queue.find_share(member)
+        ahead = self.queue.count_ahead(share, max(mean_s, MIN_COST_S))
+        wait_s = (ahead + 1) * mean_s / self.limit.value
+        return self._is_too_late(permit, wait_s)
+
+    def _is_too_late(self, permit: Permit, wait_s: float) -> bool:
+        left_s = permit.deadline_s - self.clock()
+        if left_s <= 0:
+            return True
+        if permit.is_trial:
+            return False
+        if not self.estimate.is_too_late(permit.route, wait_s, left_s):
+            return False
+        permit.is_trial = self.estimate.take_trial(permit.route)
+        return not permit.is_trial
+
+    def _make_room(self, member: str) -> bool:
+        """Makes room for one more; tells whether there is any."""
+        if self.in_flight < self.limit.value and not self.queue:
+            return True
+        if len(self.queue) < QUEUE_PER_SLOT * self.limit.slots:
+            return True
+        arriving = self.queue.find_share(member)
+        largest = self.queue.find_largest(arriving)
+        if largest is arriving:
+            return False
+        self._push_out(largest)
+        return True
+
+    def _push_out(self, share: "fairness.Share[Permit]") -> None:
+        newest = share.items[-1]
+        self.queue.remove(share, newest)
+        _refuse(newest, outcome.Reason.QUEUE_FULL)
+
+    def _shorten_queue(self) -> None:
+        while len(self.queue) > QUEUE_PER_SLOT * self.limit.slots:
+            some = next(iter(self.queue)).share
+            assert some is not None
+            self._push_out(self.queue.find_largest(some))
+
+    def _refuse_expired(self, now_s: float) -> None:
+        for permit in [p for p in self.queue if p.deadline_s <= now_s]:
+            self._leave_queue(permit)
+            _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
+
+    def _refuse_all(self, reason: outcome.Reason) -> None:
+        for permit in list(self.queue):
+            self._leave_queue(permit)
+            _refuse(permit, reason)
+
+    def _leave_queue(self, permit: Permit) -> None:
+        assert permit.share is not None
+        self.queue.remove(permit.share, permit)
+
+
+def _refuse(permit: Permit, reason: outcome.Reason) -> None:
+    permit.state = State.ENDED
+    permit.refusal = outcome.NotRun(reason)
+    permit.wake()
--- /dev/null
+++ b/src/waxwingferry/process/estimate.py
@@ -0,0 +1,106 @@
+"""Whether an attempt can be expected to end before its deadline.
+
+The wait in the queue follows from the mean over all requests, the service
+itself from the distribution of the attempt's own route: a route whose
+requests are short must not be refused because another's are long.
+"""
+
+from collections.abc import Callable
+import math
+import time
+
+from waxwingferry.process import service_time
+
+# Routes beyond this number share one distribution of service times.
+MAX_ROUTES = 64
+OTHER_ROUTES = "(other)"
+# An estimate rests on at least so many answers.
+MIN_SAMPLES = 8
+# An attempt is refused if fewer than half of its kind would end in time.
+SERVICE_QUANTILE = 0.5
+# A route without an answer for this long may send one request past the
+# estimate, so that refusals can't keep an outdated estimate alive.
+STALE_S = 1.0
+# A target notices a closed connection within this time.
+LINGER_S = 0.1
+
+
+class Estimate:
+    """Service times of one target, as a whole and by route.
+
+    Args:
+        clock: Returns the monotonic time in seconds.
+        quantile: Share of a route's requests that must fit into the time
+            left, or None to use the mean of the whole target.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        quantile: float | None = SERVICE_QUANTILE,
+    ):
+        self.clock = clock
+        self.quantile = quantile
+        self.all = service_time.ServiceTimes(clock)
+        self.routes: dict[str, service_time.ServiceTimes] = {}
+        self.trials: dict[str, float] = {}
+
+    def bound_route(self, route: str) -> str:
+        """Returns the name under which a route is kept."""
+        known = route in self.routes or len(self.routes) < MAX_ROUTES
+        return route if known else OTHER_ROUTES
+
+    def record(self, route: str, service_s: float) -> None:
+        """Learns from the service time of one attempt."""
+        self.all.record(service_s)
+        if route not in self.routes:
+            self.routes[route] = service_time.ServiceTimes(self.clock)
+        self.routes[route].record(service_s)
+
+    def record_abandoned(self, route: str, used_s: float) -> None:
+        """Learns from an attempt that was given up after used_s seconds.
+
+        Its whole time would have been longer. That says something only if
+        it ran longer than most; otherwise it would pull the estimate down.
+        """
+        if used_s > self._find_times(route).quantile(0.5):
+            self.record(route, used_s)
+
+    def find_linger_s(self, route: str, used_s: float) -> float:
+        """Returns how long a target may work on after it was given up."""
+        left_s = self._find_times(route).quantile(0.99) - used_s
+        return min(left_s, LINGER_S) if left_s > 0 else LINGER_S
+
+    def is_too_late(self, route: str, wait_s: float, left_s: float) -> bool:
+        """Tells whether an attempt of a route would probably miss its end.
+
+        Args:
+            route: Name of the route.
+            wait_s: Time that the attempt will wait in the queue.
+            left_s: Time left until its deadline.
+        """
+        times = self.routes.get(route)
+        if times is None or len(times) < MIN_SAMPLES:
+            return False
+        if self.quantile is None:
+            return wait_s + self.all.mean() > left_s
+        return wait_s + times.quantile(self.quantile) > left_s
+
+    def take_trial(self, route: str) -> bool:
+        """Takes the right to send one request past an old estimate."""
+        now_s = self.clock()
+        newest_s = self.routes[route].newest_s
+        last_s = max(newest_s, self.trials.get(route, -math.inf))
+        if now_s - last_s < STALE_S:
+            return False
+        self.trials[route] = now_s
+        return True
+
+    def clear(self) -> None:
+        """Forgets everything; another target process may be faster."""
+        self.all.clear()
+        self.routes.clear()
+        self.trials.clear()
+
+    def _find_times(self, route: str) -> service_time.ServiceTimes:
+        return self.routes.get(route, self.all)
--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -11,6 +11,17 @@
         self.calls = self._counter("calls", "Calls by how they ended.")
         self.refusals = self._counter("refusals", "Refusals by reason.")
         self.retries = self._counter("retries", "Retries by reason.")
+        self.receive_refusals = self._counter(
+            "receive_refusals", "Attempts refused at the target's node."
+        )
+        self.limit_resets = self._counter(
+            "limit_resets", "Returns of the limit to cold by cause."
+        )
+        self.admission = aioprometheus.Gauge(
+            "waxwingferry_admission",
+            "Limit, slots, in flight and queue of the target.",
+            registry=self.registry,
+        )
         self.events = self._counter("events", "Rare events by name.")
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -56,7 +56,10 @@
         self.counters = metrics.Metrics()
         self.members = members.Members(table, options.node, rng)
         self.receiver = receive.Receiver(
-            self.incarnation, self.own_domain_is_out
+            self.incarnation,
+            self.own_domain_is_out,
+            self.get_revision,
+            self.counters,
         )
         self.entry = entry.Entry(
             options.node,
--- /dev/null
+++ b/src/waxwingferry/process/service_time.py
@@ -0,0 +1,77 @@
+"""Recent service times of a target and their distribution."""
+
+import bisect
+import collections
+from collections.abc import Callable
+import math
+import time
+
+MAX_SAMPLES = 128
+MAX_AGE_S = 10.0
+
+
+class ServiceTimes:
+    """A sliding window of service times, bounded in number and age.
+
+    Args:
+        clock: Returns the monotonic time in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        self.clock = clock
+        self.samples: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self.ordered: list[float] = []
+        self.newest_s = -math.inf
+
+    def __len__(self) -> int:
+        """Returns the number of samples that are not too old."""
+        self._drop_old()
+        return len(self.ordered)
+
+    def record(self, service_s: float) -> None:
+        """Adds one service time in seconds."""
+        self.newest_s = self.clock()
+        if len(self.samples) == MAX_SAMPLES:
+            self._drop_first()
+        self.samples.append((self.newest_s, service_s))
+        bisect.insort(self.ordered, service_s)
+        self._drop_old()
+
+    def quantile(self, share: float) -> float:
+        """Returns the time that the given share of samples stays under."""
+        self._drop_old()
+        if not self.ordered:
+            return 0.0
+        last = len(self.ordered) - 1
+        return self.ordered[min(int(share * len(self.ordered)), last)]
+
+    def mean(self) -> float:
+        """Returns the mean in seconds, 0 without samples."""
+        self._drop_old()
+        if not self.ordered:
+            return 0.0
+        return sum(self.ordered) / len(self.ordered)
+
+    def deviation(self) -> float:
+        """Returns the standard deviation in seconds."""
+        mean = self.mean()
+        if not self.ordered:
+            return 0.0
+        squares = sum((value - mean) ** 2 for value in self.ordered)
+        return math.sqrt(squares / len(self.ordered))
+
+    def clear(self) -> None:
+        """Forgets all samples."""
+        self.samples.clear()
+        self.ordered.clear()
+
+    def _drop_old(self) -> None:
+        oldest_s = self.clock() - MAX_AGE_S
+        while self.samples and self.samples[0][0] < oldest_s:
+            self._drop_first()
+
+    def _drop_first(self) -> None:
+        _, value = self.samples.popleft()
+        del self.ordered[bisect.bisect_left(self.ordered, value)]
--- /dev/null
+++ b/src/waxwingferry/process/tests/test_admission.py
@@ -0,0 +1,295 @@
+"""Admission must neither lose places nor give one away twice."""
+
+import random
+
+import anyio
+import pytest
+
+from waxwingferry.process import admission
+from waxwingferry.process import limit as limits
+from waxwingferry.request import call
+from waxwingferry.request import outcome
+
+Ending = admission.Ending
+State = admission.State
+
+
+class FakeClock:
+    """A clock that the test moves."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        """Returns the time."""
+        return self.now_s
+
+
+def make_warm(slots: int, clock: FakeClock, **options) -> admission.Admission:
+    """Returns admission with the limit at the slots."""
+    state = admission.Admission(slots, clock=clock, **options)
+    state.limit.value = slots
+    return state
+
+
+def reason_of(permit: admission.Permit) -> outcome.Reason | None:
+    """Returns why an attempt was refused, or None."""
+    return permit.refusal.reason if permit.refusal else None
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("cancel_first", [True, False])
+async def test_waiter_cancelled_as_it_is_woken_gives_place_back(
+    cancel_first: bool,
+) -> None:
+    """Guards against a place lost to a waiter cancelled as it is woken."""
+    state = admission.Admission(slots=1)
+    deadline = call.make_deadline(60)
+    first = await state.acquire("a", deadline)
+    assert isinstance(first, admission.Permit)
+
+    async def run_waiter() -> None:
+        permit = await state.acquire("a", deadline)
+        assert isinstance(permit, admission.Permit)
+        state.release(permit, Ending.ANSWERED)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_waiter)
+        await anyio.wait_all_tasks_blocked()
+        if cancel_first:
+            group.cancel_scope.cancel()
+        state.release(first, Ending.ANSWERED)
+        group.cancel_scope.cancel()
+    assert state.in_flight == 0
+
+
+def test_queued_work_leaves_at_its_deadline() -> None:
+    """Guards against queue places held by work that is of no more use."""
+    clock = FakeClock()
+    state = make_warm(1, clock)
+    state.submit("a", clock.now_s + 9)
+    late = state.submit("a", clock.now_s + 1)
+    clock.now_s += 1.5
+    state.advance()
+    assert reason_of(late) is outcome.Reason.DEADLINE_TOO_SHORT
+    assert len(state.queue) == 0
+
+
+def test_stale_estimate_does_not_refuse_for_good() -> None:
+    """Guards against refusals that keep the estimate they rest on alive."""
+    clock = FakeClock()
+    state = make_warm(2, clock)
+    for _ in range(20):
+        permit = state.submit("a", clock.now_s + 9, "r")
+        clock.now_s += 0.5
+        state.release(permit, Ending.ANSWERED)
+    assert reason_of(state.submit("a", clock.now_s + 0.1, "r"))
+    run = 0
+    for _ in range(300):
+        clock.now_s += 0.01
+        permit = state.submit("a", clock.now_s + 0.1, "r")
+        if permit.state is State.RUNNING:
+            run += 1
+            state.release(permit, Ending.ANSWERED)
+    assert 1 <= run <= 3
+
+
+def test_short_route_is_not_refused_for_a_long_one() -> None:
+    """Guards against one estimate for routes of different length."""
+    clock = FakeClock()
+    state = make_warm(2, clock)
+    for route, service_s in [("long", 0.5), ("short", 0.002)] * 10:
+        permit = state.submit("a", clock.now_s + 9, route)
+        clock.now_s += service_s
+        state.release(permit, Ending.ANSWERED)
+    permit = state.submit("a", clock.now_s + 0.02, "short")
+    assert permit.state is State.RUNNING
+
+
+def test_flooding_member_is_refused_alone() -> None:
+    """Guards against a flood that takes other members' queue places."""
+    clock = FakeClock()
+    state = make_warm(2, clock)
+    flood = [state.submit("flood", clock.now_s + 9) for _ in range(50)]
+    light = [state.submit("light", clock.now_s + 9) for _ in range(2)]
+    assert all(permit.refusal is None for permit in light)
+    refused = [permit for permit in flood if permit.refusal]
+    assert {reason_of(p) for p in refused} == {outcome.Reason.QUEUE_FULL}
+    for permit in flood[:2]:
+        clock.now_s += 0.1
+        state.release(permit, Ending.ANSWERED)
+    assert any(permit.state is State.RUNNING for permit in light)
+
+
+def test_shares_follow_weights_and_time_used() -> None:
+    """Guards against shares counted in requests: long ones must pay."""
+    clock = FakeClock()
+    weights = {"a": 3.0}
+    state = make_warm(4, clock, weight=lambda name: weights.get(name, 1.0))
+    service_s = {"a": 0.01, "b": 0.04}
+    used_s = {"a": 0.0, "b": 0.0}
+    open_permits: list[tuple[float, str, admission.Permit]] = []
+    for _ in range(4000):
+        for name in service_s:
+            while True:
+                permit = state.submit(name, clock.now_s + 60)
+                if permit.refusal:
+                    break
+                open_permits.append((0.0, name, permit))
+        now_s = clock.now_s
+        open_permits = [
+            (permit.started_s + service_s[name], name, permit)
+            for _, name, permit in open_permits
+            if permit.refusal is None
+        ]
+        running = [p for p in open_permits if p[2].state is State.RUNNING]
+        first = min(running, key=lambda item: item[0])
+        clock.now_s = max(now_s, first[0])
+        open_permits.remove(first)
+        used_s[first[1]] += service_s[first[1]]
+        state.release(first[2], Ending.ANSWERED)
+    assert used_s["a"] / used_s["b"] == pytest.approx(3.0, rel=0.1)
+
+
+def test_made_up_members_are_bounded() -> None:
+    """Guards against memory used up by invented member names."""
+    clock = FakeClock()
+    state = make_warm(1, clock)
+    for number in range(5000):
+        permit = state.submit(f"m{number}", clock.now_s + 1)
+        clock.now_s += 0.3
+        if permit.state is State.RUNNING:
+            state.release(permit, Ending.ANSWERED)
+    assert len(state.queue.shares) <= 257
+
+
+def test_abandoned_work_keeps_its_place_a_while() -> None:
+    """Guards against giving away a place the target still works in."""
+    clock = FakeClock()
+    state = make_warm(1, clock)
+    first = state.submit("a", clock.now_s + 9)
+    second = state.submit("a", clock.now_s + 9)
+    state.release(first, Ending.ABANDONED)
+    assert second.state is State.QUEUED
+    clock.now_s += 0.2
+    state.advance()
+    assert second.state is State.RUNNING
+
+
+class RandomRun:
+    """Random operations on one admission; it asserts its own invariants."""
+
+    def __init__(self, seed: int):
+        self.rng = random.Random(seed)
+        self.clock = FakeClock()
+        self.reason: outcome.Reason | None = None
+        self.state = admission.Admission(
+            self.rng.randint(1, 9),
+            weight=lambda name: {"m0": 3.0}.get(name, 1.0),
+            closed=lambda: self.reason,
+            clock=self.clock,
+        )
+        self.permits: list[admission.Permit] = []
+
+    def step(self) -> None:
+        """Does one random operation."""
+        rng = self.rng
+        self.clock.now_s += rng.expovariate(200)
+        operations = [self.submit] * 8 + [self.release] * 7 + [self.cancel]
+        rare = [self.reset, self.resize, self.switch, self.state.advance]
+        rng.choice(rare if rng.random() < 0.05 else operations)()
+        self.permits = [p for p in self.permits if p.state is not State.ENDED]
+        self.check()
+
+    def check(self) -> None:
+        """Checks that no place is lost or given twice."""
+        states = [permit.state for permit in self.permits]
+        assert states.count(State.RUNNING) == self.state.running
+        assert states.count(State.QUEUED) == len(self.state.queue)
+        if self.reason is None and not self.state.lingering:
+            idle = self.state.in_flight < self.state.limit.value
+            self.state.advance()
+            assert not (idle and self.state.running == 0 and self.state.queue)
+
+    def submit(self) -> None:
+        """A new attempt."""
+        rng = self.rng
+        self.permits.append(
+            self.state.submit(
+                f"m{rng.randrange(5)}",
+                self.clock.now_s + rng.choice([0.0, 0.02, 0.2, 2.0]),
+                f"r{rng.randrange(3)}",
+            )
+        )
+
+    def release(self) -> None:
+        """The end of an attempt in flight."""
+        running = [p for p in self.permits if p.state is State.RUNNING]
+        if running:
+            usual = self.rng.random() < 0.9
+            ending = Ending.ANSWERED if usual else self.rng.choice(list(Ending))
+            self.state.release(self.rng.choice(running), ending)
+
+    def cancel(self) -> None:
+        """A caller that goes away, at any stage."""
+        if self.permits:
+            self.state.withdraw(self.rng.choice(self.permits))
+
+    def reset(self) -> None:
+        """A target that turns cold."""
+        self.state.reset(self.rng.choice(list(limits.Cause)))
+
+    def resize(self) -> None:
+        """A target that announces other slots."""
+        self.state.resize(self.rng.randint(1, 9))
+
+    def switch(self) -> None:
+        """A domain that goes out or returns, a target that leaves."""
+        self.reason = self.rng.choice(
+            [None, outcome.Reason.DOMAIN_OUT, outcome.Reason.LEAVING]
+        )
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_random_interleavings_keep_the_invariants(seed: int) -> None:
+    """Guards in_flight <= limit <= slots under every order of events."""
+    run = RandomRun(seed)
+    for _ in range(1500):
+        run.step()
+    run.reason = None
+    for permit in run.permits:
+        run.state.withdraw(permit)
+    run.clock.now_s += 1
+    run.state.advance()
+    assert run.state.in_flight == 0
+    assert len(run.state.queue) == 0
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("seed", range(5))
+async def test_random_cancellations_lose_no_place(seed: int) -> None:
+    """Guards the waiting tasks: any may be cancelled at any point."""
+    rng = random.Random(seed)
+    state = make_warm(3, FakeClock())
+
+    async def run_one(scope: anyio.CancelScope) -> None:
+        with scope:
+            permit = await state.acquire("a", call.Deadline(2000.0))
+            if isinstance(permit, outcome.NotRun):
+                return
+            try:
+                await anyio.lowlevel.checkpoint()
+            finally:
+                state.release(permit, Ending.ANSWERED)
+
+    scopes: list[anyio.CancelScope] = []
+    async with anyio.create_task_group() as group:
+        for _ in range(400):
+            scopes.append(anyio.CancelScope())
+            group.start_soon(run_one, scopes[-1])
+            if rng.random() < 0.4:
+                rng.choice(scopes[-10:]).cancel()
+            if rng.random() < 0.3:
+                await anyio.lowlevel.checkpoint()
+    assert state.in_flight == 0
+    assert len(state.queue) == 0
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -5,9 +5,12 @@
 import contextlib
 
 from waxwingferry.process import admission
+from waxwingferry.process import limit as limits
+from waxwingferry.process import metrics
 from waxwingferry.process import target
 from waxwingferry.request import call
 from waxwingferry.request import outcome
+from waxwingferry.version import document
 
 
 class Receiver:
@@ -16,37 +19,65 @@
     Args:
         incarnation: Random name of this node process.
         domain_is_out: Tells whether the node's failure domain is out.
+        revision: Returns the newest document known, or None.
+        counters: Metrics of the node.
+
+    Attributes:
+        leaving: Whether the node has announced that it leaves. Others still
+            send to it until they have read that.
+        closed: Whether new work is refused because the node leaves.
     """
 
-    def __init__(self, incarnation: str, domain_is_out: Callable[[], bool]):
+    def __init__(
+        self,
+        incarnation: str,
+        domain_is_out: Callable[[], bool],
+        revision: Callable[[], document.Revision | None],
+        counters: metrics.Metrics,
+    ):
         self.incarnation = incarnation
         self.domain_is_out = domain_is_out
+        self.revision = revision
+        self.counters = counters
         self.link: target.TargetLink | None = None
+        self.retired: list[target.TargetLink] = []
         self.admission: admission.Admission | None = None
         self.leaving = False
+        self.closed = False
 
     def announce(self, announcement: target.Announcement) -> bool:
         """Takes an announcement; tells whether it changed anything."""
         old = self.link.announcement if self.link else None
         if old == announcement:
             return False
-        if self.link is None or old is None:
+        if self.link is None or self.admission is None or old is None:
             self.link = target.TargetLink(announcement)
-            self.admission = admission.Admission(announcement.slots)
+            self.admission = self._make_admission(announcement.slots)
             return True
-        if (old.host, old.port, old.slots, old.incarnation) != (
-            announcement.host,
-            announcement.port,
-            announcement.slots,
-            announcement.incarnation,
-        ):
+        if _identify(old) != _identify(announcement):
+            self.retired.append(self.link)
             self.link = target.TargetLink(announcement)
-            assert self.admission is not None
-            self.admission.slots = announcement.slots
-            self.admission.reset_cold()
+            self.admission.reset(limits.Cause.INCARNATION)
         self.link.announcement = announcement
+        self.admission.resize(announcement.slots)
         return True
 
+    def close(self) -> None:
+        """Refuses all new and queued work from now on."""
+        self.closed = True
+        if self.admission is not None:
+            self.admission.advance()
+
+    def find_closed_reason(self) -> outcome.Reason | None:
+        """Returns why no work may go to the target, or None."""
+        if self.link is None:
+            return outcome.Reason.NO_TARGET
+        if self.closed or self.link.announcement.state == "draining":
+            return outcome.Reason.LEAVING
+        if self.domain_is_out():
+            return outcome.Reason.DOMAIN_OUT
+        return None
+
     def check(self, attempt: call.Attempt) -> outcome.NotRun | None:
         """Returns why an attempt is refused before admission, or None."""
         if attempt.incarnation != self.incarnation:
@@ -55,10 +86,9 @@
             return outcome.NotRun(outcome.Reason.NO_TARGET)
         if self.link.announcement.service != attempt.service:
             return outcome.NotRun(outcome.Reason.NO_TARGET)
-        if self.leaving or self.link.announcement.state == "draining":
-            return outcome.NotRun(outcome.Reason.LEAVING)
-        if self.domain_is_out():
-            return outcome.NotRun(outcome.Reason.DOMAIN_OUT)
+        reason = self.find_closed_reason()
+        if reason is not None:
+            return outcome.NotRun(reason)
         if attempt.deadline.remaining_s() <= 0:
             return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
         return None
@@ -68,35 +98,123 @@
         self, attempt: call.Attempt
     ) -> AsyncIterator[outcome.Outcome]:
         """Runs one attempt; the answer can be read inside the context."""
-        refusal = self.check(attempt)
-        if refusal is not None:
-            yield refusal
-            return
-        assert self.admission is not None
-        permit = await self.admission.acquire(attempt.member, attempt.deadline)
+        while self.retired:
+            await self.retired.pop().pool.close()
+        permit = await self._admit(attempt)
         if isinstance(permit, outcome.NotRun):
+            self._count(permit)
             yield permit
             return
-        succeeded = False
+        assert self.link is not None
+        assert self.admission is not None
+        ending = admission.Ending.ABANDONED
         try:
-            # The wait in the queue may have outlived a target or domain.
-            refusal = self.check(attempt)
-            if refusal is not None:
-                yield refusal
-                return
-            assert self.link is not None
             async with self.link.execute(attempt) as result:
-                succeeded = isinstance(result, outcome.Answer)
+                self._count(result)
+                permit.mark_head(self.admission.clock())
+                ending = _judge(result, finished=False)
                 yield result
+                ending = _judge(result, finished=True)
         finally:
-            self.admission.release(permit, succeeded)
+            self.admission.release(permit, ending)
+
+    async def _admit(
+        self, attempt: call.Attempt
+    ) -> admission.Permit | outcome.NotRun:
+        """Waits for a place at the target that runs now, or refuses."""
+        while True:
+            refusal = self.check(attempt)
+            if refusal is not None:
+                return refusal
+            assert self.admission is not None
+            permit = await self.admission.acquire(
+                attempt.member, attempt.deadline, self._find_route(attempt)
+            )
+            if isinstance(permit, outcome.NotRun):
+                return permit
+            # The wait may have outlived a target or a domain, and a place
+            # given before a reset is not a place at the cold target.
+            refusal = self.check(attempt)
+            if refusal is None and permit.epoch == self.admission.limit.epoch:
+                return permit
+            self.admission.withdraw(permit)
 
     def load(self) -> str:
         """Returns the load report for x-waxwing-load."""
-        if self.admission is None:
-            return "in_flight=0,queue=0,limit=0"
         state = self.admission
+        if state is None:
+            return "in_flight=0,queue=0,limit=0"
         return (
             f"in_flight={state.in_flight},"
-            f"queue={len(state.waiting)},limit={state.limit}"
+            f"queue={len(state.queue)},limit={state.limit.value}"
+        )
+
+    def update_gauges(self) -> None:
+        """Sets the gauges of the metrics to the present state."""
+        state = self.admission
+        if state is None:
+            return
+        state.advance()
+        gauge = self.counters.admission
+        gauge.set({"value": "in_flight"}, state.in_flight)
+        gauge.set({"value": "queue"}, len(state.queue))
+        gauge.set({"value": "limit"}, state.limit.value)
+        gauge.set({"value": "slots"}, state.limit.slots)
+
+    def _make_admission(self, slots: int) -> admission.Admission:
+        return admission.Admission(
+            slots,
+            weight=self._find_weight,
+            closed=self.find_closed_reason,
+            on_reset=self._count_reset,
         )
+
+    def _find_weight(self, member: str) -> float:
+        revision = self.revision()
+        if revision is None or self.link is None:
+            return 1.0
+        service = revision.services.get(self.link.announcement.service)
+        return service.member_weights.get(member, 1.0) if service else 1.0
+
+    def _find_route(self, attempt: call.Attempt) -> str:
+        revision = self.revision()
+        match = revision and revision.match_route(
+            attempt.method, attempt.target
+        )
+        if not match:
+            return ""
+        _, route = match
+        return f"{route.methods[0]} {route.path_prefix}"
+
+    def _count(self, result: outcome.Outcome) -> None:
+        match result:
+            case outcome.NotRun():
+                kind = "not_run"
+            case outcome.Unknown():
+                kind = "unknown"
+            case _:
+                return
+        self.counters.receive_refusals.inc(
+            {"kind": kind, "reason": result.reason.value}
+        )
+
+    def _count_reset(self, cause: limits.Cause) -> None:
+        self.counters.limit_resets.inc({"cause": cause.value})
+
+
+def _identify(announcement: target.Announcement) -> tuple[str, int, str]:
+    return announcement.host, announcement.port, announcement.incarnation
+
+
+def _judge(result: outcome.Outcome, finished: bool) -> admission.Ending:
+    match result:
+        case outcome.Answer():
+            if finished:
+                return admission.Ending.ANSWERED
+        case outcome.NotRun(outcome.Reason.TARGET_REFUSED):
+            return admission.Ending.SHED
+        case outcome.NotRun():
+            return admission.Ending.REFUSED
+        case outcome.Unknown(outcome.Reason.CONNECTION_LOST):
+            return admission.Ending.LOST
+    return admission.Ending.ABANDONED
