--- a/src/waxwingferry/process/admission.py
+++ b/src/waxwingferry/process/admission.py
@@ -48,7 +48,6 @@
         deadline_s: Monotonic time at which the attempt is of no more use.
         refusal: Why the attempt was refused, if it was.
         is_trial: Whether it goes to the target against the estimate.
-        saturated: Whether the limit was reached at the dispatch.
         in_flight: Attempts in flight just after the dispatch.
     """
 
@@ -59,7 +58,6 @@
     share: "fairness.Share[Permit] | None" = None
     epoch: int = 0
     is_trial: bool = False
-    saturated: bool = False
     in_flight: int = 0
     started_s: float = 0.0
     head_s: float = 0.0
@@ -234,7 +232,6 @@
         permit.state = State.RUNNING
         permit.epoch = limit.epoch
         permit.in_flight = self.in_flight
-        permit.saturated = self.in_flight == limit.value
         permit.started_s = self.clock()
         permit.charged_s = cost_s
         permit.wake()
@@ -247,7 +244,7 @@
                 if self.limit.record_answer(
                     permit.epoch,
                     head_s - permit.started_s,
-                    permit.saturated,
+                    permit.in_flight,
                 ):
                     self.on_reset(limits.Cause.SLOW)
             case Ending.SHED:
--- a/src/waxwingferry/process/estimate.py
+++ b/src/waxwingferry/process/estimate.py
@@ -14,10 +14,12 @@
 # Routes beyond this number share one distribution of service times.
 MAX_ROUTES = 64
 OTHER_ROUTES = "(other)"
-# An estimate rests on at least so many answers.
-MIN_SAMPLES = 8
-# An attempt is refused if fewer than half of its kind would end in time.
-SERVICE_QUANTILE = 0.5
+# With more, a cold target whose queue only holds work that is nearly too late
+# would never answer often enough to have an estimate.
+MIN_SAMPLES = 3
+# An attempt is refused if fewer than three of four of its kind would end in
+# time.
+SERVICE_QUANTILE = 0.75
 # A route without an answer for this long may send one request past the
 # estimate, so that refusals can't keep an outdated estimate alive.
 STALE_S = 1.0
--- a/src/waxwingferry/process/limit.py
+++ b/src/waxwingferry/process/limit.py
@@ -14,25 +14,29 @@
 import time
 
 COLD_LIMIT = 1
-# Fewest answers that a step may rest on.
-MIN_WINDOW = 4
-MAX_WINDOW = 64
 # The median of so many answers is above three times the usual one by chance
 # less than once in a million windows, if service times are exponential.
 JUMP_WINDOW = 32
 JUMP_FACTOR = 3.0
-GROW_FACTOR = 2.0
-# A median seen in this time counts as usual, so that a neighbour that comes
-# and goes causes one reset and not one each time.
-USUAL_MEMORY_S = 30.0
+GROW_FACTOR = 2.5
+# How long usual medians and false alarms are remembered, so that a neighbour
+# that comes and goes causes one reset and not one each time.
+MEMORY_S = 30.0
+NOTE_INTERVAL_S = 0.25
+TOLERANCE_FACTOR = 1.5
 # A limit that took no step for this long is as high as the traffic asks for.
 SETTLED_S = 2.0
+# Each step that made answers slow doubles the evidence for the next one.
+MAX_CAUTION = 16
 FIRST_HOLD_S = 1.0
-MAX_HOLD_S = 60.0
+MAX_HOLD_S = 8.0
 
 
 class Cause(enum.Enum):
-    """Why the limit went back to cold."""
+    """Why the limit went back to cold.
+
+    A reset for SLOW becomes a FALSE_ALARM once the limit has grown back.
+    """
 
     START = "start"
     INCARNATION = "incarnation"
@@ -40,6 +44,7 @@
     REFUSED = "refused"
     LOST = "lost"
     SLOW = "slow"
+    FALSE_ALARM = "false_alarm"
 
 
 # Causes after which the target may be as cold as after a start. The others
@@ -52,17 +57,22 @@
     """How the limit grows from cold to the slots.
 
     Attributes:
+        window: Answers that a step rests on, if the target may have just
+            started; None takes as many as the limit.
+        warm_window: The same for a target whose process was warm before.
         double_up_to: Share of the slots up to which a step doubles the
             limit; later steps add 1.
         step_interval_s: Least time between two steps of a target that may
             have just started.
     """
 
-    double_up_to: float
-    step_interval_s: float
+    window: int | None = 20
+    warm_window: int | None = 8
+    double_up_to: float = 0.0
+    step_interval_s: float = 0.0
 
 
-DEFAULT_RULE = GrowthRule(double_up_to=0.5, step_interval_s=0.25)
+DEFAULT_RULE = GrowthRule()
 
 
 class Limit:
@@ -90,10 +100,13 @@
         self.ceiling = slots
         self.ceiling_until_s = -math.inf
         self.hold_s = FIRST_HOLD_S
-        self.window: collections.deque[float] = collections.deque(
-            maxlen=MAX_WINDOW
-        )
+        self.window: list[float] = []
         self.level_s = math.inf
+        self.caution = 1
+        self.had_slow_step = False
+        self.alarm_s = 0.0
+        self.tolerated_s = 0.0
+        self.tolerated_at_s = -math.inf
         self.recent: list[float] = []
         self.usual: collections.deque[tuple[float, float]] = collections.deque()
 
@@ -111,6 +124,8 @@
         self.window.clear()
         self.recent.clear()
         self.level_s = math.inf
+        self.caution = 1
+        self.had_slow_step = False
         if cause in PACED and cause is not Cause.SHED:
             self.usual.clear()
             self.ceiling_until_s = -math.inf
@@ -128,51 +143,81 @@
         now_s = self.clock()
         if now_s - self.ceiling_until_s > MAX_HOLD_S:
             self.hold_s = FIRST_HOLD_S
-        self.ceiling = max(in_flight - 1, COLD_LIMIT)
-        self.ceiling_until_s = now_s + self.hold_s
-        self.hold_s = min(self.hold_s * 2, MAX_HOLD_S)
         self.reset(Cause.SHED)
+        # A target that refuses even one request at a time refuses for
+        # another reason than their number.
+        if in_flight > COLD_LIMIT:
+            self.ceiling = in_flight - 1
+            self.ceiling_until_s = now_s + self.hold_s
+            self.hold_s = min(self.hold_s * 2, MAX_HOLD_S)
         return True
 
     def record_answer(
-        self, epoch: int, service_s: float, saturated: bool
+        self, epoch: int, service_s: float, in_flight: int
     ) -> bool:
         """Learns from a whole answer; tells whether the limit was reset.
 
         Args:
             epoch: The epoch in which the work was dispatched.
             service_s: Time that the target took.
-            saturated: Whether the limit was reached at the dispatch.
+            in_flight: Work in flight at the dispatch, this work included.
         """
         if epoch != self.epoch:
             return False
         if self._is_jump(service_s):
             self.reset(Cause.SLOW)
             return True
-        if saturated:
+        if in_flight == self.value:
             self.window.append(service_s)
             self._try_step()
         return False
 
     def _is_jump(self, service_s: float) -> bool:
+        """Tells whether answers are far slower than they usually are.
+
+        While the limit grows, the steps judge the answers.
+        """
+        if not self._is_settled():
+            self.recent.clear()
+            return False
+        self._tolerate()
         self.recent.append(service_s)
         if len(self.recent) < max(JUMP_WINDOW, 2 * self.slots):
             return False
         median_s = statistics.median(self.recent)
         self.recent.clear()
         now_s = self.clock()
-        while len(self.usual) > 1 and self._is_old(self.usual[0][0]):
+        while len(self.usual) > 1 and self.usual[0][0] < now_s - MEMORY_S:
             self.usual.popleft()
-        usual_s = max((value for _, value in self.usual), default=math.inf)
-        if self.value == self.slots or self._is_settled():
-            self.usual.append((now_s, median_s))
-        return median_s > JUMP_FACTOR * usual_s
+        usual_s = [value for _, value in self.usual]
+        if usual_s and median_s > JUMP_FACTOR * statistics.median(usual_s):
+            if median_s > self._find_tolerated():
+                self.alarm_s = median_s
+                return True
+        else:
+            self._note_usual(now_s, median_s)
+        return False
 
-    def _is_old(self, at_s: float) -> bool:
-        return at_s < self.clock() - USUAL_MEMORY_S
+    def _note_usual(self, now_s: float, median_s: float) -> None:
+        if not self.usual or now_s - self.usual[-1][0] >= NOTE_INTERVAL_S:
+            self.usual.append((now_s, median_s))
 
     def _is_settled(self) -> bool:
-        return self.clock() - self.stepped_s > SETTLED_S
+        """Tells whether the limit is as high as the traffic asks for."""
+        waited_s = self.clock() - self.stepped_s
+        return self.value == self.slots or waited_s > SETTLED_S
+
+    def _find_tolerated(self) -> float:
+        """Returns the median that lately turned out to be harmless."""
+        known = self.clock() - self.tolerated_at_s < MEMORY_S
+        return self.tolerated_s if known else 0.0
+
+    def _tolerate(self) -> None:
+        """Takes an alarm as false if no step up made answers slow."""
+        if self.cause is Cause.SLOW and not self.had_slow_step:
+            self.cause = Cause.FALSE_ALARM
+            self.tolerated_s = self.alarm_s * TOLERANCE_FACTOR
+            self.tolerated_at_s = self.clock()
 
     def _find_top(self) -> int:
         if self.clock() < self.ceiling_until_s:
@@ -184,28 +229,32 @@
         if self.value >= self._find_top():
             self.window.clear()
             return
-        if len(self.window) < max(self.value, MIN_WINDOW):
+        paced = self.cause in PACED
+        needed = self.rule.window if paced else self.rule.warm_window
+        if len(self.window) < (needed or self.value) * self.caution:
             return
         now_s = self.clock()
         waited_s = now_s - self.stepped_s
-        if self.cause in PACED and waited_s < self.rule.step_interval_s:
+        if paced and waited_s < self.rule.step_interval_s:
             return
         median_s = statistics.median(self.window)
         self.window.clear()
         self.stepped_s = now_s
-        if median_s > GROW_FACTOR * self.level_s:
-            # Moves the comparison towards what is seen now, so that a
-            # neighbour's load doesn't hold the limit down for long.
-            self.level_s = math.sqrt(self.level_s * median_s)
-            self.value = max(self.value // 2, min(COLD_LIMIT, self.slots))
+        lowest = min(COLD_LIMIT, self.slots)
+        slow = median_s > GROW_FACTOR * self.level_s
+        if slow and self.value > lowest:
+            self.had_slow_step = True
+            self.value = max(self.value // 2, lowest)
+            self.caution = min(self.caution * 2, MAX_CAUTION)
             return
+        if not slow:
+            self.caution = max(self.caution // 2, 1)
+        # What is slow one at a time is not slow because of the limit: a
+        # neighbour's load must not hold it down.
         self.level_s = median_s
         self.value = self._find_next()
 
     def _find_next(self) -> int:
-        doubling = max(int(self.slots * self.rule.double_up_to), 1)
-        if self.value < doubling:
-            new = min(self.value * 2, doubling)
-        else:
-            new = self.value + 1
+        doubled = min(self.value * 2, int(self.slots * self.rule.double_up_to))
+        new = max(self.value + 1, doubled)
         return min(new, self._find_top())
--- a/src/waxwingferry/process/service_time.py
+++ b/src/waxwingferry/process/service_time.py
@@ -44,8 +44,7 @@
         self._drop_old()
         if not self.ordered:
             return 0.0
-        last = len(self.ordered) - 1
-        return self.ordered[min(int(share * len(self.ordered)), last)]
+        return self.ordered[int(share * (len(self.ordered) - 1))]
 
     def mean(self) -> float:
         """Returns the mean in seconds, 0 without samples."""
