Drain without cutting off requests, refuse only once closed

Cause: drain() reset connections with unread requests, let answers say keep-alive on connections about to close, and kept accepting after it returned; stop() drained the local port while work in flight could still make nested calls, and refused work before peers could know of the leave.

--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -13,6 +13,8 @@
 
 WATCH_AFTER_S = 0.05
 TICK_S = 0.05
+# A request that was sent when the drain began arrives within this time.
+DRAIN_GRACE_S = 0.2
 
 log = structlog.get_logger()
 
@@ -37,21 +39,44 @@
         self.idle: set[http1.ServerConnection] = set()
         self.stopping = False
         self.call_ended = anyio.Event()
+        self.accepting = anyio.CancelScope()
 
     async def serve(self, host: str, port: int) -> None:
         """Serves until cancelled."""
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port, reuse_port=False, backlog=1024
         )
+        await self.serve_listener(listener)
+
+    async def serve_listener(
+        self, listener: anyio.abc.Listener[anyio.abc.SocketStream]
+    ) -> None:
+        """Serves an open listener until cancelled."""
         async with listener, anyio.create_task_group() as group:
             group.start_soon(self._tick)
-            await listener.serve(self._serve_connection)
+            with self.accepting:
+                await listener.serve(self._serve_connection, group)
+            await listener.aclose()
 
     async def drain(self) -> None:
-        """Closes idle connections and waits for calls in flight."""
+        """Ends all connections without cutting off a request.
+
+        A request that a client had sent before it could know of the drain is
+        answered, and its answer tells the client to close the connection.
+        """
         self.stopping = True
+        for connection in list(self.busy):
+            connection.keep_alive = False
+        await anyio.sleep(DRAIN_GRACE_S)
+        self.accepting.cancel()
+        await self._wait_for_calls()
+        # Accepted connections whose request is on its way.
+        await anyio.sleep(DRAIN_GRACE_S)
+        await self._wait_for_calls()
         for connection in list(self.idle):
             await anyio.aclose_forcefully(connection.stream)
+
+    async def _wait_for_calls(self) -> None:
         while self.busy:
             self.call_ended = anyio.Event()
             await self.call_ended.wait()
--- /dev/null
+++ b/src/waxwingferry/connection/tests/test_drain.py
@@ -0,0 +1,122 @@
+"""A drain cuts off no request and lets none begin that it would cut off."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import os
+
+import anyio
+import anyio.abc
+import pytest
+
+from waxwingferry.connection import http1
+from waxwingferry.connection import serve
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+PART = b"x" * 100_000
+PARTS = 20
+
+
+class Running:
+    """A server on a free port, whose answers wait for an event."""
+
+    def __init__(self):
+        self.server = serve.Server(self.handle)
+        self.go_on = anyio.Event()
+        self.address = ("127.0.0.1", 0)
+
+    async def handle(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        """Answers at once, later, or in parts."""
+        if head.target == "/later":
+            await self.go_on.wait()
+        if head.target != "/parts":
+            await connection.send_head(200, [], b"whole")
+            return
+        await connection.send_head(200, [])
+        for _ in range(PARTS):
+            await connection.send_chunk(PART)
+        await connection.send_end()
+
+    async def connect(self) -> anyio.abc.SocketStream:
+        """Opens a connection."""
+        return await anyio.connect_tcp(*self.address)
+
+
+@contextlib.asynccontextmanager
+async def run_server() -> AsyncIterator[Running]:
+    """Runs a server inside the context."""
+    running = Running()
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    running.address = ("127.0.0.1", port)
+    async with anyio.create_task_group() as group:
+        group.start_soon(running.server.serve_listener, listener)
+        yield running
+        group.cancel_scope.cancel()
+
+
+async def read_body_size(stream: anyio.abc.ByteStream) -> int:
+    """Asks for an answer in parts; returns the size of its body."""
+    client = http1.ClientConnection(stream)
+    await client.send_request("GET", "/parts", [])
+    await client.receive_head(5)
+    size = 0
+    while part := await client.receive_chunk(5):
+        size += len(part)
+    return size
+
+
+@pytest.mark.anyio
+async def test_request_sent_before_the_drain_is_answered() -> None:
+    """Guards against closing a connection with an unread request."""
+    async with run_server() as running:
+        async with await running.connect() as stream:
+            await stream.send(REQUEST)
+            assert b"whole" in await stream.receive()
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            os.write(raw.fileno(), REQUEST)
+            await running.server.drain()
+            answer = await stream.receive()
+            assert b"whole" in answer
+            assert b"connection: close" in answer
+
+
+@pytest.mark.anyio
+async def test_answer_during_the_drain_ends_its_connection() -> None:
+    """Guards against a client that reuses a connection about to close."""
+    async with run_server() as running:
+        async with await running.connect() as stream:
+            await stream.send(REQUEST.replace(b"/ ", b"/later "))
+            await anyio.wait_all_tasks_blocked()
+            async with anyio.create_task_group() as group:
+                group.start_soon(running.server.drain)
+                await anyio.wait_all_tasks_blocked()
+                running.go_on.set()
+            assert b"connection: close" in await stream.receive()
+
+
+@pytest.mark.anyio
+async def test_no_connection_is_taken_after_the_drain() -> None:
+    """Guards against requests that begin just before the process ends."""
+    async with run_server() as running:
+        await running.server.drain()
+        with pytest.raises(OSError, match="refused|failed"):
+            await running.connect()
+
+
+@pytest.mark.anyio
+async def test_streamed_answer_outlives_the_drain() -> None:
+    """Guards against cutting off an answer that is still being sent."""
+    async with run_server() as running:
+        async with await running.connect() as stream:
+            async with anyio.create_task_group() as group:
+                sizes: list[int] = []
+
+                async def read() -> None:
+                    sizes.append(await read_body_size(stream))
+
+                group.start_soon(read)
+                await anyio.wait_all_tasks_blocked()
+                await running.server.drain()
+    assert sizes == [PARTS * len(PART)]
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -179,9 +179,12 @@
             row = self.make_row(self.receiver.link.announcement)
             self.members.announce(row)
         await anyio.sleep(LEAVE_DELAY_S)
-        await self.callers.drain()
+        self.receiver.close()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.callers.drain)
+            group.start_soon(self.peers.drain)
+        # Work in flight may make nested calls until all of it has ended.
         await self.local.drain()
-        await self.peers.drain()
         self.stopped.set()
         log.info("node stopped", node=self.options.node)
 
--- /dev/null
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -0,0 +1,171 @@
+"""The target's node sends nothing to a target that should get nothing."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from waxwingferry.connection import http1
+from waxwingferry.process import metrics
+from waxwingferry.process import target
+from waxwingferry.request import call
+from waxwingferry.request import outcome
+from waxwingferry.request import receive
+from waxwingferry.version import document
+
+READY = target.Announcement(
+    service="s",
+    version="v1",
+    slots=2,
+    host="127.0.0.1",
+    port=1,
+    incarnation="i1",
+)
+DOCUMENT = document.Revision(
+    1,
+    document.Document(
+        services=(
+            document.Service(
+                name="s",
+                member_weights={"big": 3.0},
+                routes=(document.Route(path_prefix="/"),),
+            ),
+        )
+    ),
+)
+
+
+class Setup:
+    """A receiver whose target answers when it is told to."""
+
+    def __init__(self):
+        self.counters = metrics.Metrics()
+        self.receiver = receive.Receiver(
+            "n1", lambda: False, lambda: DOCUMENT, self.counters
+        )
+        self.go_on = anyio.Event()
+        self.sent: list[str] = []
+        self.announce()
+
+    def announce(self, **changes) -> None:
+        """Announces the target, with some fields changed."""
+        self.receiver.announce(READY.model_copy(update=changes))
+        assert self.receiver.link is not None
+        self.receiver.link.execute = self.send  # type: ignore
+
+    @contextlib.asynccontextmanager
+    async def send(self, attempt: call.Attempt):
+        """Stands in for the link to the target."""
+        self.sent.append(attempt.attempt_id)
+        await self.go_on.wait()
+
+        async def receive_chunk() -> bytes | None:
+            return None
+
+        yield outcome.Answer(http1.ResponseHead(200, []), receive_chunk)
+
+    async def run(self, name: str, results: dict) -> None:
+        """Runs one attempt and notes its outcome."""
+        attempt = call.Attempt(
+            name,
+            "s",
+            "GET",
+            "/",
+            [],
+            call.Body(b""),
+            call.make_deadline(60),
+            "m",
+            1,
+            "n1",
+        )
+        async with self.receiver.execute(attempt) as result:
+            results[name] = getattr(result, "reason", "answered")
+
+
+@pytest.mark.anyio
+async def test_leaving_node_takes_work_until_it_is_closed() -> None:
+    """Guards against refusals before others can know of the leave."""
+    setup = Setup()
+    setup.go_on.set()
+    results: dict = {}
+    setup.receiver.leaving = True
+    await setup.run("a", results)
+    setup.receiver.close()
+    await setup.run("b", results)
+    assert results == {"a": "answered", "b": outcome.Reason.LEAVING}
+    assert setup.sent == ["a"]
+
+
+@pytest.mark.anyio
+async def test_draining_target_gets_no_queued_work() -> None:
+    """Guards against queued work sent to a target that may end any moment."""
+    setup = Setup()
+    results: dict = {}
+    async with anyio.create_task_group() as group:
+        group.start_soon(setup.run, "a", results)
+        await anyio.wait_all_tasks_blocked()
+        group.start_soon(setup.run, "b", results)
+        await anyio.wait_all_tasks_blocked()
+        setup.announce(state="draining")
+        await anyio.wait_all_tasks_blocked()
+        assert results == {"b": outcome.Reason.LEAVING}
+        setup.go_on.set()
+    assert results["a"] == "answered"
+    assert setup.sent == ["a"]
+    refused = setup.counters.receive_refusals
+    assert refused.get({"kind": "not_run", "reason": "leaving"}) == 1
+
+
+@pytest.mark.anyio
+async def test_place_given_before_a_restart_is_not_used_after_it() -> None:
+    """Guards against a burst to a target that was replaced meanwhile."""
+    setup = Setup()
+    state = setup.receiver.admission
+    assert state is not None
+    state.limit.value = 2
+    results: dict = {}
+    async with anyio.create_task_group() as group:
+        for name in ("a", "b", "c", "d"):
+            group.start_soon(setup.run, name, results)
+        await anyio.wait_all_tasks_blocked()
+        assert setup.sent == ["a", "b"]
+        # Both places are passed on, and before the waiters resume another
+        # target takes over.
+        setup.go_on.set()
+        setup.go_on = anyio.Event()
+        await anyio.lowlevel.checkpoint()
+        setup.announce(incarnation="i2")
+        await anyio.wait_all_tasks_blocked()
+        assert state.limit.value == 1
+        assert len(setup.sent) <= 3
+        setup.go_on.set()
+    assert results["c"] == results["d"] == "answered"
+
+
+@pytest.mark.anyio
+async def test_smaller_slots_bound_the_limit_at_once() -> None:
+    """Guards against a limit above the slots after they shrink."""
+    setup = Setup()
+    state = setup.receiver.admission
+    assert state is not None
+    state.limit.value = 2
+    setup.announce(slots=1)
+    assert state.limit.value == 1
+    setup.go_on.set()
+    results: dict = {}
+    await setup.run("a", results)
+    assert results == {"a": "answered"}
+
+
+@pytest.mark.anyio
+async def test_gauges_and_weights_follow_the_present_state() -> None:
+    """Guards against weights or gauges that are read only once."""
+    setup = Setup()
+    setup.receiver.update_gauges()
+    gauge = setup.counters.admission
+    assert gauge.get({"value": "limit"}) == 1
+    assert gauge.get({"value": "slots"}) == 2
+    state = setup.receiver.admission
+    assert state is not None
+    assert state.queue.weight("big") == 3.0
+    assert state.queue.weight("other") == 1.0
