Add experiments for cold starts, fairness and graceful stops

Cause: the promises on cold targets, members' shares and planned stops had no run against real processes. Change: three experiments whose bounds come from section 1 of the design; the accept scope is made when the server runs, because the stand-in target makes its server before the event loop exists.

--- /dev/null
+++ b/src/waxwingferry/bench/experiments/cold_start.py
@@ -0,0 +1,180 @@
+"""Cold targets under load, with restarts of targets and nodes in any order.
+
+A stand-in bears one request at a time when it starts, and one more for each
+ten that it has served. It counts each request that it was given beyond that.
+Targets and nodes are killed and started again in an order that follows from
+the seed. At the end one target turns cold without any sign of it.
+"""
+
+import collections
+import random
+
+import anyio
+import httpx
+
+from waxwingferry.bench import cluster
+from waxwingferry.bench import experiment
+from waxwingferry.bench import load
+
+SLOTS = 6
+SERVICE_TIME_MS = 20.0
+RATE_PER_S = 500.0
+RESTARTS = 6
+RESTART_INTERVAL_S = 1.5
+COLD = {"cold_bears": 1, "warm_after": 10, "service_time_ms": SERVICE_TIME_MS}
+
+DOCUMENT = {
+    "services": [
+        {
+            "name": "registry",
+            "routes": [
+                {
+                    "path_prefix": "/registry/",
+                    "methods": ["GET"],
+                    "idempotent": True,
+                    "deadline_ms": 500,
+                }
+            ],
+        }
+    ],
+    "failure_domains": [{"name": "d1", "region": "r1"}],
+}
+
+
+class Counts:
+    """What each start of each target counted."""
+
+    def __init__(self):
+        self.starts: dict[str, list[collections.Counter[str]]] = {}
+
+    async def read(self, client, running, member, new: bool = False) -> None:
+        """Reads the counters of a running target."""
+        starts = self.starts.setdefault(member.name, [])
+        if new or not starts:
+            starts.append(collections.Counter())
+        counts = await running.counts(client, member)
+        starts[-1] = collections.Counter(counts)
+
+
+async def run(options: experiment.Options) -> experiment.Report:
+    """Runs the experiment."""
+    report = experiment.Report()
+    async with cluster.run_cluster(
+        {"registry": 3},
+        DOCUMENT,
+        slots=SLOTS,
+        behaviour=COLD,
+        domains=("d1",),
+        first_port=options.first_port,
+        seed=options.seed,
+    ) as running:
+        await _measure(options, running, report)
+    return report
+
+
+async def _measure(options, running, report) -> None:
+    recorder = load.Recorder()
+    generator = load.LoadGenerator(random.Random(options.seed), recorder)
+    ports = [item.ports["caller"] for item in running.members]
+    plan = load.Plan(
+        RATE_PER_S,
+        RESTARTS * RESTART_INTERVAL_S + 6.0,
+        lambda rng, number: _make_request(rng, number, ports),
+    )
+    counts = Counts()
+    async with httpx.AsyncClient(trust_env=False) as client:
+        async with anyio.create_task_group() as group:
+            group.start_soon(generator.run, plan)
+            await anyio.sleep(RESTART_INTERVAL_S)
+            await _restart_many(options, running, client, counts)
+            for member in running.members:
+                await counts.read(client, running, member)
+            silent = await _turn_cold(running, client)
+    _report_starts(report, counts)
+    _report_load(report, recorder, silent)
+
+
+def _make_request(
+    rng: random.Random, number: int, ports: list[int]
+) -> load.Request:
+    port = rng.choice(ports)
+    address = ("127.0.0.1", port)
+    return load.Request(address, "GET", "/registry/a", "read", f"r-{number}")
+
+
+async def _restart_many(options, running, client, counts) -> None:
+    rng = random.Random(options.seed + 1)
+    for _ in range(RESTARTS):
+        member = rng.choice(running.members)
+        what = rng.choice(["target", "node", "both"])
+        await counts.read(client, running, member)
+        if what in ("node", "both"):
+            _kill(member.node)
+            running.start_node(member)
+        if what in ("target", "both"):
+            _kill(member.target)
+            counts.starts[member.name].append(collections.Counter())
+            running.start_target(member)
+        await anyio.sleep(RESTART_INTERVAL_S * rng.uniform(0.5, 1.5))
+
+
+def _kill(process) -> None:
+    process.kill()
+    process.wait()
+
+
+async def _turn_cold(running, client) -> tuple[int, int]:
+    """Turns one target cold; returns its overloads and requests after it."""
+    member = running.members[0]
+    before = await running.counts(client, member)
+    await running.control_target(client, member, turn_cold=True)
+    await anyio.sleep(3.0)
+    after = await running.counts(client, member)
+    return (
+        after.get("overloads", 0) - before.get("overloads", 0),
+        after["started"] - before["started"],
+    )
+
+
+def _report_starts(report, counts) -> None:
+    table = experiment.Table(
+        "each start of a target that bears 1 at a time when it is cold",
+        ["target", "start", "served", "most at a time", "overloads", "shed"],
+    )
+    for name, starts in counts.starts.items():
+        for number, counted in enumerate(starts, 1):
+            overloads = counted["overloads"] + counted["shed"]
+            table.rows.append(
+                [name, number, counted["started"], counted["most_in_flight"]]
+                + [counted["overloads"], counted["shed"]]
+            )
+            if not counted["started"]:
+                continue
+            report.check(
+                "a target that has just started is given what it bears",
+                overloads == 0,
+                f"{name}, start {number}: {overloads} beyond it",
+            )
+    report.tables.append(table)
+    report.figures["starts"] = {
+        name: [dict(item) for item in starts]
+        for name, starts in counts.starts.items()
+    }
+
+
+def _report_load(report, recorder, silent) -> None:
+    p50_ms, p99_ms, _ = recorder.percentiles_ms("read")
+    table = experiment.Table(
+        f"{RATE_PER_S:.0f} calls/s during all restarts",
+        ["answered", "not run", "unknown", "no answer", "p50 ms", "p99 ms"]
+        + ["overloads after a silent cold turn", "of requests"],
+    )
+    outcomes = recorder.outcomes
+    table.rows.append(
+        [outcomes[name] for name in ("answered", "not-run", "unknown")]
+        + [outcomes["no-answer"], p50_ms, p99_ms, *silent]
+    )
+    report.tables.append(table)
+    report.figures["load"] = dict(outcomes)
+    report.figures["reasons"] = dict(recorder.reasons)
+    report.figures["silent_cold_turn"] = silent
--- /dev/null
+++ b/src/waxwingferry/bench/experiments/fairness.py
@@ -0,0 +1,146 @@
+"""Shares of a busy target by member, with one member flooding it.
+
+Two nodes take the calls of three members for one target. First all members
+stay within their shares, then one floods the target, then all want more than
+they can have.
+"""
+
+import random
+
+import anyio
+
+from waxwingferry.bench import cluster
+from waxwingferry.bench import experiment
+from waxwingferry.bench import load
+
+SLOTS = 6
+SERVICE_TIME_MS = 40.0
+CAPACITY_PER_S = SLOTS / (SERVICE_TIME_MS / 1000)
+WEIGHTS = {"heavy": 3.0, "light": 1.0, "flood": 1.0}
+RATES_PER_S = {
+    "within shares": {"heavy": 40.0, "light": 20.0, "flood": 20.0},
+    "one floods": {"heavy": 40.0, "light": 20.0, "flood": 300.0},
+    "all want more": {"heavy": 180.0, "light": 130.0, "flood": 130.0},
+}
+# Room for the chance in arrivals and service times of one phase.
+TOLERANCE = 0.15
+REFUSED_SHARE = 0.01
+
+DOCUMENT = {
+    "services": [
+        {
+            "name": "registry",
+            "member_weights": WEIGHTS,
+            "routes": [
+                {
+                    "path_prefix": "/registry/",
+                    "methods": ["GET"],
+                    "idempotent": True,
+                    "deadline_ms": 3000,
+                }
+            ],
+        }
+    ],
+    "failure_domains": [{"name": "d1", "region": "r1"}],
+}
+
+
+async def run(options: experiment.Options) -> experiment.Report:
+    """Runs the experiment."""
+    report = experiment.Report()
+    table = experiment.Table(
+        f"members of a target that serves {CAPACITY_PER_S:.0f} calls/s",
+        ["phase", "member", "weight", "sent/s", "answered/s", "refused"]
+        + ["p50 ms", "p99 ms"],
+    )
+    report.tables.append(table)
+    async with cluster.run_cluster(
+        {"registry": 1, "other": 1},
+        DOCUMENT,
+        slots=SLOTS,
+        behaviour={"service_time_ms": SERVICE_TIME_MS},
+        domains=("d1",),
+        first_port=options.first_port,
+        seed=options.seed,
+    ) as running:
+        # The first calls bring the target's limit up to its slots.
+        await _run_phase(options, running, {"warm-up": 200.0}, 4.0)
+        for phase, rates in RATES_PER_S.items():
+            recorders = await _run_phase(
+                options, running, rates, options.duration_s
+            )
+            _add_rows(report, phase, recorders, options.duration_s)
+            await anyio.sleep(0.5)
+    return report
+
+
+async def _run_phase(
+    options: experiment.Options,
+    running: cluster.Cluster,
+    rates: dict[str, float],
+    duration_s: float,
+) -> dict[str, load.Recorder]:
+    recorders = {}
+    async with anyio.create_task_group() as group:
+        for number, (member, rate_per_s) in enumerate(rates.items()):
+            recorders[member] = load.Recorder()
+            generator = load.LoadGenerator(
+                random.Random(options.seed * 100 + number), recorders[member]
+            )
+            plan = load.Plan(
+                rate_per_s, duration_s, _make_requests(running, member)
+            )
+            group.start_soon(generator.run, plan)
+    return recorders
+
+
+def _make_requests(running: cluster.Cluster, member: str):
+    ports = [item.ports["caller"] for item in running.members]
+
+    def make_request(rng: random.Random, number: int) -> load.Request:
+        return load.Request(
+            ("127.0.0.1", rng.choice(ports)),
+            "GET",
+            "/registry/prices",
+            member,
+            f"{member}-{number}",
+            [("x-member", member)],
+        )
+
+    return make_request
+
+
+def _add_rows(report, phase, recorders, duration_s) -> None:
+    answered = {}
+    refused = {}
+    for member, recorder in recorders.items():
+        sent = sum(recorder.outcomes.values())
+        answered[member] = recorder.outcomes["answered"] / duration_s
+        refused[member] = 1 - recorder.outcomes["answered"] / max(sent, 1)
+        p50_ms, p99_ms, _ = recorder.percentiles_ms(member)
+        report.tables[0].rows.append(
+            [phase, member, WEIGHTS[member], sent / duration_s]
+            + [answered[member], f"{refused[member]:.1%}", p50_ms, p99_ms]
+        )
+    report.figures[phase] = {"answered_per_s": answered, "refused": refused}
+    if phase == "all want more":
+        _check_shares(report, answered)
+        return
+    for member in ("heavy", "light"):
+        report.check(
+            "a member within its share is not refused",
+            refused[member] <= REFUSED_SHARE,
+            f"{phase}: {member}: {refused[member]:.1%} refused, reasons "
+            f"{dict(recorders[member].reasons)}",
+        )
+
+
+def _check_shares(report, answered) -> None:
+    total = sum(answered.values())
+    for member, value in answered.items():
+        due = WEIGHTS[member] / sum(WEIGHTS.values())
+        report.check(
+            "each member's share of a busy target follows its weight",
+            abs(value / total / due - 1) <= TOLERANCE,
+            f"{member}: share {value / total:.3f}, due {due:.3f}",
+        )
--- /dev/null
+++ b/src/waxwingferry/bench/experiments/graceful_stop.py
@@ -0,0 +1,190 @@
+"""Stops of a node and of a target under load: nothing may be cut off.
+
+Reads, writes without a key, long calls and nested calls run through all
+nodes, while one node gets SIGTERM and one target announces that it drains
+and then gets SIGTERM.
+"""
+
+import contextlib
+import random
+import signal
+import subprocess
+import time
+
+import anyio
+import anyio.to_thread
+import httpx
+
+from waxwingferry.bench import cluster
+from waxwingferry.bench import experiment
+from waxwingferry.bench import load
+
+# Section 1 of the design: no new work after a few seconds.
+NO_NEW_WORK_AFTER_S = 3.0
+RATE_PER_S = 150.0
+SERVICE_TIME_MS = 10.0
+SLOW_FACTOR = 60.0
+STOP_TIMEOUT_S = 20.0
+
+DOCUMENT = {
+    "services": [
+        {
+            "name": "registry",
+            "routes": [
+                {
+                    "path_prefix": "/registry/",
+                    "methods": ["GET"],
+                    "idempotent": True,
+                    "deadline_ms": 8000,
+                },
+                {
+                    "path_prefix": "/registry/",
+                    "methods": ["POST"],
+                    "idempotent": False,
+                    "deadline_ms": 8000,
+                },
+            ],
+        }
+    ],
+    "failure_domains": [
+        {"name": name, "region": "r1"} for name in ("d1", "d2")
+    ],
+}
+
+
+async def run(options: experiment.Options) -> experiment.Report:
+    """Runs the experiment."""
+    report = experiment.Report()
+    async with cluster.run_cluster(
+        {"registry": 4},
+        DOCUMENT,
+        behaviour={
+            "service_time_ms": SERVICE_TIME_MS,
+            "fail_path": "/registry/slow",
+            "slow_factor": SLOW_FACTOR,
+        },
+        domains=("d1", "d2"),
+        first_port=options.first_port,
+        seed=options.seed,
+    ) as running:
+        recorder = load.Recorder(keep=True)
+        generator = load.LoadGenerator(random.Random(options.seed), recorder)
+        ports = [item.ports["caller"] for item in running.members]
+        plan = load.Plan(
+            RATE_PER_S,
+            max(options.duration_s, 8.0),
+            lambda rng, number: _make_request(rng, number, ports),
+        )
+        stops: dict[str, float] = {}
+        async with anyio.create_task_group() as group:
+            group.start_soon(generator.run, plan)
+            await anyio.sleep(1.5)
+            group.start_soon(_stop_node, running, stops, report)
+            await anyio.sleep(1.0)
+            group.start_soon(_stop_target, running, stops, report)
+        _check_results(report, recorder)
+        _check_ledgers(report, running, stops)
+    return report
+
+
+def _make_request(
+    rng: random.Random, number: int, ports: list[int]
+) -> load.Request:
+    kind = rng.choices(
+        ["read", "write", "slow", "chain"], [0.5, 0.3, 0.05, 0.15]
+    )[0]
+    path = {"slow": "/registry/slow", "chain": "/registry/chain/2"}
+    return load.Request(
+        ("127.0.0.1", rng.choice(ports)),
+        "POST" if kind == "write" else "GET",
+        path.get(kind, "/registry/prices"),
+        kind,
+        f"{kind}-{number}",
+    )
+
+
+async def _stop_node(running, stops, report) -> None:
+    member = running.members[0]
+    stops[member.name] = time.time()
+    await _end_process(member.node, report, "node")
+
+
+async def _stop_target(running, stops, report) -> None:
+    member = running.members[1]
+    stops[member.name] = time.time()
+    async with httpx.AsyncClient(trust_env=False) as client:
+        await running.control_target(client, member, draining=True)
+    await anyio.sleep(NO_NEW_WORK_AFTER_S)
+    await _end_process(member.target, report, "target")
+
+
+async def _end_process(process, report, kind) -> None:
+    process.send_signal(signal.SIGTERM)
+    begin_s = time.monotonic()
+    with contextlib.suppress(subprocess.TimeoutExpired):
+        await anyio.to_thread.run_sync(process.wait, STOP_TIMEOUT_S)
+    report.figures[f"{kind}_stopped_after_s"] = time.monotonic() - begin_s
+    report.check(
+        "a process that was asked to stop ends by itself",
+        process.poll() == 0,
+        f"{kind}: exit code {process.poll()}",
+    )
+
+
+def _check_results(report: experiment.Report, recorder: load.Recorder) -> None:
+    table = experiment.Table(
+        f"{RATE_PER_S:.0f} calls/s while a node and a target stop",
+        ["calls", "sent", "answered", "not run", "not sent", "cut off"]
+        + ["p50 ms", "p99 ms"],
+    )
+    for kind in ("read", "write", "slow", "chain"):
+        results = [r for r in recorder.results if r.request.label == kind]
+        sorted_out = dict.fromkeys(table.columns[2:6], 0)
+        for result in results:
+            group = _classify(result)
+            sorted_out[group] += 1
+            report.check(
+                "a planned stop cuts off no request",
+                group != "cut off",
+                f"{result.request.request_id}: {result.outcome} "
+                f"{result.reason} {result.status}",
+            )
+        p50_ms, p99_ms, _ = recorder.percentiles_ms(kind)
+        table.rows.append(
+            [kind, len(results), *sorted_out.values(), p50_ms, p99_ms]
+        )
+        report.figures[kind] = sorted_out
+    report.figures["reasons"] = dict(recorder.reasons)
+    report.tables.append(table)
+
+
+def _classify(result: load.Result) -> str:
+    """Names how a call ended for its caller."""
+    if result.outcome == "answered" and result.status == 200:
+        return "answered"
+    if result.outcome == "not-run":
+        return "not run"
+    if result.reason == "ConnectError":
+        # The caller reached no node, so it sent nothing.
+        return "not sent"
+    return "cut off"
+
+
+def _check_ledgers(report, running, stops) -> None:
+    table = experiment.Table(
+        "work that reached a target after its stop was asked for",
+        ["target", "begun after", "last after s"],
+    )
+    ledgers = running.read_ledgers()
+    for name, stopped_s in stops.items():
+        ages_s = [item["started_s"] - stopped_s for item in ledgers[name]]
+        after = [age_s for age_s in ages_s if age_s > 0]
+        last_s = max(after, default=0.0)
+        table.rows.append([name, len(after), last_s])
+        report.check(
+            f"no new work {NO_NEW_WORK_AFTER_S:.0f} s after a stop",
+            last_s <= NO_NEW_WORK_AFTER_S,
+            f"{name}: {last_s:.3f} s",
+        )
+    report.figures["last_work_s"] = [row[2] for row in table.rows]
+    report.tables.append(table)
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -39,7 +39,7 @@
         self.idle: set[http1.ServerConnection] = set()
         self.stopping = False
         self.call_ended = anyio.Event()
-        self.accepting = anyio.CancelScope()
+        self.accepting: anyio.CancelScope | None = None
 
     async def serve(self, host: str, port: int) -> None:
         """Serves until cancelled."""
@@ -54,7 +54,7 @@
         """Serves an open listener until cancelled."""
         async with listener, anyio.create_task_group() as group:
             group.start_soon(self._tick)
-            with self.accepting:
+            with anyio.CancelScope() as self.accepting:
                 await listener.serve(self._serve_connection, group)
             await listener.aclose()
 
@@ -68,7 +68,8 @@
         for connection in list(self.busy):
             connection.keep_alive = False
         await anyio.sleep(DRAIN_GRACE_S)
-        self.accepting.cancel()
+        if self.accepting is not None:
+            self.accepting.cancel()
         await self._wait_for_calls()
         # Accepted connections whose request is on its way.
         await anyio.sleep(DRAIN_GRACE_S)
