Bound each member's part of the queue, keep room for the others

Change: 2 x slots for one member, 4 x slots in all; above that the member with the most for its weight loses its newest.

--- a/src/waxwingferry/process/admission.py
+++ b/src/waxwingferry/process/admission.py
@@ -13,7 +13,10 @@
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
-QUEUE_PER_SLOT = 2
+# Bounds of one member's part of the queue and of the whole queue. The rest
+# of the queue takes the bursts of others while one member floods the target.
+MEMBER_QUEUE_PER_SLOT = 2
+QUEUE_PER_SLOT = 4
 # A waiter looks this often whether the target still takes work.
 RECHECK_S = 0.25
 # Lower bound of a cost, so that shares also hold before the first answer.
@@ -290,9 +293,11 @@
         """Makes room for one more; tells whether there is any."""
         if self.in_flight < self.limit.value and not self.queue:
             return True
+        arriving = self.queue.find_share(member)
+        if len(arriving.items) >= MEMBER_QUEUE_PER_SLOT * self.limit.slots:
+            return False
         if len(self.queue) < QUEUE_PER_SLOT * self.limit.slots:
             return True
-        arriving = self.queue.find_share(member)
         largest = self.queue.find_largest(arriving)
         if largest is arriving:
             return False
