--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -65,7 +65,10 @@
         self.stopped = anyio.Event()
         self._make_control(client)
         self.receiver = receive.Receiver(
-            self.incarnation, self.own_domain_is_out
+            self.incarnation,
+            self.own_domain_is_out,
+            self.get_revision,
+            self.counters,
         )
         self.entry = entry.Entry(
             options.node,
@@ -267,9 +270,12 @@
         if not self.lease.superseded:
             self.announce()
         await anyio.sleep(LEAVE_DELAY_S)
-        await self.callers.drain()
+        self.receiver.close()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.callers.drain)
+            group.start_soon(self.peers.drain)
+        # Work in flight may make nested calls until all of it has ended.
         await self.local.drain()
-        await self.peers.drain()
         self.stopped.set()
         log.info("node stopped", node=self.options.node)
 
