--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -351,6 +351,9 @@
 
         Bytes of a pipelined request are kept for the next receive_head.
         """
+        if not self.watching:
+            # The call ended before this task got its first turn.
+            return
         self.watch_done = anyio.Event()
         try:
             with anyio.CancelScope() as self.watch_scope:
--- /dev/null
+++ b/src/waxwingferry/process/attempts.py
@@ -0,0 +1,255 @@
+"""Attempts known at the target's node: fences, states and kept answers.
+
+A fence refuses an attempt that arrives after its entry was told that it did
+not run. Records are bounded in number and time, so a fence or a finished
+record can be gone when a late copy or a question arrives, for example after
+the process was stopped for minutes with the attempt in a socket buffer. Each
+attempt therefore carries a stamp: a time of this process, read by the entry
+before it sent the attempt. The stamp of an attempt is never later than the
+record made for it, so after a record is removed, the attempts it could belong
+to are exactly those with a stamp that is too old. They are refused, and
+questions about them are answered with "unknown".
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import enum
+import time
+
+import anyio
+
+from waxwingferry.connection import http1
+from waxwingferry.request import outcome
+
+KEEP_S = 60.0
+MAX_RECORDS = 20_000
+MAX_ANSWER_BYTES = 65_536
+MAX_KEPT_BYTES = 16 * 1024 * 1024
+
+
+class State(enum.Enum):
+    """How far an attempt has come."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FENCED = "fenced"
+
+
+class Resolution(enum.Enum):
+    """What the node can prove about an attempt."""
+
+    NOT_RUN = "not_run"
+    RUNNING = "running"
+    FINISHED = "finished"
+    ANSWER = "answer"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeptAnswer:
+    """A whole answer of the target."""
+
+    status: int
+    headers: http1.Headers
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Record:
+    """What the node knows of one attempt.
+
+    Attributes:
+        stamp_ms: Time of this process that the attempt was sent after.
+        at_s: Clock at the last change of state.
+        dispatched: Whether bytes of it may have gone to the target.
+        not_run: Whether the target proved that it did not start.
+        answer: The kept answer of a finished attempt, if there is one.
+        sent_bytes: Bytes of the answer's body passed to the connection.
+        scope: Cancels the attempt while it waits in the queue.
+        ended: Set when the attempt is finished or fenced.
+    """
+
+    attempt_id: str
+    stamp_ms: int
+    state: State
+    at_s: float
+    dispatched: bool = False
+    not_run: bool = False
+    answer: KeptAnswer | None = None
+    sent_bytes: int = 0
+    scope: anyio.CancelScope | None = None
+    ended: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+class Attempts:
+    """The attempts of one node process.
+
+    Asserted here: an attempt is dispatched at most once, and an attempt that
+    was reported as not run is never dispatched afterwards.
+
+    Args:
+        clock: Monotonic clock in seconds.
+        keep_s: Time that ended attempts and fences are kept, in seconds.
+        max_records: Most ended attempts and fences kept.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        keep_s: float = KEEP_S,
+        max_records: int = MAX_RECORDS,
+    ):
+        self.clock = clock
+        self.keep_s = keep_s
+        self.max_records = max_records
+        self.start_s = clock()
+        self.records: dict[str, Record] = {}
+        self.ended: collections.deque[Record] = collections.deque()
+        self.kept: collections.deque[Record] = collections.deque()
+        self.kept_bytes = 0
+        self.floor_ms = -1
+
+    def now_ms(self) -> int:
+        """Returns the time of this process, in ms since its start."""
+        return int((self.clock() - self.start_s) * 1000)
+
+    def is_stale(self, stamp_ms: int) -> bool:
+        """Tells whether a record for this stamp may have been removed."""
+        now_ms = self.now_ms()
+        return (
+            stamp_ms <= self.floor_ms
+            or stamp_ms > now_ms
+            or now_ms - stamp_ms >= self.keep_s * 1000
+        )
+
+    def arrive(
+        self, attempt_id: str, stamp_ms: int
+    ) -> Record | outcome.NotRun | outcome.Unknown:
+        """Records an attempt that arrived, or refuses it."""
+        self._evict()
+        record = self.records.get(attempt_id)
+        if record is not None:
+            if record.state is State.FENCED:
+                return outcome.NotRun(outcome.Reason.FENCED)
+            # A copy of an attempt that is here proves nothing about the first.
+            return outcome.Unknown(outcome.Reason.DUPLICATE_ATTEMPT)
+        if self.is_stale(stamp_ms):
+            return outcome.NotRun(outcome.Reason.STALE_ATTEMPT)
+        record = Record(attempt_id, stamp_ms, State.QUEUED, self.clock())
+        self.records[attempt_id] = record
+        return record
+
+    def dispatch(self, record: Record) -> bool:
+        """Marks an attempt as sent to the target; False if it is fenced."""
+        if record.state is State.FENCED:
+            return False
+        assert record.state is State.QUEUED, record.state
+        assert not record.dispatched
+        assert self.records.get(record.attempt_id) is record
+        record.dispatched = True
+        record.state = State.RUNNING
+        record.at_s = self.clock()
+        return True
+
+    def finish(
+        self,
+        record: Record,
+        answer: KeptAnswer | None = None,
+        not_run: bool = False,
+    ) -> None:
+        """Ends an attempt; one that was never dispatched is forgotten.
+
+        A forgotten attempt is as good as one that never arrived: a question
+        about it leaves a fence.
+        """
+        if record.state is State.FENCED:
+            return
+        assert record.state is not State.FINISHED
+        if not record.dispatched:
+            del self.records[record.attempt_id]
+            record.state = State.FENCED
+            record.ended.set()
+            return
+        record.not_run = not_run
+        if answer is not None and len(answer.body) <= MAX_ANSWER_BYTES:
+            record.answer = answer
+            self._keep(record)
+        self._end(record, State.FINISHED)
+
+    def withdraw(self, record: Record) -> bool:
+        """Fences an attempt that still waits; False if it was dispatched."""
+        if record.state is State.QUEUED:
+            self._end(record, State.FENCED)
+            if record.scope is not None:
+                record.scope.cancel()
+        return record.state is State.FENCED
+
+    def look(self, attempt_id: str, stamp_ms: int) -> Resolution:
+        """Returns what is known of an attempt and changes nothing."""
+        self._evict()
+        record = self.records.get(attempt_id)
+        if record is None:
+            stale = self.is_stale(stamp_ms)
+            return Resolution.UNKNOWN if stale else Resolution.NOT_RUN
+        match record.state:
+            case State.QUEUED | State.FENCED:
+                return Resolution.NOT_RUN
+            case State.RUNNING:
+                return Resolution.RUNNING
+        if record.not_run:
+            return Resolution.NOT_RUN
+        if record.answer is not None:
+            return Resolution.ANSWER
+        return Resolution.FINISHED
+
+    def resolve(self, attempt_id: str, stamp_ms: int) -> Resolution:
+        """Returns what is proven; NOT_RUN leaves a fence behind."""
+        result = self.look(attempt_id, stamp_ms)
+        if result is not Resolution.NOT_RUN:
+            return result
+        record = self.records.get(attempt_id)
+        if record is None:
+            record = Record(attempt_id, stamp_ms, State.QUEUED, self.clock())
+            self.records[attempt_id] = record
+        if record.state is State.QUEUED:
+            self.withdraw(record)
+        assert not record.dispatched or record.not_run
+        assert record.state in (State.FENCED, State.FINISHED)
+        return result
+
+    def _end(self, record: Record, state: State) -> None:
+        record.state = state
+        record.at_s = self.clock()
+        record.ended.set()
+        self.ended.append(record)
+        self._evict()
+
+    def _keep(self, record: Record) -> None:
+        assert record.answer is not None
+        self.kept.append(record)
+        self.kept_bytes += len(record.answer.body)
+        while self.kept_bytes > MAX_KEPT_BYTES:
+            self._drop_answer(self.kept.popleft())
+
+    def _drop_answer(self, record: Record) -> None:
+        if record.answer is not None:
+            self.kept_bytes -= len(record.answer.body)
+            record.answer = None
+
+    def _evict(self) -> None:
+        """Removes ended attempts that are too old or too many."""
+        oldest_s = self.clock() - self.keep_s
+        while self.ended:
+            record = self.ended[0]
+            if len(self.ended) <= self.max_records and record.at_s > oldest_s:
+                return
+            self.ended.popleft()
+            del self.records[record.attempt_id]
+            self._drop_answer(record)
+            while self.kept and self.kept[0].answer is None:
+                self.kept.popleft()
+            removed_ms = int((record.at_s - self.start_s) * 1000)
+            assert record.stamp_ms <= removed_ms
+            self.floor_ms = max(self.floor_ms, removed_ms)
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -13,6 +13,8 @@
 from waxwingferry.connection import http1
 from waxwingferry.connection import serve
 from waxwingferry.process import admin
+from waxwingferry.process import attempts
+from waxwingferry.process import background
 from waxwingferry.process import logs
 from waxwingferry.process import members
 from waxwingferry.process import metrics
@@ -21,14 +23,17 @@
 from waxwingferry.process import routing
 from waxwingferry.process import settings
 from waxwingferry.process import target
+from waxwingferry.request import claim
 from waxwingferry.request import entry
 from waxwingferry.request import forward
 from waxwingferry.request import peer
 from waxwingferry.request import receive
+from waxwingferry.request import running
 from waxwingferry.version import document
 
 INTERIM_INTERVAL_S = 0.2
 LEAVE_DELAY_S = 1.5
+SETTLE_LIMIT_S = 5.0
 
 log = structlog.get_logger()
 
@@ -58,17 +63,31 @@
         self.receiver = receive.Receiver(
             self.incarnation, self.own_domain_is_out
         )
+        self.tasks = background.Background()
+        self.runner = running.AttemptRunner(
+            self.receiver, attempts.Attempts(), self.tasks, self.counters
+        )
+        self.claims = claim.Claims(
+            table,
+            self.tasks,
+            claim.ClaimBudget(self.get_claim_rate),
+            self.counters,
+            rng,
+        )
         self.entry = entry.Entry(
             options.node,
             self.get_revision,
             self.members,
             routing.Router(rng),
-            forward.Forwarder(),
-            self.receiver,
+            forward.Forwarder(self.counters),
+            self.runner,
+            self.claims,
             self.counters,
             rng,
         )
-        self.peer = peer.PeerHandler(self.receiver, self.get_revision)
+        self.peer = peer.PeerHandler(
+            self.receiver, self.runner, self.get_revision
+        )
         self.callers = serve.Server(self.entry.handle)
         self.local = serve.Server(self.handle_local)
         self.peers = serve.Server(self.peer.handle, INTERIM_INTERVAL_S)
@@ -89,6 +108,13 @@
         """Returns the number of the document in force, or 0."""
         return self.revision.number if self.revision else 0
 
+    def get_claim_rate(self) -> float:
+        """Returns this node's share of the claim writes per second."""
+        if self.revision is None:
+            return 0.0
+        total = self.revision.document.budgets.claim_writes_per_s
+        return total / max(len(self.members.candidates), 1)
+
     def own_domain_is_out(self) -> bool:
         """Tells whether this node's failure domain is out."""
         if self.revision is None:
@@ -157,6 +183,8 @@
                 options.admin_port,
                 self.stopped.wait,
             )
+            group.start_soon(self.tasks.run)
+            group.start_soon(self.claims.settler.run)
             group.start_soon(self.members.run_writer)
             group.start_soon(self.members.run_reader, self.read_document)
             log.info("node started", node=options.node)
@@ -179,6 +207,7 @@
         await self.callers.drain()
         await self.local.drain()
         await self.peers.drain()
+        await self.tasks.drain(SETTLE_LIMIT_S)
         self.stopped.set()
         log.info("node stopped", node=self.options.node)
 
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -2,8 +2,10 @@
 
 This module is the only place that knows how targets are spoken to. A target
 posts its announcement to the node's local port every second, and serves
-requests over HTTP/1.1. It may echo x-waxwing-attempt in its answers, and
-answers 503 with "x-target-not-run: true" when it refuses before starting.
+requests over HTTP/1.1. It echoes x-waxwing-attempt in its answers; the
+connection of an answer without it is not used again, because a second answer
+on it could be taken for that of the next request. It answers 503 with
+"x-target-not-run: true" when it refuses before starting.
 """
 
 from collections.abc import AsyncIterator
@@ -15,6 +17,7 @@
 import pydantic
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import liveness
 from waxwingferry.connection import pool
 from waxwingferry.request import call
 from waxwingferry.request import outcome
@@ -70,7 +73,7 @@
     ) -> AsyncIterator[outcome.Outcome]:
         """Runs one attempt; the answer can be read inside the context."""
         try:
-            connection = await self.pool.acquire()
+            connection = await liveness.acquire(self.pool)
         except pool.ConnectError:
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
@@ -84,6 +87,11 @@
         self, connection: http1.ClientConnection, attempt: call.Attempt
     ) -> outcome.Outcome:
         deadline = attempt.deadline
+        # The process may have been stopped since the attempt was admitted.
+        if deadline.remaining_s() <= 0:
+            return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+        if attempt.on_dispatch is not None and not attempt.on_dispatch():
+            return outcome.NotRun(outcome.Reason.FENCED)
         try:
             with anyio.fail_after(max(deadline.remaining_s(), 0)):
                 await connection.send_request(
@@ -111,8 +119,9 @@
     head: http1.ResponseHead,
 ) -> outcome.Outcome:
     echoed = http1.find_header(head.headers, call.ATTEMPT_HEADER)
-    if echoed and echoed != attempt.attempt_id:
+    if echoed != attempt.attempt_id:
         connection.reusable = False
+    if echoed and echoed != attempt.attempt_id:
         return outcome.Unknown(outcome.Reason.ANSWER_MISMATCH)
     if not head.framed:
         # Without a length a cut answer can't be told from a whole one.
@@ -123,6 +132,10 @@
 
     async def receive_chunk() -> bytes | None:
         remaining_s = max(attempt.deadline.remaining_s(), 0)
-        return await connection.receive_chunk(remaining_s)
+        try:
+            return await connection.receive_chunk(remaining_s)
+        except http1.HttpError as error:
+            connection.reusable = False
+            raise outcome.AnswerCutError(str(error)) from error
 
     return outcome.Answer(head, receive_chunk)
--- a/src/waxwingferry/request/call.py
+++ b/src/waxwingferry/request/call.py
@@ -1,6 +1,7 @@
 """A call as it enters a node, and the attempts made for it."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import dataclasses
 import time
 
@@ -15,13 +16,24 @@
 RETRY_HEADER = "x-waxwing-retry"
 SERVICE_HEADER = "x-waxwing-service"
 KEY_HEADER = "idempotency-key"
+# A time of the target's node, read before the attempt was sent.
+STAMP_HEADER = "x-waxwing-node-time"
+# Asks the target's node to finish the attempt and keep its answer.
+KEEP_HEADER = "x-waxwing-keep"
 
 MAX_DEPTH = 14
 MAX_BUFFERED_BODY_BYTES = 65536
 
 # Fields that only the system sets; a caller's own values are removed.
 INTERNAL_HEADERS = frozenset(
-    {ATTEMPT_HEADER, INCARNATION_HEADER, LOAD_HEADER, SERVICE_HEADER}
+    {
+        ATTEMPT_HEADER,
+        INCARNATION_HEADER,
+        KEEP_HEADER,
+        LOAD_HEADER,
+        SERVICE_HEADER,
+        STAMP_HEADER,
+    }
 )
 
 
@@ -74,7 +86,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One try to run a call at one target."""
+    """One try to run a call at one target.
+
+    Attributes:
+        keyed: Whether the call has a claimed key; its answer is kept.
+        stamp_ms: Time of the target's node, read before the attempt is sent.
+        sent: Whether a byte of it may have left the entry.
+        on_dispatch: Called before the first byte goes to the target; False
+            means that the attempt is fenced and must not be sent.
+    """
 
     attempt_id: str
     service: str
@@ -87,6 +107,11 @@
     depth: int
     incarnation: str
     is_retry: bool = False
+    idempotent: bool = False
+    keyed: bool = False
+    stamp_ms: int = -1
+    sent: bool = False
+    on_dispatch: Callable[[], bool] | None = None
 
 
 def make_attempt(call: Call, number: int, incarnation: str) -> Attempt:
@@ -103,6 +128,8 @@
         call.depth,
         incarnation,
         call.is_retry or number > 1,
+        call.idempotent,
+        bool(call.key) and not call.idempotent,
     )
 
 
@@ -121,7 +148,10 @@
         (INCARNATION_HEADER, attempt.incarnation),
         (SERVICE_HEADER, attempt.service),
         (MEMBER_HEADER, attempt.member),
+        (STAMP_HEADER, str(attempt.stamp_ms)),
     ]
+    if attempt.keyed:
+        headers.append((KEEP_HEADER, "1"))
     if attempt.is_retry:
         headers.append((RETRY_HEADER, "1"))
     return headers
--- /dev/null
+++ b/src/waxwingferry/request/claim.py
@@ -0,0 +1,366 @@
+"""Claims of idempotency keys in the platform's table.
+
+A key is claimed by inserting a row before the call is dispatched, and the row
+is never taken over while it is in state "claimed". So a call with a key runs
+at most once, whichever nodes its copies are sent to.
+"""
+
+import base64
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import hashlib
+import random
+import re
+import time
+from typing import Any
+import urllib.parse
+
+import anyio
+
+from waxwingferry.connection import http1
+from waxwingferry.process import background
+from waxwingferry.process import metrics
+from waxwingferry.process import platform
+from waxwingferry.request import call
+from waxwingferry.request import outcome
+from waxwingferry.request import recorder
+from waxwingferry.request import settle
+
+PREFIX = "claims/"
+REPLAYED_HEADER = "x-waxwing-replayed"
+KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
+
+FIRST_POLL_S = 0.05
+LONGEST_POLL_S = 0.5
+READ_BACK_TRIES = 3
+READ_BACK_DELAY_S = 0.05
+# After a failure, claims are refused this long without asking the platform,
+# so that an outage leaves few claims of unknown fate behind.
+DOWN_S = 0.5
+# The claim and its result.
+WRITES_PER_CLAIM = 2
+BURST_S = 2.0
+
+Run = Callable[[Any, call.Call], Awaitable[None]]
+Refuse = Callable[
+    [Any, outcome.NotRun | outcome.Unknown],
+    Awaitable[None],
+]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stored:
+    """The answer that an earlier send of the same call got."""
+
+    status: int
+    headers: http1.Headers
+    body: bytes
+
+
+class _NotWrittenError(platform.PlatformError):
+    """The platform answers, but a claim has not reached the table."""
+
+
+class ClaimBudget:
+    """A token bucket for the claim writes of one node.
+
+    Args:
+        rate: Returns the writes per second that this node may make now.
+        clock: Monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        rate: Callable[[], float],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.rate = rate
+        self.clock = clock
+        self.tokens = float(WRITES_PER_CLAIM)
+        self.at_s = clock()
+
+    def take(self) -> bool:
+        """Takes the writes of one claim, or returns False."""
+        now_s = self.clock()
+        rate = self.rate()
+        most = max(rate * BURST_S, WRITES_PER_CLAIM)
+        self.tokens = min(self.tokens + (now_s - self.at_s) * rate, most)
+        self.at_s = now_s
+        if self.tokens < WRITES_PER_CLAIM:
+            return False
+        self.tokens -= WRITES_PER_CLAIM
+        return True
+
+    def give_back(self, writes: int) -> None:
+        """Returns writes that were not needed."""
+        self.tokens += writes
+
+
+class Claims:
+    """Runs calls with an idempotency key at most once.
+
+    Args:
+        table: The platform's table.
+        tasks: Where claimed calls run, so that a caller can go away.
+        budget: Limits the claim writes.
+        counters: Metrics of the node.
+        rng: Source of claim identities.
+    """
+
+    def __init__(
+        self,
+        table: platform.Table,
+        tasks: background.Background,
+        budget: ClaimBudget,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ):
+        self.table = table
+        self.tasks = tasks
+        self.budget = budget
+        self.counters = counters
+        self.rng = rng
+        self.settler = settle.Settler(table, counters)
+        self.down_until_s = 0.0
+
+    async def run(
+        self,
+        connection: http1.ServerConnection,
+        made: call.Call,
+        run: Run,
+        refuse: Refuse,
+    ) -> None:
+        """Answers one call with a key.
+
+        Args:
+            connection: The caller's connection.
+            made: The call.
+            run: Runs the call and answers on the connection it is given.
+            refuse: Sends a refusal on the connection it is given.
+        """
+        if made.body.rest is not None:
+            # Its digest is needed before it is dispatched.
+            reason = outcome.Reason.BODY_TOO_LARGE
+            await refuse(connection, outcome.NotRun(reason, 413))
+            return
+        answer = recorder.Recorder()
+        self.tasks.start_soon(self._run, answer, made, run, refuse)
+        await answer.pass_on(connection)
+
+    async def _run(
+        self,
+        answer: recorder.Recorder,
+        made: call.Call,
+        run: Run,
+        refuse: Refuse,
+    ) -> None:
+        try:
+            found = await self._claim(made, answer)
+            match found:
+                case settle.Claim():
+                    await self._run_claimed(found, answer, made, run, refuse)
+                case Stored():
+                    self.counters.events.inc({"event": "claim_replayed"})
+                    self.counters.calls.inc({"outcome": "replayed"})
+                    headers = [*found.headers, (REPLAYED_HEADER, "true")]
+                    await answer.send_head(found.status, headers, found.body)
+                case outcome.NotRun() | outcome.Unknown():
+                    await refuse(answer, found)
+        finally:
+            answer.end()
+
+    async def _run_claimed(
+        self,
+        claim: settle.Claim,
+        answer: recorder.Recorder,
+        made: call.Call,
+        run: Run,
+        refuse: Refuse,
+    ) -> None:
+        self.counters.events.inc({"event": "claim_won"})
+        assert not claim.run, "a claim runs once"
+        claim.run = True
+        try:
+            # The process may have been stopped since it wrote the claim.
+            if made.deadline.remaining_s() <= 0:
+                reason = outcome.Reason.DEADLINE_TOO_SHORT
+                await refuse(answer, outcome.NotRun(reason))
+            else:
+                await run(answer, made)
+        except http1.HttpError:
+            self.counters.events.inc({"event": "claim_answer_cut"})
+        answer.end()
+        value = _result_value(claim, answer)
+        if value is not None:
+            await self.settler.settle(claim, value)
+
+    async def _claim(
+        self, made: call.Call, answer: recorder.Recorder
+    ) -> settle.Claim | Stored | outcome.NotRun | outcome.Unknown:
+        """Claims the key of a call, or returns what came of it before."""
+        if time.monotonic() < self.down_until_s:
+            return outcome.NotRun(outcome.Reason.CLAIM_UNAVAILABLE)
+        if not self.budget.take():
+            return outcome.NotRun(outcome.Reason.CLAIM_BUDGET)
+        claim = settle.Claim(
+            make_row_key(made),
+            f"{self.rng.getrandbits(128):032x}",
+            make_digest(made),
+        )
+        limit_s = max(made.deadline.remaining_s(), 0)
+        try:
+            with anyio.fail_after(limit_s):
+                found = await self._insert(claim, made, answer)
+        except (platform.PlatformError, TimeoutError) as error:
+            if limit_s > DOWN_S and not isinstance(error, _NotWrittenError):
+                self.down_until_s = time.monotonic() + DOWN_S
+            if claim.held:
+                return outcome.Unknown(outcome.Reason.CLAIM_HELD, 504)
+            if claim.maybe_written:
+                # It was not run and never will be, but only this node knows.
+                self.settler.defer(claim, claim.value(settle.RELEASED))
+            return outcome.NotRun(outcome.Reason.CLAIM_UNAVAILABLE)
+        if not isinstance(found, settle.Claim):
+            self.budget.give_back(1)
+        return found
+
+    async def _insert(
+        self, claim: settle.Claim, made: call.Call, answer: recorder.Recorder
+    ) -> settle.Claim | Stored | outcome.NotRun | outcome.Unknown:
+        """Inserts the claim's row, or follows the row that is there."""
+        row = await self._write(claim, 0)
+        delay_s = FIRST_POLL_S
+        while row is not None:
+            found = _follow(claim, row)
+            if found is not None:
+                return found
+            assert row.value is not None
+            if row.value["state"] == settle.RELEASED:
+                claim.held = False
+                row = await self._write(claim, row.version)
+                continue
+            claim.held = True
+            left_s = made.deadline.remaining_s()
+            if left_s <= delay_s or answer.abandoned:
+                return outcome.Unknown(outcome.Reason.CLAIM_HELD, 504)
+            await anyio.sleep(delay_s * self.rng.uniform(0.5, 1.0))
+            delay_s = min(delay_s * 2, LONGEST_POLL_S)
+            row = await self._read(claim.row_key)
+        # The row was removed while this call waited: a new key.
+        return outcome.Unknown(outcome.Reason.CLAIM_HELD, 504)
+
+    async def _write(
+        self, claim: settle.Claim, if_version: int
+    ) -> platform.Row | None:
+        """Writes the claim if the row has the version; returns the row."""
+        value = claim.value(settle.CLAIMED)
+        write = platform.Write(claim.row_key, value, if_version)
+        claim.if_version = if_version
+        claim.maybe_written = True
+        try:
+            versions = await self.table.transact([write])
+        except platform.ConflictError as conflict:
+            row = conflict.row
+            claim.maybe_written = _is_own(claim, row)
+            return row
+        except platform.PlatformError:
+            return await self._read_back(claim)
+        return platform.Row(claim.row_key, value, versions[0])
+
+    async def _read_back(self, claim: settle.Claim) -> platform.Row | None:
+        """Finds out whether a write whose answer was lost took effect.
+
+        Raises:
+            PlatformError: It can't be known, or it had no effect so far.
+        """
+        self.counters.events.inc({"event": "claim_read_back"})
+        for number in range(READ_BACK_TRIES):
+            try:
+                row = await self.table.read(claim.row_key)
+            except platform.PlatformError:
+                if number + 1 == READ_BACK_TRIES:
+                    raise
+                await anyio.sleep(READ_BACK_DELAY_S)
+                continue
+            if row is None or row.value is None:
+                break
+            if row.version != claim.if_version:
+                # Any other row makes the condition of the write false.
+                claim.maybe_written = _is_own(claim, row)
+                return row
+            break
+        raise _NotWrittenError("the claim has not been written")
+
+    async def _read(self, row_key: str) -> platform.Row | None:
+        row = await self.table.read(row_key)
+        return None if row is None or row.value is None else row
+
+
+def _is_own(claim: settle.Claim, row: platform.Row | None) -> bool:
+    if row is None or row.value is None:
+        return False
+    return row.value["claim_id"] == claim.claim_id
+
+
+def _follow(
+    claim: settle.Claim, row: platform.Row
+) -> settle.Claim | Stored | outcome.NotRun | outcome.Unknown | None:
+    """Returns what the row decides, None if it is held or released."""
+    value = row.value
+    assert value is not None
+    if value["claim_id"] == claim.claim_id:
+        assert value["state"] == settle.CLAIMED
+        claim.version = row.version
+        return claim
+    if value["digest"] != claim.digest:
+        return outcome.NotRun(outcome.Reason.KEY_MISMATCH, 422)
+    if value["state"] != settle.DONE:
+        return None
+    answer = value["answer"]
+    if answer["body"] is None:
+        return outcome.Unknown(outcome.Reason.ANSWER_NOT_KEPT)
+    headers = [(name, text) for name, text in answer["headers"]]
+    return Stored(answer["status"], headers, base64.b64decode(answer["body"]))
+
+
+def _result_value(
+    claim: settle.Claim, answer: recorder.Recorder
+) -> dict[str, Any] | None:
+    """Returns the row that records an outcome, None if it is unknown."""
+    word = http1.find_header(answer.headers, outcome.OUTCOME_HEADER)
+    if word == "not-run":
+        return claim.value(settle.RELEASED)
+    if word != "answered" or not answer.whole:
+        return None
+    value = claim.value(settle.DONE)
+    body = answer.body()
+    encoded = None if body is None else base64.b64encode(body).decode("ascii")
+    value["answer"] = {
+        "status": answer.status,
+        "headers": http1.end_to_end_headers(answer.headers),
+        "body": encoded,
+    }
+    return value
+
+
+def read_key(headers: http1.Headers) -> str | outcome.NotRun:
+    """Returns the idempotency key of a request, "" if it has none."""
+    keys = [value for name, value in headers if name == call.KEY_HEADER]
+    if not keys:
+        return ""
+    if len(keys) > 1 or not KEY_PATTERN.fullmatch(keys[0]):
+        return outcome.NotRun(outcome.Reason.BAD_KEY, 400)
+    return keys[0]
+
+
+def make_row_key(made: call.Call) -> str:
+    """Returns the key of a claim's row; its parts can't run together."""
+    parts = (made.service, made.member, made.key)
+    return PREFIX + "/".join(urllib.parse.quote(part, "") for part in parts)
+
+
+def make_digest(made: call.Call) -> str:
+    """Returns a digest of what the caller asks for."""
+    start = f"{made.method} {made.target}\n".encode()
+    return hashlib.sha256(start + made.body.buffered).hexdigest()
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -11,9 +11,10 @@
 from waxwingferry.process import metrics
 from waxwingferry.process import routing
 from waxwingferry.request import call
+from waxwingferry.request import claim
 from waxwingferry.request import forward
 from waxwingferry.request import outcome
-from waxwingferry.request import receive
+from waxwingferry.request import running
 from waxwingferry.version import document
 
 MAX_ATTEMPTS = 3
@@ -28,7 +29,8 @@
         known: The targets known.
         router: Chooses targets.
         forwarder: Sends attempts to other nodes.
-        receiver: Runs attempts at the node's own target.
+        runner: Runs attempts at the node's own target.
+        claims: Claims of idempotency keys.
         counters: Metrics of the node.
         rng: Source of call identities.
     """
@@ -40,7 +42,8 @@
         known: members.Members,
         router: routing.Router,
         forwarder: forward.Forwarder,
-        receiver: receive.Receiver,
+        runner: running.AttemptRunner,
+        claims: claim.Claims,
         counters: metrics.Metrics,
         rng: random.Random,
     ):
@@ -49,7 +52,8 @@
         self.known = known
         self.router = router
         self.forwarder = forwarder
-        self.receiver = receiver
+        self.runner = runner
+        self.claims = claims
         self.counters = counters
         self.rng = rng
 
@@ -61,7 +65,10 @@
         if isinstance(made, outcome.NotRun):
             await self._refuse(connection, made)
             return
-        await self._run(connection, made)
+        if made.key:
+            await self.claims.run(connection, made, self._run, self._refuse)
+        else:
+            await self._run(connection, made)
 
     async def _make_call(
         self, connection: http1.ServerConnection, head: http1.RequestHead
@@ -83,6 +90,9 @@
             return outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
         if depth > call.MAX_DEPTH:
             return outcome.NotRun(outcome.Reason.TOO_DEEP)
+        key = "" if route.idempotent else claim.read_key(head.headers)
+        if isinstance(key, outcome.NotRun):
+            return key
         deadline_ms = min(limit_ms, route.deadline_ms)
         return call.Call(
             call_id=f"{self.rng.getrandbits(64):016x}",
@@ -96,7 +106,7 @@
             depth=depth,
             idempotent=route.idempotent,
             is_retry=find(head.headers, call.RETRY_HEADER) == "1",
-            key=find(head.headers, call.KEY_HEADER),
+            key=key,
         )
 
     async def _run(
@@ -120,15 +130,32 @@
             attempt = call.make_attempt(made, number, candidate.incarnation)
             async with self._execute(candidate, attempt) as result:
                 if isinstance(result, outcome.Answer):
-                    await relay_answer(connection, result, attempt.attempt_id)
-                    self.counters.calls.inc({"outcome": "answered"})
-                    return
-                last = result
+                    cut = await self._relay(connection, result, attempt)
+                    if cut is None:
+                        return
+                    result = cut
+                last = outcome.combine(last, result)
             if not _may_retry(made, last):
                 break
             self.counters.retries.inc({"reason": last.reason.value})
         await self._refuse(connection, last)
 
+    async def _relay(
+        self,
+        connection: http1.ServerConnection,
+        answer: outcome.Answer,
+        attempt: call.Attempt,
+    ) -> outcome.Unknown | None:
+        """Passes an answer on; returns Unknown if it was cut before that."""
+        try:
+            await relay_answer(connection, answer, attempt.attempt_id)
+        except outcome.AnswerCutError as error:
+            if connection.answer_started:
+                raise http1.ConnectionLostError("answer cut short") from error
+            return outcome.Unknown(outcome.Reason.ANSWER_CUT)
+        self.counters.calls.inc({"outcome": "answered"})
+        return None
+
     @contextlib.asynccontextmanager
     async def _execute(
         self, candidate: routing.Candidate, attempt: call.Attempt
@@ -136,7 +163,7 @@
         candidate.in_flight += 1
         own = candidate.node == self.node
         executor = (
-            self.receiver.execute(attempt)
+            self.runner.execute_own(attempt)
             if own
             else self.forwarder.execute(candidate, attempt)
         )
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -1,27 +1,63 @@
 """Sends attempts to the nodes of other targets."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
+import dataclasses
+import time
 
 import anyio
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import liveness
 from waxwingferry.connection import pool
+from waxwingferry.process import attempts
+from waxwingferry.process import metrics
 from waxwingferry.process import routing
 from waxwingferry.request import call
 from waxwingferry.request import outcome
+from waxwingferry.request import resolve
+from waxwingferry.request import silence
+
+# Stamps older than this are renewed by a round trip before an attempt. The
+# node accepts stamps of up to attempts.KEEP_S.
+STAMP_REFRESH_S = 20.0
+STAMP_PATH = "/_peer/time"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stamp:
+    """A time of a node process.
+
+    Attributes:
+        incarnation: The process.
+        value_ms: Its time.
+        at_s: Own monotonic time before which it was read.
+    """
+
+    incarnation: str
+    value_ms: int
+    at_s: float
 
 
 class Forwarder:
     """Sends attempts to peers over pooled connections.
 
     Args:
+        counters: Metrics of the node.
         connect: Opens a connection.
     """
 
-    def __init__(self, connect: pool.Connect = pool.connect_tcp):
+    def __init__(
+        self,
+        counters: metrics.Metrics,
+        connect: pool.Connect = pool.connect_tcp,
+    ):
+        self.counters = counters
         self.connect = connect
+        self.resolver = resolve.Resolver(connect, counters)
         self.pools: dict[tuple[str, int], pool.Pool] = {}
+        self.stamps: dict[tuple[str, int], Stamp] = {}
 
     def _pool(self, candidate: routing.Candidate) -> pool.Pool:
         address = (candidate.host, candidate.peer_port)
@@ -36,70 +72,228 @@
         """Runs an attempt at a peer; read the answer inside the context."""
         peer = self._pool(candidate)
         try:
-            connection = await peer.acquire()
+            connection = await liveness.acquire(peer)
         except pool.ConnectError:
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
         try:
-            yield await self._exchange(connection, candidate, attempt)
+            result = await self._run(connection, candidate, attempt)
+            if isinstance(result, _Lost):
+                await self._retire(connection, peer, result)
+                result = await self.resolver.resolve(
+                    candidate, attempt, result.unknown
+                )
+            yield result
         finally:
             with anyio.CancelScope(shield=True):
                 await peer.release(connection)
 
+    async def _retire(
+        self,
+        connection: http1.ClientConnection,
+        peer: pool.Pool,
+        lost: "_Lost",
+    ) -> None:
+        reason = lost.unknown.reason
+        self.counters.events.inc({"event": reason.value})
+        with anyio.CancelScope(shield=True):
+            await connection.close()
+            if reason is outcome.Reason.CONNECTION_SILENT:
+                # Idle connections to the same node have likely gone silent
+                # with it; opening new ones costs about 1 ms each.
+                await peer.close()
+
+    async def _run(
+        self,
+        connection: http1.ClientConnection,
+        candidate: routing.Candidate,
+        attempt: call.Attempt,
+    ) -> "outcome.Outcome | _Lost":
+        refusal = await self._stamp(connection, candidate, attempt)
+        if refusal is not None:
+            return refusal
+        # The process may have been stopped since the call was claimed.
+        if attempt.deadline.remaining_s() <= 0:
+            return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+        assert not attempt.sent, "an attempt is sent once"
+        attempt.sent = True
+        head = await self._exchange(connection, candidate, attempt)
+        if isinstance(head, _Lost):
+            return head
+        result = self._classify(connection, candidate, attempt, head)
+        if isinstance(result, outcome.Answer) and attempt.keyed:
+            return await _read_ahead(result, attempt)
+        if isinstance(result, outcome.NotRun | outcome.Unknown):
+            await _skip_body(connection, attempt.deadline)
+        return result
+
+    async def _stamp(
+        self,
+        connection: http1.ClientConnection,
+        candidate: routing.Candidate,
+        attempt: call.Attempt,
+    ) -> outcome.NotRun | None:
+        """Gives an attempt a recent time of the node it is sent to."""
+        address = (candidate.host, candidate.peer_port)
+        stamp = self.stamps.get(address)
+        oldest_s = time.monotonic() - STAMP_REFRESH_S
+        if (
+            stamp is None
+            or stamp.incarnation != candidate.incarnation
+            or stamp.at_s < oldest_s
+        ):
+            try:
+                stamp = await self._read_stamp(connection, candidate, attempt)
+            except http1.HttpError:
+                # No byte of the attempt has been sent.
+                connection.reusable = False
+                return outcome.NotRun(outcome.Reason.CONNECTION_LOST)
+        if stamp.incarnation != candidate.incarnation:
+            return outcome.NotRun(outcome.Reason.WRONG_INCARNATION)
+        attempt.stamp_ms = stamp.value_ms
+        return None
+
+    async def _read_stamp(
+        self,
+        connection: http1.ClientConnection,
+        candidate: routing.Candidate,
+        attempt: call.Attempt,
+    ) -> Stamp:
+        await connection.send_request("GET", STAMP_PATH, [])
+        remaining_s = max(attempt.deadline.remaining_s(), 0)
+        timeout_s = min(remaining_s, resolve.ASK_TIMEOUT_S)
+        head = await connection.receive_head(timeout_s)
+        await _skip_body(connection, attempt.deadline)
+        stamp = self._learn_stamp(candidate, head)
+        if stamp is None:
+            raise http1.HttpError("a node did not tell its time")
+        return stamp
+
+    def _learn_stamp(
+        self, candidate: routing.Candidate, head: http1.ResponseHead
+    ) -> Stamp | None:
+        value = http1.find_header(head.headers, call.STAMP_HEADER)
+        name = http1.find_header(head.headers, call.INCARNATION_HEADER)
+        if not value.isdigit():
+            return None
+        stamp = Stamp(name, int(value), time.monotonic())
+        self.stamps[(candidate.host, candidate.peer_port)] = stamp
+        return stamp
+
     async def _exchange(
         self,
         connection: http1.ClientConnection,
         candidate: routing.Candidate,
         attempt: call.Attempt,
-    ) -> outcome.Outcome:
-        deadline = attempt.deadline
+    ) -> "http1.ResponseHead | _Lost":
+        watch = silence.Watch(connection, candidate, attempt, self.resolver)
         try:
-            with anyio.fail_after(max(deadline.remaining_s(), 0)):
-                await connection.send_request(
-                    attempt.method,
-                    attempt.target,
-                    call.hop_headers(attempt),
-                    attempt.body.buffered,
-                    attempt.body.rest,
-                )
-                head = await connection.receive_head(deadline.remaining_s())
-                while head.status < 200:
-                    head = await connection.receive_head(deadline.remaining_s())
+            with anyio.fail_after(max(attempt.deadline.remaining_s(), 0)):
+                return await _send_and_receive(connection, attempt, watch)
         except (TimeoutError, http1.ReceiveTimeoutError):
-            connection.reusable = False
-            return outcome.Unknown(outcome.Reason.TIMEOUT, 504)
+            reason = outcome.Reason.TIMEOUT
+            if watch.node_silent:
+                reason = outcome.Reason.NODE_SILENT
+            return _Lost(outcome.Unknown(reason, 504))
+        except silence.SilentError:
+            return _Lost(outcome.Unknown(outcome.Reason.CONNECTION_SILENT))
         except http1.HttpError:
-            connection.reusable = False
-            return outcome.Unknown(outcome.Reason.CONNECTION_LOST)
-        result = _classify(connection, candidate, attempt, head)
-        if not isinstance(result, outcome.Answer):
-            await _skip_body(connection, deadline)
-        return result
+            return _Lost(outcome.Unknown(outcome.Reason.CONNECTION_LOST))
+
+    def _classify(
+        self,
+        connection: http1.ClientConnection,
+        candidate: routing.Candidate,
+        attempt: call.Attempt,
+        head: http1.ResponseHead,
+    ) -> "outcome.Outcome | _Lost":
+        echoed = http1.find_header(head.headers, call.ATTEMPT_HEADER)
+        if echoed != attempt.attempt_id:
+            # A late, doubled or crossed answer; that of this attempt may
+            # still be on its way or kept.
+            return _Lost(outcome.Unknown(outcome.Reason.ANSWER_MISMATCH))
+        self._learn_stamp(candidate, head)
+        text = http1.find_header(head.headers, call.LOAD_HEADER)
+        load = routing.parse_load(text, anyio.current_time())
+        if load is not None:
+            candidate.load = load
+        refusal = outcome.parse_refusal(head)
+        if refusal is not None:
+            return refusal
+        watch = silence.Watch(connection, candidate, attempt, self.resolver)
+        return outcome.Answer(head, self._body_reader(connection, watch))
+
+    def _body_reader(
+        self, connection: http1.ClientConnection, watch: silence.Watch
+    ) -> Callable:
+        async def receive_chunk() -> bytes | None:
+            try:
+                return await watch.receive_chunk()
+            except http1.HttpError as error:
+                connection.reusable = False
+                if isinstance(error, silence.SilentError):
+                    name = outcome.Reason.CONNECTION_SILENT.value
+                    self.counters.events.inc({"event": name})
+                raise outcome.AnswerCutError(str(error)) from error
 
+        return receive_chunk
 
-def _classify(
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Lost:
+    """A connection that ended before its answer; the outcome is open."""
+
+    unknown: outcome.Unknown
+
+
+async def _send_and_receive(
     connection: http1.ClientConnection,
-    candidate: routing.Candidate,
     attempt: call.Attempt,
-    head: http1.ResponseHead,
-) -> outcome.Outcome:
-    echoed = http1.find_header(head.headers, call.ATTEMPT_HEADER)
-    if echoed != attempt.attempt_id:
-        connection.reusable = False
-        return outcome.Unknown(outcome.Reason.ANSWER_MISMATCH)
-    text = http1.find_header(head.headers, call.LOAD_HEADER)
-    load = routing.parse_load(text, anyio.current_time())
-    if load is not None:
-        candidate.load = load
-    refusal = outcome.parse_refusal(head)
-    if refusal is not None:
-        return refusal
+    watch: silence.Watch,
+) -> http1.ResponseHead:
+    async def send() -> None:
+        await connection.send_request(
+            attempt.method,
+            attempt.target,
+            call.hop_headers(attempt),
+            attempt.body.buffered,
+            attempt.body.rest,
+        )
+
+    if attempt.body.rest is None:
+        await send()
+        return await watch.receive_head()
+    return await silence.receive_while_sending(connection, watch, send)
+
+
+async def _read_ahead(
+    answer: outcome.Answer, attempt: call.Attempt
+) -> "outcome.Answer | _Lost":
+    """Reads the start of an answer that its node keeps.
+
+    If the answer is cut before anything was passed on, the whole of it can
+    still be fetched from the node.
+    """
+    parts: list[bytes] = []
+    size = 0
+    ended = False
+    try:
+        while size <= attempts.MAX_ANSWER_BYTES and not ended:
+            chunk = await answer.receive_chunk()
+            ended = chunk is None
+            parts.append(chunk or b"")
+            size += len(parts[-1])
+    except outcome.AnswerCutError:
+        return _Lost(outcome.Unknown(outcome.Reason.ANSWER_CUT))
+    start = b"".join(parts)
+    if ended:
+        return outcome.make_answer(answer.head, start)
+    first = [start]
 
     async def receive_chunk() -> bytes | None:
-        remaining_s = max(attempt.deadline.remaining_s(), 0)
-        return await connection.receive_chunk(remaining_s)
+        return first.pop() if first else await answer.receive_chunk()
 
-    return outcome.Answer(head, receive_chunk)
+    return outcome.Answer(answer.head, receive_chunk)
 
 
 async def _skip_body(
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -26,20 +26,29 @@
     CONNECTION_REFUSED = "connection_refused"
     WRONG_INCARNATION = "wrong_incarnation"
     FENCED = "fenced"
+    STALE_ATTEMPT = "stale_attempt"
+    DUPLICATE_ATTEMPT = "duplicate_attempt"
     BAD_REQUEST = "bad_request"
+    BAD_KEY = "bad_key"
     BODY_TOO_LARGE = "body_too_large"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_BUDGET = "claim_budget"
     KEY_MISMATCH = "key_mismatch"
     CLAIM_HELD = "claim_held"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     CONNECTION_LOST = "connection_lost"
     CONNECTION_SILENT = "connection_silent"
+    NODE_SILENT = "node_silent"
     TIMEOUT = "timeout"
     ANSWER_CUT = "answer_cut"
     ANSWER_MISMATCH = "answer_mismatch"
     CANCELLED = "cancelled"
 
 
+class AnswerCutError(Exception):
+    """The body of an answer ended early; what came is not the whole."""
+
+
 @dataclasses.dataclass(slots=True)
 class Answer:
     """The target's answer; its body follows chunk by chunk.
@@ -47,7 +56,7 @@
     Attributes:
         head: Status and fields of the answer.
         receive_chunk: Returns the next part of the body, None at the end.
-            Raises http1.HttpError when the answer is cut short.
+            Raises AnswerCutError when the answer is cut short.
     """
 
     head: http1.ResponseHead
@@ -73,6 +82,18 @@
 Outcome = Answer | NotRun | Unknown
 
 
+def combine(
+    earlier: NotRun | Unknown, later: NotRun | Unknown
+) -> NotRun | Unknown:
+    """Returns the outcome of a call after two attempts.
+
+    A later attempt that did not run proves nothing about an earlier one.
+    """
+    if isinstance(earlier, Unknown) and isinstance(later, NotRun):
+        return earlier
+    return later
+
+
 def refusal_headers(outcome: NotRun | Unknown) -> http1.Headers:
     """Returns the fields that tell the caller what a refusal proves."""
     word = "not-run" if isinstance(outcome, NotRun) else "unknown"
@@ -95,3 +116,13 @@
     if word == "not-run":
         return NotRun(reason, head.status)
     return Unknown(reason, head.status)
+
+
+def make_answer(head: http1.ResponseHead, body: bytes) -> Answer:
+    """Returns an answer whose whole body is at hand."""
+    parts = [body] if body else []
+
+    async def receive_chunk() -> bytes | None:
+        return parts.pop() if parts else None
+
+    return Answer(head, receive_chunk)
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -2,51 +2,182 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from waxwingferry.connection import http1
+from waxwingferry.process import attempts
 from waxwingferry.request import call
 from waxwingferry.request import entry
 from waxwingferry.request import outcome
 from waxwingferry.request import receive
+from waxwingferry.request import resolve
+from waxwingferry.request import running
 from waxwingferry.version import document
 
+ATTEMPTS_PATH = "/_peer/attempts/"
+TIME_PATH = "/_peer/time"
+MAX_WAIT_S = 5.0
+
 
 class PeerHandler:
-    """Runs the attempts that other nodes send.
+    """Runs the attempts that other nodes send, and tells what became of them.
 
     Args:
-        receiver: Runs attempts at the node's own target.
+        receiver: Admission to the node's own target.
+        runner: Runs attempts at the node's own target.
         revision: Returns the newest document known, or None.
     """
 
     def __init__(
         self,
         receiver: receive.Receiver,
+        runner: running.AttemptRunner,
         revision: Callable[[], document.Revision | None],
     ):
         self.receiver = receiver
+        self.runner = runner
+        self.records = runner.records
         self.revision = revision
 
     async def handle(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Answers one request of another node."""
+        # Attempts may be for any path; only they carry an attempt identity.
+        if not http1.find_header(head.headers, call.ATTEMPT_HEADER):
+            await self._answer_node(connection, head)
+            return
         attempt = await _make_attempt(connection, head)
-        async with self.receiver.execute(attempt) as result:
-            extra = [(call.LOAD_HEADER, self.receiver.load())]
-            match result:
-                case outcome.Answer():
-                    await entry.relay_answer(
-                        connection, result, attempt.attempt_id, extra
-                    )
-                case outcome.NotRun() | outcome.Unknown():
-                    extra.append((call.ATTEMPT_HEADER, attempt.attempt_id))
-                    await entry.send_refusal(connection, result, extra)
+        async with self.runner.execute(attempt) as result:
+            await self._send(connection, attempt, result)
+        if not connection.answer_started:
+            # The attempt was fenced while it waited; its entry asked for
+            # that over another connection and has left this one.
+            connection.keep_alive = False
+
+    async def _send(
+        self,
+        connection: http1.ServerConnection,
+        attempt: call.Attempt,
+        result: outcome.Outcome,
+    ) -> None:
+        extra = self._node_headers()
+        extra.append((call.LOAD_HEADER, self.receiver.load()))
+        if not isinstance(result, outcome.Answer):
+            extra.append((call.ATTEMPT_HEADER, attempt.attempt_id))
+            await entry.send_refusal(connection, result, extra)
+            return
+        record = self.records.records.get(attempt.attempt_id)
+        assert record is not None
+        counted = _CountingConnection(connection, record)
+        try:
+            await entry.relay_answer(
+                counted,  # type: ignore[arg-type]
+                result,
+                attempt.attempt_id,
+                extra,
+            )
+        except outcome.AnswerCutError as error:
+            if connection.answer_started:
+                raise http1.ConnectionLostError("answer cut short") from error
+            cut = outcome.Unknown(outcome.Reason.ANSWER_CUT)
+            await self._send(connection, attempt, cut)
+
+    def _node_headers(self) -> http1.Headers:
+        return [
+            (call.INCARNATION_HEADER, self.receiver.incarnation),
+            (call.STAMP_HEADER, str(self.records.now_ms())),
+        ]
+
+    async def _answer_node(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        """Answers a question of another node about this one."""
+        await entry.read_body(connection)
+        extra = self._node_headers()
+        if head.target == TIME_PATH:
+            await connection.send_head(200, extra, b"")
+            return
+        if not head.target.startswith(ATTEMPTS_PATH):
+            await connection.send_head(404, extra, b"")
+            return
+        attempt_id = head.target.removeprefix(ATTEMPTS_PATH)
+        fence = head.method == "POST" and attempt_id.endswith("/resolve")
+        attempt_id = attempt_id.removesuffix("/resolve")
+        stamp = http1.find_header(head.headers, call.STAMP_HEADER)
+        stamp_ms = int(stamp) if stamp.isdigit() else -1
+        if not fence:
+            found = self.records.look(attempt_id, stamp_ms)
+        else:
+            await self._wait(attempt_id, head)
+            found = self.records.resolve(attempt_id, stamp_ms)
+        await self._send_status(connection, attempt_id, found, fence)
+
+    async def _wait(self, attempt_id: str, head: http1.RequestHead) -> None:
+        """Waits for the end of a running attempt as long as is asked for."""
+        text = http1.find_header(head.headers, resolve.WAIT_HEADER)
+        wait_s = int(text) / 1000 if text.isdigit() else 0.0
+        record = self.records.records.get(attempt_id)
+        if record is None or record.state is not attempts.State.RUNNING:
+            return
+        with anyio.move_on_after(min(wait_s, MAX_WAIT_S)):
+            await record.ended.wait()
+
+    async def _send_status(
+        self,
+        connection: http1.ServerConnection,
+        attempt_id: str,
+        found: attempts.Resolution,
+        with_answer: bool,
+    ) -> None:
+        record = self.records.records.get(attempt_id)
+        sent_bytes = record.sent_bytes if record is not None else 0
+        headers = self._node_headers() + [
+            (call.ATTEMPT_HEADER, attempt_id),
+            (resolve.RESOLUTION_HEADER, found.value),
+            (resolve.SENT_BYTES_HEADER, str(sent_bytes)),
+        ]
+        if found is not attempts.Resolution.ANSWER or not with_answer:
+            await connection.send_head(200, headers, b"")
+            return
+        assert record is not None
+        assert record.answer is not None
+        dropped = [name for name, _ in headers]
+        headers += [i for i in record.answer.headers if i[0] not in dropped]
+        await connection.send_head(
+            record.answer.status, headers, record.answer.body
+        )
+
+
+class _CountingConnection:
+    """Counts the bytes of an answer's body that have been sent."""
+
+    def __init__(
+        self, connection: http1.ServerConnection, record: attempts.Record
+    ):
+        self.connection = connection
+        self.record = record
+
+    async def send_head(
+        self, status: int, headers: http1.Headers, body: bytes | None = None
+    ) -> None:
+        await self.connection.send_head(status, headers, body)
+        if not self.connection.answers_head():
+            self.record.sent_bytes += len(body or b"")
+
+    async def send_chunk(self, chunk: bytes) -> None:
+        await self.connection.send_chunk(chunk)
+        self.record.sent_bytes += len(chunk)
+
+    async def send_end(self) -> None:
+        await self.connection.send_end()
 
 
 async def _make_attempt(
     connection: http1.ServerConnection, head: http1.RequestHead
 ) -> call.Attempt:
     find = http1.find_header
+    stamp = find(head.headers, call.STAMP_HEADER)
     try:
         depth = int(find(head.headers, call.DEPTH_HEADER))
         deadline_ms = int(find(head.headers, call.DEADLINE_HEADER))
@@ -64,4 +195,6 @@
         depth=depth,
         incarnation=find(head.headers, call.INCARNATION_HEADER),
         is_retry=find(head.headers, call.RETRY_HEADER) == "1",
+        keyed=find(head.headers, call.KEEP_HEADER) == "1",
+        stamp_ms=int(stamp) if stamp.isdigit() else -1,
     )
--- /dev/null
+++ b/src/waxwingferry/request/recorder.py
@@ -0,0 +1,101 @@
+"""Stands between a call that must go on and a caller that may go away."""
+
+import contextlib
+
+import anyio
+
+from waxwingferry.connection import http1
+
+MAX_RECORDED_BYTES = 65_536
+MAX_CHUNKS_AHEAD = 4
+
+
+class Recorder:
+    """Takes an answer in place of the caller's connection.
+
+    The call writes to the recorder in a background task. The caller's own
+    task passes the answer on, and can be cancelled without ending the call.
+
+    Attributes:
+        status: Status of the answer, 0 before its head is known.
+        headers: Fields of the answer.
+        whole: Whether the answer has come to its end.
+        abandoned: Whether the caller has gone away.
+    """
+
+    def __init__(self):
+        self.status = 0
+        self.headers: http1.Headers = []
+        self.whole = False
+        self.abandoned = False
+        self.answer_started = False
+        self.single: bytes | None = None
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.head_known = anyio.Event()
+        self.sender, self.receiver = anyio.create_memory_object_stream[bytes](
+            MAX_CHUNKS_AHEAD
+        )
+
+    async def send_head(
+        self, status: int, headers: http1.Headers, body: bytes | None = None
+    ) -> None:
+        """Takes the head, with the whole body if it is known."""
+        self.answer_started = True
+        self.status = status
+        self.headers = list(headers)
+        if body is not None:
+            self.single = body
+            self._record(body)
+            self.whole = True
+        self.head_known.set()
+
+    async def send_chunk(self, chunk: bytes) -> None:
+        """Takes a part of the body; waits while the caller is slow."""
+        self._record(chunk)
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await self.sender.send(chunk)
+
+    async def send_end(self) -> None:
+        """Marks the body as whole."""
+        self.whole = True
+
+    def _record(self, chunk: bytes) -> None:
+        self.size += len(chunk)
+        if self.size <= MAX_RECORDED_BYTES:
+            self.parts.append(chunk)
+        else:
+            self.parts.clear()
+
+    def body(self) -> bytes | None:
+        """Returns the whole body, None if it is too large to be recorded."""
+        if self.size > MAX_RECORDED_BYTES:
+            return None
+        return b"".join(self.parts)
+
+    def end(self) -> None:
+        """Nothing more comes."""
+        self.head_known.set()
+        self.sender.close()
+
+    async def pass_on(self, connection: http1.ServerConnection) -> None:
+        """Sends the answer to the caller as it comes.
+
+        Raises:
+            http1.ConnectionLostError: The answer was cut short.
+        """
+        try:
+            await self.head_known.wait()
+            if not self.answer_started:
+                raise http1.ConnectionLostError("no answer")
+            await connection.send_head(self.status, self.headers, self.single)
+            if self.single is not None:
+                return
+            async for chunk in self.receiver:
+                await connection.send_chunk(chunk)
+            if not self.whole:
+                raise http1.ConnectionLostError("answer cut short")
+            await connection.send_end()
+        finally:
+            self.abandoned = True
+            self.receiver.close()
--- /dev/null
+++ b/src/waxwingferry/request/resolve.py
@@ -0,0 +1,218 @@
+"""Asks the target's node what became of an attempt, over a new connection."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import time
+
+import anyio
+
+from waxwingferry.connection import http1
+from waxwingferry.connection import pool
+from waxwingferry.process import attempts
+from waxwingferry.process import metrics
+from waxwingferry.process import routing
+from waxwingferry.request import call
+from waxwingferry.request import outcome
+
+RESOLUTION_HEADER = "x-waxwing-resolution"
+SENT_BYTES_HEADER = "x-waxwing-sent-bytes"
+WAIT_HEADER = "x-waxwing-wait-ms"
+
+# An entry asks this long past the deadline; the caller waits as long.
+GRACE_S = 0.3
+# An idempotent call can be sent elsewhere, which is often sooner.
+IDEMPOTENT_LIMIT_S = 0.25
+ASK_TIMEOUT_S = 0.5
+WAIT_S = 0.4
+RETRY_DELAY_S = 0.05
+# Under overload many attempts time out at once; asking about each over a
+# connection of its own would add to the overload.
+MAX_QUESTIONS = 64
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Status:
+    """What a node says of an attempt.
+
+    Attributes:
+        resolution: What is proven.
+        sent_bytes: Bytes of the answer's body that the node has sent.
+        answer: The kept answer for Resolution.ANSWER.
+    """
+
+    resolution: attempts.Resolution
+    sent_bytes: int = 0
+    answer: outcome.Answer | None = None
+
+
+class NodeGoneError(Exception):
+    """The process that the attempt was sent to no longer runs."""
+
+
+class Resolver:
+    """Asks nodes about attempts.
+
+    Args:
+        connect: Opens a connection.
+        counters: Metrics of the node.
+    """
+
+    def __init__(self, connect: pool.Connect, counters: metrics.Metrics):
+        self.connect = connect
+        self.counters = counters
+        self.free = anyio.Semaphore(MAX_QUESTIONS)
+
+    async def look(
+        self, candidate: routing.Candidate, attempt: call.Attempt
+    ) -> Status | None:
+        """Returns what the node knows, None without an answer.
+
+        Raises:
+            NodeGoneError: The process that was asked for no longer runs.
+        """
+        timeout_s = min(attempt.deadline.remaining_s(), ASK_TIMEOUT_S)
+        return await self._ask(candidate, attempt, "GET", timeout_s, 0)
+
+    async def resolve(
+        self,
+        candidate: routing.Candidate,
+        attempt: call.Attempt,
+        lost: outcome.Unknown,
+    ) -> outcome.Outcome:
+        """Returns what is proven of an attempt, or lost if nothing is.
+
+        Args:
+            candidate: The target that the attempt was sent to.
+            attempt: The attempt.
+            lost: How the connection ended.
+        """
+        result: outcome.Outcome = lost
+        with contextlib.suppress(NodeGoneError):
+            result = await self._ask_until(candidate, attempt, lost)
+        kind = type(result).__name__.lower()
+        self.counters.events.inc({"event": f"resolved_{kind}"})
+        return result
+
+    async def _ask_until(
+        self,
+        candidate: routing.Candidate,
+        attempt: call.Attempt,
+        lost: outcome.Unknown,
+    ) -> outcome.Outcome:
+        end_s = max(attempt.deadline.remaining_s(), 0) + GRACE_S
+        if attempt.idempotent:
+            end_s = min(end_s, IDEMPOTENT_LIMIT_S)
+        end_s += time.monotonic()
+        while (left_s := end_s - time.monotonic()) > 0:
+            wait_s = min(WAIT_S, left_s / 2) if attempt.keyed else 0
+            status = await self._ask(candidate, attempt, "POST", left_s, wait_s)
+            if status is None:
+                await anyio.sleep(RETRY_DELAY_S)
+                continue
+            match status.resolution:
+                case attempts.Resolution.NOT_RUN:
+                    return outcome.NotRun(lost.reason)
+                case attempts.Resolution.ANSWER:
+                    assert status.answer is not None
+                    return status.answer
+                case attempts.Resolution.RUNNING if attempt.keyed:
+                    continue
+            return lost
+        return lost
+
+    async def _ask(
+        self,
+        candidate: routing.Candidate,
+        attempt: call.Attempt,
+        method: str,
+        timeout_s: float,
+        wait_s: float,
+    ) -> Status | None:
+        try:
+            self.free.acquire_nowait()
+        except anyio.WouldBlock:
+            self.counters.events.inc({"event": "resolve_limit"})
+            return None
+        try:
+            with anyio.move_on_after(
+                min(max(timeout_s, 0), ASK_TIMEOUT_S + wait_s)
+            ):
+                async with self._connection(candidate) as connection:
+                    return await _exchange(
+                        connection, candidate, attempt, method, wait_s
+                    )
+        except http1.HttpError:
+            return None
+        except pool.ConnectError as error:
+            if _is_refused(error):
+                raise NodeGoneError from error
+        finally:
+            self.free.release()
+        return None
+
+    @contextlib.asynccontextmanager
+    async def _connection(
+        self, candidate: routing.Candidate
+    ) -> AsyncIterator[http1.ClientConnection]:
+        stream = await self.connect(candidate.host, candidate.peer_port)
+        connection = http1.ClientConnection(stream)
+        try:
+            yield connection
+        finally:
+            with anyio.CancelScope(shield=True):
+                await connection.close()
+
+
+async def _exchange(
+    connection: http1.ClientConnection,
+    candidate: routing.Candidate,
+    attempt: call.Attempt,
+    method: str,
+    wait_s: float,
+) -> Status | None:
+    path = f"/_peer/attempts/{attempt.attempt_id}"
+    await connection.send_request(
+        method,
+        path if method == "GET" else f"{path}/resolve",
+        [
+            (call.STAMP_HEADER, str(attempt.stamp_ms)),
+            (WAIT_HEADER, str(int(wait_s * 1000))),
+        ],
+    )
+    head = await connection.receive_head(ASK_TIMEOUT_S)
+    while head.status < 200:
+        head = await connection.receive_head(ASK_TIMEOUT_S)
+    find = http1.find_header
+    if find(head.headers, call.ATTEMPT_HEADER) != attempt.attempt_id:
+        return None
+    if find(head.headers, call.INCARNATION_HEADER) != candidate.incarnation:
+        raise NodeGoneError
+    try:
+        resolution = attempts.Resolution(find(head.headers, RESOLUTION_HEADER))
+        sent_bytes = int(find(head.headers, SENT_BYTES_HEADER, "0"))
+    except ValueError:
+        return None
+    answer = None
+    if resolution is attempts.Resolution.ANSWER and method == "POST":
+        answer = await _read_kept(connection, head)
+    return Status(resolution, sent_bytes, answer)
+
+
+async def _read_kept(
+    connection: http1.ClientConnection, head: http1.ResponseHead
+) -> outcome.Answer:
+    body = b""
+    while (chunk := await connection.receive_chunk(ASK_TIMEOUT_S)) is not None:
+        body += chunk
+    dropped = (RESOLUTION_HEADER, SENT_BYTES_HEADER, call.INCARNATION_HEADER)
+    head.headers = [item for item in head.headers if item[0] not in dropped]
+    return outcome.make_answer(head, body)
+
+
+def _is_refused(error: BaseException | None) -> bool:
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
--- /dev/null
+++ b/src/waxwingferry/request/running.py
@@ -0,0 +1,193 @@
+"""The target's node: attempts on the way from a connection to the target.
+
+An attempt without a key ends with the connection it came on: closing the
+connection cancels it. An attempt with a claimed key goes on in the background
+once it is dispatched, so that its answer is kept for the entry to fetch.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+from typing import Protocol
+
+import anyio
+import anyio.abc
+
+from waxwingferry.connection import http1
+from waxwingferry.process import attempts
+from waxwingferry.process import background
+from waxwingferry.process import metrics
+from waxwingferry.request import call
+from waxwingferry.request import outcome
+
+MAX_CHUNKS_AHEAD = 4
+
+
+class Executor(Protocol):
+    """Admits an attempt and sends it to the target."""
+
+    def execute(
+        self, attempt: call.Attempt
+    ) -> contextlib.AbstractAsyncContextManager[outcome.Outcome]:
+        """Runs one attempt; the answer can be read inside the context."""
+
+
+class AttemptRunner:
+    """Runs attempts with a record for each.
+
+    Args:
+        executor: Admits an attempt and sends it to the target.
+        records: The attempts of this node process.
+        tasks: Where attempts with a key run.
+        counters: Metrics of the node.
+    """
+
+    def __init__(
+        self,
+        executor: Executor,
+        records: attempts.Attempts,
+        tasks: background.Background,
+        counters: metrics.Metrics,
+    ):
+        self.executor = executor
+        self.records = records
+        self.tasks = tasks
+        self.counters = counters
+
+    @contextlib.asynccontextmanager
+    async def execute(
+        self, attempt: call.Attempt
+    ) -> AsyncIterator[outcome.Outcome]:
+        """Runs one attempt; the answer can be read inside the context."""
+        record = self.records.arrive(attempt.attempt_id, attempt.stamp_ms)
+        if not isinstance(record, attempts.Record):
+            self.counters.events.inc({"event": record.reason.value})
+            yield record
+            return
+        attempt.on_dispatch = lambda: self.records.dispatch(record)
+        run = self._run_detached if attempt.keyed else self._run_attached
+        async with run(attempt, record) as result:
+            if result == outcome.Unknown(outcome.Reason.ANSWER_MISMATCH):
+                self.counters.events.inc({"event": "answer_mismatch"})
+            yield result
+
+    @contextlib.asynccontextmanager
+    async def execute_own(
+        self, attempt: call.Attempt
+    ) -> AsyncIterator[outcome.Outcome]:
+        """Runs an attempt of the entry in this process."""
+        attempt.stamp_ms = self.records.now_ms()
+        async with self.execute(attempt) as result:
+            yield result
+
+    @contextlib.asynccontextmanager
+    async def _run_attached(
+        self, attempt: call.Attempt, record: attempts.Record
+    ) -> AsyncIterator[outcome.Outcome]:
+        not_run = False
+        yielded = False
+        try:
+            with anyio.CancelScope() as record.scope:
+                async with self.executor.execute(attempt) as result:
+                    not_run = isinstance(result, outcome.NotRun)
+                    yielded = True
+                    yield result
+        finally:
+            self.records.finish(record, not_run=not_run)
+        if not yielded:
+            yield outcome.NotRun(outcome.Reason.FENCED)
+
+    @contextlib.asynccontextmanager
+    async def _run_detached(
+        self, attempt: call.Attempt, record: attempts.Record
+    ) -> AsyncIterator[outcome.Outcome]:
+        pipe = _Pipe()
+        self.tasks.start_soon(self._run_task, attempt, record, pipe)
+        try:
+            yield await pipe.receive_outcome()
+        finally:
+            pipe.close()
+            self.records.withdraw(record)
+
+    async def _run_task(
+        self,
+        attempt: call.Attempt,
+        record: attempts.Record,
+        pipe: "_Pipe",
+    ) -> None:
+        kept: attempts.KeptAnswer | None = None
+        not_run = False
+        try:
+            with anyio.CancelScope() as record.scope:
+                if record.state is attempts.State.FENCED:
+                    return
+                async with self.executor.execute(attempt) as result:
+                    not_run = isinstance(result, outcome.NotRun)
+                    pipe.set_outcome(result)
+                    if isinstance(result, outcome.Answer):
+                        kept = await _read_answer(result, pipe)
+        except outcome.AnswerCutError as error:
+            pipe.error = error
+        finally:
+            self.records.finish(record, kept, not_run)
+            pipe.end()
+
+
+class _Pipe:
+    """Passes an outcome and its body from a background task to a handler."""
+
+    def __init__(self):
+        self.sender, self.receiver = anyio.create_memory_object_stream[bytes](
+            MAX_CHUNKS_AHEAD
+        )
+        self.result: outcome.Outcome = outcome.NotRun(outcome.Reason.FENCED)
+        self.known = anyio.Event()
+        self.error: outcome.AnswerCutError | None = None
+
+    def set_outcome(self, result: outcome.Outcome) -> None:
+        self.result = result
+        if isinstance(result, outcome.Answer):
+            self.result = outcome.Answer(result.head, self.receive_chunk)
+        self.known.set()
+
+    async def receive_outcome(self) -> outcome.Outcome:
+        await self.known.wait()
+        return self.result
+
+    async def send_chunk(self, chunk: bytes) -> None:
+        # A handler that has gone away needs no chunks; the kept answer does.
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await self.sender.send(chunk)
+
+    async def receive_chunk(self) -> bytes | None:
+        try:
+            return await self.receiver.receive()
+        except anyio.EndOfStream:
+            if self.error is not None:
+                raise self.error from None
+            return None
+
+    def close(self) -> None:
+        """The handler reads no more."""
+        self.receiver.close()
+
+    def end(self) -> None:
+        """No more chunks come."""
+        self.known.set()
+        self.sender.close()
+
+
+async def _read_answer(
+    result: outcome.Answer, pipe: _Pipe
+) -> attempts.KeptAnswer | None:
+    """Reads a whole answer; returns it unless it is too large to keep."""
+    parts: list[bytes] = []
+    size = 0
+    while (chunk := await result.receive_chunk()) is not None:
+        size += len(chunk)
+        if size <= attempts.MAX_ANSWER_BYTES:
+            parts.append(chunk)
+        await pipe.send_chunk(chunk)
+    if size > attempts.MAX_ANSWER_BYTES:
+        return None
+    headers = http1.end_to_end_headers(result.head.headers)
+    return attempts.KeptAnswer(result.head.status, headers, b"".join(parts))
--- /dev/null
+++ b/src/waxwingferry/request/settle.py
@@ -0,0 +1,146 @@
+"""Records in the table how claimed calls ended."""
+
+import dataclasses
+import time
+from typing import Any
+
+import anyio
+
+from waxwingferry.process import metrics
+from waxwingferry.process import platform
+
+CLAIMED = "claimed"
+RELEASED = "released"
+DONE = "done"
+
+# Results that wait for the platform; the oldest are dropped beyond that, and
+# their keys stay claimed.
+MAX_DEFERRED = 1000
+RETRY_DELAY_S = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Claim:
+    """One claim of a key.
+
+    Attributes:
+        row_key: Key of the row.
+        claim_id: Random name of the claim.
+        digest: Digest of the request.
+        if_version: Version of the row that the claim was written over.
+        version: Version of the row with the claim; None if not known.
+        maybe_written: Whether the claim may be in the table, now or later.
+        held: Whether another claim holds the key.
+        run: Whether the call has been started.
+    """
+
+    row_key: str
+    claim_id: str
+    digest: str
+    if_version: int = 0
+    version: int | None = None
+    maybe_written: bool = False
+    held: bool = False
+    run: bool = False
+
+    def value(self, state: str) -> dict[str, Any]:
+        """Returns the row of the claim in a state."""
+        return {
+            "claim_id": self.claim_id,
+            "digest": self.digest,
+            "state": state,
+            "at_s": int(time.time()),
+        }
+
+
+class Settler:
+    """Writes results of claims, later if the platform is down.
+
+    Args:
+        table: The platform's table.
+        counters: Metrics of the node.
+    """
+
+    def __init__(self, table: platform.Table, counters: metrics.Metrics):
+        self.table = table
+        self.counters = counters
+        self.deferred: dict[str, tuple[Claim, dict[str, Any]]] = {}
+        self.added = anyio.Event()
+
+    async def settle(self, claim: Claim, value: dict[str, Any]) -> None:
+        """Writes the result of a claim, now or when the platform is back."""
+        try:
+            await self._write(claim, value)
+        except platform.PlatformError:
+            self.defer(claim, value)
+
+    def defer(self, claim: Claim, value: dict[str, Any]) -> None:
+        """Remembers a result that the platform could not take yet."""
+        claim.version = None
+        self.deferred[claim.claim_id] = (claim, value)
+        self.counters.events.inc({"event": "claim_result_deferred"})
+        while len(self.deferred) > MAX_DEFERRED:
+            self.deferred.pop(next(iter(self.deferred)))
+            self.counters.events.inc({"event": "claim_result_dropped"})
+        self.added.set()
+
+    async def run(self) -> None:
+        """Writes deferred results until cancelled."""
+        while True:
+            await self.added.wait()
+            self.added = anyio.Event()
+            while self.deferred:
+                await anyio.sleep(RETRY_DELAY_S)
+                await self.flush()
+
+    async def flush(self) -> None:
+        """Tries to write all deferred results once, oldest first."""
+        for claim_id, (claim, value) in list(self.deferred.items()):
+            try:
+                await self._write(claim, value)
+            except platform.PlatformError:
+                return
+            self.deferred.pop(claim_id, None)
+
+    async def _write(self, claim: Claim, value: dict[str, Any]) -> None:
+        """Writes a result over the claim, and over nothing else.
+
+        Raises:
+            PlatformError: It is not known whether the result is written.
+        """
+        state = value["state"]
+        assert state != CLAIMED
+        while True:
+            version = claim.version
+            if version is None:
+                row = await self.table.read(claim.row_key)
+                version = _writable_version(claim, value, row)
+            if version is None:
+                return
+            write = platform.Write(claim.row_key, value, version)
+            try:
+                await self.table.transact([write])
+            except platform.ConflictError:
+                claim.version = None
+                continue
+            self.counters.events.inc({"event": f"claim_{state}"})
+            return
+
+
+def _writable_version(
+    claim: Claim, value: dict[str, Any], row: platform.Row | None
+) -> int | None:
+    """Returns the version to write a result over, None if there is none.
+
+    A claim whose write was never answered may still reach the table. Writing
+    "released" over what it is conditioned on makes that condition false.
+    """
+    if row is None or row.value is None:
+        return 0
+    if row.value["claim_id"] == claim.claim_id:
+        return row.version if row.value["state"] == CLAIMED else None
+    releases = value["state"] == RELEASED
+    if releases and row.version == claim.if_version and not claim.run:
+        assert row.value["state"] == RELEASED
+        return row.version
+    return None
--- /dev/null
+++ b/src/waxwingferry/request/silence.py
@@ -0,0 +1,149 @@
+"""Tells a connection that has gone silent from a target that is slow.
+
+While a call waits, its node sends 102 every 200 ms. When none has come for
+two intervals, the node is asked over a new connection. Only if it answers
+there, and the old connection stays mute for a third interval, has the old one
+gone silent: the node is alive and its messages don't arrive. If the node
+doesn't answer on a new connection either, it is stopped or cut off, and the
+connection is as good as any other.
+
+A body has no such heartbeats. After a gap as long, the node is asked how many
+bytes of it were sent; it is the connection that is silent if more were sent
+than have come.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+
+from waxwingferry.connection import http1
+from waxwingferry.process import routing
+from waxwingferry.request import call
+from waxwingferry.request import resolve
+
+# Two intervals of 102 responses, and a third with the slack of its timer.
+SUSPECT_AFTER_S = 0.4
+CONFIRM_S = 0.25
+
+
+class SilentError(http1.HttpError):
+    """The connection passes no bytes while a new one works."""
+
+
+class Watch:
+    """Receives one answer and finds out when its connection is silent.
+
+    Args:
+        connection: The connection.
+        candidate: The target at its other end.
+        attempt: The attempt sent on it.
+        resolver: Asks the target's node over new connections.
+    """
+
+    def __init__(
+        self,
+        connection: http1.ClientConnection,
+        candidate: routing.Candidate,
+        attempt: call.Attempt,
+        resolver: resolve.Resolver,
+    ):
+        self.connection = connection
+        self.candidate = candidate
+        self.attempt = attempt
+        self.resolver = resolver
+        self.in_body = False
+        self.received_bytes = 0
+        self.node_silent = False
+
+    async def receive_head(self) -> http1.ResponseHead:
+        """Returns the final head of the answer.
+
+        Raises:
+            SilentError: The connection has gone silent.
+            http1.HttpError: The connection is lost or the time is over.
+        """
+        while True:
+            head = await self._receive(self.connection.receive_head)
+            assert isinstance(head, http1.ResponseHead)
+            if head.status >= 200:
+                return head
+
+    async def receive_chunk(self) -> bytes | None:
+        """Returns the next part of the answer's body, None at its end.
+
+        Raises: As receive_head.
+        """
+        self.in_body = True
+        chunk = await self._receive(self.connection.receive_chunk)
+        assert chunk is None or isinstance(chunk, bytes)
+        self.received_bytes += len(chunk or b"")
+        return chunk
+
+    async def _receive(self, receive: Callable[[float], Awaitable]):
+        limit_s = SUSPECT_AFTER_S
+        suspected = False
+        while True:
+            remaining_s = self.attempt.deadline.remaining_s()
+            try:
+                result = await receive(min(max(remaining_s, 0), limit_s))
+                self.node_silent = False
+                return result
+            except http1.ReceiveTimeoutError as error:
+                if remaining_s <= limit_s:
+                    raise
+                if suspected:
+                    raise SilentError("connection is silent") from error
+            suspected = await self._suspect()
+            limit_s = CONFIRM_S if suspected else SUSPECT_AFTER_S
+
+    async def _suspect(self) -> bool:
+        """Tells whether the node answers on a new connection."""
+        try:
+            status = await self.resolver.look(self.candidate, self.attempt)
+        except resolve.NodeGoneError as error:
+            raise http1.ConnectionLostError("the node has stopped") from error
+        self.node_silent = status is None
+        if status is None:
+            return False
+        return not self.in_body or status.sent_bytes > self.received_bytes
+
+
+async def receive_while_sending(
+    connection: http1.ClientConnection,
+    watch: Watch,
+    send: Callable[[], Awaitable[None]],
+) -> http1.ResponseHead:
+    """Sends a long request and watches for heartbeats meanwhile.
+
+    An answer that comes before the end of the request ends the sending.
+    """
+    heads: list[http1.ResponseHead] = []
+    errors: list[http1.HttpError] = []
+    sent = False
+
+    async with anyio.create_task_group() as group:
+
+        async def run_send() -> None:
+            nonlocal sent
+            try:
+                await send()
+                sent = True
+            except http1.HttpError as error:
+                errors.append(error)
+                group.cancel_scope.cancel()
+
+        async def run_receive() -> None:
+            try:
+                heads.append(await watch.receive_head())
+            except http1.HttpError as error:
+                errors.append(error)
+            group.cancel_scope.cancel()
+
+        group.start_soon(run_send)
+        group.start_soon(run_receive)
+    if not sent:
+        connection.reusable = False
+    if heads:
+        return heads[0]
+    raise errors[0]
