Test random interleavings of kills, freezes, cuts and lost answers

Cause: at most once and true refusals were not tested under faults. Change: an in-memory world of three nodes, targets and a table with outages, lost and late writes; connections are cut, silent, late, doubled or crossed. Also: a stopping process refuses background tasks in place of failing.

--- a/src/waxwingferry/process/background.py
+++ b/src/waxwingferry/process/background.py
@@ -6,6 +6,12 @@
 import anyio
 import anyio.abc
 
+from waxwingferry.connection import http1
+
+
+class StoppedError(http1.ConnectionLostError):
+    """The process is stopping and starts nothing more."""
+
 
 class Background:
     """A group of tasks that lives as long as the process."""
@@ -17,12 +23,20 @@
 
     async def run(self) -> None:
         """Runs until cancelled; tasks can be started meanwhile."""
-        async with anyio.create_task_group() as self.group:
-            await anyio.sleep_forever()
+        try:
+            async with anyio.create_task_group() as self.group:
+                await anyio.sleep_forever()
+        finally:
+            self.group = None
 
     def start_soon(self, run: Callable[..., Awaitable], *args) -> None:
-        """Starts a task that a cancelled request doesn't take along."""
-        assert self.group is not None, "Background.run is not running"
+        """Starts a task that a cancelled request doesn't take along.
+
+        Raises:
+            StoppedError: The process is stopping.
+        """
+        if self.group is None or self.group.cancel_scope.cancel_called:
+            raise StoppedError("the process is stopping")
         self.active += 1
         self.group.start_soon(self._run_one, run, args)
 
--- /dev/null
+++ b/src/waxwingferry/request/tests/network.py
@@ -0,0 +1,185 @@
+"""An in-memory network whose connections are cut, silent, late or crossed."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import os
+import random
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from waxwingferry.connection import pool
+
+CALLER_PORT = 1
+_QUIET_FD = os.pipe()[0]
+
+
+class _Socket:
+    """Stands in for a raw socket that is never readable."""
+
+    def setsockopt(self, *args) -> None:
+        """Ignores the option."""
+
+    def fileno(self) -> int:
+        """Returns a file descriptor on which nothing ever arrives."""
+        return _QUIET_FD
+
+
+class Stream(anyio.abc.ByteStream):
+    """One end of a connection.
+
+    Attributes:
+        fault: "", "cut", "silent", "late", "doubled" or "crossed".
+        after: Bytes that pass in this direction before the fault.
+        answers: Whether this end sends answers.
+    """
+
+    def __init__(self, network: "Network", fault: str = "", after: int = 0):
+        self.network = network
+        self.fault = fault
+        self.after = after
+        self.answers = False
+        self.peer: Stream = self
+        self.parts: list[bytes] = []
+        self.ended = False
+        self.closed = False
+        self.frozen: Callable[[], bool] = lambda: False
+        self.changed = anyio.Event()
+
+    @property
+    def extra_attributes(self) -> Mapping[Any, Callable[[], Any]]:
+        """Offers a raw socket, as TCP streams do."""
+        return {anyio.abc.SocketAttribute.raw_socket: _Socket}
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        """Returns the next bytes."""
+        while self.frozen() or not self.parts:
+            if self.closed:
+                raise anyio.ClosedResourceError
+            if self.ended and not self.parts:
+                raise anyio.EndOfStream
+            with anyio.move_on_after(0.02 if self.frozen() else None):
+                await self.changed.wait()
+        return self.parts.pop(0)
+
+    def deliver(self, data: bytes) -> None:
+        """Takes bytes from the network."""
+        self.parts.append(data)
+        self._wake()
+
+    async def send(self, data: bytes) -> None:
+        """Sends bytes, as far as the connection's fault lets them pass."""
+        await anyio.lowlevel.checkpoint()
+        if self.closed or self.ended:
+            raise anyio.BrokenResourceError
+        passed, data = data[: self.after], data[self.after :]
+        self.after -= len(passed)
+        if not self.fault:
+            passed, data = passed + data, b""
+        if passed:
+            self.peer.deliver(passed)
+        if not data:
+            return
+        match self.fault:
+            case "cut":
+                self.end()
+                self.peer.end()
+            case "late":
+                delay_s = self.network.rng.uniform(0.1, 1.2)
+                self.network.later(delay_s, self.peer.deliver, data)
+            case "doubled" if self.answers:
+                self.peer.deliver(data)
+                self.peer.deliver(data)
+            case "crossed" if self.answers:
+                self.network.cross(self.peer, data)
+            case "doubled" | "crossed":
+                self.peer.deliver(data)
+
+    def end(self) -> None:
+        """Ends the direction towards this end."""
+        self.ended = True
+        self._wake()
+
+    async def send_eof(self) -> None:
+        """Is not used."""
+
+    async def aclose(self) -> None:
+        """Closes the connection; a silent one doesn't tell its peer."""
+        if not self.closed:
+            self.closed = True
+            self._wake()
+            if self.fault != "silent":
+                self.peer.end()
+
+
+class Network:
+    """Connects in-memory servers.
+
+    Args:
+        rng: Source of all faults.
+        group: Runs delayed deliveries and accepted connections.
+        fault_rate: Share of connections with a fault.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        group: anyio.abc.TaskGroup,
+        fault_rate: float,
+    ):
+        self.rng = rng
+        self.group = group
+        self.fault_rate = fault_rate
+        self.servers: dict[tuple[str, int], Callable] = {}
+        self.faults: dict[str, int] = {}
+        self.crossing: list[tuple[Stream, bytes]] = []
+
+    def later(self, delay_s: float, run: Callable, *args) -> None:
+        """Calls a function after a delay."""
+
+        async def wait() -> None:
+            await anyio.sleep(delay_s)
+            run(*args)
+
+        self.group.start_soon(wait)
+
+    def cross(self, receiver: Stream, data: bytes) -> None:
+        """Exchanges the answers of two connections."""
+        self.crossing.append((receiver, data))
+        if len(self.crossing) == 2:
+            (one, first), (two, second) = self.crossing
+            self.crossing = []
+            one.deliver(second)
+            two.deliver(first)
+
+    def draw_fault(self) -> tuple[str, int]:
+        """Returns the fault of a new connection."""
+        if self.rng.random() >= self.fault_rate:
+            return "", 0
+        kinds = ("cut", "silent", "late", "doubled", "crossed")
+        fault = self.rng.choice(kinds)
+        self.faults[fault] = self.faults.get(fault, 0) + 1
+        return fault, self.rng.choice((0, self.rng.randrange(1500)))
+
+    async def connect(self, host: str, port: int) -> Stream:
+        """Opens a connection; an address without a server refuses."""
+        await anyio.lowlevel.checkpoint()
+        accept = self.servers.get((host, port))
+        if accept is None:
+            refused = ConnectionRefusedError()
+            raise pool.ConnectError(f"{host}:{port} refused") from refused
+        fault, after = self.draw_fault()
+        near = Stream(self, fault, after)
+        far = Stream(self, fault, after if fault == "silent" else after // 4)
+        # The answers of callers' own connections are not mixed up.
+        far.answers = port != CALLER_PORT
+        if fault == "cut" and self.rng.random() < 0.5:
+            near.fault = ""
+        near.peer, far.peer = far, near
+        accept(far)
+        return near
--- /dev/null
+++ b/src/waxwingferry/request/tests/test_interleavings.py
@@ -0,0 +1,73 @@
+"""Transfers under random kills, freezes, cuts and lost answers."""
+
+import collections
+
+import anyio
+
+from waxwingferry.request.tests import world as worlds
+
+TRANSFERS = 60
+SENDS = 3
+WORLDS = 6
+
+
+async def run_transfers(world: worlds.World) -> None:
+    """Sends transfers while nodes, connections and the table fail."""
+    replies: list[worlds.Reply] = []
+    rng = world.rng
+
+    async def transfer(number: int) -> None:
+        await anyio.sleep(rng.uniform(0, 1.0))
+        keyed = number % 3 > 0
+        read = number % 6 == 0
+        for copy in range(SENDS if keyed else 1):
+            node = rng.choice(world.nodes).name
+            request = f"{'read' if read else 'send'}-{number}-{copy}"
+            reply = await world.send(
+                node,
+                request,
+                f"key-{number}" if keyed else "",
+                "GET" if read else "POST",
+                "/prices" if read else "/transfers",
+            )
+            replies.append(reply)
+            if rng.random() < 0.5 and reply.outcome == "answered":
+                return
+
+    async def disturb() -> None:
+        while True:
+            await anyio.sleep(rng.uniform(0.05, 0.4))
+            node = rng.choice(world.nodes)
+            match rng.randrange(4):
+                case 0:
+                    world.kill(node)
+                case 1 | 2:
+                    node.frozen = not node.frozen
+                case 3:
+                    world.table.down = not world.table.down
+
+    async with anyio.create_task_group() as group:
+        async with anyio.create_task_group() as callers:
+            group.start_soon(disturb)
+            for number in range(TRANSFERS):
+                callers.start_soon(transfer, number)
+        group.cancel_scope.cancel()
+    # Work that was sent may still run; a refusal holds for all time.
+    for node in world.nodes:
+        node.frozen = False
+    await anyio.sleep(1.3)
+    worlds.check(world, replies)
+    ended = collections.Counter(reply.outcome for reply in replies)
+    assert ended["answered"], ended
+    print(sorted(ended.items()), sorted(world.network.faults.items()))
+
+
+def test_random_interleavings() -> None:
+    """Guards against a second run, an untrue refusal and a wrong answer."""
+    worlds.run_worlds(
+        [
+            worlds.World(seed, fault_rate=0.25, table_fault_rate=0.1)
+            for seed in range(WORLDS)
+        ],
+        run_transfers,
+    )
--- /dev/null
+++ b/src/waxwingferry/request/tests/world.py
@@ -0,0 +1,392 @@
+"""Nodes, targets and a table in memory, with faults drawn from a seed."""
+
+import asyncio
+import json
+import random
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from waxwingferry.connection import http1
+from waxwingferry.connection import serve
+from waxwingferry.process import attempts
+from waxwingferry.process import background
+from waxwingferry.process import members
+from waxwingferry.process import metrics
+from waxwingferry.process import platform
+from waxwingferry.process import routing
+from waxwingferry.process import target
+from waxwingferry.request import call
+from waxwingferry.request import claim
+from waxwingferry.request import entry
+from waxwingferry.request import forward
+from waxwingferry.request import peer
+from waxwingferry.request import receive
+from waxwingferry.request import running
+from waxwingferry.request.tests import network
+from waxwingferry.version import document
+
+PEER_PORT, TARGET_PORT = 2, 3
+
+DOCUMENT = document.Document.model_validate(
+    {
+        "services": [
+            {
+                "name": "registry",
+                "routes": [
+                    {
+                        "path_prefix": "/transfers",
+                        "methods": ["POST"],
+                        "deadline_ms": 1000,
+                    },
+                    {
+                        "path_prefix": "/prices",
+                        "idempotent": True,
+                        "deadline_ms": 1000,
+                    },
+                ],
+            }
+        ],
+        "budgets": {"claim_writes_per_s": 100_000},
+    }
+)
+
+
+class Table:
+    """A table with outages, lost answers and writes that land late."""
+
+    def __init__(self, rng: random.Random, fault_rate: float):
+        self.rng = rng
+        self.fault_rate = fault_rate
+        self.rows: dict[str, platform.Row] = {}
+        self.version = 0
+        self.down = False
+        self.late: list[list[platform.Write]] = []
+
+    def _fails(self) -> bool:
+        return self.down or self.rng.random() < self.fault_rate
+
+    async def read(self, key: str) -> platform.Row | None:
+        """See platform.Table."""
+        await anyio.sleep(0.001)
+        if self._fails():
+            raise platform.PlatformError("no answer")
+        return self.rows.get(key)
+
+    async def scan(self, prefix: str, after_version: int = 0):
+        """See platform.Table."""
+        return []
+
+    async def transact(self, writes: list[platform.Write]) -> list[int]:
+        """See platform.Table."""
+        await anyio.sleep(0.001)
+        if not self._fails():
+            return self.apply(writes)
+        match self.rng.randrange(3):
+            case 0 if not self.down:
+                self.apply(writes)
+            case 1:
+                self.late.append(writes)
+        raise platform.PlatformError("no answer")
+
+    def apply(self, writes: list[platform.Write]) -> list[int]:
+        """Applies a transaction now."""
+        for write in writes:
+            row = self.rows.get(write.key)
+            version = row.version if row else 0
+            if write.if_version not in (None, version):
+                raise platform.ConflictError(write.key, row)
+        for write in writes:
+            self.version += 1
+            row = platform.Row(write.key, write.value, self.version)
+            self.rows[write.key] = row
+        return [self.rows[write.key].version for write in writes]
+
+    async def run_late(self) -> None:
+        """Applies writes whose answers were lost, out of order."""
+        while True:
+            await anyio.sleep(0.05)
+            self.rng.shuffle(self.late)
+            while self.late:
+                try:
+                    self.apply(self.late.pop())
+                except platform.ConflictError:
+                    continue
+
+
+class Target:
+    """A target with a ledger of all runs that it started."""
+
+    def __init__(self, name: str, rng: random.Random, ledger: list):
+        self.name = name
+        self.rng = rng
+        self.ledger = ledger
+
+    async def handle(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        """Runs one request."""
+        body = await entry.read_body(connection)
+        assert body.rest is None
+        find = http1.find_header
+        echo = [
+            (call.ATTEMPT_HEADER, find(head.headers, call.ATTEMPT_HEADER)),
+            ("x-request-id", find(head.headers, "x-request-id")),
+        ]
+        draw = self.rng.random()
+        if draw < 0.05:
+            echo.append((target.NOT_RUN_HEADER, "true"))
+            await connection.send_head(503, echo, b"shed\n")
+            return
+        run = {
+            "request": find(head.headers, "x-request-id"),
+            "key": find(head.headers, call.KEY_HEADER),
+            "attempt": find(head.headers, call.ATTEMPT_HEADER),
+        }
+        self.ledger.append(run)
+        await anyio.sleep(self.rng.choice((0.001, 0.01, 0.7)))
+        if draw > 0.95:
+            raise http1.ConnectionLostError("target failed after it ran")
+        await connection.send_head(200, echo, json.dumps(run).encode())
+
+
+class Node:
+    """One node with its target; kill and start it to change its incarnation."""
+
+    def __init__(self, world: "World", name: str):
+        self.world = world
+        self.name = name
+        self.frozen = False
+        self.scope = anyio.CancelScope()
+        self.number = 0
+
+    def build(self) -> None:
+        """Makes the parts of a new incarnation."""
+        world = self.world
+        self.number += 1
+        self.incarnation = f"{self.name}-{self.number}"
+        counters = metrics.Metrics()
+        self.tasks = background.Background()
+        self.receiver = receive.Receiver(self.incarnation, lambda: False)
+        self.receiver.announce(
+            target.Announcement(
+                service="registry",
+                version="v1",
+                slots=50,
+                host=self.name,
+                port=TARGET_PORT,
+                incarnation="t1",
+            )
+        )
+        assert self.receiver.link is not None
+        self.receiver.link.pool.connect = world.network.connect
+        assert self.receiver.admission is not None
+        self.receiver.admission.limit = 50
+        self.known = members.Members(world.table, self.name, world.rng)
+        runner = running.AttemptRunner(
+            self.receiver, attempts.Attempts(), self.tasks, counters
+        )
+        self.counters = counters
+        budget = claim.ClaimBudget(lambda: 100_000.0)
+        self.claims = claim.Claims(
+            world.table, self.tasks, budget, counters, world.rng
+        )
+        revision = document.Revision(1, DOCUMENT)
+        self.forwarder = forward.Forwarder(counters, world.network.connect)
+        self.entry = entry.Entry(
+            self.name,
+            lambda: revision,
+            self.known,
+            routing.Router(world.rng),
+            self.forwarder,
+            runner,
+            self.claims,
+            counters,
+            world.rng,
+        )
+        self.peer = peer.PeerHandler(self.receiver, runner, lambda: revision)
+
+    async def run(self) -> None:
+        """Runs one incarnation until it is killed."""
+        self.build()
+        handlers = {
+            network.CALLER_PORT: serve.Server(self.entry.handle),
+            PEER_PORT: serve.Server(self.peer.handle, 0.2),
+        }
+        with anyio.CancelScope() as self.scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.tasks.run)
+                group.start_soon(self.claims.settler.run)
+                for port, server in handlers.items():
+                    group.start_soon(server._tick)
+                    self.world.accept(self, port, server, group)
+                self.world.announce(self)
+                await anyio.sleep_forever()
+        for port in handlers:
+            self.world.network.servers.pop((self.name, port), None)
+
+    async def run_forever(self) -> None:
+        """Starts a new incarnation whenever the last was killed."""
+        while True:
+            await self.run()
+            await anyio.sleep(self.world.rng.uniform(0, 0.3))
+
+
+class World:
+    """Three nodes, three targets and one table.
+
+    Args:
+        seed: Seed of all faults.
+        fault_rate: Share of connections with a fault.
+        table_fault_rate: Share of platform requests that fail.
+    """
+
+    def __init__(
+        self, seed: int, fault_rate: float = 0, table_fault_rate: float = 0
+    ):
+        self.rng = random.Random(seed)
+        self.fault_rate = fault_rate
+        self.table = Table(self.rng, table_fault_rate)
+        self.ledger: list[dict[str, str]] = []
+        self.nodes: list[Node] = []
+
+    async def start(self, group: anyio.abc.TaskGroup) -> None:
+        """Starts everything in a task group."""
+        self.network = network.Network(self.rng, group, self.fault_rate)
+        group.start_soon(self.table.run_late)
+        for name in ("n1", "n2", "n3"):
+            node = Node(self, name)
+            self.nodes.append(node)
+            server = serve.Server(Target(name, self.rng, self.ledger).handle)
+            group.start_soon(server._tick)
+            self.accept(None, TARGET_PORT, server, group, name)
+            group.start_soon(node.run_forever)
+        await anyio.sleep(0.02)
+
+    def accept(self, node, port, server, group, name="") -> None:
+        """Lets a server accept connections."""
+
+        def accept(stream: network.Stream) -> None:
+            if node is not None:
+                stream.frozen = lambda: node.frozen
+            group.start_soon(server._serve_connection, stream)
+
+        self.network.servers[(name or node.name, port)] = accept
+
+    def announce(self, node: Node) -> None:
+        """Tells all nodes of a new incarnation, most of them a little late."""
+        row: dict[str, Any] = {
+            "service": "registry",
+            "version": "v1",
+            "region": "r1",
+            "failure_domain": "d1",
+            "host": node.name,
+            "peer_port": PEER_PORT,
+            "incarnation": node.incarnation,
+            "state": "ready",
+            "slots": 50,
+        }
+        for other in self.nodes:
+            delay_s = 0 if other is node else self.rng.uniform(0, 0.2)
+            known = getattr(other, "known", None)
+            if known is not None:
+                self.network.later(delay_s, known.apply, node.name, row)
+            if other is not node and known is not None:
+                mine = other.known.candidates.get(other.name)
+                if mine is not None:
+                    values = {key: getattr(mine, key) for key in row}
+                    node.known.apply(other.name, values)
+
+    def kill(self, node: Node) -> None:
+        """Stops a node at once; its connections are cut."""
+        node.scope.cancel()
+
+    async def send(
+        self,
+        node: str,
+        request: str,
+        key: str = "",
+        method: str = "POST",
+        path: str = "/transfers",
+    ) -> "Reply":
+        """Sends one request as a caller; returns what came back."""
+        headers = [("x-request-id", request)]
+        if key:
+            headers.append((call.KEY_HEADER, key))
+        reply = Reply(request, key)
+        try:
+            stream = await self.network.connect(node, network.CALLER_PORT)
+        except Exception:  # noqa: BLE001
+            return reply
+        connection = http1.ClientConnection(stream)
+        try:
+            with anyio.fail_after(2):
+                body = b"{}" if method == "POST" else b""
+                await connection.send_request(method, path, headers, body)
+                head = await connection.receive_head(2)
+                text = b""
+                while chunk := await connection.receive_chunk(2):
+                    text += chunk
+            reply.head, reply.body = head, text
+        except (http1.HttpError, TimeoutError):
+            pass
+        finally:
+            await connection.close()
+        return reply
+
+
+class Reply:
+    """What a caller saw of one send."""
+
+    def __init__(self, request: str, key: str):
+        self.request = request
+        self.key = key
+        self.head: http1.ResponseHead | None = None
+        self.body = b""
+
+    def field(self, name: str) -> str:
+        """Returns a field of the answer, "" without an answer."""
+        return http1.find_header(self.head.headers, name) if self.head else ""
+
+    @property
+    def outcome(self) -> str:
+        """Returns x-waxwing-outcome, "" without an answer."""
+        return self.field("x-waxwing-outcome")
+
+
+def check(world: World, replies: list[Reply]) -> None:
+    """Checks the promises against the targets' ledgers."""
+    runs: dict[str, list[dict[str, str]]] = {}
+    for run in world.ledger:
+        runs.setdefault(run["key"] or run["request"], []).append(run)
+    for name, found in runs.items():
+        if not name.startswith("read"):
+            assert len(found) == 1, f"{name} ran {len(found)} times: {found}"
+    ran = {run["request"] for run in world.ledger}
+    for reply in replies:
+        if reply.outcome == "not-run":
+            reason = reply.field("x-waxwing-reason")
+            assert reply.request not in ran, f"not run is untrue: {reason}"
+        if reply.outcome != "answered":
+            continue
+        run = json.loads(reply.body)
+        assert (run["key"] or run["request"]) == (reply.key or reply.request)
+        assert run in world.ledger
+
+
+def run_worlds(worlds: list[World], body) -> None:
+    """Runs worlds side by side, each with a coroutine function."""
+
+    async def run_one(world: World) -> None:
+        async with anyio.create_task_group() as group:
+            await world.start(group)
+            await body(world)
+            group.cancel_scope.cancel()
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            for world in worlds:
+                group.start_soon(run_one, world)
+
+    asyncio.run(main())
