--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -2,9 +2,8 @@
 
 This module is the only place that knows how targets are spoken to. A target
 posts its announcement to the node's local port every second, and serves
-requests over HTTP/1.1. It echoes x-waxwing-attempt in its answers; the
-connection of an answer without it is not used again, because a second answer
-on it could be taken for that of the next request. It answers 503 with
+requests over HTTP/1.1. It echoes x-waxwing-attempt in all answers; one without
+it could belong to another request and is dropped. It answers 503 with
 "x-target-not-run: true" when it refuses before starting.
 """
 
@@ -121,7 +120,6 @@
     echoed = http1.find_header(head.headers, call.ATTEMPT_HEADER)
     if echoed != attempt.attempt_id:
         connection.reusable = False
-    if echoed and echoed != attempt.attempt_id:
         return outcome.Unknown(outcome.Reason.ANSWER_MISMATCH)
     if not head.framed:
         # Without a length a cut answer can't be told from a whole one.
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -128,16 +128,17 @@
         connection: http1.ServerConnection,
         attempt_id: str,
         found: attempts.Resolution,
-        with_answer: bool,
+        fence: bool,
     ) -> None:
         record = self.records.records.get(attempt_id)
         sent_bytes = record.sent_bytes if record is not None else 0
+        field = resolve.RESOLUTION_HEADER if fence else resolve.SEEN_HEADER
         headers = self._node_headers() + [
             (call.ATTEMPT_HEADER, attempt_id),
-            (resolve.RESOLUTION_HEADER, found.value),
+            (field, found.value),
             (resolve.SENT_BYTES_HEADER, str(sent_bytes)),
         ]
-        if found is not attempts.Resolution.ANSWER or not with_answer:
+        if found is not attempts.Resolution.ANSWER or not fence:
             await connection.send_head(200, headers, b"")
             return
         assert record is not None
--- a/src/waxwingferry/request/resolve.py
+++ b/src/waxwingferry/request/resolve.py
@@ -15,7 +15,10 @@
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
+# What is proven, in the answer to a resolve; it holds from then on.
 RESOLUTION_HEADER = "x-waxwing-resolution"
+# The same in the answer to a look, which leaves no fence.
+SEEN_HEADER = "x-waxwing-seen"
 SENT_BYTES_HEADER = "x-waxwing-sent-bytes"
 WAIT_HEADER = "x-waxwing-wait-ms"
 
@@ -188,8 +191,9 @@
         return None
     if find(head.headers, call.INCARNATION_HEADER) != candidate.incarnation:
         raise NodeGoneError
+    field = SEEN_HEADER if method == "GET" else RESOLUTION_HEADER
     try:
-        resolution = attempts.Resolution(find(head.headers, RESOLUTION_HEADER))
+        resolution = attempts.Resolution(find(head.headers, field))
         sent_bytes = int(find(head.headers, SENT_BYTES_HEADER, "0"))
     except ValueError:
         return None
