--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -118,6 +118,7 @@
             "local_port": member.ports["local"],
             "peer_port": member.ports["peer"],
             "admin_port": member.ports["admin"],
+            "advertised_peer_port": member.ports.get("relay"),
             "region": "r1",
             "failure_domain": member.failure_domain,
             "platform_url": self.platform_url,
--- /dev/null
+++ b/src/waxwingferry/bench/experiments/at_most_once.py
@@ -0,0 +1,185 @@
+"""Transfers while nodes, targets, connections and the platform fail.
+
+Nodes and targets are killed (SIGKILL), stopped and continued (SIGSTOP,
+SIGCONT), connections between nodes are cut or go silent, and the platform is
+down, slow or loses answers, at random steps of transfers. Callers send again
+with the same key to another node. The targets' ledgers, which outlive their
+processes, show how often each transfer ran.
+"""
+
+import random
+import signal
+import time
+
+import anyio
+import httpx
+
+from waxwingferry.bench import cluster
+from waxwingferry.bench import experiment
+from waxwingferry.bench import transfers
+from waxwingferry.emulator import relay
+
+TARGETS = 4
+CALLERS = 16
+SETTLE_S = 3.0
+
+
+class Disturber:
+    """Brings about one fault after the other.
+
+    Args:
+        running: The processes.
+        relays: Relays between the nodes.
+        rng: Source of all choices.
+        client: HTTP client for the stand-ins' controls.
+    """
+
+    def __init__(
+        self,
+        running: cluster.Cluster,
+        relays: list[relay.Relay],
+        rng: random.Random,
+        client: httpx.AsyncClient,
+    ):
+        self.running = running
+        self.relays = relays
+        self.rng = rng
+        self.client = client
+        self.counts: dict[str, int] = {}
+
+    async def run(self, duration_s: float) -> None:
+        """Brings about faults for a time, then mends everything."""
+        faults = (
+            self.kill_node,
+            self.kill_target,
+            self.freeze_node,
+            self.freeze_target,
+            self.cut,
+            self.silence,
+            self.fail_platform,
+        )
+        end_s = time.monotonic() + duration_s
+        while time.monotonic() < end_s:
+            await anyio.sleep(self.rng.uniform(0.1, 0.4))
+            fault = self.rng.choice(faults)
+            self.counts[fault.__name__] = self.counts.get(fault.__name__, 0) + 1
+            await fault()
+        await self.running.set_platform_faults(self.client)
+
+    def _member(self) -> cluster.Member:
+        return self.rng.choice(self.running.members)
+
+    async def kill_node(self) -> None:
+        """Kills a node and starts it again."""
+        member = self._member()
+        assert member.node is not None
+        member.node.kill()
+        member.node.wait()
+        self.running.start_node(member)
+
+    async def kill_target(self) -> None:
+        """Kills a target and starts it again."""
+        member = self._member()
+        assert member.target is not None
+        member.target.kill()
+        member.target.wait()
+        self.running.start_target(member)
+
+    async def _freeze(self, process) -> None:
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await anyio.sleep(self.rng.choice((0.1, 0.7, 2.5)))
+        finally:
+            process.send_signal(signal.SIGCONT)
+
+    async def freeze_node(self) -> None:
+        """Stops a node for a while."""
+        await self._freeze(self._member().node)
+
+    async def freeze_target(self) -> None:
+        """Stops a target for a while."""
+        await self._freeze(self._member().target)
+
+    async def cut(self) -> None:
+        """Cuts the connections to one node."""
+        self.rng.choice(self.relays).cut()
+
+    async def silence(self) -> None:
+        """Makes the connections to one node silent for good."""
+        self.rng.choice(self.relays).silence()
+
+    async def fail_platform(self) -> None:
+        """Makes the platform fail for a while."""
+        faults = self.rng.choice(
+            (
+                {"down": True},
+                {"lose_share": 0.5},
+                {"fail_share": 0.5},
+                {"delay_s": 0.3},
+                {"lose_answers": 3},
+            )
+        )
+        seed = self.rng.randrange(1000)
+        await self.running.set_platform_faults(self.client, **faults, seed=seed)
+        await anyio.sleep(self.rng.uniform(0.2, 1.0))
+        await self.running.set_platform_faults(self.client)
+
+
+def make_relays(running: cluster.Cluster) -> list[relay.Relay]:
+    """Puts a relay before the peer port of each node."""
+    relays = []
+    for member in running.members:
+        member.ports["relay"] = running.take_port()
+        relays.append(relay.Relay(member.ports["relay"], member.ports["peer"]))
+    return relays
+
+
+async def run(options: experiment.Options) -> experiment.Report:
+    """Runs the experiment."""
+    report = experiment.Report()
+    rng = random.Random(options.seed)
+    running = cluster.Cluster(
+        {"registry": TARGETS},
+        transfers.DOCUMENT,
+        behaviour={"service_time_ms": 100.0, "cut_share": 0.02},
+        first_port=options.first_port,
+        seed=options.seed,
+    )
+    relays = make_relays(running)
+    async with anyio.create_task_group() as group:
+        try:
+            for item in relays:
+                group.start_soon(item.serve)
+            await running.start()
+            await _run_load(running, relays, rng, options, report)
+        finally:
+            running.stop()
+        group.cancel_scope.cancel()
+    return report
+
+
+async def _run_load(
+    running: cluster.Cluster,
+    relays: list[relay.Relay],
+    rng: random.Random,
+    options: experiment.Options,
+    report: experiment.Report,
+) -> None:
+    load = transfers.Transfers(running.members, rng)
+    async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
+        disturber = Disturber(running, relays, rng, client)
+        async with anyio.create_task_group() as work:
+            work.start_soon(load.run, CALLERS, options.duration_s)
+            work.start_soon(disturber.run, options.duration_s)
+        # Refusals hold for all time: late attempts may still arrive.
+        await anyio.sleep(SETTLE_S)
+        events = await transfers.read_events(client, running.members)
+    load.check(running.read_ledgers(), report)
+    faults = experiment.Table("faults", ["fault", "n"])
+    faults.rows = [[*item] for item in sorted(disturber.counts.items())]
+    report.tables = [
+        load.table("transfers by outcome"),
+        faults,
+        transfers.events_table(events),
+    ]
+    report.figures = {"events": events, "faults": disturber.counts}
--- /dev/null
+++ b/src/waxwingferry/bench/experiments/silent_connection.py
@@ -0,0 +1,164 @@
+"""Connections between nodes that go silent, told apart from slow targets.
+
+A relay before each node stops passing bytes on the connections that are open
+at a moment, while new ones work. The same load is run without faults, against
+slow targets, with silent connections, and with nodes stopped for a while.
+"""
+
+import collections
+import random
+import signal
+import time
+
+import anyio
+import httpx
+
+from waxwingferry.bench import cluster
+from waxwingferry.bench import experiment
+from waxwingferry.bench import transfers
+from waxwingferry.bench.experiments import at_most_once
+from waxwingferry.emulator import relay
+
+TARGETS = 3
+CALLERS = 8
+SLOW_MS = 700.0
+FAST_MS = 20.0
+# Three missing intervals, a question and a second attempt, with a margin.
+MAX_ADDED_S = 1.2
+
+
+class Phase:
+    """One phase of the run.
+
+    Args:
+        running: The processes.
+        relays: Relays between the nodes.
+        rng: Source of all choices.
+        client: HTTP client for the stand-ins' controls.
+    """
+
+    def __init__(
+        self,
+        running: cluster.Cluster,
+        relays: list[relay.Relay],
+        rng: random.Random,
+        client: httpx.AsyncClient,
+    ):
+        self.running = running
+        self.relays = relays
+        self.rng = rng
+        self.client = client
+        self.silenced = 0
+
+    async def run(self, name: str, duration_s: float) -> transfers.Transfers:
+        """Runs the load with the faults of one phase."""
+        service_time_ms = SLOW_MS if name == "slow targets" else FAST_MS
+        for member in self.running.members:
+            await self.running.control_target(
+                self.client, member, service_time_ms=service_time_ms
+            )
+        load = transfers.Transfers(self.running.members, self.rng, name)
+        async with anyio.create_task_group() as group:
+            if name == "silent connections":
+                group.start_soon(self._silence)
+            if name == "stopped nodes":
+                group.start_soon(self._freeze)
+            await load.run(CALLERS, duration_s)
+            group.cancel_scope.cancel()
+        return load
+
+    async def _silence(self) -> None:
+        while True:
+            await anyio.sleep(self.rng.uniform(0.3, 0.8))
+            self.silenced += self.rng.choice(self.relays).silence()
+
+    async def _freeze(self) -> None:
+        while True:
+            await anyio.sleep(self.rng.uniform(0.3, 0.8))
+            node = self.rng.choice(self.running.members).node
+            assert node is not None
+            node.send_signal(signal.SIGSTOP)
+            try:
+                await anyio.sleep(self.rng.uniform(0.5, 1.0))
+            finally:
+                node.send_signal(signal.SIGCONT)
+
+
+PHASES = ("no faults", "slow targets", "silent connections", "stopped nodes")
+
+
+async def run(options: experiment.Options) -> experiment.Report:
+    """Runs the experiment."""
+    report = experiment.Report()
+    rng = random.Random(options.seed)
+    running = cluster.Cluster(
+        {"registry": TARGETS},
+        transfers.DOCUMENT,
+        first_port=options.first_port,
+        seed=options.seed,
+    )
+    relays = at_most_once.make_relays(running)
+    async with anyio.create_task_group() as group:
+        try:
+            for item in relays:
+                group.start_soon(item.serve)
+            await running.start()
+            async with httpx.AsyncClient(trust_env=False) as client:
+                phase = Phase(running, relays, rng, client)
+                await _run_phases(phase, options.duration_s, report)
+        finally:
+            running.stop()
+        group.cancel_scope.cancel()
+    return report
+
+
+async def _run_phases(
+    phase: Phase, duration_s: float, report: experiment.Report
+) -> None:
+    counts = experiment.Table("silent connections counted", ["phase", "n"])
+    loads: list[transfers.Transfers] = []
+    before = 0
+    for name in PHASES:
+        begin_s = time.monotonic()
+        loads.append(await phase.run(name, duration_s))
+        events = await transfers.read_events(
+            phase.client, phase.running.members
+        )
+        silent = events.get("connection_silent", 0)
+        counts.rows.append([name, silent - before])
+        _check_phase(name, loads[-1], silent - before, report)
+        before = silent
+        report.figures[name] = {
+            "time_s": time.monotonic() - begin_s,
+            "outcomes": collections.Counter(s.outcome for s in loads[-1].sends),
+        }
+        report.tables.append(loads[-1].table(name))
+    ledgers = phase.running.read_ledgers()
+    for load in loads:
+        load.check(ledgers, report)
+    report.tables += [counts, transfers.events_table(events)]
+    report.figures["silenced"] = phase.silenced
+
+
+def _check_phase(
+    name: str,
+    load: transfers.Transfers,
+    silent: int,
+    report: experiment.Report,
+) -> None:
+    if name in ("no faults", "slow targets"):
+        # A slow target may run into the deadline; it is never called silent.
+        report.check(
+            "a slow target is not taken for silence",
+            silent == 0,
+            f"{silent} in phase {name}",
+        )
+    if name != "silent connections":
+        return
+    report.check("silence is found", silent > 0, "none counted")
+    for send in load.sends:
+        report.check(
+            "silence is found within three intervals",
+            send.latency_s < MAX_ADDED_S,
+            f"{send.request.request_id} took {send.latency_s:.2f} s",
+        )
--- /dev/null
+++ b/src/waxwingferry/bench/transfers.py
@@ -0,0 +1,188 @@
+"""Transfers that are sent again with their key, and what must hold of them."""
+
+import collections
+import json
+import random
+import time
+
+import anyio
+import httpx
+
+from waxwingferry.bench import cluster
+from waxwingferry.bench import experiment
+from waxwingferry.bench import load
+
+DEADLINE_MS = 2000
+MAX_SENDS = 4
+UNKEYED_SHARE = 0.25
+SECOND_SEND_SHARE = 0.2
+
+DOCUMENT = {
+    "services": [
+        {
+            "name": "registry",
+            "routes": [
+                {
+                    "path_prefix": "/registry/",
+                    "idempotent": True,
+                    "deadline_ms": DEADLINE_MS,
+                },
+                {
+                    "path_prefix": "/registry/transfers",
+                    "methods": ["POST"],
+                    "deadline_ms": DEADLINE_MS,
+                },
+            ],
+        }
+    ],
+    "failure_domains": [
+        {"name": f"d{number}", "region": "r1"} for number in range(1, 5)
+    ],
+    "budgets": {"claim_writes_per_s": 2000},
+}
+
+
+class Transfers:
+    """Callers of one run; each send has a request id of its own.
+
+    Args:
+        members: Nodes that transfers are sent to.
+        rng: Source of all choices.
+        prefix: Start of the transfers' names.
+    """
+
+    def __init__(
+        self,
+        members: list[cluster.Member],
+        rng: random.Random,
+        prefix: str = "t",
+    ):
+        self.prefix = prefix.replace(" ", "-")
+        self.members = members
+        self.rng = rng
+        self.sends: list[load.Result] = []
+        self.client = load.Client(timeout_s=5.0)
+        self.number = 0
+
+    async def run(self, callers: int, duration_s: float) -> None:
+        """Makes transfers one after the other with several callers."""
+        end_s = time.monotonic() + duration_s
+        async with anyio.create_task_group() as group:
+            for _ in range(callers):
+                group.start_soon(self._run_caller, end_s)
+
+    async def _run_caller(self, end_s: float) -> None:
+        while time.monotonic() < end_s:
+            self.number += 1
+            name = f"{self.prefix}{self.number}"
+            keyed = self.rng.random() >= UNKEYED_SHARE
+            await self._transfer(name, keyed)
+            await anyio.sleep(self.rng.expovariate(20))
+
+    async def _transfer(self, name: str, keyed: bool) -> None:
+        for copy in range(MAX_SENDS if keyed else 1):
+            result = await self.send(name, f"{name}/{copy}", keyed)
+            answered = result.outcome == "answered"
+            if answered and self.rng.random() >= SECOND_SEND_SHARE:
+                return
+            await anyio.sleep(self.rng.uniform(0.02, 0.3))
+
+    async def send(self, name: str, request_id: str, keyed: bool):
+        """Sends a transfer once, to a random node."""
+        member = self.rng.choice(self.members)
+        request = load.Request(
+            ("127.0.0.1", member.ports["caller"]),
+            "POST",
+            "/registry/transfers",
+            name,
+            request_id,
+            [("idempotency-key", name)] if keyed else [],
+            b'{"quota_kg": 100}',
+        )
+        result = await self.client.send(request, time.monotonic())
+        self.sends.append(result)
+        return result
+
+    def check(
+        self,
+        ledgers: dict[str, list[dict]],
+        report: experiment.Report,
+    ) -> None:
+        """Checks every transfer against the targets' ledgers."""
+        runs = collections.Counter(
+            entry["request"].partition("/")[0]
+            for entries in ledgers.values()
+            for entry in entries
+            if entry["write"]
+        )
+        ran = {e["request"] for items in ledgers.values() for e in items}
+        for name in {send.request.label for send in self.sends}:
+            report.check(
+                "a transfer runs at most once",
+                runs[name] <= 1,
+                f"{name} ran {runs[name]} times",
+            )
+        for send in self.sends:
+            self._check_send(send, ran, report)
+
+    def _check_send(
+        self, send: load.Result, ran: set[str], report: experiment.Report
+    ) -> None:
+        request_id = send.request.request_id
+        if send.outcome == "not-run":
+            report.check(
+                "not run is true",
+                request_id not in ran,
+                f"{request_id} {send.reason}",
+            )
+        if send.outcome != "answered" or send.status != 200:
+            return
+        found = json.loads(send.body)["request"]
+        report.check(
+            "an answer belongs to its request",
+            found.partition("/")[0] == send.request.label,
+            f"{request_id} got the answer of {found}",
+        )
+        report.check(
+            "an answered transfer has run",
+            found in ran,
+            f"{found} is in no ledger",
+        )
+
+    def table(self, title: str) -> experiment.Table:
+        """Returns a table of outcomes and reasons."""
+        table = experiment.Table(title, ["outcome", "sends", "p50 s", "max s"])
+        groups: dict[str, list[float]] = {}
+        for send in self.sends:
+            name = f"{send.outcome} {send.reason}".strip()
+            groups.setdefault(name, []).append(send.latency_s)
+        for name, values in sorted(groups.items()):
+            values.sort()
+            middle = values[len(values) // 2]
+            table.rows.append([name, len(values), middle, values[-1]])
+        return table
+
+
+async def read_events(
+    client: httpx.AsyncClient, members: list[cluster.Member]
+) -> dict[str, int]:
+    """Returns the event counters of all nodes that run, added up."""
+    total: collections.Counter[str] = collections.Counter()
+    for member in members:
+        url = f"http://127.0.0.1:{member.ports['admin']}/metrics"
+        try:
+            text = (await client.get(url)).text
+        except httpx.HTTPError:
+            continue
+        for line in text.splitlines():
+            if line.startswith("waxwingferry_events_total{"):
+                name = line.partition('event="')[2].partition('"')[0]
+                total[name] += int(float(line.rpartition(" ")[2]))
+    return dict(total)
+
+
+def events_table(events: dict[str, int]) -> experiment.Table:
+    """Returns a table of event counters."""
+    table = experiment.Table("events at nodes still running", ["event", "n"])
+    table.rows = [[name, count] for name, count in sorted(events.items())]
+    return table
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -150,7 +150,9 @@
             "region": self.options.region,
             "failure_domain": self.options.failure_domain,
             "host": self.options.host,
-            "peer_port": self.options.peer_port,
+            "peer_port": (
+                self.options.advertised_peer_port or self.options.peer_port
+            ),
             "incarnation": self.incarnation,
             "state": state,
             "slots": announcement.slots,
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -43,6 +43,8 @@
         local_port: Port on 127.0.0.1 for the node's own target.
         peer_port: Port for other nodes, TCP and UDP.
         admin_port: Port for operators.
+        advertised_peer_port: Port that other nodes connect to, if something
+            stands before peer_port.
         region: Region that the VM is in.
         failure_domain: Failure domain that the VM is in.
         platform_url: Base URL of the platform's services.
@@ -59,6 +61,7 @@
     local_port: Port
     peer_port: Port
     admin_port: Port
+    advertised_peer_port: Port | None = None
     region: Name
     failure_domain: Name
     platform_url: str
