--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -122,6 +122,7 @@
             "peer_port": member.ports["peer"],
             "admin_port": member.ports["admin"],
             "admin_tokens": {"bench": ADMIN_TOKEN},
+            "advertised_peer_port": member.ports.get("relay"),
             "region": "r1",
             "failure_domain": member.failure_domain,
             "platform_url": self.platform_url,
--- a/src/waxwingferry/connection/tcp.py
+++ b/src/waxwingferry/connection/tcp.py
@@ -6,6 +6,7 @@
 must wait. They need anyio's asyncio backend.
 """
 
+import abc
 import asyncio
 import collections
 from collections.abc import AsyncIterator
@@ -22,7 +23,25 @@
 READ_AHEAD_BYTES = 65536
 
 
-class TcpStream(asyncio.Protocol, anyio.abc.ByteStream):
+class Stream(anyio.abc.ByteStream):
+    """A byte stream with timed receives and checks that send nothing."""
+
+    @abc.abstractmethod
+    async def receive(
+        self, max_bytes: int = 65536, timeout_s: float | None = None
+    ) -> bytes:
+        """Returns the next bytes; raises TimeoutError after timeout_s."""
+
+    @abc.abstractmethod
+    def is_quiet(self) -> bool:
+        """Tells whether the connection is open and nothing has arrived."""
+
+    @abc.abstractmethod
+    def is_abandoned(self) -> bool:
+        """Tells whether the other end closed, even if bytes are unread."""
+
+
+class TcpStream(asyncio.Protocol, Stream):
     """One TCP connection.
 
     Args:
