Check each refusal as not run against the time the work began

Cause: soak never exercised "not run is true", because callers send a refused call again until it is answered.

Change: a refusal is checked against the first time that a target's ledger shows the request: it must lie after the last refusal as not run.

--- a/src/waxwingferry/bench/callers.py
+++ b/src/waxwingferry/bench/callers.py
@@ -37,10 +37,19 @@
         last = self.sends[-1]
         return last.outcome == "answered" and last.status == 200
 
-    def all_not_run(self) -> bool:
-        """Tells whether every send was refused as not run."""
-        outcomes = {result.outcome for result in self.sends}
-        return outcomes == {"not-run"}
+    def not_run_until_s(self) -> float | None:
+        """Returns until when the call can't have begun to run.
+
+        Returns:
+            Monotonic time in seconds of the last refusal as not run before
+            any other outcome, or None if the first send ended otherwise.
+        """
+        until_s = None
+        for result in self.sends:
+            if result.outcome != "not-run":
+                break
+            until_s = result.scheduled_s + result.latency_s
+        return until_s
 
 
 class Journal:
--- a/src/waxwingferry/bench/experiments/soak.py
+++ b/src/waxwingferry/bench/experiments/soak.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 import random
 import time
 
@@ -143,15 +144,21 @@
 def _check_calls(report, journal, ledgers) -> None:
     wrong = set(journal.wrong_answers())
     runs = callers.count_runs(ledgers)
-    started = {
-        entry["request"] for ledger in ledgers.values() for entry in ledger
-    }
+    started_s: dict[str, float] = {}
+    for ledger in ledgers.values():
+        for run in ledger:
+            first_s = started_s.get(run["request"], run["started_s"])
+            started_s[run["request"]] = min(first_s, run["started_s"])
+    # Ledgers hold wall-clock times of the same machine.
+    wall_offset_s = time.time() - time.monotonic()
     for entry in journal.entries:
         name = entry.request_id
         if entry.answered():
             report.check(WHOLE, name not in wrong, name)
-        if entry.all_not_run():
-            report.check(NOT_RUN, name not in started, name)
+        until_s = entry.not_run_until_s()
+        if until_s is not None:
+            begun_s = started_s.get(name, math.inf)
+            report.check(NOT_RUN, begun_s > until_s + wall_offset_s, name)
         if entry.write:
             count = runs[name]
             report.check(ONCE, count <= 1, f"{name} ran {count} times")
