--- /dev/null
+++ b/benchmarks/routing_model.py
@@ -0,0 +1,443 @@
+"""Compares the variants of waxwingferry.process.routing on the same load.
+
+Arrivals and service times come from an event queue with a virtual clock; the
+routers are the real ones, one for each entry node. Targets change their speed
+within milliseconds, and a noisy neighbour slows one target at a time.
+
+    PYTHONPATH=src python benchmarks/routing_model.py --help
+"""
+
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import json
+import random
+import sys
+
+import fire
+from waxwingferry.process import cost
+from waxwingferry.process import routing
+
+NODE_DELAY_S = 0.00005
+DOMAIN_DELAY_S = 0.0005
+REGION_DELAY_S = 0.015
+QUEUE_PER_SLOT = 2
+FAIL_FAST_S = 0.0002
+# Shape of the gamma distribution of service times: a deviation of half the
+# mean, so that the tail shows queues and slow targets rather than requests.
+SHAPE = 4.0
+
+
+@dataclasses.dataclass
+class Scenario:
+    """One load.
+
+    Attributes:
+        utilisation: Arrivals as a share of what all targets can do.
+        service_s: Mean service time at full speed.
+        shift_every_s: Mean time between slow spells of a target.
+        shift_length_s: Mean length of a slow spell.
+        shift_factor: How much slower a target is in a slow spell.
+        neighbour_factor: How much slower the noisy neighbour makes a target.
+        neighbour_s: Time until the noisy neighbour moves on.
+        failing: Targets that fail fast.
+        cold: Targets that start cold.
+    """
+
+    name: str = "shifts"
+    targets: int = 10
+    entries: int = 10
+    slots: int = 6
+    domains: int = 4
+    regions: int = 1
+    utilisation: float = 0.6
+    service_s: float = 0.005
+    duration_s: float = 6.0
+    shift_every_s: float = 0.2
+    shift_length_s: float = 0.02
+    shift_factor: float = 5.0
+    neighbour_factor: float = 3.0
+    neighbour_s: float = 0.5
+    failing: int = 0
+    cold: int = 0
+    skewed_entries: bool = False
+
+
+class Target:
+    """One target with its node: slots, limit, queue and speed."""
+
+    def __init__(self, model: "Model", number: int):
+        scenario = model.scenario
+        self.model = model
+        self.number = number
+        self.slots = scenario.slots
+        self.limit = 1 if number < scenario.cold else scenario.slots
+        self.failing = number >= scenario.targets - scenario.failing
+        self.in_flight = 0
+        self.successes = 0
+        self.queue: list[tuple[float, Callable]] = []
+        self.slow = 1.0
+        self.neighbour = 1.0
+        self.served = 0
+        self.queued = 0
+
+    def arrive(self, reply: Callable) -> None:
+        """Takes one attempt and replies with its result."""
+        if self.failing:
+            self.model.after(FAIL_FAST_S, reply, routing.Result.FAILED)
+            return
+        if self.in_flight < self.limit:
+            self._start(reply)
+            return
+        if len(self.queue) >= QUEUE_PER_SLOT * self.slots:
+            reply(routing.Result.OVERLOADED)
+            return
+        self.queued += 1
+        self.queue.append((self.model.now_s, reply))
+
+    def _start(self, reply: Callable) -> None:
+        self.in_flight += 1
+        mean_s = self.model.scenario.service_s * self.slow * self.neighbour
+        length_s = self.model.rng.gammavariate(SHAPE, mean_s / SHAPE)
+        self.model.after(length_s, self._end, reply)
+
+    def _end(self, reply: Callable) -> None:
+        self.served += 1
+        reply(routing.Result.ANSWERED)
+        self.in_flight -= 1
+        self.successes += 1
+        if self.successes >= self.limit and self.limit < self.slots:
+            self.successes = 0
+            doubled = min(self.limit * 2, max(self.slots // 2, 1))
+            self.limit = max(doubled, self.limit + 1)
+        while self.queue and self.in_flight < self.limit:
+            self._start(self.queue.pop(0)[1])
+
+    def report(self) -> routing.Load:
+        """Returns the load report as of now."""
+        return routing.Load(
+            self.in_flight, len(self.queue), self.limit, self.model.now_s
+        )
+
+
+class EntryNode:
+    """One entry node: a real router and its own view of the targets."""
+
+    def __init__(self, model: "Model", number: int, variant: routing.Variant):
+        self.model = model
+        self.place = make_place(model.scenario, number)
+        self.candidates = [
+            self._make_candidate(other)
+            for other in range(model.scenario.targets)
+        ]
+        own = model.targets[number] if number < len(model.targets) else None
+        self.router = routing.Router(
+            random.Random(model.seed * 1000 + number),
+            lambda: model.now_s,
+            variant,
+            place=self.place,
+            want_probe=self.probe,
+            own_load=(lambda: format_load(own.report())) if own else None,
+        )
+
+    def _make_candidate(self, number: int) -> routing.Candidate:
+        place = make_place(self.model.scenario, number)
+        return routing.Candidate(
+            node=place.node,
+            service="registry",
+            version="v1",
+            region=place.region,
+            failure_domain=place.failure_domain,
+            host="",
+            peer_port=number,
+            incarnation="1",
+            state="ready",
+            slots=self.model.scenario.slots,
+        )
+
+    def probe(self, candidate: routing.Candidate) -> None:
+        """Sends a probe, at most one at a time to each target."""
+        if candidate.stats.probing:
+            return
+        candidate.stats.probing = True
+        self.model.probes += 1
+        target = self.model.targets[candidate.peer_port]
+        delay_s = self.delay(candidate)
+
+        def take(report: routing.Load) -> None:
+            candidate.stats.probing = False
+            candidate.load = dataclasses.replace(
+                report, at_s=self.model.now_s
+            )
+
+        def answer() -> None:
+            self.model.after(delay_s, take, target.report())
+
+        self.model.after(delay_s, answer)
+
+    def delay(self, candidate: routing.Candidate) -> float:
+        """Returns the time one way to a candidate, in seconds."""
+        if candidate.node == self.place.node:
+            return 0.0
+        if candidate.region != self.place.region:
+            return REGION_DELAY_S
+        if candidate.failure_domain != self.place.failure_domain:
+            return DOMAIN_DELAY_S
+        return NODE_DELAY_S
+
+    def call(self) -> None:
+        """Runs one call, with one retry on another target."""
+        self.attempt(self.model.now_s, set())
+
+    def attempt(self, began_s: float, tried: set[str]) -> None:
+        """Runs one attempt."""
+        candidate = self.router.choose(self.candidates, frozenset(), tried)
+        if candidate is None:
+            self.model.refused += 1
+            return
+        self.router.begin(candidate)
+        sent_s = self.model.now_s
+        delay_s = self.delay(candidate)
+        target = self.model.targets[candidate.peer_port]
+
+        def finish(result: routing.Result, report: routing.Load) -> None:
+            candidate.load = dataclasses.replace(
+                report, at_s=self.model.now_s
+            )
+            self.router.finish(candidate)
+            self.router.observe(
+                self.candidates, candidate, result, self.model.now_s - sent_s
+            )
+            self.end(result, began_s, tried | {candidate.node})
+
+        def reply(result: routing.Result) -> None:
+            self.model.after(delay_s, finish, result, target.report())
+
+        self.model.after(delay_s, target.arrive, reply)
+
+    def end(
+        self, result: routing.Result, began_s: float, tried: set[str]
+    ) -> None:
+        """Records the end of an attempt."""
+        match result:
+            case routing.Result.ANSWERED:
+                elapsed_s = self.model.now_s - began_s
+                self.model.latencies_s.append(elapsed_s)
+            case routing.Result.OVERLOADED:
+                if len(tried) < 2:
+                    self.model.retries += 1
+                    self.attempt(began_s, tried)
+                else:
+                    self.model.refused += 1
+            case _:
+                self.model.failed += 1
+
+
+def make_place(scenario: Scenario, number: int) -> cost.Place:
+    """Returns where the node with this number is."""
+    domain = number % scenario.domains
+    return cost.Place(
+        f"n{number}", f"r{domain % scenario.regions}", f"d{domain}"
+    )
+
+
+def format_load(report: routing.Load) -> str:
+    """Returns a report in the form of x-waxwing-load."""
+    return (
+        f"in_flight={report.in_flight},"
+        f"queue={report.queue},limit={report.limit}"
+    )
+
+
+class Model:
+    """Arrivals, targets and the event queue."""
+
+    def __init__(self, scenario: Scenario, variant: str, seed: int):
+        self.scenario = scenario
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.arrivals = random.Random(seed + 1)
+        self.speeds = random.Random(seed + 2)
+        self.now_s = 0.0
+        self.events: list = []
+        self.order = itertools.count()
+        self.latencies_s: list[float] = []
+        self.refused = self.failed = self.retries = self.probes = 0
+        self.calls = 0
+        self.targets = [Target(self, n) for n in range(scenario.targets)]
+        self.entries = [
+            EntryNode(self, n, routing.Variant(variant))
+            for n in range(scenario.entries)
+        ]
+
+    def after(self, delay_s: float, action: Callable, *arguments) -> None:
+        """Runs an action after a delay."""
+        item = (self.now_s + delay_s, next(self.order), action, arguments)
+        heapq.heappush(self.events, item)
+
+    def run(self) -> None:
+        """Runs until the last call has ended."""
+        self.after(0.0, self._arrive)
+        self.after(0.0, self._move_neighbour)
+        for target in self.targets:
+            self.after(0.0, self._shift, target)
+        while self.events:
+            self.now_s, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+        for entry in self.entries:
+            assert all(item.in_flight == 0 for item in entry.candidates)
+
+    def _running(self) -> bool:
+        return self.now_s < self.scenario.duration_s
+
+    def _arrive(self) -> None:
+        if not self._running():
+            return
+        self.calls += 1
+        self._pick_entry().call()
+        scenario = self.scenario
+        capacity = scenario.targets * scenario.slots / scenario.service_s
+        rate = capacity * scenario.utilisation
+        self.after(self.arrivals.expovariate(rate), self._arrive)
+
+    def _pick_entry(self) -> EntryNode:
+        # A skewed load sends half of the calls to a fifth of the entries.
+        count = len(self.entries)
+        if self.scenario.skewed_entries and self.arrivals.random() < 0.375:
+            count = max(count // 5, 1)
+        return self.entries[self.arrivals.randrange(count)]
+
+    def _shift(self, target: Target) -> None:
+        if not self._running():
+            return
+        scenario = self.scenario
+        slow = target.slow == 1.0
+        target.slow = scenario.shift_factor if slow else 1.0
+        mean_s = scenario.shift_length_s if slow else scenario.shift_every_s
+        self.after(self.speeds.expovariate(1 / mean_s), self._shift, target)
+
+    def _move_neighbour(self) -> None:
+        for target in self.targets:
+            target.neighbour = 1.0
+        if not self._running():
+            return
+        slowed = self.speeds.choice(self.targets)
+        slowed.neighbour = self.scenario.neighbour_factor
+        self.after(self.scenario.neighbour_s, self._move_neighbour)
+
+
+@dataclasses.dataclass
+class Figures:
+    """What one run showed; times in milliseconds."""
+
+    scenario: str
+    variant: str
+    seed: int
+    calls: int
+    p50: float
+    p99: float
+    p999: float
+    refused: int
+    failed: int
+    retries: int
+    probes: int
+    spread: float
+
+
+def measure(scenario: Scenario, variant: str, seed: int) -> Figures:
+    """Runs the model once and returns its figures."""
+    model = Model(scenario, variant, seed)
+    model.run()
+    values = sorted(model.latencies_s)
+    served = [target.served for target in model.targets if not target.failing]
+
+    def quantile(share: float) -> float:
+        return round(values[int(len(values) * share)] * 1000, 2)
+
+    return Figures(
+        scenario.name,
+        variant,
+        seed,
+        model.calls,
+        quantile(0.5),
+        quantile(0.99),
+        quantile(0.999),
+        model.refused,
+        model.failed,
+        model.retries,
+        model.probes,
+        round(max(served) / max(min(served), 1), 2),
+    )
+
+
+SCENARIOS = {
+    item.name: item
+    for item in (
+        Scenario("shifts"),
+        Scenario("busy", utilisation=0.75),
+        Scenario("failing", utilisation=0.4, failing=1),
+        Scenario("cold", utilisation=0.5, cold=3, duration_s=3.0),
+        Scenario("skewed", skewed_entries=True),
+        Scenario("regions", regions=2, duration_s=4.0),
+        Scenario("many", targets=30, entries=30, slots=6, duration_s=2.0),
+    )
+}
+
+
+def main(
+    scenario: str = "",
+    variants: str = "",
+    seeds: int = 3,
+    output: str = "",
+) -> None:
+    """Prints the figures of all variants, each on the same load.
+
+    Args:
+        scenario: Names of scenarios with a plus sign between; empty for all.
+        variants: Names of variants with a plus sign between; empty for all.
+        seeds: Number of seeds, from 1.
+        output: File for the figures as JSON lines.
+    """
+    names = scenario.split("+") if scenario else list(SCENARIOS)
+    chosen = (
+        variants.split("+")
+        if variants
+        else [item.value for item in routing.Variant]
+    )
+    rows = []
+    print(
+        f"{'scenario':9}{'variant':16}{'calls':>7}{'p50':>7}{'p99':>8}"
+        f"{'p99.9':>8}{'refused':>8}{'failed':>7}{'retries':>8}"
+        f"{'probes':>7}{'spread':>7}"
+    )
+    for name in names:
+        for variant in chosen:
+            runs = [
+                measure(SCENARIOS[name], variant, seed)
+                for seed in range(1, seeds + 1)
+            ]
+            rows += runs
+            _print_mean(runs)
+    if output:
+        with open(output, "w", encoding="utf-8") as file:
+            for row in rows:
+                file.write(json.dumps(dataclasses.asdict(row)) + "\n")
+
+
+def _print_mean(runs: list[Figures]) -> None:
+    def mean(name: str) -> float:
+        return sum(getattr(run, name) for run in runs) / len(runs)
+
+    first = runs[0]
+    print(
+        f"{first.scenario:9}{first.variant:16}{mean('calls'):7.0f}"
+        f"{mean('p50'):7.2f}{mean('p99'):8.2f}{mean('p999'):8.2f}"
+        f"{mean('refused'):8.1f}{mean('failed'):7.1f}"
+        f"{mean('retries'):8.1f}{mean('probes'):7.1f}{mean('spread'):7.2f}"
+    )
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/src/waxwingferry/process/budget.py
@@ -0,0 +1,149 @@
+"""Budgets on work that the system makes for itself.
+
+Each budget asserts its own bound, so that a program that breaks a promise
+stops instead of going on.
+"""
+
+from collections.abc import Callable
+import time
+
+WINDOW_S = 10.0
+WINDOW_SLICES = 10
+ROUNDING = 1e-6
+
+
+class TokenBucket:
+    """Spends at most rate x elapsed time + burst in any interval.
+
+    Args:
+        rate_per_s: Tokens added per second.
+        burst: Most tokens kept, and the number at start.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        rate_per_s: float,
+        burst: float,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.clock = clock
+        self.level = burst
+        self.updated_s = clock()
+        self.spent = 0.0
+        self.granted = burst
+
+    def set_rate(self, rate_per_s: float, burst: float) -> None:
+        """Changes rate and burst from now on; takes no tokens back."""
+        self._refill()
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._cut()
+
+    def _refill(self) -> None:
+        now_s = self.clock()
+        added = max(now_s - self.updated_s, 0.0) * self.rate_per_s
+        self.updated_s = now_s
+        self.level += added
+        self.granted += added
+        self._cut()
+
+    def _cut(self) -> None:
+        excess = max(self.level - self.burst, 0.0)
+        self.level -= excess
+        self.granted -= excess
+
+    def available(self, amount: float = 1.0) -> bool:
+        """Tells whether the amount could be spent now."""
+        self._refill()
+        return self.level >= amount
+
+    def spend(self, amount: float = 1.0) -> bool:
+        """Spends the amount, or returns False and spends nothing."""
+        if not self.available(amount):
+            return False
+        self.level -= amount
+        self.spent += amount
+        self._check()
+        return True
+
+    def give_back(self, amount: float) -> None:
+        """Returns a part of an amount that was spent in advance."""
+        assert amount >= 0
+        self._refill()
+        self.level += amount
+        self.spent -= amount
+        self._cut()
+        self._check()
+
+    def charge(self, amount: float) -> None:
+        """Spends a cost known only afterwards; the level may go negative."""
+        self._refill()
+        self.level -= amount
+        self.spent += amount
+
+    def _check(self) -> None:
+        slack = ROUNDING * max(self.granted, 1.0)
+        assert self.spent <= self.granted + slack, (
+            f"budget exceeded: {self.spent} of {self.granted}"
+        )
+
+
+class RatioBudget:
+    """Allows events as a share of calls, over a sliding window.
+
+    Args:
+        ratio: Events allowed per call.
+        clock: Monotonic time in seconds.
+        window_s: Length of the window in seconds.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        clock: Callable[[], float] = time.monotonic,
+        window_s: float = WINDOW_S,
+    ):
+        self.ratio = ratio
+        self.clock = clock
+        self.slice_s = window_s / WINDOW_SLICES
+        self.calls = [0] * WINDOW_SLICES
+        self.events = [0] * WINDOW_SLICES
+        self.position = int(clock() / self.slice_s)
+        self.total_calls = 0
+        self.total_events = 0
+
+    def _advance(self) -> int:
+        position = int(self.clock() / self.slice_s)
+        steps = min(position - self.position, WINDOW_SLICES)
+        for step in range(max(steps, 0)):
+            self._clear((position - step) % WINDOW_SLICES)
+        self.position = max(position, self.position)
+        return self.position % WINDOW_SLICES
+
+    def _clear(self, index: int) -> None:
+        self.total_calls -= self.calls[index]
+        self.total_events -= self.events[index]
+        self.calls[index] = 0
+        self.events[index] = 0
+
+    def count_call(self) -> None:
+        """Counts one call, which adds to what is allowed."""
+        index = self._advance()
+        self.calls[index] += 1
+        self.total_calls += 1
+
+    def spend(self, share: float = 1.0) -> bool:
+        """Takes one event if at most this share of the budget is used."""
+        index = self._advance()
+        allowed = self.ratio * self.total_calls
+        if self.total_events + 1 > allowed * share:
+            return False
+        self.events[index] += 1
+        self.total_events += 1
+        assert self.total_events <= allowed, (
+            f"{self.total_events} retries of {allowed} allowed"
+        )
+        return True
--- /dev/null
+++ b/src/waxwingferry/process/cost.py
@@ -0,0 +1,111 @@
+"""The cost of giving a request to a target."""
+
+import dataclasses
+import math
+import typing
+
+from waxwingferry.process import reports
+
+if typing.TYPE_CHECKING:
+    from waxwingferry.process import routing
+
+# The work of one more request, in requests. Below 1, an idle cold target is
+# not as costly as a full warm one, and gets the work that warms it up.
+NEXT_REQUEST = 0.5
+OTHERS_HALF_LIFE_S = 0.05
+LATENCY_HALF_LIFE_S = 0.5
+LEAST_LATENCY_FACTOR = 0.5
+MOST_LATENCY_FACTOR = 4.0
+ERROR_WEIGHT = 4.0
+
+# Distances in units of utilisation: a target that is this much less used is
+# chosen although it is farther away, so that near targets aren't overloaded.
+OTHER_NODE = 0.02
+OTHER_DOMAIN = 0.05
+OTHER_REGION = 0.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Place:
+    """Where a node is."""
+
+    node: str = ""
+    region: str = ""
+    failure_domain: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Cost:
+    """The cost of a target and its parts.
+
+    Attributes:
+        utilisation: Work per place of the limit, this request included.
+        latency_factor: Latency compared with that of the service.
+        penalty: Factor for errors and refusals for overload.
+        distance: Cost of the distance.
+        total: utilisation x latency_factor x penalty + distance.
+    """
+
+    utilisation: float
+    latency_factor: float
+    penalty: float
+    distance: float
+    total: float
+
+
+def compute_cost(
+    candidate: "routing.Candidate",
+    service: reports.ServiceStats,
+    place: Place,
+    now_s: float,
+) -> Cost:
+    """Returns the cost of giving the next request to a candidate."""
+    stats = candidate.stats
+    limit = max(min(stats.load.limit, candidate.slots), 1)
+    others = _estimate_others(candidate, service, limit, now_s)
+    utilisation = (stats.in_flight + others + NEXT_REQUEST) / limit
+    factor = _latency_factor(stats, service, now_s)
+    errors = stats.error_share(now_s)
+    penalty = 1.0 + ERROR_WEIGHT * errors + stats.overload_now(now_s)
+    far = distance(candidate, place)
+    total = utilisation * factor * penalty + far
+    return Cost(utilisation, factor, penalty, far, total)
+
+
+def _estimate_others(
+    candidate: "routing.Candidate",
+    service: reports.ServiceStats,
+    limit: int,
+    now_s: float,
+) -> float:
+    """Returns the work of other entries; old reports fade to the average.
+
+    A fade to nothing would make the targets that are heard of least look
+    idle, and would send them the work of all entries at once.
+    """
+    stats = candidate.stats
+    weight = reports.decay(now_s - stats.load.at_s, OTHERS_HALF_LIFE_S)
+    average = service.utilisation * limit
+    return weight * stats.others + (1.0 - weight) * average
+
+
+def _latency_factor(
+    stats: reports.TargetStats, service: reports.ServiceStats, now_s: float
+) -> float:
+    if not stats.latency_s or not service.latency_s:
+        return 1.0
+    ratio = stats.latency_s / service.latency_s
+    ratio = min(max(ratio, LEAST_LATENCY_FACTOR), MOST_LATENCY_FACTOR)
+    weight = reports.decay(now_s - stats.latency_at_s, LATENCY_HALF_LIFE_S)
+    return math.pow(ratio, weight)
+
+
+def distance(candidate: "routing.Candidate", place: Place) -> float:
+    """Returns the cost of the distance to a candidate."""
+    if not place.node or candidate.node == place.node:
+        return 0.0
+    if candidate.region != place.region:
+        return OTHER_REGION
+    if candidate.failure_domain != place.failure_domain:
+        return OTHER_DOMAIN
+    return OTHER_NODE
--- /dev/null
+++ b/src/waxwingferry/process/reports.py
@@ -0,0 +1,139 @@
+"""What an entry node knows of the load of targets."""
+
+import dataclasses
+import math
+
+LATENCY_WEIGHT = 0.2
+SERVICE_WEIGHT = 0.02
+OUTCOME_WEIGHT = 0.1
+OVERLOAD_HALF_LIFE_S = 0.1
+OVERLOAD_MOST = 4.0
+ERROR_HALF_LIFE_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """A load report of a target's node, with the time it came."""
+
+    in_flight: int = 0
+    queue: int = 0
+    limit: int = 1
+    at_s: float = -math.inf
+
+
+def parse_load(text: str, now_s: float) -> Load | None:
+    """Parses an x-waxwing-load field, or returns None if it is malformed."""
+    try:
+        parts = dict(item.split("=", 1) for item in text.split(","))
+        in_flight = int(parts["in_flight"])
+        queue = int(parts["queue"])
+        limit = int(parts["limit"])
+    except (ValueError, KeyError):
+        return None
+    if min(in_flight, queue, limit) < 0:
+        return None
+    return Load(in_flight, queue, max(limit, 1), now_s)
+
+
+def decay(age_s: float, half_life_s: float) -> float:
+    """Returns the weight, from 1 to 0, of something age_s seconds old."""
+    return 0.5 ** (max(age_s, 0.0) / half_life_s)
+
+
+@dataclasses.dataclass(slots=True)
+class TargetStats:
+    """One target process as this entry sees it.
+
+    Attributes:
+        in_flight: Attempts that this entry has with the target now.
+        load: The newest report.
+        others: Attempts of other entries in that report.
+        latency_s: Moving average of the time to the first byte; 0 if none.
+        errors: Moving share of failed attempts, from 0 to 1.
+        outcomes: Attempts that errors is made of.
+        overload: Refusals for overload, decayed.
+        refused_at_s: Time of the last refusal to take any work.
+        ejected_until_s: End of the ejection.
+        ejections: Ejections in a row.
+        probing: Whether a probe is wanted or on its way.
+    """
+
+    in_flight: int = 0
+    load: Load = dataclasses.field(default_factory=Load)
+    others: float = 0.0
+    latency_s: float = 0.0
+    latency_at_s: float = -math.inf
+    errors: float = 0.0
+    outcomes: int = 0
+    outcome_at_s: float = -math.inf
+    overload: float = 0.0
+    overload_at_s: float = -math.inf
+    refused_at_s: float = -math.inf
+    ejected_until_s: float = -math.inf
+    ejections: int = 0
+    probing: bool = False
+
+    def take_report(self, report: Load) -> None:
+        """Takes a report unless a newer one is there."""
+        if report.at_s < self.load.at_s:
+            return
+        self.load = report
+        total = report.in_flight + report.queue
+        self.others = float(max(total - self.in_flight, 0))
+
+    def add_latency(self, latency_s: float, now_s: float) -> None:
+        """Adds one answer to the moving average."""
+        if not self.latency_s:
+            self.latency_s = latency_s
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+        self.latency_at_s = now_s
+
+    def add_outcome(self, failed: bool, now_s: float) -> None:
+        """Adds one attempt to the share of failures."""
+        self.errors = self.error_share(now_s)
+        self.errors += OUTCOME_WEIGHT * (float(failed) - self.errors)
+        self.outcomes += 1
+        self.outcome_at_s = now_s
+        if not failed and self.errors < OUTCOME_WEIGHT:
+            self.ejections = 0
+
+    def error_share(self, now_s: float) -> float:
+        """Returns the share of failures, fading while nothing is sent."""
+        age_s = now_s - self.outcome_at_s
+        return self.errors * decay(age_s, ERROR_HALF_LIFE_S)
+
+    def add_overload(self, now_s: float) -> None:
+        """Adds one refusal for overload."""
+        fresh = self.overload_now(now_s) + 1.0
+        self.overload = min(fresh, OVERLOAD_MOST)
+        self.overload_at_s = now_s
+
+    def overload_now(self, now_s: float) -> float:
+        """Returns the refusals for overload, decayed."""
+        age_s = now_s - self.overload_at_s
+        return self.overload * decay(age_s, OVERLOAD_HALF_LIFE_S)
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceStats:
+    """All targets of a service taken together, as this entry sees them.
+
+    Attributes:
+        latency_s: Moving average of the time to the first byte; 0 if none.
+        utilisation: Moving average of the work of other entries per place.
+    """
+
+    latency_s: float = 0.0
+    utilisation: float = 0.0
+
+    def add_latency(self, latency_s: float) -> None:
+        """Adds one answer to the moving average."""
+        if not self.latency_s:
+            self.latency_s = latency_s
+        self.latency_s += SERVICE_WEIGHT * (latency_s - self.latency_s)
+
+    def add_utilisation(self, candidate) -> None:
+        """Adds the newest report of a target to the moving average."""
+        stats = candidate.stats
+        value = stats.others / max(stats.load.limit, 1)
+        self.utilisation += SERVICE_WEIGHT * (value - self.utilisation)
--- a/src/waxwingferry/process/routing.py
+++ b/src/waxwingferry/process/routing.py
@@ -1,34 +1,37 @@
-"""Choice of a target at the entry node."""
+"""Choice of a target at the entry node.
 
+No signal decides alone: reports may lie or be stale, so the entry's own
+in-flight counts, the latencies and errors it saw itself, and refusals for
+overload count beside them. The target's node enforces the limit in any case.
+"""
+
+from collections.abc import Callable
 import dataclasses
+import enum
+import math
 import random
 import time
 
-REFUSED_PENALTY_S = 1.0
+from waxwingferry.process import cost
+from waxwingferry.process import reports
+from waxwingferry.process import outliers
 
+REFUSED_PENALTY_S = 1.0
+STALE_REPORT_S = 1.0
 
-@dataclasses.dataclass(slots=True)
-class Load:
-    """A load report of a target's node, with the time it came."""
+Load = reports.Load
+TargetStats = reports.TargetStats
+parse_load = reports.parse_load
 
-    in_flight: int = 0
-    queue: int = 0
-    limit: int = 1
-    at_s: float = 0.0
 
+class Variant(enum.Enum):
+    """Ways to choose among the usable targets."""
 
-def parse_load(text: str, now_s: float) -> Load | None:
-    """Parses an x-waxwing-load field, or returns None if it is malformed."""
-    try:
-        parts = dict(item.split("=", 1) for item in text.split(","))
-        return Load(
-            int(parts["in_flight"]),
-            int(parts["queue"]),
-            max(int(parts["limit"]), 1),
-            now_s,
-        )
-    except (ValueError, KeyError):
-        return None
+    RANDOM = "random"
+    ROUND_ROBIN = "round_robin"
+    LEAST_REPORTED = "least_reported"
+    TWO_CHOICES = "two_choices"
+    WEIGHTED = "weighted"
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,8 +41,9 @@
     Attributes:
         node: Name of the target's node.
         incarnation: Random name of the node process.
-        in_flight: Attempts that this entry has with the target now.
-        refused_at_s: Monotonic time of the last refused connection.
+        stats: What this entry knows of its load. A newer row of the same
+            incarnation shares the object, because attempts in flight give
+            their places back to the object that they took them from.
     """
 
     node: str
@@ -52,20 +56,84 @@
     incarnation: str
     state: str
     slots: int
-    in_flight: int = 0
-    load: Load = dataclasses.field(default_factory=Load)
-    refused_at_s: float = 0.0
+    stats: reports.TargetStats = dataclasses.field(
+        default_factory=reports.TargetStats
+    )
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts that this entry has with the target now."""
+        return self.stats.in_flight
+
+    @property
+    def load(self) -> reports.Load:
+        """The newest load report."""
+        return self.stats.load
+
+    @load.setter
+    def load(self, report: reports.Load) -> None:
+        self.stats.take_report(report)
+
+
+class Result(enum.Enum):
+    """How an attempt ended, as far as choosing targets goes."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    OVERLOADED = "overloaded"
+    UNAVAILABLE = "unavailable"
+    ABANDONED = "abandoned"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Explanation:
+    """Why a target would or would not get a request.
+
+    Attributes:
+        node: Name of the target's node.
+        excluded_by: Why it is no candidate, or empty.
+        cost: Its cost and the parts that make it up.
+        report_age_s: Age of its load report in seconds; inf without one.
+    """
+
+    node: str
+    excluded_by: str
+    cost: cost.Cost
+    report_age_s: float
 
 
 class Router:
-    """Chooses targets by two random choices over own in-flight counts.
+    """Chooses targets.
 
     Args:
         rng: Source of random choices.
+        clock: Monotonic time in seconds.
+        variant: Way to choose; others than WEIGHTED are for experiments.
+        place: Where this entry node is.
+        want_probe: Called with a candidate whose report a call misses.
+        on_ejection: Called with each target that is ejected.
+        own_load: Returns the exact load of the own target as a report text.
     """
 
-    def __init__(self, rng: random.Random):
+    def __init__(
+        self,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+        variant: Variant = Variant.WEIGHTED,
+        place: cost.Place | None = None,
+        want_probe: Callable[[Candidate], None] | None = None,
+        on_ejection: Callable[[Candidate], None] | None = None,
+        own_load: Callable[[], str] | None = None,
+    ):
         self.rng = rng
+        self.clock = clock
+        self.variant = variant
+        self.place = place or cost.Place()
+        self.want_probe = want_probe
+        self.on_ejection = on_ejection
+        self.own_load = own_load
+        self.turns: dict[str, int] = {}
+        self.services: dict[str, reports.ServiceStats] = {}
 
     def choose(
         self,
@@ -80,24 +148,167 @@
             domains_out: Failure domains that take no work.
             excluded: Nodes that this call has tried already.
         """
+        now_s = self.clock()
         usable = [
             item
             for item in candidates
-            if item.state == "ready"
-            and item.failure_domain not in domains_out
-            and item.node not in excluded
+            if not _exclusion(item, domains_out, excluded)
         ]
-        newest_s = time.monotonic() - REFUSED_PENALTY_S
-        healthy = [item for item in usable if item.refused_at_s < newest_s]
-        pool = healthy or usable
-        if not pool:
+        if not usable:
             return None
-        first = self.rng.choice(pool)
-        second = self.rng.choice(pool)
-        return min(first, second, key=_cost)
+        # What refused a connection or was ejected serves if nothing else
+        # does; of these the one refused longest ago is likeliest back.
+        pool = [item for item in usable if not _suspect(item, now_s)] or usable
+        chosen = self._pick(pool, now_s)
+        assert not _exclusion(chosen, domains_out, excluded)
+        return chosen
+
+    def _pick(self, pool: list[Candidate], now_s: float) -> Candidate:
+        match self.variant:
+            case Variant.RANDOM:
+                return self.rng.choice(pool)
+            case Variant.ROUND_ROBIN:
+                service = pool[0].service
+                turn = self.turns.get(service, self.rng.randrange(len(pool)))
+                self.turns[service] = turn + 1
+                return pool[turn % len(pool)]
+            case Variant.LEAST_REPORTED:
+                return min(pool, key=_reported_load)
+            case Variant.TWO_CHOICES:
+                drawn = self._draw(pool)
+                return min(drawn, key=_own_and_reported)
+            case Variant.WEIGHTED:
+                return self._pick_weighted(pool, now_s)
+
+    def _draw(self, pool: list[Candidate]) -> list[Candidate]:
+        if len(pool) <= 2:
+            return list(pool)
+        return self.rng.sample(pool, 2)
+
+    def _pick_weighted(self, pool: list[Candidate], now_s: float) -> Candidate:
+        drawn = self._draw(pool)
+        service = self.service_stats(pool[0].service)
+        for item in drawn:
+            self._refresh(item, now_s)
+        costs = [
+            (cost.compute_cost(item, service, self.place, now_s).total, item)
+            for item in drawn
+        ]
+        lowest = min(value for value, _ in costs)
+        # Equal costs are decided by the draw, which is in random order.
+        return next(item for value, item in costs if value == lowest)
+
+    def _refresh(self, item: Candidate, now_s: float) -> None:
+        """Brings the report of a drawn candidate up to date, or asks for it."""
+        if item.node == self.place.node and self.own_load is not None:
+            report = reports.parse_load(self.own_load(), now_s)
+            if report is not None:
+                item.load = report
+            return
+        stale = now_s - item.stats.load.at_s > STALE_REPORT_S
+        if stale and self.want_probe is not None:
+            self.want_probe(item)
+
+    def service_stats(self, service: str) -> reports.ServiceStats:
+        """Returns what the entry knows of a service as a whole."""
+        if service not in self.services:
+            self.services[service] = reports.ServiceStats()
+        return self.services[service]
+
+    def begin(self, candidate: Candidate) -> None:
+        """Counts an attempt that is about to be sent."""
+        candidate.stats.in_flight += 1
+
+    def finish(self, candidate: Candidate) -> None:
+        """Takes an attempt that begin counted out of the count."""
+        stats = candidate.stats
+        stats.in_flight -= 1
+        assert stats.in_flight >= 0, f"{candidate.node}: in-flight below zero"
+
+    def observe(
+        self,
+        candidates: list[Candidate],
+        candidate: Candidate,
+        result: Result,
+        latency_s: float,
+    ) -> None:
+        """Learns from the outcome of an attempt.
+
+        Args:
+            candidates: All targets of the service.
+            candidate: The target of the attempt.
+            result: How the attempt ended.
+            latency_s: Time from sending to the first byte of the answer.
+        """
+        now_s = self.clock()
+        stats = candidate.stats
+        service = self.service_stats(candidate.service)
+        match result:
+            case Result.ANSWERED:
+                stats.add_latency(latency_s, now_s)
+                service.add_latency(latency_s)
+                stats.add_outcome(False, now_s)
+            case Result.FAILED:
+                stats.add_outcome(True, now_s)
+            case Result.OVERLOADED:
+                stats.add_overload(now_s)
+            case Result.UNAVAILABLE:
+                stats.refused_at_s = now_s
+            case Result.ABANDONED:
+                return
+        service.add_utilisation(candidate)
+        if result is Result.FAILED and outliers.eject(
+            candidates, candidate, now_s
+        ):
+            if self.on_ejection is not None:
+                self.on_ejection(candidate)
+
+    def explain(
+        self,
+        candidates: list[Candidate],
+        domains_out: frozenset[str],
+        excluded: set[str],
+    ) -> list[Explanation]:
+        """Returns what the next choice would weigh, cheapest first."""
+        now_s = self.clock()
+        result = []
+        for item in candidates:
+            service = self.service_stats(item.service)
+            age_s = now_s - item.stats.load.at_s
+            result.append(
+                Explanation(
+                    item.node,
+                    _exclusion(item, domains_out, excluded)
+                    or _suspect(item, now_s),
+                    cost.compute_cost(item, service, self.place, now_s),
+                    age_s if math.isfinite(age_s) else math.inf,
+                )
+            )
+        return sorted(result, key=lambda e: (bool(e.excluded_by), e.cost.total))
+
+
+def _exclusion(
+    item: Candidate, domains_out: frozenset[str], excluded: set[str]
+) -> str:
+    if item.state != "ready":
+        return item.state
+    if item.failure_domain in domains_out:
+        return "domain_out"
+    return "tried" if item.node in excluded else ""
+
+
+def _suspect(item: Candidate, now_s: float) -> str:
+    if now_s - item.stats.refused_at_s < REFUSED_PENALTY_S:
+        return "refused"
+    return "ejected" if item.stats.ejected_until_s > now_s else ""
+
+
+def _reported_load(item: Candidate) -> float:
+    report = item.stats.load
+    return (report.in_flight + report.queue) / max(report.limit, 1)
 
 
-def _cost(candidate: Candidate) -> float:
-    reported = candidate.load.in_flight + candidate.load.queue
-    work = max(candidate.in_flight, reported) + 1
-    return work / max(candidate.load.limit, 1)
+def _own_and_reported(item: Candidate) -> float:
+    report = item.stats.load
+    reported = report.in_flight + report.queue
+    return (max(item.in_flight, reported) + 1) / max(report.limit, 1)
