Choose targets by several signals and bound retries and probes

Cause: the entry chose by in-flight counts alone, retried without a budget (three attempts at each level of a chain, also after overload), sent no probes, and leaked in-flight counts when a member row was replaced. Change: cost of own and reported work, latency, errors and distance, over three random targets and the own one; ejection of at most a third; retry budget per service, half of it for overload; probes within budgets of messages, bytes and processor time; strict depth, deadline and retry fields; a cap on calls in flight; the reserve for the way back.

--- a/benchmarks/routing_model.py
+++ b/benchmarks/routing_model.py
@@ -16,6 +16,7 @@
 import sys
 
 import fire
+
 from waxwingferry.process import cost
 from waxwingferry.process import routing
 
@@ -167,9 +168,7 @@
 
         def take(report: routing.Load) -> None:
             candidate.stats.probing = False
-            candidate.load = dataclasses.replace(
-                report, at_s=self.model.now_s
-            )
+            candidate.load = dataclasses.replace(report, at_s=self.model.now_s)
 
         def answer() -> None:
             self.model.after(delay_s, take, target.report())
@@ -202,9 +201,7 @@
         target = self.model.targets[candidate.peer_port]
 
         def finish(result: routing.Result, report: routing.Load) -> None:
-            candidate.load = dataclasses.replace(
-                report, at_s=self.model.now_s
-            )
+            candidate.load = dataclasses.replace(report, at_s=self.model.now_s)
             self.router.finish(candidate)
             self.router.observe(
                 self.candidates, candidate, result, self.model.now_s - sent_s
--- a/src/waxwingferry/process/cost.py
+++ b/src/waxwingferry/process/cost.py
@@ -15,13 +15,13 @@
 OTHERS_HALF_LIFE_S = 0.05
 LATENCY_HALF_LIFE_S = 0.5
 LEAST_LATENCY_FACTOR = 0.5
-MOST_LATENCY_FACTOR = 4.0
+MOST_LATENCY_FACTOR = 2.0
 ERROR_WEIGHT = 4.0
 
 # Distances in units of utilisation: a target that is this much less used is
 # chosen although it is farther away, so that near targets aren't overloaded.
-OTHER_NODE = 0.02
-OTHER_DOMAIN = 0.05
+OTHER_NODE = 0.1
+OTHER_DOMAIN = 0.13
 OTHER_REGION = 0.5
 
 
--- a/src/waxwingferry/process/members.py
+++ b/src/waxwingferry/process/members.py
@@ -51,8 +51,7 @@
         else:
             new = routing.Candidate(node=node, **value)
             if old is not None and old.incarnation == new.incarnation:
-                new.in_flight = old.in_flight
-                new.load = old.load
+                new.stats = old.stats
             self.candidates[node] = new
         self.by_service = {}
         for item in self.candidates.values():
--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -11,6 +11,9 @@
         self.calls = self._counter("calls", "Calls by how they ended.")
         self.refusals = self._counter("refusals", "Refusals by reason.")
         self.retries = self._counter("retries", "Retries by reason.")
+        self.retry_denials = self._counter(
+            "retry_denials", "Calls not tried again, by reason."
+        )
         self.events = self._counter("events", "Rare events by name.")
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -13,10 +13,12 @@
 from waxwingferry.connection import http1
 from waxwingferry.connection import serve
 from waxwingferry.process import admin
+from waxwingferry.process import cost
 from waxwingferry.process import logs
 from waxwingferry.process import members
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
+from waxwingferry.process import probe
 from waxwingferry.process import program
 from waxwingferry.process import routing
 from waxwingferry.process import settings
@@ -58,11 +60,16 @@
         self.receiver = receive.Receiver(
             self.incarnation, self.own_domain_is_out
         )
+        self.prober = probe.Prober(
+            probe.HttpFetch(),
+            probe.ProbeBudget(self.get_probe_rate),
+            self.counters,
+        )
         self.entry = entry.Entry(
             options.node,
             self.get_revision,
             self.members,
-            routing.Router(rng),
+            self.make_router(),
             forward.Forwarder(),
             self.receiver,
             self.counters,
@@ -81,6 +88,29 @@
         )
         self.stopped = anyio.Event()
 
+    def make_router(self) -> routing.Router:
+        """Returns the router of this node."""
+        options = self.options
+        place = cost.Place(options.node, options.region, options.failure_domain)
+        return routing.Router(
+            self.rng,
+            variant=options.routing,
+            place=place,
+            want_probe=self.prober.want,
+            on_ejection=self.count_ejection,
+            own_load=self.receiver.load,
+        )
+
+    def count_ejection(self, candidate: routing.Candidate) -> None:
+        """Counts a target whose attempts fail far more than others'."""
+        self.counters.events.inc({"name": "ejected"})
+        log.warning("target ejected", node=candidate.node)
+
+    def get_probe_rate(self) -> float:
+        """Returns the probes per second that the document allows."""
+        revision = self.revision
+        return revision.document.budgets.probe_per_s if revision else 0.0
+
     def get_revision(self) -> document.Revision | None:
         """Returns the document in force, or None."""
         return self.revision
@@ -158,6 +188,7 @@
                 self.stopped.wait,
             )
             group.start_soon(self.members.run_writer)
+            group.start_soon(self.prober.run)
             group.start_soon(self.members.run_reader, self.read_document)
             log.info("node started", node=options.node)
             with anyio.open_signal_receiver(
--- a/src/waxwingferry/process/outliers.py
+++ b/src/waxwingferry/process/outliers.py
@@ -44,8 +44,6 @@
     return True
 
 
-def count_ejected(
-    candidates: "list[routing.Candidate]", now_s: float
-) -> int:
+def count_ejected(candidates: "list[routing.Candidate]", now_s: float) -> int:
     """Returns how many of the candidates are ejected."""
     return sum(item.stats.ejected_until_s > now_s for item in candidates)
--- /dev/null
+++ b/src/waxwingferry/process/probe.py
@@ -0,0 +1,288 @@
+"""Probes for load, sent only where a call misses a recent report.
+
+Measuring load must never cost more than its budget: probes are counted in
+messages, bytes and processor time, and one that doesn't fit isn't sent.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+import json
+import time
+import types
+from typing import Any
+
+import anyio
+
+from waxwingferry.connection import http1
+from waxwingferry.connection import pool
+from waxwingferry.process import budget
+from waxwingferry.process import metrics
+from waxwingferry.process import reports
+from waxwingferry.process import routing
+
+PROBE_TARGET = "/_peer/load"
+PROBE_TIMEOUT_S = 0.25
+PROBE_INTERVAL_S = 1.0
+WORKERS = 2
+QUEUE_LENGTH = 16
+
+# A tenth of what a node may spend on control: 22 KB/s and 2.6% of a core.
+BYTES_PER_S = 2200.0
+PROCESSOR_S_PER_S = 0.0026
+
+MOST_PROBE_BYTES = 600
+RESERVED_PROCESSOR_S = 0.002
+
+
+@dataclasses.dataclass(slots=True)
+class Cost:
+    """What one probe cost so far."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    processor_s: float = 0.0
+
+
+class ProbeBudget:
+    """Limits probes by messages, bytes and processor time.
+
+    Bytes and processor time are reserved before a probe and settled after
+    it. A probe that costs more than reserved leaves a debt, which stops
+    further probes until it is paid off.
+
+    Args:
+        probes_per_s: Returns the setting of the document in force.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        probes_per_s: Callable[[], float],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.probes_per_s = probes_per_s
+        rate = probes_per_s()
+        self.messages = budget.TokenBucket(rate, max(rate, 1.0), clock)
+        self.octets = budget.TokenBucket(
+            BYTES_PER_S, 2 * MOST_PROBE_BYTES, clock
+        )
+        self.processor = budget.TokenBucket(
+            PROCESSOR_S_PER_S, 2 * RESERVED_PROCESSOR_S, clock
+        )
+
+    def reserve(self) -> str:
+        """Pays for a probe; returns what is short, or an empty text."""
+        rate = self.probes_per_s()
+        if rate != self.messages.rate_per_s:
+            self.messages.set_rate(rate, max(rate, 1.0))
+        if not rate or not self.messages.available():
+            return "messages"
+        if not self.octets.available(MOST_PROBE_BYTES):
+            return "bytes"
+        if not self.processor.available(RESERVED_PROCESSOR_S):
+            return "processor"
+        paid = (
+            self.messages.spend(),
+            self.octets.spend(MOST_PROBE_BYTES),
+            self.processor.spend(RESERVED_PROCESSOR_S),
+        )
+        assert all(paid)
+        return ""
+
+    def settle(self, spent: Cost) -> None:
+        """Corrects a reservation to what the probe really cost."""
+        octets = spent.sent_bytes + spent.received_bytes
+        _settle(self.octets, MOST_PROBE_BYTES, octets)
+        _settle(self.processor, RESERVED_PROCESSOR_S, spent.processor_s)
+
+
+def _settle(bucket: budget.TokenBucket, reserved: float, real: float) -> None:
+    if real <= reserved:
+        bucket.give_back(reserved - real)
+    else:
+        bucket.charge(real - reserved)
+
+
+Fetch = Callable[[routing.Candidate, Cost], Awaitable[reports.Load | None]]
+
+
+class Prober:
+    """Sends the probes that calls want.
+
+    Args:
+        fetch: Asks a target's node for its load.
+        limits: The budget.
+        counters: Metrics of the node.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        fetch: Fetch,
+        limits: ProbeBudget,
+        counters: metrics.Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.fetch = fetch
+        self.limits = limits
+        self.counters = counters
+        self.clock = clock
+        self.send, self.receive = anyio.create_memory_object_stream[
+            routing.Candidate
+        ](QUEUE_LENGTH)
+
+    def want(self, candidate: routing.Candidate) -> None:
+        """Queues a probe if the budget allows it; never waits."""
+        stats = candidate.stats
+        if stats.probing or self.clock() < stats.probe_after_s:
+            return
+        if self.send.statistics().current_buffer_used >= QUEUE_LENGTH:
+            self._count("probe_denied_queue")
+            return
+        short = self.limits.reserve()
+        if short:
+            self._count(f"probe_denied_{short}")
+            return
+        stats.probing = True
+        self.send.send_nowait(candidate)
+
+    def _count(self, name: str) -> None:
+        self.counters.events.inc({"name": name})
+
+    async def run(self) -> None:
+        """Sends queued probes until cancelled."""
+        async with anyio.create_task_group() as group:
+            for _ in range(WORKERS):
+                group.start_soon(self._work)
+
+    async def _work(self) -> None:
+        while True:
+            candidate = await self.receive.receive()
+            await self.probe(candidate)
+
+    async def probe(self, candidate: routing.Candidate) -> None:
+        """Sends one probe that is paid for."""
+        spent = Cost()
+        report = None
+        self._count("probe_sent")
+        try:
+            with anyio.move_on_after(PROBE_TIMEOUT_S):
+                report = await _meter(
+                    _as_coroutine(self.fetch(candidate, spent)), spent
+                )
+        finally:
+            self.limits.settle(spent)
+            candidate.stats.probing = False
+            candidate.stats.probe_after_s = self.clock() + PROBE_INTERVAL_S
+        if report is None:
+            self._count("probe_failed")
+            return
+        candidate.load = report
+
+
+async def _as_coroutine(
+    awaitable: Awaitable[reports.Load | None],
+) -> reports.Load | None:
+    return await awaitable
+
+
+@types.coroutine
+def _meter(work: Coroutine[Any, Any, Any], spent: Cost):
+    """Awaits work and adds the processor time of its own steps."""
+    value: Any = None
+    error: BaseException | None = None
+    while True:
+        begin_s = time.thread_time()
+        try:
+            step = work.send(value) if error is None else work.throw(error)
+        except StopIteration as stop:
+            return stop.value
+        finally:
+            spent.processor_s += time.thread_time() - begin_s
+        value, error = None, None
+        try:
+            value = yield step
+        except BaseException as caught:  # Passed on to the work itself.
+            error = caught
+
+
+class HttpFetch:
+    """Asks target nodes for their load over pooled connections.
+
+    Args:
+        connect: Opens a connection.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        connect: pool.Connect = pool.connect_tcp,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.connect = connect
+        self.clock = clock
+        self.pools: dict[tuple[str, int], pool.Pool] = {}
+
+    async def __call__(
+        self, candidate: routing.Candidate, spent: Cost
+    ) -> reports.Load | None:
+        """Returns a node's report, or None if it gave none."""
+        address = (candidate.host, candidate.peer_port)
+        if address not in self.pools:
+            self.pools[address] = pool.Pool(*address, self.connect)
+        peer = self.pools[address]
+        try:
+            connection = await peer.acquire()
+        except pool.ConnectError:
+            return None
+        try:
+            return await self._exchange(connection, spent)
+        except http1.HttpError:
+            connection.reusable = False
+            return None
+        finally:
+            with anyio.CancelScope(shield=True):
+                await peer.release(connection)
+
+    async def _exchange(
+        self, connection: http1.ClientConnection, spent: Cost
+    ) -> reports.Load | None:
+        before = connection.sent_bytes
+        await connection.send_request("GET", PROBE_TARGET, [("host", "peer")])
+        spent.sent_bytes += connection.sent_bytes - before
+        head = await connection.receive_head(PROBE_TIMEOUT_S)
+        while head.status < 200:
+            head = await connection.receive_head(PROBE_TIMEOUT_S)
+        spent.received_bytes += len("HTTP/1.1 200 OK\r\n\r\n") + sum(
+            len(name) + len(value) + len(": \r\n")
+            for name, value in head.headers
+        )
+        body = b""
+        while chunk := await connection.receive_chunk(PROBE_TIMEOUT_S):
+            spent.received_bytes += len(chunk)
+            body += chunk
+            if len(body) > MOST_PROBE_BYTES:
+                raise http1.HttpError("load answer is too large")
+        if head.status != 200:
+            return None
+        return parse_answer(body, self.clock())
+
+
+def make_answer(load: str) -> bytes:
+    """Returns the answer to a probe, from an x-waxwing-load text."""
+    parts = dict(item.split("=", 1) for item in load.split(","))
+    return json.dumps(
+        {name: int(value) for name, value in parts.items()}
+    ).encode()
+
+
+def parse_answer(body: bytes, now_s: float) -> reports.Load | None:
+    """Returns the report in an answer, or None if it is malformed."""
+    try:
+        data = json.loads(body)
+        text = ",".join(f"{name}={value}" for name, value in data.items())
+    except (ValueError, AttributeError):
+        return None
+    return reports.parse_load(text, now_s)
--- a/src/waxwingferry/process/reports.py
+++ b/src/waxwingferry/process/reports.py
@@ -56,6 +56,7 @@
         ejected_until_s: End of the ejection.
         ejections: Ejections in a row.
         probing: Whether a probe is wanted or on its way.
+        probe_after_s: Time before which no further probe is sent.
     """
 
     in_flight: int = 0
@@ -72,6 +73,7 @@
     ejected_until_s: float = -math.inf
     ejections: int = 0
     probing: bool = False
+    probe_after_s: float = -math.inf
 
     def take_report(self, report: Load) -> None:
         """Takes a report unless a newer one is there."""
--- a/src/waxwingferry/process/routing.py
+++ b/src/waxwingferry/process/routing.py
@@ -13,12 +13,16 @@
 import time
 
 from waxwingferry.process import cost
-from waxwingferry.process import reports
 from waxwingferry.process import outliers
+from waxwingferry.process import reports
 
 REFUSED_PENALTY_S = 1.0
 STALE_REPORT_S = 1.0
 
+# Candidates drawn beside the own target. All candidates would make the
+# entries choose the same target by the same stale reports.
+DRAWN = 3
+
 Load = reports.Load
 TargetStats = reports.TargetStats
 parse_load = reports.parse_load
@@ -31,6 +35,7 @@
     ROUND_ROBIN = "round_robin"
     LEAST_REPORTED = "least_reported"
     TWO_CHOICES = "two_choices"
+    WEIGHTED_TWO = "weighted_two"
     WEIGHTED = "weighted"
 
 
@@ -156,8 +161,7 @@
         ]
         if not usable:
             return None
-        # What refused a connection or was ejected serves if nothing else
-        # does; of these the one refused longest ago is likeliest back.
+        # What refused work or was ejected serves if nothing else does.
         pool = [item for item in usable if not _suspect(item, now_s)] or usable
         chosen = self._pick(pool, now_s)
         assert not _exclusion(chosen, domains_out, excluded)
@@ -175,18 +179,24 @@
             case Variant.LEAST_REPORTED:
                 return min(pool, key=_reported_load)
             case Variant.TWO_CHOICES:
-                drawn = self._draw(pool)
+                drawn = self._draw(pool, 2)
                 return min(drawn, key=_own_and_reported)
+            case Variant.WEIGHTED_TWO:
+                return self._pick_cheapest(pool, self._draw(pool, 2), now_s)
             case Variant.WEIGHTED:
-                return self._pick_weighted(pool, now_s)
+                drawn = self._draw(pool, DRAWN) + self._find_own(pool)
+                return self._pick_cheapest(pool, drawn, now_s)
+
+    def _draw(self, pool: list[Candidate], count: int) -> list[Candidate]:
+        return self.rng.sample(pool, min(count, len(pool)))
 
-    def _draw(self, pool: list[Candidate]) -> list[Candidate]:
-        if len(pool) <= 2:
-            return list(pool)
-        return self.rng.sample(pool, 2)
+    def _find_own(self, pool: list[Candidate]) -> list[Candidate]:
+        """Returns the own target, whose load is known exactly."""
+        return [item for item in pool if item.node == self.place.node]
 
-    def _pick_weighted(self, pool: list[Candidate], now_s: float) -> Candidate:
-        drawn = self._draw(pool)
+    def _pick_cheapest(
+        self, pool: list[Candidate], drawn: list[Candidate], now_s: float
+    ) -> Candidate:
         service = self.service_stats(pool[0].service)
         for item in drawn:
             self._refresh(item, now_s)
@@ -195,7 +205,7 @@
             for item in drawn
         ]
         lowest = min(value for value, _ in costs)
-        # Equal costs are decided by the draw, which is in random order.
+        # Equal costs are decided by the random order of the draw.
         return next(item for value, item in costs if value == lowest)
 
     def _refresh(self, item: Candidate, now_s: float) -> None:
@@ -215,6 +225,13 @@
             self.services[service] = reports.ServiceStats()
         return self.services[service]
 
+    def has_room(self, candidate: Candidate) -> bool:
+        """Tells whether a candidate is believed to have a free place."""
+        service = self.service_stats(candidate.service)
+        now_s = self.clock()
+        estimate = cost.compute_cost(candidate, service, self.place, now_s)
+        return estimate.utilisation < 1.0
+
     def begin(self, candidate: Candidate) -> None:
         """Counts an attempt that is about to be sent."""
         candidate.stats.in_flight += 1
@@ -257,11 +274,11 @@
             case Result.ABANDONED:
                 return
         service.add_utilisation(candidate)
-        if result is Result.FAILED and outliers.eject(
-            candidates, candidate, now_s
-        ):
-            if self.on_ejection is not None:
-                self.on_ejection(candidate)
+        if result is not Result.FAILED:
+            return
+        ejected = outliers.eject(candidates, candidate, now_s)
+        if ejected and self.on_ejection is not None:
+            self.on_ejection(candidate)
 
     def explain(
         self,
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -7,6 +7,8 @@
 import pydantic
 import yaml
 
+from waxwingferry.process import routing
+
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
 
@@ -48,6 +50,8 @@
         platform_url: Base URL of the platform's services.
         seed_peers: Nodes asked for members and document when the platform
             is down.
+        routing: Way to choose targets; others than "weighted" are for
+            experiments.
         log: Log settings.
         random_seed: Seed of all random choices; None takes one from the
             operating system.
@@ -63,6 +67,7 @@
     failure_domain: Name
     platform_url: str
     seed_peers: tuple[PeerAddress, ...] = ()
+    routing: routing.Variant = routing.Variant.WEIGHTED
     log: LogSettings = LogSettings()
     random_seed: int | None = None
 
--- /dev/null
+++ b/src/waxwingferry/process/tests/test_budget.py
@@ -0,0 +1,143 @@
+"""Budgets hold over any history; probes stay within theirs."""
+
+import random
+
+import pytest
+
+from waxwingferry.connection import http1
+from waxwingferry.process import budget
+from waxwingferry.process import metrics
+from waxwingferry.process import probe
+from waxwingferry.process import reports
+from waxwingferry.process.tests import test_routing
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_ratio_holds_at_each_event(seed: int) -> None:
+    """Guards against more retries than the ratio in any ten seconds."""
+    rng = random.Random(seed)
+    clock = test_routing.Clock()
+    limits = budget.RatioBudget(0.1, clock)
+    calls: list[float] = []
+    events: list[float] = []
+    for _ in range(5000):
+        clock.now_s += rng.expovariate(rng.choice([1, 100]))
+        limits.count_call()
+        calls.append(clock.now_s)
+        if rng.random() < 0.5 and limits.spend(rng.choice([0.5, 1.0])):
+            events.append(clock.now_s)
+            # A slice of a second may count a little less than the window.
+            oldest_s = clock.now_s - budget.WINDOW_S
+            recent_calls = sum(at_s >= oldest_s for at_s in calls[-2000:])
+            newest_s = clock.now_s - budget.WINDOW_S * 0.9
+            recent = sum(at_s >= newest_s for at_s in events[-2000:])
+            assert recent <= 0.1 * recent_calls
+    assert events
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_bucket_never_spends_more_than_granted(seed: int) -> None:
+    """Guards against refunds or rate changes that create tokens."""
+    rng = random.Random(seed)
+    clock = test_routing.Clock()
+    bucket = budget.TokenBucket(10, 5, clock)
+    begin_s = clock.now_s
+    spent = 0.0
+    for _ in range(5000):
+        clock.now_s += rng.expovariate(50)
+        amount = rng.uniform(0.5, 3)
+        if bucket.spend(amount):
+            back = rng.uniform(0, amount)
+            bucket.give_back(back)
+            spent += amount - back
+        assert spent <= 5 + 10 * (clock.now_s - begin_s) + 1e-6
+
+
+def make_prober(fetch, clock, rate: float = 10.0) -> probe.Prober:
+    """Returns a prober with a budget on a clock of the test."""
+    limits = probe.ProbeBudget(lambda: rate, clock)
+    return probe.Prober(fetch, limits, metrics.Metrics(), clock)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("short", ["messages", "bytes", "processor"])
+async def test_probes_stay_within_each_budget(short: str) -> None:
+    """Guards against load measurement that costs more than its setting."""
+    clock = test_routing.Clock()
+    spent = probe.Cost()
+    count = 0
+
+    async def fetch(candidate, cost):
+        nonlocal count
+        count += 1
+        cost.sent_bytes += 60
+        cost.received_bytes += 500 if short == "bytes" else 10
+        cost.processor_s += 0.01 if short == "processor" else 0.0
+        spent.sent_bytes += cost.sent_bytes
+        spent.received_bytes += cost.received_bytes
+        spent.processor_s += cost.processor_s
+        return reports.Load(1, 0, 6, clock.now_s)
+
+    rate = 2.0 if short == "messages" else 1000.0
+    prober = make_prober(fetch, clock, rate)
+    begin_s = clock.now_s
+    for step in range(3000):
+        clock.now_s += 0.01
+        candidate = test_routing.make_candidates(30)[step % 30]
+        prober.want(candidate)
+        while prober.send.statistics().current_buffer_used:
+            await prober.probe(prober.receive.receive_nowait())
+    elapsed_s = clock.now_s - begin_s
+    octets = spent.sent_bytes + spent.received_bytes
+    assert 0 < count <= rate * (elapsed_s + 1)
+    allowed = probe.BYTES_PER_S * elapsed_s + 2 * probe.MOST_PROBE_BYTES
+    assert octets <= allowed
+    # One probe may cost more processor time than was reserved for it.
+    allowed_s = probe.PROCESSOR_S_PER_S * elapsed_s
+    assert spent.processor_s <= allowed_s + 0.01 + 0.004
+
+
+@pytest.mark.anyio
+async def test_fresh_or_failed_target_is_not_probed_again_at_once() -> None:
+    """Guards against a dead target that uses up the probe budget."""
+    clock = test_routing.Clock()
+
+    async def fetch(candidate, cost):
+        return None
+
+    prober = make_prober(fetch, clock)
+    candidate = test_routing.make_candidates(1)[0]
+    prober.want(candidate)
+    prober.want(candidate)
+    assert prober.send.statistics().current_buffer_used == 1
+    await prober.probe(prober.receive.receive_nowait())
+    assert not candidate.stats.probing
+    prober.want(candidate)
+    assert prober.send.statistics().current_buffer_used == 0
+    clock.now_s += 1.1
+    prober.want(candidate)
+    assert prober.send.statistics().current_buffer_used == 1
+
+
+@pytest.mark.anyio
+async def test_metered_work_is_charged_and_may_fail() -> None:
+    """Guards against work whose processor time goes uncounted."""
+
+    async def fetch(candidate, cost):
+        sum(range(200_000))
+        raise http1.HttpError("lost")
+
+    prober = make_prober(fetch, test_routing.Clock())
+    candidate = test_routing.make_candidates(1)[0]
+    prober.want(candidate)
+    with pytest.raises(http1.HttpError):
+        await prober.probe(prober.receive.receive_nowait())
+    assert prober.limits.processor.spent > 0
+    assert not candidate.stats.probing
+
+
+def test_probe_answer_is_read_back() -> None:
+    """Guards against a probe answer that its reader does not understand."""
+    body = probe.make_answer("in_flight=3,queue=1,limit=6")
+    assert probe.parse_answer(body, 5.0) == reports.Load(3, 1, 6, 5.0)
+    assert probe.parse_answer(b"[1]", 5.0) is None
--- /dev/null
+++ b/src/waxwingferry/process/tests/test_routing.py
@@ -0,0 +1,225 @@
+"""Choice of targets: invariants under random load, and single signals."""
+
+import random
+
+import pytest
+
+from waxwingferry.process import outliers
+from waxwingferry.process import reports
+from waxwingferry.process import routing
+
+
+class Clock:
+    """Time that a test sets."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        """Returns the time set."""
+        return self.now_s
+
+
+def make_candidates(count: int, slots: int = 6) -> list[routing.Candidate]:
+    """Returns targets of one service in four failure domains."""
+    return [
+        routing.Candidate(
+            node=f"n{number}",
+            service="registry",
+            version="v1",
+            region="r1",
+            failure_domain=f"d{number % 4}",
+            host="",
+            peer_port=1,
+            incarnation="1",
+            state="ready",
+            slots=slots,
+        )
+        for number in range(count)
+    ]
+
+
+def make_router(seed: int, clock: Clock, variant=routing.Variant.WEIGHTED):
+    """Returns a router with a clock of the test."""
+    return routing.Router(random.Random(seed), clock, variant)
+
+
+def count_choices(
+    router, candidates, attempts: int = 200, **more
+) -> dict[str, int]:
+    """Returns how often each target is chosen while nothing changes."""
+    counts = dict.fromkeys((item.node for item in candidates), 0)
+    for _ in range(attempts):
+        chosen = router.choose(candidates, frozenset(), set(), **more)
+        counts[chosen.node] += 1
+    return counts
+
+
+@pytest.mark.parametrize("variant", routing.Variant)
+@pytest.mark.parametrize("seed", range(5))
+def test_random_history_keeps_invariants(variant, seed) -> None:
+    """Guards against leaked in-flight counts and forbidden choices.
+
+    Rows are replaced while attempts are in flight: once, a count was copied
+    to the new row and then given back to the old one, and never reached
+    zero again.
+    """
+    rng = random.Random(seed)
+    clock = Clock()
+    router = make_router(seed, clock, variant)
+    candidates = make_candidates(7)
+    running: list[routing.Candidate] = []
+    for _ in range(2000):
+        clock.now_s += rng.expovariate(200)
+        out = frozenset(f"d{n}" for n in range(4) if rng.random() < 0.2)
+        tried = {f"n{n}" for n in range(7) if rng.random() < 0.2}
+        index = rng.randrange(7)
+        old = candidates[index]
+        if rng.random() < 0.1:
+            new = make_candidates(7)[index]
+            new.state = rng.choice(["ready", "ready", "leaving", "draining"])
+            new.incarnation = rng.choice(["1", "2"])
+            if new.incarnation == old.incarnation:
+                new.stats = old.stats
+            candidates[index] = new
+        chosen = router.choose(candidates, out, tried)
+        if chosen is not None:
+            assert chosen.state == "ready"
+            assert chosen.failure_domain not in out
+            assert chosen.node not in tried
+            router.begin(chosen)
+            running.append(chosen)
+        while len(running) > rng.randrange(20):
+            done = running.pop(rng.randrange(len(running)))
+            done.load = reports.Load(
+                rng.randrange(9), rng.randrange(12), 6, clock.now_s
+            )
+            result = rng.choice(list(routing.Result))
+            router.observe(candidates, done, result, rng.expovariate(100))
+            router.finish(done)
+        most = outliers.MOST_EJECTED_SHARE * len(candidates)
+        assert outliers.count_ejected(candidates, clock.now_s) <= most
+    for item in running:
+        router.finish(item)
+    assert all(item.in_flight == 0 for item in candidates)
+
+
+def test_target_that_fails_fast_gets_little() -> None:
+    """Guards against a failing target that draws work by looking idle."""
+    clock = Clock()
+    router = make_router(1, clock)
+    candidates = make_candidates(6)
+    sent = 0
+    for _ in range(3000):
+        clock.now_s += 0.002
+        chosen = router.choose(candidates, frozenset(), set())
+        fails = chosen.node == "n0"
+        sent += fails
+        # The other targets are half full; the failing one is always idle.
+        busy = 0 if fails else 3
+        chosen.load = reports.Load(busy, 0, 6, clock.now_s)
+        result = routing.Result.FAILED if fails else routing.Result.ANSWERED
+        router.observe(candidates, chosen, result, 0.01)
+    assert sent < 3000 / 6 / 2
+
+
+def test_service_that_fails_everywhere_ejects_none() -> None:
+    """Guards against ejections that take the last capacity away."""
+    clock = Clock()
+    router = make_router(1, clock)
+    candidates = make_candidates(6)
+    for _ in range(500):
+        clock.now_s += 0.002
+        chosen = router.choose(candidates, frozenset(), set())
+        router.observe(candidates, chosen, routing.Result.FAILED, 0.01)
+    assert outliers.count_ejected(candidates, clock.now_s) <= 1
+
+
+def test_report_of_no_load_does_not_decide_alone() -> None:
+    """Guards against a lying target that takes everything."""
+    clock = Clock()
+    router = make_router(2, clock)
+    candidates = make_candidates(6)
+    share = 0
+    for _ in range(2000):
+        clock.now_s += 0.001
+        chosen = router.choose(candidates, frozenset(), set())
+        router.begin(chosen)
+        share += chosen.node == "n0"
+        lies = chosen.node == "n0"
+        busy = reports.Load(0 if lies else 3, 0, 60 if lies else 6)
+        busy.at_s = clock.now_s
+        chosen.load = busy
+        if not lies or share % 4 == 0:
+            # The liar answers one request in four; the others pile up.
+            router.observe(candidates, chosen, routing.Result.ANSWERED, 0.01)
+            router.finish(chosen)
+    assert share < 2000 / 6
+
+
+def test_cold_target_gets_little_but_something() -> None:
+    """Guards against flooding a cold target, and against starving it."""
+    clock = Clock()
+    router = make_router(3, clock)
+    candidates = make_candidates(6)
+    for item in candidates:
+        router.begin(item)
+        item.load = reports.Load(5, 0, 6, clock.now_s)
+        router.finish(item)
+    cold = candidates[0]
+    cold.load = reports.Load(0, 0, 1, clock.now_s)
+    assert router.choose([cold, candidates[1]], frozenset(), set()) is cold
+    router.begin(cold)
+    counts = count_choices(router, candidates)
+    assert counts["n0"] == 0
+
+
+def test_refused_target_serves_if_nothing_else_does() -> None:
+    """Guards against refusing work while a target may be back."""
+    clock = Clock()
+    router = make_router(4, clock)
+    candidates = make_candidates(2)
+    router.observe(candidates, candidates[0], routing.Result.UNAVAILABLE, 0.001)
+    assert count_choices(router, candidates)["n0"] == 0
+    only = router.choose(candidates, frozenset({"d1"}), set())
+    assert only is candidates[0]
+
+
+def test_far_target_is_chosen_when_near_one_is_full() -> None:
+    """Guards against overloading what is near."""
+    clock = Clock()
+    router = make_router(5, clock)
+    router.place = routing.cost.Place("n9", "r1", "d0")
+    near, far = make_candidates(2)
+    far.region = "r2"
+    for item in (near, far):
+        item.load = reports.Load(0, 0, 6, clock.now_s)
+    assert count_choices(router, [near, far])["n0"] == 200
+    near.load = reports.Load(6, 0, 6, clock.now_s)
+    assert count_choices(router, [near, far])["n1"] == 200
+
+
+def test_explanation_names_exclusions_and_costs() -> None:
+    """Guards against an explanation that differs from the choice."""
+    clock = Clock()
+    router = make_router(6, clock)
+    candidates = make_candidates(4)
+    candidates[0].state = "leaving"
+    lines = router.explain(candidates, frozenset({"d1"}), {"n2"})
+    reasons = {line.node: line.excluded_by for line in lines}
+    assert reasons == {
+        "n0": "leaving",
+        "n1": "domain_out",
+        "n2": "tried",
+        "n3": "",
+    }
+    assert lines[0].node == "n3"
+    assert lines[0].cost.total > 0
+
+
+@pytest.mark.parametrize(
+    "text", ["", "in_flight=1", "in_flight=-1,queue=0,limit=6", "a,b,c"]
+)
+def test_malformed_report_is_no_report(text: str) -> None:
+    """Guards against negative or partial reports that make a target cheap."""
+    assert reports.parse_load(text, 0.0) is None
--- a/src/waxwingferry/request/call.py
+++ b/src/waxwingferry/request/call.py
@@ -17,6 +17,10 @@
 KEY_HEADER = "idempotency-key"
 
 MAX_DEPTH = 14
+
+# Kept back at each hop for the answer's way: two passes and the distance to
+# another failure domain.
+RETURN_RESERVE_S = 0.002
 MAX_BUFFERED_BODY_BYTES = 65536
 
 # Fields that only the system sets; a caller's own values are removed.
@@ -108,7 +112,8 @@
 
 def hop_headers(attempt: Attempt) -> http1.Headers:
     """Returns the fields of an attempt with those of the system added."""
-    remaining_ms = max(int(attempt.deadline.remaining_s() * 1000), 0)
+    remaining_s = attempt.deadline.remaining_s() - RETURN_RESERVE_S
+    remaining_ms = max(int(remaining_s * 1000), 0)
     headers = [
         item
         for item in attempt.headers
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -12,11 +12,17 @@
 from waxwingferry.process import routing
 from waxwingferry.request import call
 from waxwingferry.request import forward
+from waxwingferry.request import hop
 from waxwingferry.request import outcome
 from waxwingferry.request import receive
+from waxwingferry.request import retry
 from waxwingferry.version import document
 
-MAX_ATTEMPTS = 3
+MAX_IN_FLIGHT = 1000
+
+# Calls from outside leave places for nested ones: a nested call that finds
+# no place wastes what the calls above it have done already.
+OUTSIDE_SHARE = 0.8
 
 
 class Entry:
@@ -31,6 +37,7 @@
         receiver: Runs attempts at the node's own target.
         counters: Metrics of the node.
         rng: Source of call identities.
+        max_in_flight: Calls in flight at a time; more are refused.
     """
 
     def __init__(
@@ -43,6 +50,7 @@
         receiver: receive.Receiver,
         counters: metrics.Metrics,
         rng: random.Random,
+        max_in_flight: int = MAX_IN_FLIGHT,
     ):
         self.node = node
         self.revision = revision
@@ -52,19 +60,49 @@
         self.receiver = receiver
         self.counters = counters
         self.rng = rng
+        self.max_in_flight = max_in_flight
+        self.in_flight = 0
+        self.retries = retry.RetryPolicy(self._retry_ratio)
+
+    def _retry_ratio(self) -> float:
+        revision = self.revision()
+        return revision.document.budgets.retry_ratio if revision else 0.0
 
     async def handle(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Answers one request of a caller."""
-        made = await self._make_call(connection, head)
-        if isinstance(made, outcome.NotRun):
-            await self._refuse(connection, made)
+        try:
+            place = hop.parse_hop(head.headers)
+        except http1.HttpError:
+            refusal = outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
+            await self._refuse(connection, refusal)
             return
-        await self._run(connection, made)
+        if not self._has_place(place.depth):
+            refusal = outcome.NotRun(outcome.Reason.ENTRY_FULL)
+            await self._refuse(connection, refusal)
+            return
+        self.in_flight += 1
+        try:
+            made = await self._make_call(connection, head, place)
+            if isinstance(made, outcome.NotRun):
+                await self._refuse(connection, made)
+                return
+            self.retries.count_call(made)
+            await self._run(connection, made)
+        finally:
+            self.in_flight -= 1
+            assert 0 <= self.in_flight <= self.max_in_flight
+
+    def _has_place(self, depth: int) -> bool:
+        share = 1.0 if depth else OUTSIDE_SHARE
+        return self.in_flight < self.max_in_flight * share
 
     async def _make_call(
-        self, connection: http1.ServerConnection, head: http1.RequestHead
+        self,
+        connection: http1.ServerConnection,
+        head: http1.RequestHead,
+        place: hop.Hop,
     ) -> call.Call | outcome.NotRun:
         revision = self.revision()
         if revision is None:
@@ -74,16 +112,13 @@
             return outcome.NotRun(outcome.Reason.NO_ROUTE, 404)
         service, route = match
         find = http1.find_header
-        try:
-            depth = int(find(head.headers, call.DEPTH_HEADER, "0")) + 1
-            limit_ms = int(
-                find(head.headers, call.DEADLINE_HEADER, str(route.deadline_ms))
-            )
-        except ValueError:
-            return outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
-        if depth > call.MAX_DEPTH:
+        if place.depth >= call.MAX_DEPTH:
             return outcome.NotRun(outcome.Reason.TOO_DEEP)
-        deadline_ms = min(limit_ms, route.deadline_ms)
+        deadline_ms = route.deadline_ms
+        if place.deadline_ms is not None:
+            deadline_ms = min(deadline_ms, place.deadline_ms)
+        # Time spent on reading the body counts too.
+        deadline = call.make_deadline(deadline_ms / 1000)
         return call.Call(
             call_id=f"{self.rng.getrandbits(64):016x}",
             service=service.name,
@@ -91,11 +126,11 @@
             target=head.target,
             headers=http1.end_to_end_headers(head.headers),
             body=await read_body(connection),
-            deadline=call.make_deadline(deadline_ms / 1000),
+            deadline=deadline,
             member=find(head.headers, service.member_header, ""),
-            depth=depth,
+            depth=place.depth + 1,
             idempotent=route.idempotent,
-            is_retry=find(head.headers, call.RETRY_HEADER) == "1",
+            is_retry=place.is_retry,
             key=find(head.headers, call.KEY_HEADER),
         )
 
@@ -106,14 +141,14 @@
         last: outcome.NotRun | outcome.Unknown = outcome.NotRun(
             outcome.Reason.NO_TARGET
         )
-        for number in range(1, MAX_ATTEMPTS + 1):
-            revision = self.revision()
-            assert revision is not None
-            candidate = self.router.choose(
-                self.known.by_service.get(made.service, []),
-                revision.domains_out,
-                tried,
-            )
+        if made.deadline.remaining_s() <= call.RETURN_RESERVE_S:
+            last = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+            await self._refuse(connection, last)
+            return
+        for number in range(1, retry.MAX_ATTEMPTS + 1):
+            candidate = self._choose(made, tried)
+            if number > 1 and not self._pay_retry(made, last, candidate):
+                break
             if candidate is None:
                 break
             tried.add(candidate.node)
@@ -124,29 +159,74 @@
                     self.counters.calls.inc({"outcome": "answered"})
                     return
                 last = result
-            if not _may_retry(made, last):
+            if not self._may_retry(made, last, number):
                 break
-            self.counters.retries.inc({"reason": last.reason.value})
         await self._refuse(connection, last)
 
+    def _choose(
+        self, made: call.Call, tried: set[str]
+    ) -> routing.Candidate | None:
+        revision = self.revision()
+        assert revision is not None
+        return self.router.choose(
+            self.known.by_service.get(made.service, []),
+            revision.domains_out,
+            tried,
+        )
+
+    def _may_retry(
+        self,
+        made: call.Call,
+        last: outcome.NotRun | outcome.Unknown,
+        attempts: int,
+    ) -> bool:
+        latency_s = self.router.service_stats(made.service).latency_s
+        denial = self.retries.check(made, last, attempts, latency_s)
+        return self._count_denial(denial)
+
+    def _pay_retry(
+        self,
+        made: call.Call,
+        last: outcome.NotRun | outcome.Unknown,
+        candidate: routing.Candidate | None,
+    ) -> bool:
+        if candidate is None:
+            return self._count_denial(retry.Denial.NO_TARGET)
+        has_room = self.router.has_room(candidate)
+        denial = self.retries.spend(made, last, has_room)
+        if denial is None:
+            self.counters.retries.inc({"reason": last.reason.value})
+        return self._count_denial(denial)
+
+    def _count_denial(self, denial: retry.Denial | None) -> bool:
+        if denial is None:
+            return True
+        self.counters.retry_denials.inc({"reason": denial.value})
+        return False
+
     @contextlib.asynccontextmanager
     async def _execute(
         self, candidate: routing.Candidate, attempt: call.Attempt
     ) -> AsyncIterator[outcome.Outcome]:
-        candidate.in_flight += 1
         own = candidate.node == self.node
         executor = (
             self.receiver.execute(attempt)
             if own
             else self.forwarder.execute(candidate, attempt)
         )
+        self.router.begin(candidate)
+        began_s = time.monotonic()
         try:
             async with executor as result:
-                if _is_refused_connection(result):
-                    candidate.refused_at_s = time.monotonic()
+                self.router.observe(
+                    self.known.by_service.get(candidate.service, []),
+                    candidate,
+                    _judge(result),
+                    time.monotonic() - began_s,
+                )
                 yield result
         finally:
-            candidate.in_flight -= 1
+            self.router.finish(candidate)
 
     async def _refuse(
         self,
@@ -224,21 +304,26 @@
         yield chunk
 
 
-def _may_retry(made: call.Call, last: outcome.NotRun | outcome.Unknown) -> bool:
-    if made.is_retry or made.body.rest is not None:
-        return False
-    if made.deadline.remaining_s() <= 0:
-        return False
-    match last:
-        case outcome.NotRun():
-            return True
-        case outcome.Unknown():
-            return made.idempotent
-    return False
+# What a target's node refuses for reasons of the request itself.
+_NO_FAULT = frozenset(
+    {outcome.Reason.DEADLINE_TOO_SHORT, outcome.Reason.CONNECTION_SILENT}
+)
 
 
-def _is_refused_connection(result: outcome.Outcome) -> bool:
-    return (
-        isinstance(result, outcome.NotRun)
-        and result.reason is outcome.Reason.CONNECTION_REFUSED
-    )
+def _judge(result: outcome.Outcome) -> routing.Result:
+    """Returns what an outcome says about the target."""
+    if isinstance(result, outcome.Answer):
+        failed = result.head.status >= 500
+        return routing.Result.FAILED if failed else routing.Result.ANSWERED
+    if result.reason in _NO_FAULT:
+        return routing.Result.ABANDONED
+    if result.reason is outcome.Reason.QUEUE_FULL:
+        return routing.Result.OVERLOADED
+    match retry.classify(result):
+        case retry.Kind.MOVED:
+            return routing.Result.UNAVAILABLE
+        case retry.Kind.FINAL:
+            return routing.Result.ABANDONED
+        case _:
+            # A target that sheds at once must not look idle and fast.
+            return routing.Result.FAILED
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -17,6 +17,7 @@
     NO_ROUTE = "no_route"
     NO_DOCUMENT = "no_document"
     NO_TARGET = "no_target"
+    ENTRY_FULL = "entry_full"
     DOMAIN_OUT = "domain_out"
     LEAVING = "leaving"
     QUEUE_FULL = "queue_full"
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 
 from waxwingferry.connection import http1
+from waxwingferry.process import probe
 from waxwingferry.request import call
 from waxwingferry.request import entry
+from waxwingferry.request import hop
 from waxwingferry.request import outcome
 from waxwingferry.request import receive
 from waxwingferry.version import document
@@ -30,6 +32,10 @@
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Answers one request of another node."""
+        if head.target == probe.PROBE_TARGET:
+            answer = probe.make_answer(self.receiver.load())
+            await connection.send_head(200, [], answer)
+            return
         attempt = await _make_attempt(connection, head)
         async with self.receiver.execute(attempt) as result:
             extra = [(call.LOAD_HEADER, self.receiver.load())]
@@ -47,11 +53,16 @@
     connection: http1.ServerConnection, head: http1.RequestHead
 ) -> call.Attempt:
     find = http1.find_header
-    try:
-        depth = int(find(head.headers, call.DEPTH_HEADER))
-        deadline_ms = int(find(head.headers, call.DEADLINE_HEADER))
-    except ValueError as error:
-        raise http1.HttpError("depth and deadline must be integers") from error
+    place = hop.parse_hop(head.headers)
+    if place.deadline_ms is None:
+        raise http1.HttpError(f"{call.DEADLINE_HEADER} is missing")
+    if not 1 <= place.depth <= call.MAX_DEPTH:
+        raise http1.HttpError(
+            f"{call.DEPTH_HEADER} = {place.depth}: "
+            f"must be from 1 to {call.MAX_DEPTH}"
+        )
+    # Time spent on reading the body counts too.
+    deadline = call.make_deadline(place.deadline_ms / 1000)
     return call.Attempt(
         attempt_id=find(head.headers, call.ATTEMPT_HEADER),
         service=find(head.headers, call.SERVICE_HEADER),
@@ -59,9 +70,9 @@
         target=head.target,
         headers=head.headers,
         body=await entry.read_body(connection),
-        deadline=call.make_deadline(deadline_ms / 1000),
+        deadline=deadline,
         member=find(head.headers, call.MEMBER_HEADER),
-        depth=depth,
+        depth=place.depth,
         incarnation=find(head.headers, call.INCARNATION_HEADER),
-        is_retry=find(head.headers, call.RETRY_HEADER) == "1",
+        is_retry=place.is_retry,
     )
--- /dev/null
+++ b/src/waxwingferry/request/tests/test_retry.py
@@ -0,0 +1,167 @@
+"""Retries: who may, how many, and how they add up in a chain."""
+
+import pytest
+
+from waxwingferry.connection import http1
+from waxwingferry.process.tests import test_routing
+from waxwingferry.request import call
+from waxwingferry.request import hop
+from waxwingferry.request import outcome
+from waxwingferry.request import retry
+
+_Reason = outcome.Reason
+CALLS = 1000
+RATIO = 0.1
+
+
+def make_call(**changes) -> call.Call:
+    """Returns a call that may be tried again."""
+    values = {
+        "call_id": "1",
+        "service": "registry",
+        "method": "GET",
+        "target": "/",
+        "headers": [],
+        "body": call.Body(b""),
+        "deadline": call.make_deadline(1.0),
+        "member": "",
+        "depth": 1,
+        "idempotent": True,
+    }
+    return call.Call(**{**values, **changes})
+
+
+class Chain:
+    """Services that call each other, the last of which refuses all.
+
+    Args:
+        ratio: Retry ratio of each entry.
+        reason: Why the last service refuses.
+    """
+
+    def __init__(self, ratio: float, reason: outcome.Reason):
+        self.reason = reason
+        clock = test_routing.Clock()
+        self.policies = [
+            retry.RetryPolicy(lambda: ratio, clock)
+            for _ in range(call.MAX_DEPTH)
+        ]
+        self.leaf_attempts = 0
+
+    def call(self, level: int, is_retry: bool) -> None:
+        """Makes the call at a level, with the retries its policy allows."""
+        policy = self.policies[level]
+        made = make_call(is_retry=is_retry, depth=level + 1)
+        policy.count_call(made)
+        last = outcome.NotRun(self.reason)
+        for number in range(1, retry.MAX_ATTEMPTS + 1):
+            if number > 1 and policy.spend(made, last, True):
+                return
+            if level + 1 < call.MAX_DEPTH:
+                self.call(level + 1, is_retry or number > 1)
+            else:
+                self.leaf_attempts += 1
+            if policy.check(made, last, number, 0.0):
+                return
+
+
+@pytest.mark.parametrize(
+    "reason", [_Reason.CONNECTION_REFUSED, _Reason.QUEUE_FULL]
+)
+def test_brown_out_does_not_multiply_in_a_chain(reason) -> None:
+    """Guards against a service that fails under its own callers' retries.
+
+    Each of the 14 levels may add its ratio, and none multiplies another's.
+    """
+    chain = Chain(RATIO, reason)
+    for _ in range(CALLS):
+        chain.call(0, False)
+    assert chain.leaf_attempts <= CALLS * (1 + RATIO * call.MAX_DEPTH)
+
+
+def test_overload_leaves_half_of_the_budget() -> None:
+    """Guards against overload that uses up what lost targets need."""
+    policy = retry.RetryPolicy(lambda: RATIO, test_routing.Clock())
+    made = make_call()
+    for _ in range(100):
+        policy.count_call(made)
+    full = outcome.NotRun(_Reason.QUEUE_FULL)
+    moved = outcome.NotRun(_Reason.LEAVING)
+    assert policy.spend(made, full, False) is retry.Denial.NO_ROOM
+    paid = [policy.spend(made, full, True) for _ in range(10)]
+    assert paid.count(None) == 5
+    paid = [policy.spend(made, moved, False) for _ in range(10)]
+    assert paid.count(None) == 5
+
+
+@pytest.mark.parametrize(
+    ("changes", "last", "attempts", "denial"),
+    [
+        ({}, outcome.NotRun(_Reason.LEAVING), 1, None),
+        ({}, outcome.NotRun(_Reason.LEAVING), 2, None),
+        ({}, outcome.NotRun(_Reason.LEAVING), 3, retry.Denial.ATTEMPTS),
+        ({}, outcome.NotRun(_Reason.QUEUE_FULL), 1, None),
+        ({}, outcome.NotRun(_Reason.QUEUE_FULL), 2, retry.Denial.ATTEMPTS),
+        ({}, outcome.NotRun(_Reason.KEY_MISMATCH), 1, retry.Denial.FINAL),
+        ({}, outcome.Unknown(_Reason.CONNECTION_LOST), 1, None),
+        (
+            {"idempotent": False},
+            outcome.Unknown(_Reason.CONNECTION_LOST),
+            1,
+            retry.Denial.NOT_IDEMPOTENT,
+        ),
+        (
+            {"idempotent": False, "key": "k"},
+            outcome.Unknown(_Reason.TIMEOUT),
+            1,
+            retry.Denial.NOT_IDEMPOTENT,
+        ),
+        ({"idempotent": False}, outcome.NotRun(_Reason.LEAVING), 1, None),
+        (
+            {"is_retry": True},
+            outcome.NotRun(_Reason.LEAVING),
+            1,
+            retry.Denial.RETRIED_ABOVE,
+        ),
+        (
+            {"deadline": call.Deadline(0.0)},
+            outcome.NotRun(_Reason.LEAVING),
+            1,
+            retry.Denial.NO_TIME,
+        ),
+    ],
+)
+def test_retry_needs_every_condition(changes, last, attempts, denial) -> None:
+    """Guards against a second run without proof, and retries in vain."""
+    policy = retry.RetryPolicy(lambda: RATIO, test_routing.Clock())
+    made = make_call(**changes)
+    assert policy.check(made, last, attempts, 0.0) is denial
+
+
+def test_each_hop_leaves_less_time() -> None:
+    """Guards against a nested call that outlives its caller's deadline."""
+    attempt = call.make_attempt(make_call(), 1, "i")
+    headers = call.hop_headers(attempt)
+    left_ms = hop.parse_hop(headers).deadline_ms
+    assert left_ms is not None
+    assert left_ms <= 1000 - call.RETURN_RESERVE_S * 1000
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (call.DEPTH_HEADER, "-1"),
+        (call.DEPTH_HEADER, "1_0"),
+        (call.DEPTH_HEADER, "+1"),
+        (call.DEPTH_HEADER, "\u0661"),
+        (call.DEADLINE_HEADER, "-5"),
+        (call.DEADLINE_HEADER, "1e3"),
+        (call.DEADLINE_HEADER, "12345678901234567890"),
+        (call.RETRY_HEADER, "yes"),
+    ],
+)
+def test_malformed_value_is_a_bad_request(name: str, value: str) -> None:
+    """Guards against values that int() takes, such as -1 for the depth."""
+    with pytest.raises(http1.HttpError) as caught:
+        hop.parse_hop([(name, value)])
+    assert caught.value.status == 400
