--- a/benchmarks/routing_model.py
+++ b/benchmarks/routing_model.py
@@ -18,6 +18,7 @@
 import fire
 
 from waxwingferry.process import cost
+from waxwingferry.process import probe
 from waxwingferry.process import routing
 
 NODE_DELAY_S = 0.00005
@@ -28,6 +29,8 @@
 # Shape of the gamma distribution of service times: a deviation of half the
 # mean, so that the tail shows queues and slow targets rather than requests.
 SHAPE = 4.0
+PROBES_PER_S = 10.0
+PROBE_PROCESSOR_S = 0.0005
 
 
 @dataclasses.dataclass
@@ -128,6 +131,9 @@
     def __init__(self, model: "Model", number: int, variant: routing.Variant):
         self.model = model
         self.place = make_place(model.scenario, number)
+        self.budget = probe.ProbeBudget(
+            lambda: PROBES_PER_S, lambda: model.now_s
+        )
         self.candidates = [
             self._make_candidate(other)
             for other in range(model.scenario.targets)
@@ -159,9 +165,14 @@
 
     def probe(self, candidate: routing.Candidate) -> None:
         """Sends a probe, at most one at a time to each target."""
-        if candidate.stats.probing:
+        stats = candidate.stats
+        if stats.probing or self.model.now_s < stats.probe_after_s:
+            return
+        if self.budget.reserve():
             return
-        candidate.stats.probing = True
+        self.budget.settle(probe.Cost(60, 140, PROBE_PROCESSOR_S))
+        stats.probing = True
+        stats.probe_after_s = self.model.now_s + probe.PROBE_INTERVAL_S
         self.model.probes += 1
         target = self.model.targets[candidate.peer_port]
         delay_s = self.delay(candidate)
@@ -377,6 +388,16 @@
         Scenario("cold", utilisation=0.5, cold=3, duration_s=3.0),
         Scenario("skewed", skewed_entries=True),
         Scenario("regions", regions=2, duration_s=4.0),
+        # Two-year size: one service, called through all 660 entries. Each
+        # entry sees a target less than once a second.
+        Scenario(
+            "sparse",
+            targets=30,
+            entries=660,
+            service_s=0.015,
+            duration_s=4.0,
+            domains=6,
+        ),
         Scenario("many", targets=30, entries=30, slots=6, duration_s=2.0),
     )
 }
--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -51,6 +51,7 @@
             emulator.target.Behaviour.
         domains: Names of failure domains, given to targets in turn.
         first_port: First of the ports used.
+        node_settings: Further settings of all nodes.
     """
 
     def __init__(
@@ -62,12 +63,14 @@
         domains: tuple[str, ...] = ("d1", "d2", "d3", "d4"),
         first_port: int = FIRST_PORT,
         seed: int = 1,
+        node_settings: dict | None = None,
     ):
         self.services = services
         self.document = document
         self.slots = slots
         self.behaviour = behaviour or {}
         self.domains = domains
+        self.node_settings = node_settings or {}
         self.next_port = first_port
         self.seed = seed
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="waxwingferry-"))
@@ -125,6 +128,7 @@
                 {"host": "127.0.0.1", "port": other.ports["peer"]}
                 for other in self.members[:3]
             ],
+            **self.node_settings,
         }
         path = self.directory / f"node-{member.name}.yaml"
         path.write_text(yaml.safe_dump(content), encoding="utf-8")
--- /dev/null
+++ b/src/waxwingferry/bench/counters.py
@@ -0,0 +1,31 @@
+"""Reads the counters of running nodes."""
+
+import collections
+import re
+
+import httpx
+
+from waxwingferry.bench import cluster
+
+_LINE = re.compile(r"waxwingferry_(\w+?)_total\{(.*)\} ([0-9.e+]+)")
+_LABEL = re.compile(r'(\w+)="([^"]*)"')
+
+
+async def read_counters(
+    client: httpx.AsyncClient, running: cluster.Cluster
+) -> collections.Counter[str]:
+    """Returns counters summed over all nodes, as "name:label value"."""
+    total: collections.Counter[str] = collections.Counter()
+    for member in running.members:
+        port = member.ports["admin"]
+        reply = await client.get(f"http://127.0.0.1:{port}/metrics")
+        for name, labels, value in _LINE.findall(reply.text):
+            values = [text for _, text in _LABEL.findall(labels)]
+            total[f"{name}:{' '.join(values)}"] += int(float(value))
+    return total
+
+
+def sum_counters(total: collections.Counter[str], name: str) -> int:
+    """Returns the sum of a counter over its labels."""
+    prefix = name + ":"
+    return sum(n for key, n in total.items() if key.startswith(prefix))
--- /dev/null
+++ b/src/waxwingferry/bench/experiments/routing.py
@@ -0,0 +1,183 @@
+"""Ways to choose a target, on the same load with shifting speeds.
+
+Each variant gets a cluster of its own, with the same seeds for arrivals and
+for the targets, whose speed changes every five milliseconds and which noisy
+neighbours slow down. The entry that a call goes to is random.
+"""
+
+import random
+import time
+
+import httpx
+
+from waxwingferry.bench import cluster
+from waxwingferry.bench import counters
+from waxwingferry.bench import experiment
+from waxwingferry.bench import load
+from waxwingferry.process import probe
+from waxwingferry.process import routing
+
+TARGETS = 8
+SLOTS = 6
+SERVICE_TIME_MS = 20.0
+RATE_PER_S = 420.0
+WARM_UP_S = 1.5
+PHASE_SHARE = 0.5
+PROBES_PER_S = 10.0
+
+BEHAVIOUR = {
+    "service_time_ms": SERVICE_TIME_MS,
+    "speed_shift": 4.0,
+    "neighbour_slowdown": 4.0,
+    "neighbour_share": 0.1,
+}
+
+DOCUMENT = {
+    "services": [
+        {
+            "name": "registry",
+            "routes": [
+                {
+                    "path_prefix": "/registry/",
+                    "methods": ["GET"],
+                    "idempotent": True,
+                    "deadline_ms": 5000,
+                }
+            ],
+        }
+    ],
+    "failure_domains": [
+        {"name": f"d{number}", "region": "r1"} for number in range(1, 5)
+    ],
+    "budgets": {"probe_per_s": PROBES_PER_S},
+}
+
+COLUMNS = [
+    "variant",
+    "calls",
+    "p50 ms",
+    "p99 ms",
+    "p99.9 ms",
+    "refused",
+    "retries",
+    "probes",
+    "spread",
+]
+
+
+def make_plan(
+    running: cluster.Cluster, label: str, duration_s: float
+) -> load.Plan:
+    """Returns the load on a cluster, spread over all entries."""
+
+    def make_request(rng: random.Random, number: int) -> load.Request:
+        member = rng.choice(running.members)
+        return load.Request(
+            ("127.0.0.1", member.ports["caller"]),
+            "GET",
+            "/registry/prices",
+            label,
+            f"{label}-{number}",
+        )
+
+    return load.Plan(RATE_PER_S, duration_s, make_request)
+
+
+async def run(options: experiment.Options) -> experiment.Report:
+    """Runs the experiment."""
+    report = experiment.Report()
+    table = experiment.Table("choice of targets", COLUMNS)
+    report.tables.append(table)
+    for variant in routing.Variant:
+        async with cluster.run_cluster(
+            {"registry": TARGETS},
+            DOCUMENT,
+            slots=SLOTS,
+            behaviour=BEHAVIOUR,
+            first_port=options.first_port,
+            seed=options.seed,
+            node_settings={
+                "choice": variant.value,
+                "random_seed": options.seed,
+            },
+        ) as running:
+            row = await _measure(options, running, variant.value, report)
+        table.rows.append(row)
+        report.figures[variant.value] = dict(zip(COLUMNS, row, strict=True))
+    return report
+
+
+async def _measure(
+    options: experiment.Options,
+    running: cluster.Cluster,
+    variant: str,
+    report: experiment.Report,
+) -> list:
+    began_s = time.monotonic()
+    await load.run_load(
+        make_plan(running, "warm-up", WARM_UP_S), options.seed + 1
+    )
+    async with httpx.AsyncClient(trust_env=False) as client:
+        before = await counters.read_counters(client, running)
+        earlier = await _read_counts(client, running)
+        recorder = await load.run_load(
+            make_plan(running, variant, options.duration_s * PHASE_SHARE),
+            options.seed,
+        )
+        after = await counters.read_counters(client, running)
+        counts = await _read_counts(client, running)
+    elapsed_s = time.monotonic() - began_s
+    _check(report, variant, recorder, after, counts, elapsed_s)
+    shares = [
+        counts[name]["started"] - earlier[name].get("started", 0)
+        for name in counts
+    ]
+    change = after - before
+    return [
+        variant,
+        sum(recorder.outcomes.values()),
+        *recorder.percentiles_ms(variant),
+        recorder.outcomes["not-run"],
+        counters.sum_counters(change, "retries"),
+        change["events:probe_sent"],
+        max(shares) / max(min(shares), 1),
+    ]
+
+
+async def _read_counts(
+    client: httpx.AsyncClient, running: cluster.Cluster
+) -> dict[str, dict[str, int]]:
+    return {
+        member.name: await running.counts(client, member)
+        for member in running.members
+    }
+
+
+def _check(report, variant, recorder, after, counts, elapsed_s) -> None:
+    probes = after["events:probe_sent"]
+    # Nodes start up to some seconds before the load; their buckets are full.
+    allowed = TARGETS * PROBES_PER_S * (elapsed_s + 1)
+    by_bytes = TARGETS * probe.BYTES_PER_S * (elapsed_s + 1) / 100
+    report.check(
+        "probes stay within their budget",
+        probes <= min(allowed, by_bytes),
+        f"{variant}: {probes} probes in {elapsed_s:.1f} s",
+    )
+    report.check(
+        "each answer belongs to its request",
+        recorder.crossed == 0,
+        f"{variant}: {recorder.crossed} crossed",
+    )
+    report.check(
+        "each call gets an answer or a refusal",
+        recorder.outcomes["no-answer"] == 0,
+        f"{variant}: {dict(recorder.reasons)}",
+    )
+    for name, data in counts.items():
+        most = data.get("most_in_flight", 0)
+        shed = data.get("shed", 0)
+        report.check(
+            "no target gets more than its slots",
+            most <= SLOTS and not shed,
+            f"{variant}: {name}: {most} in flight, {shed} shed",
+        )
--- a/src/waxwingferry/emulator/target.py
+++ b/src/waxwingferry/emulator/target.py
@@ -32,12 +32,17 @@
 from waxwingferry.connection import serve
 from waxwingferry.process import target as target_interface
 from waxwingferry.request import call
+from waxwingferry.request import outcome
 
 ANNOUNCE_INTERVAL_S = 1.0
 OVERLOAD_SLOWDOWN = 5.0
 SPEED_STEP_S = 0.005
 
 
+class _NestedRefusalError(Exception):
+    """A nested call did not run."""
+
+
 class Behaviour(pydantic.BaseModel):
     """How a stand-in target behaves from now on.
 
@@ -52,6 +57,9 @@
         fail_share: Share of requests answered 500 at once.
         fail_path: Only requests whose path starts with it fail or are slow.
         slow_factor: Factor on the service time of matching requests.
+        refuse_share: Share of matching requests refused as not run.
+        pass_on_refusals: A request whose nested call did not run is refused
+            as not run as well.
         shed: Every request is refused as not run.
         hang: Requests get no answer.
         cut_share: Share of answers cut short after their first half.
@@ -74,6 +82,8 @@
     fail_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
     fail_path: str = "/"
     slow_factor: Annotated[float, pydantic.Field(ge=0)] = 1.0
+    refuse_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
+    pass_on_refusals: bool = False
     shed: bool = False
     hang: bool = False
     cut_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
@@ -125,7 +135,7 @@
         attempt: Identity of the attempt.
         key: Idempotency key, or empty.
         write: Whether the request has an effect that must not repeat.
-        state: running, done, failed or cancelled.
+        state: running, done, failed, refused or cancelled.
         started_s: Wall-clock time of the start.
     """
 
@@ -217,8 +227,18 @@
             echo.append((target_interface.NOT_RUN_HEADER, "true"))
             await connection.send_head(503, echo, b"shed\n")
             return
+        if self._refuses(head):
+            self.counts["refused"] += 1
+            echo.append((target_interface.NOT_RUN_HEADER, "true"))
+            await connection.send_head(503, echo, b"refused\n")
+            return
         await self._run(connection, head, echo)
 
+    def _refuses(self, head: http1.RequestHead) -> bool:
+        behaviour = self.behaviour
+        matches = head.target.startswith(behaviour.fail_path)
+        return matches and self.rng.random() < behaviour.refuse_share
+
     async def _run(self, connection, head, echo) -> None:
         entry = self._enter(head)
         try:
@@ -226,6 +246,11 @@
             entry.state = "done"
             self._store(entry)
             await self._answer(connection, head, echo, entry)
+        except _NestedRefusalError:
+            entry.state = "refused"
+            self.counts["refusals_passed_on"] += 1
+            echo.append((target_interface.NOT_RUN_HEADER, "true"))
+            await connection.send_head(503, echo, b"nested call refused\n")
         finally:
             if entry.state == "running":
                 entry.state = "cancelled"
@@ -307,6 +332,9 @@
                 await self.node.release(connection)
         if reply.status != 200:
             self.counts["nested_failures"] += 1
+            word = http1.find_header(reply.headers, outcome.OUTCOME_HEADER)
+            if self.behaviour.pass_on_refusals and word == "not-run":
+                raise _NestedRefusalError
 
     async def _answer(self, connection, head, echo, entry) -> None:
         behaviour = self.behaviour
--- a/src/waxwingferry/process/cost.py
+++ b/src/waxwingferry/process/cost.py
@@ -13,6 +13,7 @@
 # not as costly as a full warm one, and gets the work that warms it up.
 NEXT_REQUEST = 0.5
 OTHERS_HALF_LIFE_S = 0.05
+LIMIT_GROWTH_PER_S = 1.0
 LATENCY_HALF_LIFE_S = 0.5
 LEAST_LATENCY_FACTOR = 0.5
 MOST_LATENCY_FACTOR = 2.0
@@ -61,7 +62,7 @@
 ) -> Cost:
     """Returns the cost of giving the next request to a candidate."""
     stats = candidate.stats
-    limit = max(min(stats.load.limit, candidate.slots), 1)
+    limit = estimate_limit(candidate, now_s)
     others = _estimate_others(candidate, service, limit, now_s)
     utilisation = (stats.in_flight + others + NEXT_REQUEST) / limit
     factor = _latency_factor(stats, service, now_s)
@@ -72,10 +73,24 @@
     return Cost(utilisation, factor, penalty, far, total)
 
 
+def estimate_limit(candidate: "routing.Candidate", now_s: float) -> float:
+    """Returns the places that a target has by now.
+
+    A cold target grows with the work of all entries. An entry that kept the
+    old low limit would never send it work, and never hear that it grew.
+    """
+    stats = candidate.stats
+    age_s = max(now_s - stats.load.at_s, 0.0)
+    if math.isinf(age_s):
+        return float(max(candidate.slots, 1))
+    limit = max(stats.load.limit, 1) + LIMIT_GROWTH_PER_S * age_s
+    return max(min(limit, candidate.slots), 1.0)
+
+
 def _estimate_others(
     candidate: "routing.Candidate",
     service: reports.ServiceStats,
-    limit: int,
+    limit: float,
     now_s: float,
 ) -> float:
     """Returns the work of other entries; old reports fade to the average.
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -94,7 +94,7 @@
         place = cost.Place(options.node, options.region, options.failure_domain)
         return routing.Router(
             self.rng,
-            variant=options.routing,
+            variant=options.choice,
             place=place,
             want_probe=self.prober.want,
             on_ejection=self.count_ejection,
--- a/src/waxwingferry/process/reports.py
+++ b/src/waxwingferry/process/reports.py
@@ -55,6 +55,7 @@
         refused_at_s: Time of the last refusal to take any work.
         ejected_until_s: End of the ejection.
         ejections: Ejections in a row.
+        met: Whether the router has seen the target.
         probing: Whether a probe is wanted or on its way.
         probe_after_s: Time before which no further probe is sent.
     """
@@ -72,6 +73,7 @@
     refused_at_s: float = -math.inf
     ejected_until_s: float = -math.inf
     ejections: int = 0
+    met: bool = False
     probing: bool = False
     probe_after_s: float = -math.inf
 
--- a/src/waxwingferry/process/routing.py
+++ b/src/waxwingferry/process/routing.py
@@ -19,6 +19,9 @@
 REFUSED_PENALTY_S = 1.0
 STALE_REPORT_S = 1.0
 
+# Targets met within this time of the entry's start may have run for long.
+START_S = 5.0
+
 # Candidates drawn beside the own target. All candidates would make the
 # entries choose the same target by the same stale reports.
 DRAWN = 3
@@ -137,6 +140,7 @@
         self.want_probe = want_probe
         self.on_ejection = on_ejection
         self.own_load = own_load
+        self.started_s = clock()
         self.turns: dict[str, int] = {}
         self.services: dict[str, reports.ServiceStats] = {}
 
@@ -154,6 +158,7 @@
             excluded: Nodes that this call has tried already.
         """
         now_s = self.clock()
+        self._meet(candidates, now_s)
         usable = [
             item
             for item in candidates
@@ -167,6 +172,16 @@
         assert not _exclusion(chosen, domains_out, excluded)
         return chosen
 
+    def _meet(self, candidates: list[Candidate], now_s: float) -> None:
+        """Takes targets that appear while the entry runs for cold ones."""
+        for item in candidates:
+            stats = item.stats
+            if stats.met:
+                continue
+            stats.met = True
+            if now_s - self.started_s > START_S:
+                stats.load = reports.Load(0, 0, 1, now_s)
+
     def _pick(self, pool: list[Candidate], now_s: float) -> Candidate:
         match self.variant:
             case Variant.RANDOM:
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -50,7 +50,7 @@
         platform_url: Base URL of the platform's services.
         seed_peers: Nodes asked for members and document when the platform
             is down.
-        routing: Way to choose targets; others than "weighted" are for
+        choice: Way to choose targets; others than "weighted" are for
             experiments.
         log: Log settings.
         random_seed: Seed of all random choices; None takes one from the
@@ -67,7 +67,7 @@
     failure_domain: Name
     platform_url: str
     seed_peers: tuple[PeerAddress, ...] = ()
-    routing: routing.Variant = routing.Variant.WEIGHTED
+    choice: routing.Variant = routing.Variant.WEIGHTED
     log: LogSettings = LogSettings()
     random_seed: int | None = None
 
