--- a/src/waxwingferry/process/routing.py
+++ b/src/waxwingferry/process/routing.py
@@ -73,6 +73,15 @@
         """Attempts that this entry has with the target now."""
         return self.stats.in_flight
 
+    @property
+    def refused_at_s(self) -> float:
+        """Monotonic time of the last refusal to take any work."""
+        return self.stats.refused_at_s
+
+    @refused_at_s.setter
+    def refused_at_s(self, at_s: float) -> None:
+        self.stats.refused_at_s = at_s
+
     @property
     def load(self) -> reports.Load:
         """The newest load report."""
