Compare ways to retry after overload in the model

Cause: the restraint after queue_full was decided without figures. Change: the model pays for retries by the real budget, in four ways.

--- a/benchmarks/routing_model.py
+++ b/benchmarks/routing_model.py
@@ -17,9 +17,11 @@
 
 import fire
 
+from waxwingferry.process import budget
 from waxwingferry.process import cost
 from waxwingferry.process import probe
 from waxwingferry.process import routing
+from waxwingferry.request import retry
 
 NODE_DELAY_S = 0.00005
 DOMAIN_DELAY_S = 0.0005
@@ -30,6 +32,7 @@
 # mean, so that the tail shows queues and slow targets rather than requests.
 SHAPE = 4.0
 PROBES_PER_S = 10.0
+RETRY_RATIO = 0.1
 PROBE_PROCESSOR_S = 0.0005
 
 
@@ -47,6 +50,10 @@
         neighbour_s: Time until the noisy neighbour moves on.
         failing: Targets that fail fast.
         cold: Targets that start cold.
+        skewed_entries: Whether a fifth of the entries get half of the calls.
+        retry: How refusals for overload are tried again: none, free (twice,
+            no budget), budget (twice) or restrained (once, half of the
+            budget, only where there is believed to be room).
     """
 
     name: str = "shifts"
@@ -66,6 +73,7 @@
     failing: int = 0
     cold: int = 0
     skewed_entries: bool = False
+    retry: str = "restrained"
 
 
 class Target:
@@ -131,6 +139,7 @@
     def __init__(self, model: "Model", number: int, variant: routing.Variant):
         self.model = model
         self.place = make_place(model.scenario, number)
+        self.retries = budget.RatioBudget(RETRY_RATIO, lambda: model.now_s)
         self.budget = probe.ProbeBudget(
             lambda: PROBES_PER_S, lambda: model.now_s
         )
@@ -198,14 +207,16 @@
 
     def call(self) -> None:
         """Runs one call, with one retry on another target."""
+        self.retries.count_call()
         self.attempt(self.model.now_s, set())
 
     def attempt(self, began_s: float, tried: set[str]) -> None:
         """Runs one attempt."""
         candidate = self.router.choose(self.candidates, frozenset(), tried)
-        if candidate is None:
+        if candidate is None or (tried and not self.pay(candidate, tried)):
             self.model.refused += 1
             return
+        self.model.retries += bool(tried)
         self.router.begin(candidate)
         sent_s = self.model.now_s
         delay_s = self.delay(candidate)
@@ -224,6 +235,18 @@
 
         self.model.after(delay_s, target.arrive, reply)
 
+    def pay(self, candidate: routing.Candidate, tried: set[str]) -> bool:
+        """Tells whether a refusal for overload is tried again."""
+        match self.model.scenario.retry:
+            case "free":
+                return len(tried) <= 2
+            case "budget":
+                return len(tried) <= 2 and self.retries.spend()
+            case "restrained":
+                room = len(tried) <= 1 and self.router.has_room(candidate)
+                return room and self.retries.spend(retry.OVERLOAD_SHARE)
+        return False
+
     def end(
         self, result: routing.Result, began_s: float, tried: set[str]
     ) -> None:
@@ -233,11 +256,7 @@
                 elapsed_s = self.model.now_s - began_s
                 self.model.latencies_s.append(elapsed_s)
             case routing.Result.OVERLOADED:
-                if len(tried) < 2:
-                    self.model.retries += 1
-                    self.attempt(began_s, tried)
-                else:
-                    self.model.refused += 1
+                self.attempt(began_s, tried)
             case _:
                 self.model.failed += 1
 
@@ -384,6 +403,14 @@
     for item in (
         Scenario("shifts"),
         Scenario("busy", utilisation=0.75),
+        *(
+            Scenario(f"over-{way}", utilisation=1.0, retry=way)
+            for way in ("none", "free", "budget", "restrained")
+        ),
+        *(
+            Scenario(f"shifts-{way}", retry=way)
+            for way in ("none", "free", "budget", "restrained")
+        ),
         Scenario("failing", utilisation=0.4, failing=1),
         Scenario("cold", utilisation=0.5, cold=3, duration_s=3.0),
         Scenario("skewed", skewed_entries=True),
@@ -425,7 +452,7 @@
     )
     rows = []
     print(
-        f"{'scenario':9}{'variant':16}{'calls':>7}{'p50':>7}{'p99':>8}"
+        f"{'scenario':16}{'variant':16}{'calls':>7}{'p50':>7}{'p99':>8}"
         f"{'p99.9':>8}{'refused':>8}{'failed':>7}{'retries':>8}"
         f"{'probes':>7}{'spread':>7}"
     )
@@ -449,7 +476,7 @@
 
     first = runs[0]
     print(
-        f"{first.scenario:9}{first.variant:16}{mean('calls'):7.0f}"
+        f"{first.scenario:16}{first.variant:16}{mean('calls'):7.0f}"
         f"{mean('p50'):7.2f}{mean('p99'):8.2f}{mean('p999'):8.2f}"
         f"{mean('refused'):8.1f}{mean('failed'):7.1f}"
         f"{mean('retries'):8.1f}{mean('probes'):7.1f}{mean('spread'):7.2f}"
--- a/src/waxwingferry/bench/experiments/routing.py
+++ b/src/waxwingferry/bench/experiments/routing.py
@@ -19,9 +19,9 @@
 
 TARGETS = 8
 SLOTS = 6
-SERVICE_TIME_MS = 20.0
-RATE_PER_S = 420.0
-WARM_UP_S = 1.5
+SERVICE_TIME_MS = 30.0
+RATE_PER_S = 440.0
+WARM_UP_S = 1.0
 PHASE_SHARE = 0.5
 PROBES_PER_S = 10.0
 
