--- a/src/waxwingferry/cli/tests/test_commands.py
+++ b/src/waxwingferry/cli/tests/test_commands.py
@@ -61,11 +61,12 @@
 
 def _make_app(tokens, table):
     known = members.Members("n0")
-    receiver = receive.Receiver("i0", lambda: False)
     configured = configuration.Configuration(table)
-    served = admin.Admin(
-        "n0", known, receiver, metrics.Metrics(), configured, tokens
+    counters = metrics.Metrics()
+    receiver = receive.Receiver(
+        "i0", lambda: False, lambda: configured.revision, counters
     )
+    served = admin.Admin("n0", known, receiver, counters, configured, tokens)
     return served.make_app()
 
 
--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -14,6 +14,17 @@
         self.retry_denials = self._counter(
             "retry_denials", "Calls not tried again, by reason."
         )
+        self.receive_refusals = self._counter(
+            "receive_refusals", "Attempts refused at the target's node."
+        )
+        self.limit_resets = self._counter(
+            "limit_resets", "Returns of the limit to cold by cause."
+        )
+        self.admission = aioprometheus.Gauge(
+            "waxwingferry_admission",
+            "Limit, slots, in flight and queue of the target.",
+            registry=self.registry,
+        )
         self.events = self._counter("events", "Rare events by name.")
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -11,19 +11,25 @@
 from waxwingferry.process import metrics
 from waxwingferry.process import routing
 from waxwingferry.request import call
+from waxwingferry.request import claim
 from waxwingferry.request import forward
 from waxwingferry.request import hop
 from waxwingferry.request import outcome
-from waxwingferry.request import receive
 from waxwingferry.request import retry
+from waxwingferry.request import running
 from waxwingferry.version import document
 
 MAX_IN_FLIGHT = 1000
+MAX_COLLECTED_BYTES = 1024 * 1024
 
 # Calls from outside leave places for nested ones: a nested call that finds
 # no place wastes what the calls above it have done already.
 OUTSIDE_SHARE = 0.8
 
+_REPLACED = frozenset(
+    {call.ATTEMPT_HEADER, call.LOAD_HEADER, outcome.OUTCOME_HEADER}
+)
+
 
 class Entry:
     """Answers callers.
@@ -34,7 +40,8 @@
         known: The targets known.
         router: Chooses targets.
         forwarder: Sends attempts to other nodes.
-        receiver: Runs attempts at the node's own target.
+        runner: Runs attempts at the node's own target.
+        claims: Claims of idempotency keys.
         counters: Metrics of the node.
         rng: Source of call identities.
         max_in_flight: Calls in flight at a time; more are refused.
@@ -47,7 +54,8 @@
         known: members.Members,
         router: routing.Router,
         forwarder: forward.Forwarder,
-        receiver: receive.Receiver,
+        runner: running.AttemptRunner,
+        claims: claim.Claims,
         counters: metrics.Metrics,
         rng: random.Random,
         max_in_flight: int = MAX_IN_FLIGHT,
@@ -57,7 +65,8 @@
         self.known = known
         self.router = router
         self.forwarder = forwarder
-        self.receiver = receiver
+        self.runner = runner
+        self.claims = claims
         self.counters = counters
         self.rng = rng
         self.max_in_flight = max_in_flight
@@ -89,7 +98,7 @@
                 await self._refuse(connection, made)
                 return
             self.retries.count_call(made)
-            await self._run(connection, made)
+            await self._run_keyed(connection, made)
         finally:
             self.in_flight -= 1
             assert 0 <= self.in_flight <= self.max_in_flight
@@ -98,6 +107,22 @@
         share = 1.0 if depth else OUTSIDE_SHARE
         return self.in_flight < self.max_in_flight * share
 
+    async def _run_keyed(
+        self, connection: http1.ServerConnection, made: call.Call
+    ) -> None:
+        if made.key:
+            await self.claims.run(connection, made, self._run, self._refuse)
+            return
+        try:
+            await self._run(connection, made)
+        except call.BodyError as error:
+            reason = outcome.Reason.BAD_REQUEST
+            if error.status == 413:
+                reason = outcome.Reason.BODY_TOO_LARGE
+            await self._refuse(
+                connection, outcome.Unknown(reason, error.status)
+            )
+
     async def _make_call(
         self,
         connection: http1.ServerConnection,
@@ -114,10 +139,13 @@
         find = http1.find_header
         if place.depth >= call.MAX_DEPTH:
             return outcome.NotRun(outcome.Reason.TOO_DEEP)
+        key = "" if route.idempotent else claim.read_key(head.headers)
+        if isinstance(key, outcome.NotRun):
+            return key
         deadline_ms = route.deadline_ms
         if place.deadline_ms is not None:
             deadline_ms = min(deadline_ms, place.deadline_ms)
-        # Time spent on reading the body counts too.
+        # The time that the body takes counts as well.
         deadline = call.make_deadline(deadline_ms / 1000)
         return call.Call(
             call_id=f"{self.rng.getrandbits(64):016x}",
@@ -131,13 +159,14 @@
             depth=place.depth + 1,
             idempotent=route.idempotent,
             is_retry=place.is_retry,
-            key=find(head.headers, call.KEY_HEADER),
+            key=key,
         )
 
     async def _run(
         self, connection: http1.ServerConnection, made: call.Call
     ) -> None:
         tried: set[str] = set()
+        newest: outcome.NotRun | outcome.Unknown | None = None
         last: outcome.NotRun | outcome.Unknown = outcome.NotRun(
             outcome.Reason.NO_TARGET
         )
@@ -147,7 +176,7 @@
             return
         for number in range(1, retry.MAX_ATTEMPTS + 1):
             candidate = self._choose(made, tried)
-            if number > 1 and not self._pay_retry(made, last, candidate):
+            if newest and not self._pay_retry(made, newest, candidate):
                 break
             if candidate is None:
                 break
@@ -155,11 +184,16 @@
             attempt = call.make_attempt(made, number, candidate.incarnation)
             async with self._execute(candidate, attempt) as result:
                 if isinstance(result, outcome.Answer):
-                    await relay_answer(connection, result, attempt.attempt_id)
-                    self.counters.calls.inc({"outcome": "answered"})
-                    return
-                last = result
-            if not self._may_retry(made, last, number):
+                    cut = await relay_answer(
+                        connection, result, attempt.attempt_id
+                    )
+                    if cut is None:
+                        self.counters.calls.inc({"outcome": "answered"})
+                        return
+                    result = cut
+                newest = result
+                last = outcome.combine(last, newest)
+            if not self._may_retry(made, newest, number):
                 break
         await self._refuse(connection, last)
 
@@ -212,7 +246,7 @@
     ) -> AsyncIterator[outcome.Outcome]:
         own = candidate.node == self.node
         executor = (
-            self.receiver.execute(attempt)
+            self.runner.execute_own(attempt)
             if own
             else self.forwarder.execute(candidate, attempt)
         )
@@ -223,7 +257,7 @@
                 self.router.observe(
                     self.known.by_service.get(candidate.service, []),
                     candidate,
-                    _judge(result),
+                    retry.judge(result),
                     time.monotonic() - began_s,
                 )
                 yield result
@@ -248,31 +282,78 @@
     answer: outcome.Answer,
     attempt_id: str,
     extra: http1.Headers | None = None,
-) -> None:
+) -> outcome.Unknown | None:
     """Passes an answer on chunk by chunk.
 
-    An answer that is cut short ends the connection before the end of the
-    message, so that nobody takes it for whole.
+    A length that the target gave is kept; otherwise a body of one chunk gets
+    a length and a longer one chunked coding. HTTP/1.0 callers can't read
+    that, and a body that ends with the connection can't be told from a cut
+    one, so for them it is collected, up to MAX_COLLECTED_BYTES.
+
+    Returns:
+        None if the answer was passed on, or why nothing of it was.
+
+    Raises:
+        http1.HttpError: The answer was cut short after its start was sent.
+            The connection must end before the end of the message, so that
+            nobody takes the answer for whole.
     """
-    dropped = (call.ATTEMPT_HEADER, call.LOAD_HEADER, outcome.OUTCOME_HEADER)
-    headers = [item for item in answer.head.headers if item[0] not in dropped]
+    head = answer.head
+    headers = [item for item in head.headers if item[0] not in _REPLACED]
     headers.append((outcome.OUTCOME_HEADER, "answered"))
     headers.append((call.ATTEMPT_HEADER, attempt_id))
     headers += extra or []
-    first = await answer.receive_chunk()
-    whole = first is None
-    second = None if whole else await answer.receive_chunk()
-    if second is None:
-        await connection.send_head(answer.head.status, headers, first or b"")
-        return
-    await connection.send_head(answer.head.status, headers)
-    chunk: bytes | None = first
-    while chunk is not None:
-        await connection.send_chunk(chunk)
-        chunk, second = second, None
-        if chunk is None:
-            chunk = await answer.receive_chunk()
+    try:
+        parts, whole = await _read_start(connection, answer)
+    except outcome.AnswerCutError:
+        return outcome.Unknown(outcome.Reason.ANSWER_CUT)
+    if not whole and not _can_stream(connection, headers):
+        return outcome.Unknown(outcome.Reason.ANSWER_CUT)
+    if connection.answers_head():
+        await connection.send_head(head.status, headers)
+        return None
+    if whole:
+        await connection.send_head(head.status, headers, b"".join(parts))
+        return None
+    await connection.send_head(head.status, headers)
+    for part in parts:
+        await connection.send_chunk(part)
+    try:
+        while (chunk := await answer.receive_chunk()) is not None:
+            await connection.send_chunk(chunk)
+    except outcome.AnswerCutError as error:
+        raise http1.ConnectionLostError("answer cut short") from error
     await connection.send_end()
+    return None
+
+
+async def _read_start(
+    connection: http1.ServerConnection, answer: outcome.Answer
+) -> tuple[list[bytes], bool]:
+    """Reads as much of a body as must be known before its head is sent.
+
+    Returns:
+        The parts read, and whether they are the whole body.
+    """
+    enough = 1
+    if not _can_stream(connection, answer.head.headers):
+        enough = MAX_COLLECTED_BYTES
+    parts: list[bytes] = []
+    size = 0
+    while (chunk := await answer.receive_chunk()) is not None:
+        parts.append(chunk)
+        size += len(chunk)
+        if size > enough and len(parts) > 1:
+            return parts, False
+    return parts, True
+
+
+def _can_stream(
+    connection: http1.ServerConnection, headers: http1.Headers
+) -> bool:
+    return connection.takes_chunked() or bool(
+        http1.find_header(headers, "content-length")
+    )
 
 
 async def send_refusal(
@@ -287,7 +368,14 @@
 
 
 async def read_body(connection: http1.ServerConnection) -> call.Body:
-    """Buffers a small body; a larger one is streamed after its start."""
+    """Buffers a small body; a larger one is streamed after its start.
+
+    The rest of a larger body is read only as fast as it is sent on, and it
+    can be read only once, so its call is not retried.
+
+    Raises:
+        http1.HttpError: The body failed, and nothing was sent on.
+    """
     parts: list[bytes] = []
     size = 0
     while size <= call.MAX_BUFFERED_BODY_BYTES:
@@ -302,30 +390,8 @@
 async def _iterate_body(
     connection: http1.ServerConnection,
 ) -> AsyncIterator[bytes]:
-    while (chunk := await connection.receive_chunk()) is not None:
-        yield chunk
-
-
-# What a target's node refuses for reasons of the request itself.
-_NO_FAULT = frozenset(
-    {outcome.Reason.DEADLINE_TOO_SHORT, outcome.Reason.CONNECTION_SILENT}
-)
-
-
-def _judge(result: outcome.Outcome) -> routing.Result:
-    """Returns what an outcome says about the target."""
-    if isinstance(result, outcome.Answer):
-        failed = result.head.status >= 500
-        return routing.Result.FAILED if failed else routing.Result.ANSWERED
-    if result.reason in _NO_FAULT:
-        return routing.Result.ABANDONED
-    if result.reason is outcome.Reason.QUEUE_FULL:
-        return routing.Result.OVERLOADED
-    match retry.classify(result):
-        case retry.Kind.MOVED:
-            return routing.Result.UNAVAILABLE
-        case retry.Kind.FINAL:
-            return routing.Result.ABANDONED
-        case _:
-            # A target that sheds at once must not look idle and fast.
-            return routing.Result.FAILED
+    try:
+        while (chunk := await connection.receive_chunk()) is not None:
+            yield chunk
+    except http1.HttpError as error:
+        raise call.BodyError(str(error), error.status) from error
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -5,6 +5,7 @@
 import time
 
 from waxwingferry.process import budget
+from waxwingferry.process import routing
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
@@ -67,6 +68,29 @@
     return Kind.FINAL
 
 
+# What a target's node refuses for reasons of the request itself.
+_NO_FAULT = frozenset({_Reason.DEADLINE_TOO_SHORT, _Reason.CONNECTION_SILENT})
+
+
+def judge(result: outcome.Outcome) -> routing.Result:
+    """Returns what an outcome says about the target."""
+    if isinstance(result, outcome.Answer):
+        failed = result.head.status >= 500
+        return routing.Result.FAILED if failed else routing.Result.ANSWERED
+    if result.reason in _NO_FAULT:
+        return routing.Result.ABANDONED
+    if result.reason is _Reason.QUEUE_FULL:
+        return routing.Result.OVERLOADED
+    match classify(result):
+        case Kind.MOVED:
+            return routing.Result.UNAVAILABLE
+        case Kind.FINAL:
+            return routing.Result.ABANDONED
+        case _:
+            # A target that sheds at once must not look idle and fast.
+            return routing.Result.FAILED
+
+
 class RetryPolicy:
     """Decides on retries, within a budget for each service.
 
