--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -16,6 +16,7 @@
 from waxwingferry.process import attempts
 from waxwingferry.process import background
 from waxwingferry.process import configuration
+from waxwingferry.process import cost
 from waxwingferry.process import gossip
 from waxwingferry.process import lease
 from waxwingferry.process import logs
@@ -23,6 +24,7 @@
 from waxwingferry.process import metrics
 from waxwingferry.process import peers
 from waxwingferry.process import platform
+from waxwingferry.process import probe
 from waxwingferry.process import program
 from waxwingferry.process import routing
 from waxwingferry.process import settings
@@ -86,11 +88,16 @@
             self.counters,
             rng,
         )
+        self.prober = probe.Prober(
+            probe.HttpFetch(),
+            probe.ProbeBudget(self.get_probe_rate),
+            self.counters,
+        )
         self.entry = entry.Entry(
             options.node,
             self.get_revision,
             self.members,
-            routing.Router(rng),
+            self.make_router(),
             forward.Forwarder(self.counters),
             self.runner,
             self.claims,
@@ -147,6 +154,29 @@
             seeds,
         )
 
+    def make_router(self) -> routing.Router:
+        """Returns the router of this node."""
+        options = self.options
+        place = cost.Place(options.node, options.region, options.failure_domain)
+        return routing.Router(
+            self.rng,
+            variant=options.choice,
+            place=place,
+            want_probe=self.prober.want,
+            on_ejection=self.count_ejection,
+            own_load=self.receiver.load,
+        )
+
+    def count_ejection(self, candidate: routing.Candidate) -> None:
+        """Counts a target whose attempts fail far more than others'."""
+        self.counters.events.inc({"name": "ejected"})
+        log.warning("target ejected", node=candidate.node)
+
+    def get_probe_rate(self) -> float:
+        """Returns the probes per second that the document allows."""
+        revision = self.configured.revision
+        return revision.document.budgets.probe_per_s if revision else 0.0
+
     def get_revision(self) -> document.Revision | None:
         """Returns the document to act on, or None.
 
@@ -268,6 +298,7 @@
             group.start_soon(self.claims.settler.run)
             for task in (
                 self.learn,
+                self.prober.run,
                 self.lease.run,
                 self.spread.run_reader,
                 self.spread.run_fetcher,
