--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -17,6 +17,7 @@
 
 FIRST_PORT = 21000
 START_TIMEOUT_S = 20.0
+ADMIN_TOKEN = "only-for-loopback-runs"
 
 
 class ClusterError(Exception):
@@ -118,6 +119,7 @@
             "local_port": member.ports["local"],
             "peer_port": member.ports["peer"],
             "admin_port": member.ports["admin"],
+            "admin_tokens": {"bench": ADMIN_TOKEN},
             "region": "r1",
             "failure_domain": member.failure_domain,
             "platform_url": self.platform_url,
--- /dev/null
+++ b/src/waxwingferry/bench/experiments/operator_race.py
@@ -0,0 +1,163 @@
+"""Operators who change the document at once, while answers are lost.
+
+Each operator changes an entry of their own through random nodes, from the
+newest document they read. Half of the platform's write answers are lost. Of
+operators who race, one wins; the others see the conflict and try again.
+"""
+
+import dataclasses
+import random
+import time
+
+import anyio
+import anyio.to_thread
+import httpx
+
+from waxwingferry.bench import callers
+from waxwingferry.bench import cluster
+from waxwingferry.bench import experiment
+from waxwingferry.bench.experiments import propagation
+from waxwingferry.cli import client
+from waxwingferry.process import program
+
+SERVICES = {"registry": 3, "desk": 2}
+DOMAINS = ("d1", "d2")
+OPERATORS = 6
+LOSE_SHARE = 0.5
+
+
+@dataclasses.dataclass
+class Operator:
+    """One operator and what they were told.
+
+    Attributes:
+        accepted: Weight set by each accepted revision.
+        conflicts: Changes that another one came before.
+        undecided: Changes that nobody could tell the fate of.
+    """
+
+    name: str
+    rng: random.Random
+    accepted: dict[int, float] = dataclasses.field(default_factory=dict)
+    conflicts: int = 0
+    undecided: int = 0
+
+    def work(self, members: list[cluster.Member], end_s: float) -> None:
+        """Changes the own weight until the time is over."""
+        weight = 1.0
+        while time.monotonic() < end_s:
+            weight += 1
+            admin = propagation.make_operator(members, self.rng)
+            try:
+                self._change(admin, weight)
+            except client.ConflictError:
+                self.conflicts += 1
+            except program.CommandError:
+                self.undecided += 1
+            time.sleep(self.rng.uniform(0, 0.1))
+
+    def _change(self, admin: client.Client, weight: float) -> None:
+        base, content = admin.get_document()
+        weights = content["services"][0]["member_weights"]
+        weights[self.name] = weight
+        why = f"{self.name} {weight}"
+        self.accepted[admin.put_document(content, base, why)] = weight
+
+
+async def run(options: experiment.Options) -> experiment.Report:
+    """Runs the experiment."""
+    document = callers.make_document(list(SERVICES), DOMAINS)
+    rng = random.Random(options.seed)
+    operators = [
+        Operator(f"operator{number}", random.Random(rng.random()))
+        for number in range(OPERATORS)
+    ]
+    async with cluster.run_cluster(
+        SERVICES,
+        document,
+        domains=DOMAINS,
+        first_port=options.first_port,
+        seed=options.seed,
+    ) as running:
+        async with httpx.AsyncClient(trust_env=False) as http:
+            await running.set_platform_faults(
+                http, lose_share=LOSE_SHARE, seed=options.seed
+            )
+            end_s = time.monotonic() + options.duration_s
+            async with anyio.create_task_group() as group:
+                for operator in operators:
+                    group.start_soon(
+                        anyio.to_thread.run_sync,
+                        operator.work,
+                        running.members,
+                        end_s,
+                    )
+            await running.set_platform_faults(http)
+            rows = await _read_history(running, http)
+        return _check(operators, rows)
+
+
+async def _read_history(running, http) -> dict[int, dict]:
+    """Returns all history rows from the table, by revision."""
+    reply = await http.get(
+        f"{running.platform_url}/table/rows",
+        params={"prefix": "document/history/"},
+    )
+    values = [row["value"] for row in reply.json()["rows"]]
+    return {value["revision"]: value for value in values}
+
+
+def _check(
+    operators: list[Operator], rows: dict[int, dict]
+) -> experiment.Report:
+    report = experiment.Report()
+    report.check(
+        "revisions have no gap",
+        sorted(rows) == list(range(2, len(rows) + 2)),
+        str(sorted(rows)),
+    )
+    for operator in operators:
+        for revision, weight in operator.accepted.items():
+            why = rows.get(revision, {}).get("why")
+            report.check(
+                "an accepted change is in the history",
+                why == f"{operator.name} {weight}",
+                f"{operator.name} {revision}: {why}",
+            )
+        _check_not_undone(operator, rows, report)
+    accepted = sum(len(operator.accepted) for operator in operators)
+    undecided = sum(operator.undecided for operator in operators)
+    report.check(
+        "every revision was told to its operator",
+        accepted <= len(rows) <= accepted + undecided,
+        f"{accepted} accepted, {undecided} undecided, {len(rows)} rows",
+    )
+    report.tables.append(
+        experiment.Table(
+            "changes by operator",
+            ["operator", "accepted", "conflicts", "undecided"],
+            [
+                [o.name, str(len(o.accepted)), o.conflicts, o.undecided]
+                for o in operators
+            ],
+        )
+    )
+    report.figures["accepted"] = accepted
+    report.figures["conflicts"] = sum(o.conflicts for o in operators)
+    report.figures["undecided"] = undecided
+    return report
+
+
+def _check_not_undone(operator: Operator, rows, report) -> None:
+    """Checks that no other revision changed an operator's weight."""
+    weight = None
+    for revision in sorted(rows):
+        row = rows[revision]
+        weights = row["document"]["services"][0]["member_weights"]
+        if row["why"].startswith(f"{operator.name} "):
+            weight = weights[operator.name]
+        report.check(
+            "no change undoes another's",
+            weights.get(operator.name) == weight,
+            f"revision {revision}: {operator.name}",
+        )
--- /dev/null
+++ b/src/waxwingferry/bench/experiments/platform_outage.py
@@ -0,0 +1,267 @@
+"""A long outage of the platform: what goes on, what is refused, what returns.
+
+While the platform is down under load, a target's VM dies, a fresh VM takes
+its place knowing only its seed peers, and a node leaves. Then the platform
+comes back, and all nodes write at once.
+"""
+
+import random
+import signal
+import time
+
+import anyio
+import anyio.to_thread
+import httpx
+
+from waxwingferry.bench import callers
+from waxwingferry.bench import cluster
+from waxwingferry.bench import experiment
+from waxwingferry.bench.experiments import propagation
+from waxwingferry.process import program
+
+SERVICES = {"registry": 5, "desk": 4}
+DOMAINS = ("d1", "d2", "d3", "d4")
+CALLERS = 6
+PART_S = 1.0
+DEAD_GRACE_S = 3.0
+LEAVE_GRACE_S = 3.0
+RETURN_S = 5.0
+WRITES_PER_S = 100
+READ_DEADLINE_S = 2.0
+
+
+class Outage:
+    """One run with its cluster and its report."""
+
+    def __init__(self, running, http, rng, report):
+        self.running = running
+        self.http = http
+        self.rng = rng
+        self.report = report
+        self.journal = callers.Journal()
+        self.ended = False
+        self.phases: list[tuple[str, float]] = []
+        # Seeds of the cluster are its first three members.
+        self.entries = list(running.members[:-2])
+        self.dead, self.leaving = running.members[-2:]
+
+    def phase(self, name: str) -> None:
+        """Begins a phase."""
+        self.phases.append((name, time.monotonic()))
+
+    async def call(self, number: int, rng: random.Random) -> None:
+        """Calls until the run has ended, then finishes the last call."""
+        part = 0
+        while not self.ended:
+            part += 1
+            caller = callers.Caller(
+                f"c{number}-{part}",
+                rng,
+                self.entries,
+                list(SERVICES),
+                self.journal,
+            )
+            await caller.run(PART_S)
+
+    async def run(self) -> None:
+        """Brings the events about, one after the other."""
+        self.phase("before")
+        await anyio.sleep(2)
+        await self.running.set_platform_faults(self.http, down=True)
+        self.phase("platform down")
+        await anyio.sleep(2)
+        await self._refuse_change()
+        await self._kill_vm()
+        await self._start_fresh_vm()
+        await self._leave()
+        await self._return()
+
+    async def _refuse_change(self) -> None:
+        operator = propagation.make_operator(self.running.members, self.rng)
+        try:
+            await anyio.to_thread.run_sync(_change, operator)
+            told = "accepted"
+        except program.CommandError as error:
+            told = str(error).replace("\n", " ")
+        self.report.check(
+            "a change is refused as not written",
+            "nothing was written" in told,
+            told,
+        )
+
+    async def _kill_vm(self) -> None:
+        """Kills a node and its target; others stop using it."""
+        self.phase("a VM is dead")
+        for process in (self.dead.node, self.dead.target):
+            process.kill()
+            process.wait()
+        await anyio.sleep(DEAD_GRACE_S)
+        refusals = await self._sum_refused()
+        await anyio.sleep(2)
+        # Each node checks a suspect again, but gives it no calls.
+        more = await self._sum_refused() - refusals
+        self.report.figures["retries_for_dead_vm"] = more
+        self.report.check(
+            "a dead target gets no calls after 3 s",
+            more == 0,
+            f"{more:.0f} connections refused",
+        )
+
+    async def _sum_refused(self) -> float:
+        total = 0.0
+        for member in self.entries:
+            port = member.ports["admin"]
+            reply = await self.http.get(f"http://127.0.0.1:{port}/metrics")
+            for line in reply.text.splitlines():
+                if "retries" in line and "connection_refused" in line:
+                    total += float(line.rsplit(" ", 1)[1])
+        return total
+
+    async def _start_fresh_vm(self) -> None:
+        """Starts a VM of the dead one's name that only knows its seeds."""
+        self.phase("a fresh VM starts")
+        status = await self.running.status(self.http, self.entries[0])
+        begin_s = time.monotonic()
+        self.running.start_node(self.dead)
+        self.running.start_target(self.dead)
+        took_s = await self._wait_until_used(status["revision"], begin_s)
+        self.report.figures["fresh_vm_s"] = took_s
+        self.report.check(
+            "a fresh VM learns from its seeds and takes work",
+            took_s < 15,
+            f"{took_s:.1f} s",
+        )
+
+    async def _wait_until_used(self, revision: int, begin_s: float) -> float:
+        with anyio.move_on_after(15):
+            while True:
+                own = await self.running.status(self.http, self.dead)
+                known = len(own.get("members", {}))
+                ready = own.get("revision") == revision
+                if ready and known == len(self.running.members):
+                    counts = await self._counts(self.dead)
+                    if counts.get("started", 0):
+                        break
+                await anyio.sleep(0.1)
+        return time.monotonic() - begin_s
+
+    async def _counts(self, member) -> dict:
+        try:
+            return await self.running.counts(self.http, member)
+        except httpx.HTTPError:
+            return {}
+
+    async def _leave(self) -> None:
+        """Stops a node gracefully; all must know of it without the table."""
+        self.phase("a node leaves")
+        self.leaving.node.send_signal(signal.SIGTERM)
+        begin_s = time.monotonic()
+        with anyio.move_on_after(2 * LEAVE_GRACE_S):
+            while True:
+                if await self._all_know_leave():
+                    break
+                await anyio.sleep(0.05)
+        took_s = time.monotonic() - begin_s
+        self.report.figures["leave_known_s"] = took_s
+        self.report.check(
+            "a leave is known everywhere within 3 s",
+            took_s <= LEAVE_GRACE_S,
+            f"{took_s:.2f} s",
+        )
+
+    async def _all_know_leave(self) -> bool:
+        for member in self.entries:
+            status = await self.running.status(self.http, member)
+            row = status["members"].get(self.leaving.name)
+            if row is None or row["state"] != "leaving":
+                return False
+        return True
+
+    async def _return(self) -> None:
+        """Brings the platform back and counts the writes of all nodes."""
+        self.phase("platform back")
+        before = await self._platform_counts()
+        await self.running.set_platform_faults(self.http)
+        begin_s = time.monotonic()
+        operator = propagation.make_operator(self.entries, self.rng)
+        revision = await anyio.to_thread.run_sync(_change, operator)
+        await anyio.sleep(RETURN_S)
+        took_s = time.monotonic() - begin_s
+        after = await self._platform_counts()
+        rate = (after["writes"] - before["writes"]) / took_s
+        self.report.figures["writes_per_s_at_return"] = rate
+        self.report.check(
+            "no storm of writes when the platform returns",
+            rate <= WRITES_PER_S,
+            f"{rate:.1f}/s",
+        )
+        for member in [*self.entries, self.dead]:
+            status = await self.running.status(self.http, member)
+            self.report.check(
+                "changes go on after the outage",
+                status.get("revision") == revision,
+                f"{member.name}: {status.get('revision')}",
+            )
+
+    async def _platform_counts(self) -> dict[str, int]:
+        url = f"{self.running.platform_url}/control/counts"
+        return (await self.http.get(url)).json()
+
+    def finish(self) -> None:
+        """Checks the calls and makes the table of phases."""
+        table = experiment.Table(
+            "reads by phase", ["phase", "sent", "answered", "not run", "other"]
+        )
+        ends = [start_s for _, start_s in self.phases[1:]] + [float("inf")]
+        for (name, start_s), end_s in zip(self.phases, ends, strict=True):
+            table.rows.append([name, *self._count_reads(start_s, end_s)])
+        self.report.tables.append(table)
+        reads = [e for e in self.journal.entries if not e.write]
+        failed = [e.request_id for e in reads if not e.answered()]
+        self.report.check(
+            "reads are answered all through the outage",
+            bool(reads) and not failed,
+            f"{len(failed)} of {len(reads)} not answered",
+        )
+
+    def _count_reads(self, start_s: float, end_s: float) -> list[int]:
+        sends = [
+            result
+            for entry in self.journal.entries
+            if not entry.write
+            for result in entry.sends
+            if start_s <= result.scheduled_s < end_s
+        ]
+        answered = sum(r.outcome == "answered" for r in sends)
+        not_run = sum(r.outcome == "not-run" for r in sends)
+        return [len(sends), answered, not_run, len(sends) - answered - not_run]
+
+
+def _change(operator) -> int:
+    base, content = operator.get_document()
+    content["services"][0]["routes"][0]["deadline_ms"] += 1
+    return operator.put_document(content, base, "one more millisecond")
+
+
+async def run(options: experiment.Options) -> experiment.Report:
+    """Runs the experiment."""
+    document = callers.make_document(list(SERVICES), DOMAINS)
+    report = experiment.Report()
+    rng = random.Random(options.seed)
+    async with cluster.run_cluster(
+        SERVICES,
+        document,
+        domains=DOMAINS,
+        first_port=options.first_port,
+        seed=options.seed,
+    ) as running:
+        async with httpx.AsyncClient(trust_env=False) as http:
+            outage = Outage(running, http, rng, report)
+            async with anyio.create_task_group() as group:
+                for number in range(CALLERS):
+                    caller_rng = random.Random(rng.random())
+                    group.start_soon(outage.call, number, caller_rng)
+                await outage.run()
+                outage.ended = True
+            outage.finish()
+    return report
--- a/src/waxwingferry/process/gossip.py
+++ b/src/waxwingferry/process/gossip.py
@@ -22,6 +22,7 @@
 
 MAX_DATAGRAM_BYTES = 1200
 MAX_ROWS = 16
+MAX_SUSPECTS = 6
 DIGEST_INTERVAL_S = 1.0
 JITTER = 0.2
 FANOUT = 4
@@ -47,6 +48,13 @@
 log = structlog.get_logger()
 
 
+class Suspect(msgspec.Struct, frozen=True, array_like=True):
+    """A node process that refused connections."""
+
+    node: members.Text
+    incarnation: members.Text
+
+
 class Datagram(msgspec.Struct):
     """One message between two nodes.
 
@@ -57,6 +65,8 @@
         revision: Revision of the sender's document, or 0.
         fingerprint: Hash over all member rows of the sender.
         rows: Member rows that are new or changed lately.
+        suspects: Nodes that refused the sender's connections. A receiver
+            believes it only after it has tried to connect itself.
     """
 
     sender: members.Text
@@ -66,13 +76,17 @@
     rows: Annotated[
         list[members.MemberRow], msgspec.Meta(max_length=MAX_ROWS)
     ] = []
+    suspects: Annotated[
+        list[Suspect], msgspec.Meta(max_length=MAX_SUSPECTS)
+    ] = []
 
 
 @dataclasses.dataclass(slots=True)
 class _Item:
     """News that is being passed on."""
 
-    row: members.MemberRow | None
+    row: members.MemberRow | None = None
+    suspect: Suspect | None = None
     passes: int = 0
 
 
@@ -140,7 +154,13 @@
 
     def add_revision(self) -> None:
         """Passes the news of a new document on."""
-        self.news[""] = _Item(None)
+        self.news[""] = _Item()
+        self.has_news.set()
+
+    def add_suspect(self, row: members.MemberRow) -> None:
+        """Asks others to check a node that refused this node."""
+        suspect = Suspect(row.node, row.incarnation)
+        self.news[f"?{row.node}"] = _Item(suspect=suspect)
         self.has_news.set()
 
     def receive(self, data: bytes, address: Address) -> None:
@@ -159,6 +179,8 @@
             return
         self.known.clear(datagram.sender)
         self.known.apply_all(datagram.rows)
+        for suspect in datagram.suspects:
+            self.known.doubt(suspect.node, suspect.incarnation)
         own_revision = self.revision()
         if datagram.revision > own_revision:
             self._want_document(address, datagram.revision)
@@ -200,11 +222,18 @@
         self._transmit(address, data)
 
     def _encode(
-        self, kind: Literal["digest", "reply", "news"], rows: list
+        self,
+        kind: Literal["digest", "reply", "news"],
+        rows: list[members.MemberRow],
+        suspects: list[Suspect] | None = None,
     ) -> tuple[bytes, int]:
         """Returns a datagram and how many of the rows are in it."""
         datagram = Datagram(
-            self.known.node, kind, self.revision(), self.known.fingerprint
+            self.known.node,
+            kind,
+            self.revision(),
+            self.known.fingerprint,
+            suspects=suspects or [],
         )
         size = len(self.encoder.encode(datagram))
         for row in rows[:MAX_ROWS]:
@@ -248,10 +277,7 @@
 
     def pass_on(self) -> None:
         """Passes pending news on to random peers, once."""
-        if "" in self.news:
-            # The revision goes first, whatever the budget has left: it is
-            # one short datagram a peer, and rows must not hold it up.
-            self._pass_revision()
+        self._pass_short()
         items = list(self.news.values())
         rows = [item.row for item in items if item.row is not None]
         passes = None
@@ -268,11 +294,26 @@
                 self._note_pass(row.node, passes)
             rows = rows[count:]
 
-    def _pass_revision(self) -> None:
-        data, _ = self._encode("news", [])
+    def _pass_short(self) -> None:
+        """Passes the revision and suspects on.
+
+        The revision goes whatever the budget has left: it is one short
+        datagram a peer, and rows must not hold it up.
+        """
+        urgent = "" in self.news
+        named = [
+            (key, item.suspect)
+            for key, item in self.news.items()
+            if item.suspect is not None
+        ][:MAX_SUSPECTS]
+        if not urgent and not named:
+            return
+        suspects = [suspect for _, suspect in named]
+        data, _ = self._encode("news", [], suspects)
         for address in self.choose_peers(FANOUT):
-            self._transmit(address, data, urgent=True)
-        self._note_pass("", PASSES)
+            self._transmit(address, data, urgent)
+        for key in [""] * urgent + [key for key, _ in named]:
+            self._note_pass(key, PASSES)
 
     def _note_pass(self, key: str, passes: int) -> None:
         item = self.news[key]
--- a/src/waxwingferry/process/members.py
+++ b/src/waxwingferry/process/members.py
@@ -120,6 +120,7 @@
         age_s: Time since the last renewal seen, counted only while the
             table could be read.
         suspect: Whether direct evidence says that the node is dead.
+        doubted: Whether a peer says so, and this node has to check.
     """
 
     row: MemberRow
@@ -127,6 +128,7 @@
     version: int = 0
     age_s: float = 0.0
     suspect: bool = False
+    doubted: bool = False
     suspect_until_s: float = 0.0
     suspect_delay_s: float = SUSPECT_RETRY_MIN_S
 
@@ -290,8 +292,9 @@
     def find_suspects(self) -> list[MemberRow]:
         """Returns the nodes that are due for a check by connecting.
 
-        These are nodes that refused a connection since the last call, and
-        suspects whose time to be checked again has come.
+        These are nodes that refused a connection since the last call, nodes
+        that a peer could not connect to, and suspects whose time to be
+        checked again has come.
         """
         now_s = self.clock()
         found = []
@@ -303,23 +306,36 @@
             if record.suspect:
                 if now_s >= record.suspect_until_s:
                     found.append(record.row)
-            elif refused and refused_s > 0:
+            elif record.doubted or (refused and refused_s > 0):
+                record.doubted = False
                 found.append(record.row)
         return found
 
-    def suspect(self, node: str) -> None:
-        """Notes direct evidence that a node is dead; it is not used."""
+    def doubt(self, node: str, incarnation: str) -> None:
+        """Notes that a peer could not connect to a node's process."""
+        record = self.records.get(node)
+        if record is not None and record.row.incarnation == incarnation:
+            record.doubted = True
+
+    def suspect(self, node: str) -> bool:
+        """Notes direct evidence that a node is dead; it is not used.
+
+        Returns:
+            Whether this is new.
+        """
         record = self.records.get(node)
         if record is None or node == self.node:
-            return
+            return False
         if record.suspect:
             doubled_s = record.suspect_delay_s * 2
             record.suspect_delay_s = min(doubled_s, SUSPECT_RETRY_MAX_S)
         record.suspect_until_s = self.clock() + record.suspect_delay_s
-        if not record.suspect:
-            record.suspect = True
-            log.warning("member does not answer", node=node)
-            self.usable = None
+        if record.suspect:
+            return False
+        record.suspect = True
+        self.usable = None
+        log.warning("member does not answer", node=node)
+        return True
 
     def clear(self, node: str) -> None:
         """Notes that a node answers; it is used again."""
--- a/src/waxwingferry/process/spread.py
+++ b/src/waxwingferry/process/spread.py
@@ -19,7 +19,7 @@
 LEARN_RETRY_MAX_S = 5.0
 FETCH_RETRY_S = 0.3
 SUSPECT_INTERVAL_S = 0.5
-MAX_CHECKS_AT_ONCE = 8
+MAX_CHECKS_AT_ONCE = 32
 TICK_S = 0.5
 # A process that did not run for this long may have missed a document.
 PAUSE_LIMIT_S = 5.0
@@ -194,7 +194,8 @@
             self.known.clear(row.node)
             return
         self.counters.events.inc({"event": "member_suspected"})
-        self.known.suspect(row.node)
+        if self.known.suspect(row.node):
+            self.chatter.add_suspect(row)
 
     async def run_watch(self) -> None:
         """Notices pauses of this process, and catches up after one."""
--- a/src/waxwingferry/process/tests/test_lease.py
+++ b/src/waxwingferry/process/tests/test_lease.py
@@ -197,6 +197,18 @@
     assert [c.node for c in known.by_service["desk"]] == ["n1"]
 
 
+async def test_what_a_peer_suspects_is_checked_before_it_is_believed():
+    """Guards against a cut region that empties everybody's list."""
+    known = members.Members("n0", fakes.Clock())
+    known.apply_all([fakes.make_row(1), fakes.make_row(2)])
+    known.doubt("n1", "an earlier process")
+    assert not known.find_suspects()
+    known.doubt("n1", known.candidates["n1"].incarnation)
+    assert len(known.by_service["desk"]) == 2
+    assert [row.node for row in known.find_suspects()] == ["n1"]
+    assert not known.find_suspects()
+
+
 @pytest.mark.parametrize("seed", range(3))
 async def test_flapping_writes_are_bounded(seed):
     """Guards against a target that changes state each second."""
