Write the page for operators; one line when a port is in use

Cause: settings, commands and what to do in an outage were only in the source; a port in use ended a node with a traceback. Change: docs/operators.md, with tests that its examples are good and that it names every setting; a failed bind is one line and exit code 1.

--- a/benchmarks/gossip_cost.py
+++ b/benchmarks/gossip_cost.py
@@ -18,6 +18,8 @@
 import anyio.lowlevel
 import structlog
 
+from waxwingferry.connection import serve
+from waxwingferry.process import configuration
 from waxwingferry.process import gossip
 from waxwingferry.process import lease
 from waxwingferry.process import members
@@ -33,6 +35,9 @@
 BYTES_BUDGET_PER_S = 22_000
 IN_FORCE_S = 3.0
 CONTENT = {"services": [{"name": "desk", "routes": [{"path_prefix": "/"}]}]}
+SERVICES = 22
+FETCH_PORT = 26999
+FETCHES = 100
 LOSSES = (0.0, 0.01, 0.1)
 RETURNING = 110
 
@@ -166,6 +171,43 @@
     return size / lease.RENEW_INTERVAL_S * len(json.dumps(stored))
 
 
+async def measure_fetch(count: int) -> float:
+    """Returns seconds of processor time of both sides to fetch a document."""
+    configured = configuration.Configuration(fakes.Table())
+    configured.offer(1, make_document(SERVICES))
+    known = members.Members("n0")
+
+    async def handle(connection, head) -> None:
+        await peers.answer(connection, head.target, configured, known)
+
+    async with anyio.create_task_group() as group, peers.make_client() as http:
+        group.start_soon(serve.Server(handle).serve, "127.0.0.1", FETCH_PORT)
+        await anyio.sleep(0.2)
+        client = peers.PeerClient(http)
+        start_s = time.process_time()
+        for _ in range(count):
+            await client.fetch_document(("127.0.0.1", FETCH_PORT))
+        used_s = time.process_time() - start_s
+        group.cancel_scope.cancel()
+    return used_s / count
+
+
+def make_document(services: int) -> dict:
+    """Returns a document of the size expected in two years."""
+    return {
+        "services": [
+            {
+                "name": f"s{number}",
+                "routes": [
+                    {"path_prefix": f"/s{number}/{route}/"}
+                    for route in range(10)
+                ],
+            }
+            for number in range(services)
+        ]
+    }
+
+
 def print_costs(rng: random.Random) -> None:
     """Prints processor time and bytes by number of members."""
     print(
@@ -219,6 +261,11 @@
     rng = random.Random(parser.parse_args().seed)
     print_costs(rng)
     print_spread(rng)
+    fetch_s = anyio.run(measure_fetch, FETCHES)
+    print(
+        f"a fetch of a document with {SERVICES} services: "
+        f"{fetch_s * 1000:.1f} ms for both sides together"
+    )
     print(f"member table of 660: {measure_memory(660) / 1e6:.2f} MB")
 
 
--- a/src/waxwingferry/cli/tests/test_messages.py
+++ b/src/waxwingferry/cli/tests/test_messages.py
@@ -1,11 +1,14 @@
 """What operators read when they make a mistake; the texts are snapshots."""
 
+import pathlib
+
 import pytest
 
 from waxwingferry.bench import main as bench
 from waxwingferry.cli import main as cli
 from waxwingferry.emulator import main as emulator
 from waxwingferry.process import node
+from waxwingferry.process import settings
 from waxwingferry.version import document
 
 PROGRAMS = {
@@ -209,3 +212,25 @@
         }
     )
     assert errors == snapshot
+
+
+@pytest.mark.parametrize("kind", ["settings", "document"])
+def test_the_examples_of_the_operators_page_are_good(kind, tmp_path):
+    """Guards against a page that shows keys the programs refuse."""
+    root = pathlib.Path(__file__).resolve().parents[4]
+    page = (root / "docs" / "operators.md").read_text(encoding="utf-8")
+    text = page.split(f"```yaml {kind}\n")[1].split("```")[0]
+    file = tmp_path / "example.yaml"
+    file.write_text(text, encoding="utf-8")
+    if kind == "settings":
+        assert settings.load_settings(str(file)).admin_tokens
+    else:
+        assert cli.validate(str(file)) == 0
+
+
+def test_the_operators_page_names_every_setting():
+    """Guards against a setting that only the source tells of."""
+    root = pathlib.Path(__file__).resolve().parents[4]
+    page = (root / "docs" / "operators.md").read_text(encoding="utf-8")
+    for name in settings.NodeSettings.model_fields:
+        assert f"`{name}" in page
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -288,6 +288,14 @@
         await node.run()
 
 
+def _first_error(group: BaseExceptionGroup) -> BaseException:
+    """Returns one error of a group, such as a port that is in use."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def start(settings_file: str) -> None:
     """Runs a node until SIGTERM or SIGINT.
 
@@ -296,11 +304,15 @@
     """
     options = settings.load_settings(settings_file)
     logs.configure_logs(options.log)
-    anyio.run(
-        run_node,
-        options,
-        backend_options={"loop_factory": uvloop.new_event_loop},
-    )
+    try:
+        anyio.run(
+            run_node,
+            options,
+            backend_options={"loop_factory": uvloop.new_event_loop},
+        )
+    except* OSError as group:
+        error = _first_error(group)
+        raise program.CommandError(f"{settings_file}: {error}") from None
 
 
 def main() -> None:
--- a/src/waxwingferry/process/spread.py
+++ b/src/waxwingferry/process/spread.py
@@ -137,7 +137,8 @@
         while True:
             interval_s = lease.READ_INTERVAL_S
             await anyio.sleep(
-                interval_s * self.rng.uniform(1 - lease.JITTER, 1)
+                interval_s
+                * self.rng.uniform(1 - lease.JITTER, 1 + lease.JITTER)
             )
             try:
                 await self._read_table()
