Fetch a document that is not understood once; count datagrams

Cause: a node with an older program fetched a newer document again with each datagram that named it, about 3 ms a fetch; and the counts of datagrams were only in /status. Change: a revision that was refused is not fetched again; counts are in the metrics; a node that steps aside ends with exit code 1; empty lists are left out of datagrams. Conclusion: the cost of a mixed set of programs is bounded.

--- a/src/waxwingferry/process/gossip.py
+++ b/src/waxwingferry/process/gossip.py
@@ -55,7 +55,7 @@
     incarnation: members.Text
 
 
-class Datagram(msgspec.Struct):
+class Datagram(msgspec.Struct, omit_defaults=True):
     """One message between two nodes.
 
     Attributes:
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -274,8 +274,12 @@
         log.info("node stopped", node=self.options.node)
 
 
-async def run_node(options: settings.NodeSettings) -> None:
-    """Runs one node with the platform that its settings name."""
+async def run_node(options: settings.NodeSettings) -> int:
+    """Runs one node with the platform that its settings name.
+
+    Returns:
+        The exit code; stepping aside for a later process is a failure.
+    """
     rng: random.Random = random.SystemRandom()
     if options.random_seed is not None:
         rng = random.Random(options.random_seed)
@@ -286,6 +290,7 @@
         table = platform.HttpTable(client)
         node = Node(options, table, rng, peers.PeerClient(peer_client))
         await node.run()
+    return program.EXIT_FAILURE if node.lease.superseded else 0
 
 
 def _first_error(group: BaseExceptionGroup) -> BaseException:
@@ -296,7 +301,7 @@
     return error
 
 
-def start(settings_file: str) -> None:
+def start(settings_file: str) -> int:
     """Runs a node until SIGTERM or SIGINT.
 
     Args:
@@ -305,7 +310,7 @@
     options = settings.load_settings(settings_file)
     logs.configure_logs(options.log)
     try:
-        anyio.run(
+        return anyio.run(
             run_node,
             options,
             backend_options={"loop_factory": uvloop.new_event_loop},
--- a/src/waxwingferry/process/spread.py
+++ b/src/waxwingferry/process/spread.py
@@ -1,6 +1,7 @@
 """How a node learns of documents and members, and keeps up with them."""
 
 from collections.abc import Callable
+import dataclasses
 import random
 import time
 
@@ -152,12 +153,22 @@
             await self.chatter.wants.wait()
             self.chatter.wants = anyio.Event()
             newer, self.chatter.newer_from = self.chatter.newer_from, None
-            if newer is not None and newer[1] > self.configured.number:
+            if newer is not None and self._is_wanted(newer[1]):
                 await self._fetch_newer(newer[0])
             source, self.chatter.sync_from = self.chatter.sync_from, None
             if source is not None:
                 await self._sync_members(source)
 
+    def _is_wanted(self, revision: int) -> bool:
+        """Tells whether a revision is newer and not refused already.
+
+        A node that can't read the newest document would otherwise fetch it
+        again with each datagram.
+        """
+        if revision == self.configured.rejected:
+            return False
+        return revision > self.configured.number
+
     async def _fetch_newer(self, address: gossip.Address) -> None:
         try:
             await self._fetch_document(address)
@@ -204,8 +215,14 @@
             if self.is_stale():
                 await self._refresh()
             self.alive_s = self.clock()
+            self._export_counts()
             await anyio.sleep(TICK_S)
 
+    def _export_counts(self) -> None:
+        counts = dataclasses.asdict(self.chatter.counts)
+        for name, value in counts.items():
+            self.counters.events.set({"event": f"datagrams_{name}"}, value)
+
     async def _refresh(self) -> None:
         """Asks the table, then peers, for what was missed while paused."""
         paused_s = self.clock() - self.alive_s
--- a/src/waxwingferry/process/tests/test_spread.py
+++ b/src/waxwingferry/process/tests/test_spread.py
@@ -122,6 +122,19 @@
     assert made.configured.number == 7
 
 
+async def test_a_document_not_understood_is_not_fetched_again(made):
+    """Guards against a fetch for each datagram of a newer program."""
+    made.configured.offer(1, {})
+    assert not made.configured.offer(2, {"unknown": True})
+    made.client.documents = {SEEDS[0]: 3}
+    for revision in (2, 3):
+        news = gossip.Datagram("n1", "news", revision, 0)
+        made.chatter.receive(msgspec.json.encode(news), SEEDS[0])
+        with anyio.move_on_after(0.05):
+            await made.run_fetcher()
+        assert made.configured.number == (1 if revision == 2 else 3)
+
+
 async def test_datagrams_cross_real_sockets():
     """Guards against a datagram that is cut or lost on the way up."""
     one = peers.Datagrams("127.0.0.1", 0)
