--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -53,6 +53,8 @@
         admin_port: Port for operators.
         admin_tokens: Bearer token of each operator by name. Without any,
             the admin listener serves health, metrics and status only.
+        advertised_peer_port: Port that other nodes connect to, if something
+            stands before peer_port.
         region: Region that the VM is in.
         failure_domain: Failure domain that the VM is in.
         platform_url: Base URL of the platform's services.
@@ -70,6 +72,7 @@
     peer_port: Port
     admin_port: Port
     admin_tokens: dict[Name, Token] = {}
+    advertised_peer_port: Port | None = None
     region: Name
     failure_domain: Name
     platform_url: Annotated[str, pydantic.Field(pattern=r"^https?://\S+$")]
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -2,8 +2,10 @@
 
 This module is the only place that knows how targets are spoken to. A target
 posts its announcement to the node's local port every second, and serves
-requests over HTTP/1.1. It may echo x-waxwing-attempt in its answers, and
-answers 503 with "x-target-not-run: true" when it refuses before starting.
+requests over HTTP/1.1. It echoes x-waxwing-attempt in all answers, unless its
+announcement says that it can't; one without it could belong to another request
+and is dropped. It answers 503 with "x-target-not-run: true" when it refuses
+before starting.
 """
 
 from collections.abc import AsyncIterator
@@ -35,6 +37,9 @@
         port: Port that it listens on.
         incarnation: Random name of this start of the program.
         state: Whether it takes work.
+        echoes_attempts: Whether its answers repeat x-waxwing-attempt. Without
+            that, an answer is tied to its request by its connection alone,
+            and a target that mixes up answers is not found out.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -46,6 +51,7 @@
     port: Annotated[int, pydantic.Field(ge=1, le=65535)]
     incarnation: Name
     state: Literal["ready", "draining"] = "ready"
+    echoes_attempts: bool = True
 
 
 class TargetLink:
@@ -84,6 +90,11 @@
         self, connection: http1.ClientConnection, attempt: call.Attempt
     ) -> outcome.Outcome:
         deadline = attempt.deadline
+        # The process may have been stopped since the attempt was admitted.
+        if deadline.remaining_s() <= 0:
+            return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+        if attempt.on_dispatch is not None and not attempt.on_dispatch():
+            return outcome.NotRun(outcome.Reason.FENCED)
         try:
             with anyio.fail_after(max(deadline.remaining_s(), 0)):
                 await connection.send_request(
@@ -102,16 +113,18 @@
         except http1.HttpError:
             connection.reusable = False
             return outcome.Unknown(outcome.Reason.CONNECTION_LOST)
-        return _classify(connection, attempt, head)
+        echoes = self.announcement.echoes_attempts
+        return _classify(connection, attempt, head, echoes)
 
 
 def _classify(
     connection: http1.ClientConnection,
     attempt: call.Attempt,
     head: http1.ResponseHead,
+    echoes: bool,
 ) -> outcome.Outcome:
     echoed = http1.find_header(head.headers, call.ATTEMPT_HEADER)
-    if echoed and echoed != attempt.attempt_id:
+    if (echoes or echoed) and echoed != attempt.attempt_id:
         connection.reusable = False
         return outcome.Unknown(outcome.Reason.ANSWER_MISMATCH)
     if not head.framed:
@@ -122,7 +135,11 @@
         return outcome.NotRun(outcome.Reason.TARGET_REFUSED)
 
     async def receive_chunk() -> bytes | None:
-        remaining_s = max(attempt.deadline.remaining_s(), 0)
-        return await connection.receive_chunk(remaining_s)
+        wait_s = attempt.deadline.part_wait_s()
+        try:
+            return await connection.receive_chunk(wait_s)
+        except http1.HttpError as error:
+            connection.reusable = False
+            raise outcome.AnswerCutError(str(error)) from error
 
     return outcome.Answer(head, receive_chunk)
