--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -13,13 +13,19 @@
 from waxwingferry.request import call
 from waxwingferry.request import claim
 from waxwingferry.request import forward
+from waxwingferry.request import hop
 from waxwingferry.request import outcome
+from waxwingferry.request import retry
 from waxwingferry.request import running
 from waxwingferry.version import document
 
-MAX_ATTEMPTS = 3
+MAX_IN_FLIGHT = 1000
 MAX_COLLECTED_BYTES = 1024 * 1024
 
+# Calls from outside leave places for nested ones: a nested call that finds
+# no place wastes what the calls above it have done already.
+OUTSIDE_SHARE = 0.8
+
 _REPLACED = frozenset(
     {call.ATTEMPT_HEADER, call.LOAD_HEADER, outcome.OUTCOME_HEADER}
 )
@@ -38,6 +44,7 @@
         claims: Claims of idempotency keys.
         counters: Metrics of the node.
         rng: Source of call identities.
+        max_in_flight: Calls in flight at a time; more are refused.
     """
 
     def __init__(
@@ -51,6 +58,7 @@
         claims: claim.Claims,
         counters: metrics.Metrics,
         rng: random.Random,
+        max_in_flight: int = MAX_IN_FLIGHT,
     ):
         self.node = node
         self.revision = revision
@@ -61,15 +69,47 @@
         self.claims = claims
         self.counters = counters
         self.rng = rng
+        self.max_in_flight = max_in_flight
+        self.in_flight = 0
+        self.retries = retry.RetryPolicy(self._retry_ratio)
+
+    def _retry_ratio(self) -> float:
+        revision = self.revision()
+        return revision.document.budgets.retry_ratio if revision else 0.0
 
     async def handle(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Answers one request of a caller."""
-        made = await self._make_call(connection, head)
-        if isinstance(made, outcome.NotRun):
-            await self._refuse(connection, made)
+        try:
+            place = hop.parse_hop(head.headers)
+        except http1.HttpError:
+            refusal = outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
+            await self._refuse(connection, refusal)
+            return
+        if not self._has_place(place.depth):
+            refusal = outcome.NotRun(outcome.Reason.ENTRY_FULL)
+            await self._refuse(connection, refusal)
             return
+        self.in_flight += 1
+        try:
+            made = await self._make_call(connection, head, place)
+            if isinstance(made, outcome.NotRun):
+                await self._refuse(connection, made)
+                return
+            self.retries.count_call(made)
+            await self._run_keyed(connection, made)
+        finally:
+            self.in_flight -= 1
+            assert 0 <= self.in_flight <= self.max_in_flight
+
+    def _has_place(self, depth: int) -> bool:
+        share = 1.0 if depth else OUTSIDE_SHARE
+        return self.in_flight < self.max_in_flight * share
+
+    async def _run_keyed(
+        self, connection: http1.ServerConnection, made: call.Call
+    ) -> None:
         if made.key:
             await self.claims.run(connection, made, self._run, self._refuse)
             return
@@ -84,7 +124,10 @@
             )
 
     async def _make_call(
-        self, connection: http1.ServerConnection, head: http1.RequestHead
+        self,
+        connection: http1.ServerConnection,
+        head: http1.RequestHead,
+        place: hop.Hop,
     ) -> call.Call | outcome.NotRun:
         revision = self.revision()
         if revision is None:
@@ -94,19 +137,14 @@
             return outcome.NotRun(outcome.Reason.NO_ROUTE, 404)
         service, route = match
         find = http1.find_header
-        try:
-            depth = int(find(head.headers, call.DEPTH_HEADER, "0")) + 1
-            limit_ms = int(
-                find(head.headers, call.DEADLINE_HEADER, str(route.deadline_ms))
-            )
-        except ValueError:
-            return outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
-        if depth > call.MAX_DEPTH:
+        if place.depth >= call.MAX_DEPTH:
             return outcome.NotRun(outcome.Reason.TOO_DEEP)
         key = "" if route.idempotent else claim.read_key(head.headers)
         if isinstance(key, outcome.NotRun):
             return key
-        deadline_ms = min(limit_ms, route.deadline_ms)
+        deadline_ms = route.deadline_ms
+        if place.deadline_ms is not None:
+            deadline_ms = min(deadline_ms, place.deadline_ms)
         # The time that the body takes counts as well.
         deadline = call.make_deadline(deadline_ms / 1000)
         return call.Call(
@@ -118,9 +156,9 @@
             body=await read_body(connection),
             deadline=deadline,
             member=find(head.headers, service.member_header, ""),
-            depth=depth,
+            depth=place.depth + 1,
             idempotent=route.idempotent,
-            is_retry=find(head.headers, call.RETRY_HEADER) == "1",
+            is_retry=place.is_retry,
             key=key,
         )
 
@@ -128,17 +166,18 @@
         self, connection: http1.ServerConnection, made: call.Call
     ) -> None:
         tried: set[str] = set()
+        newest: outcome.NotRun | outcome.Unknown | None = None
         last: outcome.NotRun | outcome.Unknown = outcome.NotRun(
             outcome.Reason.NO_TARGET
         )
-        for number in range(1, MAX_ATTEMPTS + 1):
-            revision = self.revision()
-            assert revision is not None
-            candidate = self.router.choose(
-                self.known.by_service.get(made.service, []),
-                revision.domains_out,
-                tried,
-            )
+        if made.deadline.remaining_s() <= call.RETURN_RESERVE_S:
+            last = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+            await self._refuse(connection, last)
+            return
+        for number in range(1, retry.MAX_ATTEMPTS + 1):
+            candidate = self._choose(made, tried)
+            if newest and not self._pay_retry(made, newest, candidate):
+                break
             if candidate is None:
                 break
             tried.add(candidate.node)
@@ -152,30 +191,78 @@
                         self.counters.calls.inc({"outcome": "answered"})
                         return
                     result = cut
-                last = outcome.combine(last, result)
-            if not _may_retry(made, last):
+                newest = result
+                last = outcome.combine(last, newest)
+            if not self._may_retry(made, newest, number):
                 break
-            self.counters.retries.inc({"reason": last.reason.value})
         await self._refuse(connection, last)
 
+    def _choose(
+        self, made: call.Call, tried: set[str]
+    ) -> routing.Candidate | None:
+        revision = self.revision()
+        if revision is None:
+            # The process was paused, and what it knows may be out of date.
+            return None
+        return self.router.choose(
+            self.known.by_service.get(made.service, []),
+            revision.domains_out,
+            tried,
+        )
+
+    def _may_retry(
+        self,
+        made: call.Call,
+        last: outcome.NotRun | outcome.Unknown,
+        attempts: int,
+    ) -> bool:
+        latency_s = self.router.service_stats(made.service).latency_s
+        denial = self.retries.check(made, last, attempts, latency_s)
+        return self._count_denial(denial)
+
+    def _pay_retry(
+        self,
+        made: call.Call,
+        last: outcome.NotRun | outcome.Unknown,
+        candidate: routing.Candidate | None,
+    ) -> bool:
+        if candidate is None:
+            return self._count_denial(retry.Denial.NO_TARGET)
+        has_room = self.router.has_room(candidate)
+        denial = self.retries.spend(made, last, has_room)
+        if denial is None:
+            self.counters.retries.inc({"reason": last.reason.value})
+        return self._count_denial(denial)
+
+    def _count_denial(self, denial: retry.Denial | None) -> bool:
+        if denial is None:
+            return True
+        self.counters.retry_denials.inc({"reason": denial.value})
+        return False
+
     @contextlib.asynccontextmanager
     async def _execute(
         self, candidate: routing.Candidate, attempt: call.Attempt
     ) -> AsyncIterator[outcome.Outcome]:
-        candidate.in_flight += 1
         own = candidate.node == self.node
         executor = (
             self.runner.execute_own(attempt)
             if own
             else self.forwarder.execute(candidate, attempt)
         )
+        self.router.begin(candidate)
+        began_s = time.monotonic()
         try:
             async with executor as result:
-                if _is_refused_connection(result):
-                    candidate.refused_at_s = time.monotonic()
+                self.router.observe(
+                    self.known.by_service.get(candidate.service, []),
+                    candidate,
+                    retry.judge(result),
+                    time.monotonic() - began_s,
+                )
                 yield result
         finally:
-            candidate.in_flight -= 1
+            self.router.finish(candidate)
 
     async def _refuse(
         self,
@@ -308,23 +395,3 @@
             yield chunk
     except http1.HttpError as error:
         raise call.BodyError(str(error), error.status) from error
-
-
-def _may_retry(made: call.Call, last: outcome.NotRun | outcome.Unknown) -> bool:
-    if made.is_retry or made.body.rest is not None:
-        return False
-    if made.deadline.remaining_s() <= 0:
-        return False
-    match last:
-        case outcome.NotRun():
-            return True
-        case outcome.Unknown():
-            return made.idempotent
-    return False
-
-
-def _is_refused_connection(result: outcome.Outcome) -> bool:
-    return (
-        isinstance(result, outcome.NotRun)
-        and result.reason is outcome.Reason.CONNECTION_REFUSED
-    )
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -6,8 +6,10 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.process import attempts
+from waxwingferry.process import probe
 from waxwingferry.request import call
 from waxwingferry.request import entry
+from waxwingferry.request import hop
 from waxwingferry.request import outcome
 from waxwingferry.request import receive
 from waxwingferry.request import resolve
@@ -98,6 +100,10 @@
         """Answers a question of another node about this one."""
         await entry.read_body(connection)
         extra = self._node_headers()
+        if head.target == probe.PROBE_TARGET:
+            answer = probe.make_answer(self.receiver.load())
+            await connection.send_head(200, extra, answer)
+            return
         if head.target == TIME_PATH:
             await connection.send_head(200, extra, b"")
             return
@@ -188,13 +194,16 @@
 ) -> call.Attempt:
     find = http1.find_header
     stamp = find(head.headers, call.STAMP_HEADER)
-    try:
-        depth = int(find(head.headers, call.DEPTH_HEADER))
-        deadline_ms = int(find(head.headers, call.DEADLINE_HEADER))
-    except ValueError as error:
-        raise http1.HttpError("depth and deadline must be integers") from error
+    place = hop.parse_hop(head.headers)
+    if place.deadline_ms is None:
+        raise http1.HttpError(f"{call.DEADLINE_HEADER} is missing")
+    if not 1 <= place.depth <= call.MAX_DEPTH:
+        raise http1.HttpError(
+            f"{call.DEPTH_HEADER} = {place.depth}: "
+            f"must be from 1 to {call.MAX_DEPTH}"
+        )
     # The time that the body takes counts as well.
-    deadline = call.make_deadline(deadline_ms / 1000)
+    deadline = call.make_deadline(place.deadline_ms / 1000)
     return call.Attempt(
         attempt_id=find(head.headers, call.ATTEMPT_HEADER),
         service=find(head.headers, call.SERVICE_HEADER),
@@ -204,9 +213,9 @@
         body=await entry.read_body(connection),
         deadline=deadline,
         member=find(head.headers, call.MEMBER_HEADER),
-        depth=depth,
+        depth=place.depth,
         incarnation=find(head.headers, call.INCARNATION_HEADER),
-        is_retry=find(head.headers, call.RETRY_HEADER) == "1",
+        is_retry=place.is_retry,
         keyed=find(head.headers, call.KEEP_HEADER) == "1",
         stamp_ms=int(stamp) if stamp.isdigit() else -1,
     )
