--- a/src/waxwingferry/connection/tests/test_drain.py
+++ b/src/waxwingferry/connection/tests/test_drain.py
@@ -47,11 +47,10 @@
 async def run_server() -> AsyncIterator[Running]:
     """Runs a server inside the context."""
     running = Running()
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    running.address = ("127.0.0.1", port)
     async with anyio.create_task_group() as group:
-        group.start_soon(running.server.serve_listener, listener)
+        group.start_soon(running.server.serve, "127.0.0.1", 0)
+        await running.server.listening.wait()
+        running.address = ("127.0.0.1", running.server.port)
         yield running
         group.cancel_scope.cancel()
 
