Scan the queue for expired work only when some can have expired

Cause: each operation scanned the whole queue, which is long at targets with many slots, and summed 128 service times twice. Change: the earliest queued deadline is kept, the mean is kept as a sum.

--- a/src/waxwingferry/process/admission.py
+++ b/src/waxwingferry/process/admission.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import math
 import time
 
 import anyio
@@ -121,6 +122,8 @@
         self.queue: fairness.FairQueue[Permit] = fairness.FairQueue(weight)
         self.running = 0
         self.lingering: list[float] = []
+        # No queued deadline is earlier, so most calls need no scan.
+        self.earliest_s = math.inf
         self.estimate = estimates.Estimate(clock)
 
     @property
@@ -157,6 +160,7 @@
             _refuse(permit, reason)
             return permit
         permit.share = self.queue.push(member, permit)
+        self.earliest_s = min(self.earliest_s, deadline_s)
         self._dispatch_queued()
         assert len(self.queue) <= QUEUE_PER_SLOT * self.limit.slots
         return permit
@@ -316,9 +320,14 @@
             self._push_out(self.queue.find_largest(some))
 
     def _refuse_expired(self, now_s: float) -> None:
+        if now_s < self.earliest_s:
+            return
         for permit in [p for p in self.queue if p.deadline_s <= now_s]:
             self._leave_queue(permit)
             _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
+        self.earliest_s = min(
+            (permit.deadline_s for permit in self.queue), default=math.inf
+        )
 
     def _refuse_all(self, reason: outcome.Reason) -> None:
         for permit in list(self.queue):
--- a/src/waxwingferry/process/service_time.py
+++ b/src/waxwingferry/process/service_time.py
@@ -23,6 +23,7 @@
             collections.deque()
         )
         self.ordered: list[float] = []
+        self.total_s = 0.0
         self.newest_s = -math.inf
 
     def __len__(self) -> int:
@@ -37,6 +38,7 @@
             self._drop_first()
         self.samples.append((self.newest_s, service_s))
         bisect.insort(self.ordered, service_s)
+        self.total_s += service_s
         self._drop_old()
 
     def quantile(self, share: float) -> float:
@@ -51,20 +53,13 @@
         self._drop_old()
         if not self.ordered:
             return 0.0
-        return sum(self.ordered) / len(self.ordered)
-
-    def deviation(self) -> float:
-        """Returns the standard deviation in seconds."""
-        mean = self.mean()
-        if not self.ordered:
-            return 0.0
-        squares = sum((value - mean) ** 2 for value in self.ordered)
-        return math.sqrt(squares / len(self.ordered))
+        return self.total_s / len(self.ordered)
 
     def clear(self) -> None:
         """Forgets all samples."""
         self.samples.clear()
         self.ordered.clear()
+        self.total_s = 0.0
 
     def _drop_old(self) -> None:
         oldest_s = self.clock() - MAX_AGE_S
@@ -74,3 +69,4 @@
     def _drop_first(self) -> None:
         _, value = self.samples.popleft()
         del self.ordered[bisect.bisect_left(self.ordered, value)]
+        self.total_s -= value
