--- a/src/waxwingferry/cli/tests/test_commands.py
+++ b/src/waxwingferry/cli/tests/test_commands.py
@@ -61,9 +61,11 @@
 
 def _make_app(tokens, table):
     known = members.Members("n0")
-    counters = metrics.Metrics()
-    receiver = receive.Receiver("i0", lambda: False, lambda: None, counters)
     configured = configuration.Configuration(table)
+    counters = metrics.Metrics()
+    receiver = receive.Receiver(
+        "i0", lambda: False, lambda: configured.revision, counters
+    )
     served = admin.Admin("n0", known, receiver, counters, configured, tokens)
     return served.make_app()
 
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -14,11 +14,11 @@
 
 WATCH_AFTER_S = 0.05
 TICK_S = 0.05
+LINGER_S = 2.0
+BODY_TOO_LARGE_STATUS = 413
 # A request that was sent when the drain began arrives within this time.
 DRAIN_GRACE_S = 0.2
 CLOSE_INTERVAL_S = 0.01
-LINGER_S = 2.0
-BODY_TOO_LARGE_STATUS = 413
 
 log = structlog.get_logger()
 
@@ -58,7 +58,7 @@
         self.stopping = False
         self.call_ended = anyio.Event()
         self.listening = anyio.Event()
-        self.closing = anyio.Event()
+        self.listener: tcp.Listener | None = None
         self.port = 0
 
     async def serve(self, host: str, port: int) -> None:
@@ -66,12 +66,12 @@
         async with anyio.create_task_group() as group:
 
             def accept(stream: tcp.TcpStream) -> None:
-                group.start_soon(self._serve_connection, stream)
+                group.start_soon(self.serve_connection, stream)
 
-            async with tcp.listen(host, port, accept) as self.port:
+            async with tcp.listen(host, port, accept) as self.listener:
+                self.port = self.listener.port
                 self.listening.set()
-                group.start_soon(self._tick, group)
-                await self.closing.wait()
+                await self.run_ticks(group)
 
     async def drain(self) -> None:
         """Ends all connections without cutting off a request.
@@ -83,7 +83,8 @@
         for connection in self.busy:
             connection.keep_alive = False
         await anyio.sleep(DRAIN_GRACE_S)
-        self.closing.set()
+        if self.listener is not None:
+            self.listener.close()
         await self._wait_for_calls()
         # Accepted connections whose request is on its way.
         await anyio.sleep(DRAIN_GRACE_S)
@@ -94,10 +95,8 @@
     async def _close_quiet(self) -> None:
         """Closes idle connections on which no request has arrived."""
         for connection in list(self.idle):
-            stream = connection.stream
-            if isinstance(stream, tcp.TcpStream) and not stream.is_quiet():
-                continue
-            await anyio.aclose_forcefully(stream)
+            if connection.stream.is_quiet():
+                await anyio.aclose_forcefully(connection.stream)
         await anyio.sleep(CLOSE_INTERVAL_S)
 
     async def _wait_for_calls(self) -> None:
@@ -105,7 +104,8 @@
             self.call_ended = anyio.Event()
             await self.call_ended.wait()
 
-    async def _serve_connection(self, stream: tcp.TcpStream) -> None:
+    async def serve_connection(self, stream: tcp.Stream) -> None:
+        """Serves one connection until it ends."""
         connection = http1.ServerConnection(stream, self.limits)
         async with stream:
             with anyio.CancelScope() as scope:
@@ -155,7 +155,7 @@
             self.busy.discard(connection)
             self.call_ended.set()
 
-    async def _tick(self, group: anyio.abc.TaskGroup) -> None:
+    async def run_ticks(self, group: anyio.abc.TaskGroup) -> None:
         """Cancels calls of lost clients, ends idle ones and sends 102."""
         last_interim_s = time.monotonic()
         while True:
@@ -181,7 +181,7 @@
             stalled = since_s and now_s - since_s > self.limits.send_s
             stream = connection.stream
             if stalled or (
-                isinstance(stream, tcp.TcpStream) and stream.is_abandoned()
+                isinstance(stream, tcp.Stream) and stream.is_abandoned()
             ):
                 _cancel(connection)
 
@@ -216,7 +216,7 @@
     may lose the answer.
     """
     stream = connection.stream
-    assert isinstance(stream, tcp.TcpStream)
+    assert isinstance(stream, tcp.Stream)
     whole = connection.request_ended and not connection.reader.events.failed
     if whole and stream.is_quiet():
         return
--- a/src/waxwingferry/connection/tcp.py
+++ b/src/waxwingferry/connection/tcp.py
@@ -6,11 +6,13 @@
 must wait. They need anyio's asyncio backend.
 """
 
+import abc
 import asyncio
 import collections
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import select
 import socket
 from typing import Any
@@ -21,7 +23,25 @@
 READ_AHEAD_BYTES = 65536
 
 
-class TcpStream(asyncio.Protocol, anyio.abc.ByteStream):
+class Stream(anyio.abc.ByteStream):
+    """A byte stream with timed receives and checks that send nothing."""
+
+    @abc.abstractmethod
+    async def receive(
+        self, max_bytes: int = 65536, timeout_s: float | None = None
+    ) -> bytes:
+        """Returns the next bytes; raises TimeoutError after timeout_s."""
+
+    @abc.abstractmethod
+    def is_quiet(self) -> bool:
+        """Tells whether the connection is open and nothing has arrived."""
+
+    @abc.abstractmethod
+    def is_abandoned(self) -> bool:
+        """Tells whether the other end closed, even if bytes are unread."""
+
+
+class TcpStream(asyncio.Protocol, Stream):
     """One TCP connection.
 
     Args:
@@ -203,11 +223,24 @@
     return stream
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Listener:
+    """An open listening socket.
+
+    Attributes:
+        port: Port that is listened on.
+        close: Stops accepting; accepted connections stay open.
+    """
+
+    port: int
+    close: Callable[[], None]
+
+
 @contextlib.asynccontextmanager
 async def listen(
     host: str, port: int, accept: Callable[[TcpStream], Any]
-) -> AsyncIterator[int]:
-    """Accepts connections inside the context; yields the port.
+) -> AsyncIterator[Listener]:
+    """Accepts connections inside the context.
 
     Args:
         host: IP number to listen on.
@@ -219,6 +252,6 @@
         lambda: TcpStream(accept), host, port, backlog=1024
     )
     try:
-        yield server.sockets[0].getsockname()[1]
+        yield Listener(server.sockets[0].getsockname()[1], server.close)
     finally:
         server.close()
--- a/src/waxwingferry/request/tests/test_bodies.py
+++ b/src/waxwingferry/request/tests/test_bodies.py
@@ -117,7 +117,7 @@
 @pytest.mark.parametrize("chunks", [[], [b"ab"]])
 async def test_answer_cut_before_its_start_is_unknown(chunks: list) -> None:
     """Guards against "not run" for a request that the target answered."""
-    source = Source(chunks, http1.ConnectionLostError("cut"))
+    source = Source(chunks, outcome.AnswerCutError("cut"))
     sent, result = await relay(GET, source, [])
     assert result == outcome.Unknown(outcome.Reason.ANSWER_CUT)
     assert sent == b""
@@ -230,6 +230,7 @@
         service="s",
         version="v1",
         slots=1,
+        echoes_attempts=False,
         host=wire.HOST,
         port=port,
         incarnation="i1",
