--- a/src/waxwingferry/request/tests/world.py
+++ b/src/waxwingferry/request/tests/world.py
@@ -1,6 +1,7 @@
 """Nodes, targets and a table in memory, with faults drawn from a seed."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import contextlib
 import json
@@ -273,6 +274,7 @@
         self.target_fault_rate = 0.05 if fault_rate else 0.0
         self.targets = {"n1", "n2", "n3"}
         self.rows: dict[str, dict[str, Any]] = {}
+        self.outcomes: collections.Counter[str] = collections.Counter()
 
     async def start(self, group: anyio.abc.TaskGroup) -> None:
         """Starts everything in a task group."""
