--- a/src/waxwingferry/emulator/relay.py
+++ b/src/waxwingferry/emulator/relay.py
@@ -1,4 +1,8 @@
-"""A TCP relay whose open connections can be cut or made silent."""
+"""A relay whose open TCP connections can be cut or made silent.
+
+Datagrams are passed on as well, and appear to come from the relay of their
+sender, so that nodes behind relays know each other by one address.
+"""
 
 import contextlib
 
@@ -26,10 +30,14 @@
     Args:
         port: Loopback port to listen on.
         to_port: Loopback port that connections are passed on to.
+        known: Relays by the port that they pass on to; adds this one.
     """
 
-    def __init__(self, port: int, to_port: int):
+    def __init__(self, port: int, to_port: int, known: "dict[int, Relay]"):
         self.port = port
+        self.known = known
+        known[to_port] = self
+        self.datagrams: anyio.abc.UDPSocket | None = None
         self.to_port = to_port
         self.open: set[_Pair] = set()
 
@@ -38,9 +46,21 @@
         listener = await anyio.create_tcp_listener(
             local_host="127.0.0.1", local_port=self.port
         )
-        async with listener:
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(self._pass_datagrams)
             await listener.serve(self._serve_pair)
 
+    async def _pass_datagrams(self) -> None:
+        async with await anyio.create_udp_socket(
+            local_host="127.0.0.1", local_port=self.port
+        ) as self.datagrams:
+            async for data, (_, from_port) in self.datagrams:
+                sender = self.known.get(from_port, self)
+                if sender.datagrams is not None:
+                    await sender.datagrams.sendto(
+                        data, "127.0.0.1", self.to_port
+                    )
+
     def silence(self) -> int:
         """Stops passing bytes on open connections; returns their number.
 
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -2,8 +2,10 @@
 
 This module is the only place that knows how targets are spoken to. A target
 posts its announcement to the node's local port every second, and serves
-requests over HTTP/1.1. It echoes x-waxwing-attempt in all answers; one without
-it could belong to another request and is dropped. It answers 503 with
+requests over HTTP/1.1. It echoes x-waxwing-attempt in its answers. An answer
+without it is taken only from a connection that carried no other request, and
+that connection is not used again: a late or second answer on it could be
+taken for that of the next request. A target answers 503 with
 "x-target-not-run: true" when it refuses before starting.
 """
 
@@ -16,7 +18,6 @@
 import pydantic
 
 from waxwingferry.connection import http1
-from waxwingferry.connection import liveness
 from waxwingferry.connection import pool
 from waxwingferry.request import call
 from waxwingferry.request import outcome
@@ -72,7 +73,7 @@
     ) -> AsyncIterator[outcome.Outcome]:
         """Runs one attempt; the answer can be read inside the context."""
         try:
-            connection = await liveness.acquire(self.pool)
+            connection = await self.pool.acquire()
         except pool.ConnectError:
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
@@ -118,8 +119,10 @@
     head: http1.ResponseHead,
 ) -> outcome.Outcome:
     echoed = http1.find_header(head.headers, call.ATTEMPT_HEADER)
+    fresh = connection.last_used_s == 0
     if echoed != attempt.attempt_id:
         connection.reusable = False
+    if echoed != attempt.attempt_id and (echoed or not fresh):
         return outcome.Unknown(outcome.Reason.ANSWER_MISMATCH)
     if not head.framed:
         # Without a length a cut answer can't be told from a whole one.
@@ -129,11 +132,6 @@
         return outcome.NotRun(outcome.Reason.TARGET_REFUSED)
 
     async def receive_chunk() -> bytes | None:
-        remaining_s = max(attempt.deadline.remaining_s(), 0)
-        try:
-            return await connection.receive_chunk(remaining_s)
-        except http1.HttpError as error:
-            connection.reusable = False
-            raise outcome.AnswerCutError(str(error)) from error
+        return await connection.receive_chunk(attempt.deadline.part_wait_s())
 
     return outcome.Answer(head, receive_chunk)
--- a/src/waxwingferry/request/claim.py
+++ b/src/waxwingferry/request/claim.py
@@ -144,7 +144,9 @@
             reason = outcome.Reason.BODY_TOO_LARGE
             await refuse(connection, outcome.NotRun(reason, 413))
             return
-        answer = recorder.Recorder()
+        answer = recorder.Recorder(
+            connection.takes_chunked(), connection.answers_head()
+        )
         self.tasks.start_soon(self._run, answer, made, run, refuse)
         await answer.pass_on(connection)
 
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -9,7 +9,6 @@
 import anyio
 
 from waxwingferry.connection import http1
-from waxwingferry.connection import liveness
 from waxwingferry.connection import pool
 from waxwingferry.process import attempts
 from waxwingferry.process import metrics
@@ -72,7 +71,7 @@
         """Runs an attempt at a peer; read the answer inside the context."""
         peer = self._pool(candidate)
         try:
-            connection = await liveness.acquire(peer)
+            connection = await peer.acquire()
         except pool.ConnectError:
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
@@ -234,7 +233,7 @@
                 if isinstance(error, silence.SilentError):
                     name = outcome.Reason.CONNECTION_SILENT.value
                     self.counters.events.inc({"event": name})
-                raise outcome.AnswerCutError(str(error)) from error
+                raise
 
         return receive_chunk
 
@@ -262,8 +261,9 @@
 
     if attempt.body.rest is None:
         await send()
-        return await watch.receive_head()
-    return await silence.receive_while_sending(connection, watch, send)
+    else:
+        await silence.send_watched(connection, watch, send)
+    return await watch.receive_head()
 
 
 async def _read_ahead(
@@ -283,7 +283,7 @@
             ended = chunk is None
             parts.append(chunk or b"")
             size += len(parts[-1])
-    except outcome.AnswerCutError:
+    except http1.HttpError:
         return _Lost(outcome.Unknown(outcome.Reason.ANSWER_CUT))
     start = b"".join(parts)
     if ended:
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -45,10 +45,6 @@
     CANCELLED = "cancelled"
 
 
-class AnswerCutError(Exception):
-    """The body of an answer ended early; what came is not the whole."""
-
-
 @dataclasses.dataclass(slots=True)
 class Answer:
     """The target's answer; its body follows chunk by chunk.
@@ -56,7 +52,8 @@
     Attributes:
         head: Status and fields of the answer.
         receive_chunk: Returns the next part of the body, None at the end.
-            Raises AnswerCutError when the answer is cut short.
+            Raises http1.HttpError when the answer is cut short or makes no
+            progress.
     """
 
     head: http1.ResponseHead
--- a/src/waxwingferry/request/recorder.py
+++ b/src/waxwingferry/request/recorder.py
@@ -16,6 +16,10 @@
     The call writes to the recorder in a background task. The caller's own
     task passes the answer on, and can be cancelled without ending the call.
 
+    Args:
+        chunked: Whether the caller can read chunked coding.
+        head_only: Whether the request's method is HEAD.
+
     Attributes:
         status: Status of the answer, 0 before its head is known.
         headers: Fields of the answer.
@@ -23,7 +27,9 @@
         abandoned: Whether the caller has gone away.
     """
 
-    def __init__(self):
+    def __init__(self, chunked: bool, head_only: bool):
+        self.chunked = chunked
+        self.head_only = head_only
         self.status = 0
         self.headers: http1.Headers = []
         self.whole = False
@@ -48,8 +54,18 @@
             self.single = body
             self._record(body)
             self.whole = True
+        if self.head_only:
+            self.whole = True
         self.head_known.set()
 
+    def takes_chunked(self) -> bool:
+        """Tells whether the caller can read a body with chunked coding."""
+        return self.chunked
+
+    def answers_head(self) -> bool:
+        """Tells whether the request being answered is a HEAD request."""
+        return self.head_only
+
     async def send_chunk(self, chunk: bytes) -> None:
         """Takes a part of the body; waits while the caller is slow."""
         self._record(chunk)
@@ -89,7 +105,7 @@
             if not self.answer_started:
                 raise http1.ConnectionLostError("no answer")
             await connection.send_head(self.status, self.headers, self.single)
-            if self.single is not None:
+            if self.single is not None or self.head_only:
                 return
             async for chunk in self.receiver:
                 await connection.send_chunk(chunk)
