--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -403,7 +403,7 @@
         A connection that the other end closed, or sent something on that no
         request asked for, must not carry another request.
         """
-        if isinstance(self.stream, tcp.TcpStream):
+        if isinstance(self.stream, tcp.Stream):
             return self.stream.is_quiet()
         return True
 
--- a/src/waxwingferry/connection/reader.py
+++ b/src/waxwingferry/connection/reader.py
@@ -191,7 +191,7 @@
     async def receive_within(self, timeout_s: float) -> None:
         """Receives and parses one part; raises ReceiveTimeoutError."""
         try:
-            if isinstance(self.stream, tcp.TcpStream):
+            if isinstance(self.stream, tcp.Stream):
                 await self.receive(timeout_s)
             else:
                 with anyio.fail_after(max(timeout_s, 0)):
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -65,12 +65,12 @@
         async with anyio.create_task_group() as group:
 
             def accept(stream: tcp.TcpStream) -> None:
-                group.start_soon(self._serve_connection, stream)
+                group.start_soon(self.serve_connection, stream)
 
             async with tcp.listen(host, port, accept) as self.listener:
                 self.port = self.listener.port
                 self.listening.set()
-                await self._tick(group)
+                await self.run_ticks(group)
 
     async def drain(self) -> None:
         """Ends all connections without cutting off a request.
@@ -96,7 +96,8 @@
             self.call_ended = anyio.Event()
             await self.call_ended.wait()
 
-    async def _serve_connection(self, stream: tcp.TcpStream) -> None:
+    async def serve_connection(self, stream: tcp.Stream) -> None:
+        """Serves one connection until it ends."""
         connection = http1.ServerConnection(stream, self.limits)
         async with stream:
             with anyio.CancelScope() as scope:
@@ -146,7 +147,7 @@
             self.busy.discard(connection)
             self.call_ended.set()
 
-    async def _tick(self, group: anyio.abc.TaskGroup) -> None:
+    async def run_ticks(self, group: anyio.abc.TaskGroup) -> None:
         """Cancels calls of lost clients, ends idle ones and sends 102."""
         last_interim_s = time.monotonic()
         while True:
@@ -172,7 +173,7 @@
             stalled = since_s and now_s - since_s > self.limits.send_s
             stream = connection.stream
             if stalled or (
-                isinstance(stream, tcp.TcpStream) and stream.is_abandoned()
+                isinstance(stream, tcp.Stream) and stream.is_abandoned()
             ):
                 _cancel(connection)
 
@@ -207,7 +208,7 @@
     may lose the answer.
     """
     stream = connection.stream
-    assert isinstance(stream, tcp.TcpStream)
+    assert isinstance(stream, tcp.Stream)
     whole = connection.request_ended and not connection.reader.events.failed
     if whole and stream.is_quiet():
         return
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -9,6 +9,8 @@
 import pydantic
 import yaml
 
+from waxwingferry.process import routing
+
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
 Token = Annotated[pydantic.SecretStr, pydantic.Field(min_length=16)]
@@ -51,15 +53,17 @@
         local_port: Port on 127.0.0.1 for the node's own target.
         peer_port: Port for other nodes, TCP and UDP.
         admin_port: Port for operators.
-        advertised_peer_port: Port that other nodes connect to, if something
-            stands before peer_port.
         admin_tokens: Bearer token of each operator by name. Without any,
             the admin listener serves health, metrics and status only.
+        advertised_peer_port: Port that other nodes connect to, if something
+            stands before peer_port.
         region: Region that the VM is in.
         failure_domain: Failure domain that the VM is in.
         platform_url: Base URL of the platform's services.
         seed_peers: Nodes asked for members and document when the platform
             is down.
+        choice: Way to choose targets; others than "weighted" are for
+            experiments.
         log: Log settings.
         random_seed: Seed of all random choices; None takes one from the
             operating system.
@@ -71,12 +75,13 @@
     local_port: Port
     peer_port: Port
     admin_port: Port
-    advertised_peer_port: Port | None = None
     admin_tokens: dict[Name, Token] = {}
+    advertised_peer_port: Port | None = None
     region: Name
     failure_domain: Name
     platform_url: Annotated[str, pydantic.Field(pattern=r"^https?://\S+$")]
     seed_peers: tuple[PeerAddress, ...] = ()
+    choice: routing.Variant = routing.Variant.WEIGHTED
     log: LogSettings = LogSettings()
     random_seed: int | None = None
 
--- a/src/waxwingferry/request/claim.py
+++ b/src/waxwingferry/request/claim.py
@@ -145,7 +145,7 @@
             await refuse(connection, outcome.NotRun(reason, 413))
             return
         answer = recorder.Recorder(
-            connection.takes_chunked(), connection.answers_head()
+            connection.answers_head(), connection.takes_chunked()
         )
         self.tasks.start_soon(self._run, answer, made, run, refuse)
         await answer.pass_on(connection)
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -233,7 +233,7 @@
                 if isinstance(error, silence.SilentError):
                     name = outcome.Reason.CONNECTION_SILENT.value
                     self.counters.events.inc({"event": name})
-                raise
+                raise outcome.AnswerCutError(str(error)) from error
 
         return receive_chunk
 
@@ -261,9 +261,8 @@
 
     if attempt.body.rest is None:
         await send()
-    else:
-        await silence.send_watched(connection, watch, send)
-    return await watch.receive_head()
+        return await watch.receive_head()
+    return await silence.receive_while_sending(connection, watch, send)
 
 
 async def _read_ahead(
@@ -283,7 +282,7 @@
             ended = chunk is None
             parts.append(chunk or b"")
             size += len(parts[-1])
-    except http1.HttpError:
+    except outcome.AnswerCutError:
         return _Lost(outcome.Unknown(outcome.Reason.ANSWER_CUT))
     start = b"".join(parts)
     if ended:
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -17,6 +17,7 @@
     NO_ROUTE = "no_route"
     NO_DOCUMENT = "no_document"
     NO_TARGET = "no_target"
+    ENTRY_FULL = "entry_full"
     DOMAIN_OUT = "domain_out"
     LEAVING = "leaving"
     QUEUE_FULL = "queue_full"
@@ -45,6 +46,10 @@
     CANCELLED = "cancelled"
 
 
+class AnswerCutError(Exception):
+    """The body of an answer ended early; what came is not the whole."""
+
+
 @dataclasses.dataclass(slots=True)
 class Answer:
     """The target's answer; its body follows chunk by chunk.
@@ -52,7 +57,7 @@
     Attributes:
         head: Status and fields of the answer.
         receive_chunk: Returns the next part of the body, None at the end.
-            Raises http1.HttpError when the answer is cut short or makes no
+            Raises AnswerCutError when the answer is cut short or makes no
             progress.
     """
 
--- a/src/waxwingferry/request/recorder.py
+++ b/src/waxwingferry/request/recorder.py
@@ -17,8 +17,8 @@
     task passes the answer on, and can be cancelled without ending the call.
 
     Args:
-        chunked: Whether the caller can read chunked coding.
-        head_only: Whether the request's method is HEAD.
+        head: Whether the request is a HEAD request.
+        chunked: Whether the caller reads chunked coding.
 
     Attributes:
         status: Status of the answer, 0 before its head is known.
@@ -27,9 +27,9 @@
         abandoned: Whether the caller has gone away.
     """
 
-    def __init__(self, chunked: bool, head_only: bool):
+    def __init__(self, head: bool = False, chunked: bool = True):
+        self.head = head
         self.chunked = chunked
-        self.head_only = head_only
         self.status = 0
         self.headers: http1.Headers = []
         self.whole = False
@@ -43,6 +43,14 @@
             MAX_CHUNKS_AHEAD
         )
 
+    def answers_head(self) -> bool:
+        """See http1.ServerConnection."""
+        return self.head
+
+    def takes_chunked(self) -> bool:
+        """See http1.ServerConnection."""
+        return self.chunked
+
     async def send_head(
         self, status: int, headers: http1.Headers, body: bytes | None = None
     ) -> None:
@@ -54,18 +62,8 @@
             self.single = body
             self._record(body)
             self.whole = True
-        if self.head_only:
-            self.whole = True
         self.head_known.set()
 
-    def takes_chunked(self) -> bool:
-        """Tells whether the caller can read a body with chunked coding."""
-        return self.chunked
-
-    def answers_head(self) -> bool:
-        """Tells whether the request being answered is a HEAD request."""
-        return self.head_only
-
     async def send_chunk(self, chunk: bytes) -> None:
         """Takes a part of the body; waits while the caller is slow."""
         self._record(chunk)
@@ -105,7 +103,7 @@
             if not self.answer_started:
                 raise http1.ConnectionLostError("no answer")
             await connection.send_head(self.status, self.headers, self.single)
-            if self.single is not None or self.head_only:
+            if self.single is not None:
                 return
             async for chunk in self.receiver:
                 await connection.send_chunk(chunk)
--- a/src/waxwingferry/request/running.py
+++ b/src/waxwingferry/request/running.py
@@ -125,7 +125,7 @@
                     pipe.set_outcome(result)
                     if isinstance(result, outcome.Answer):
                         kept = await _read_answer(result, pipe)
-        except http1.HttpError as error:
+        except outcome.AnswerCutError as error:
             pipe.error = error
         finally:
             self.records.finish(record, kept, not_run)
@@ -141,7 +141,7 @@
         )
         self.result: outcome.Outcome = outcome.NotRun(outcome.Reason.FENCED)
         self.known = anyio.Event()
-        self.error: http1.HttpError | None = None
+        self.error: outcome.AnswerCutError | None = None
 
     def set_outcome(self, result: outcome.Outcome) -> None:
         self.result = result
--- a/src/waxwingferry/request/tests/network.py
+++ b/src/waxwingferry/request/tests/network.py
@@ -1,32 +1,18 @@
 """An in-memory network whose connections are cut, silent, late or crossed."""
 
 from collections.abc import Callable
-from collections.abc import Mapping
-import os
 import random
-from typing import Any
 
 import anyio
 import anyio.abc
 
 from waxwingferry.connection import pool
+from waxwingferry.connection import tcp
 
 CALLER_PORT = 1
-_QUIET_FD = os.pipe()[0]
 
 
-class _Socket:
-    """Stands in for a raw socket that is never readable."""
-
-    def setsockopt(self, *args) -> None:
-        """Ignores the option."""
-
-    def fileno(self) -> int:
-        """Returns a file descriptor on which nothing ever arrives."""
-        return _QUIET_FD
-
-
-class Stream(anyio.abc.ByteStream):
+class Stream(tcp.Stream):
     """One end of a connection.
 
     Attributes:
@@ -47,20 +33,28 @@
         self.ended = False
         self.closed = False
         self.frozen: Callable[[], bool] = lambda: False
-        self.on_end: Callable[[], None] = lambda: None
         self.changed = anyio.Event()
 
-    @property
-    def extra_attributes(self) -> Mapping[Any, Callable[[], Any]]:
-        """Offers a raw socket, as TCP streams do."""
-        return {anyio.abc.SocketAttribute.raw_socket: _Socket}
-
     def _wake(self) -> None:
         self.changed.set()
         self.changed = anyio.Event()
 
-    async def receive(self, max_bytes: int = 65536) -> bytes:
+    def is_quiet(self) -> bool:
+        """See tcp.Stream."""
+        return not (self.parts or self.ended or self.closed)
+
+    def is_abandoned(self) -> bool:
+        """See tcp.Stream."""
+        return self.ended or self.closed
+
+    async def receive(
+        self, max_bytes: int = 65536, timeout_s: float | None = None
+    ) -> bytes:
         """Returns the next bytes."""
+        with anyio.fail_after(timeout_s):
+            return await self._receive()
+
+    async def _receive(self) -> bytes:
         while self.frozen() or not self.parts:
             if self.closed:
                 raise anyio.ClosedResourceError
@@ -118,7 +112,6 @@
         """Ends the direction towards this end."""
         self.ended = True
         self._wake()
-        self.on_end()
 
     async def send_eof(self) -> None:
         """Is not used."""
--- a/src/waxwingferry/request/tests/world.py
+++ b/src/waxwingferry/request/tests/world.py
@@ -239,7 +239,7 @@
                 group.start_soon(self.tasks.run)
                 group.start_soon(self.claims.settler.run)
                 for port, server in handlers.items():
-                    group.start_soon(server._tick, group)
+                    group.start_soon(server.run_ticks, group)
                     self.world.accept(self, port, server, group)
                 self.world.announce(self)
                 await anyio.sleep_forever()
@@ -285,7 +285,7 @@
             node = Node(self, name)
             self.nodes.append(node)
             server = serve.Server(Target(self).handle)
-            group.start_soon(server._tick, group)
+            group.start_soon(server.run_ticks, group)
             self.accept(None, TARGET_PORT, server, group, name)
             group.start_soon(node.run_forever)
         await anyio.sleep(0.02)
@@ -296,7 +296,7 @@
         def accept(stream: network.Stream) -> None:
             if node is not None:
                 stream.frozen = lambda: node.frozen
-            group.start_soon(serve_stream, server, stream)
+            group.start_soon(server.serve_connection, stream)
 
         self.network.servers[(name or node.name, port)] = accept
 
@@ -316,8 +316,8 @@
             generation=node.number,
         )
         self.rows[node.name] = row
-        for known_row in self.rows.values():
-            node.known.apply(known_row)
+        node.known.announce(row)
+        node.known.apply_all(self.rows.values())
         for other in self.nodes:
             known = getattr(other, "known", None)
             if known is not None and other is not node:
@@ -402,20 +402,6 @@
         assert run in world.ledger
 
 
-async def serve_stream(server: serve.Server, stream: network.Stream) -> None:
-    """Serves one connection, as serve.Server does for TCP."""
-    connection = http1.ServerConnection(stream)
-    async with stream:
-        with anyio.CancelScope() as scope, contextlib.suppress(http1.HttpError):
-
-            def cancel() -> None:
-                if connection in server.busy:
-                    scope.cancel()
-
-            stream.on_end = cancel
-            await server.serve_requests(connection)
-
-
 def run_worlds(worlds: list[World], body) -> None:
     """Runs worlds side by side, each with a coroutine function."""
 
