Fix long requests over two passes and bodies that make no progress

Cause: while a long body was sent to a peer, the connection and the watch for silence both read from it, and the error ended the entry's connection without an answer. A part of an answer's body was waited for anew after each gap, so a node that was stopped in the middle of it kept the call for ever. A connection to a target that doesn't echo attempts carries one request. Conclusion: a silent upload is not-run before the node's first 64 KiB, unknown after them.

--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -127,6 +127,9 @@
     if (echoes or echoed) and echoed != attempt.attempt_id:
         connection.reusable = False
         return outcome.Unknown(outcome.Reason.ANSWER_MISMATCH)
+    if not echoed:
+        # A second answer could be taken for that of the next request.
+        connection.reusable = False
     if not head.framed:
         # Without a length a cut answer can't be told from a whole one.
         return outcome.Unknown(outcome.Reason.ANSWER_CUT)
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -261,8 +261,9 @@
 
     if attempt.body.rest is None:
         await send()
-        return await watch.receive_head()
-    return await silence.receive_while_sending(connection, watch, send)
+    else:
+        await silence.send_watched(connection, watch, send)
+    return await watch.receive_head()
 
 
 async def _read_ahead(
--- a/src/waxwingferry/request/silence.py
+++ b/src/waxwingferry/request/silence.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import time
 
 import anyio
 
@@ -81,30 +82,33 @@
         return chunk
 
     async def _receive(self, receive: Callable[[float], Awaitable]):
+        deadline = self.attempt.deadline
+        wait_s = deadline.remaining_s()
+        if self.in_body:
+            wait_s = deadline.part_wait_s()
+        end_s = time.monotonic() + wait_s
         limit_s = SUSPECT_AFTER_S
         suspected = False
         while True:
-            remaining_s = self._remaining_s()
+            left_s = end_s - time.monotonic()
             try:
-                result = await receive(min(max(remaining_s, 0), limit_s))
+                result = await receive(min(max(left_s, 0), limit_s))
                 self.node_silent = False
                 return result
             except http1.ReceiveTimeoutError as error:
-                if remaining_s <= limit_s:
+                if left_s <= limit_s:
                     raise
                 if suspected:
                     raise SilentError("connection is silent") from error
-            suspected = await self._suspect()
+            suspected = await self.suspect()
             limit_s = CONFIRM_S if suspected else SUSPECT_AFTER_S
 
-    def _remaining_s(self) -> float:
-        """Returns the time left for the next part, in seconds."""
-        if self.in_body:
-            return self.attempt.deadline.part_wait_s()
-        return self.attempt.deadline.remaining_s()
+    async def suspect(self) -> bool:
+        """Tells whether the node is alive but its messages don't come.
 
-    async def _suspect(self) -> bool:
-        """Tells whether the node answers on a new connection."""
+        Raises:
+            http1.ConnectionLostError: The node's process has ended.
+        """
         try:
             status = await self.resolver.look(self.candidate, self.attempt)
         except resolve.NodeGoneError as error:
@@ -115,41 +119,57 @@
         return not self.in_body or status.sent_bytes > self.received_bytes
 
 
-async def receive_while_sending(
+async def send_watched(
     connection: http1.ClientConnection,
     watch: Watch,
     send: Callable[[], Awaitable[None]],
-) -> http1.ResponseHead:
-    """Sends a long request and watches for heartbeats meanwhile.
+) -> None:
+    """Sends a long request and counts heartbeats meanwhile.
 
-    An answer that comes before the end of the request ends the sending.
-    """
-    heads: list[http1.ResponseHead] = []
-    errors: list[http1.HttpError | call.BodyError] = []
-    sent = False
+    The connection itself reads while it sends, so heartbeats show as events
+    that wait to be taken.
 
+    Raises:
+        SilentError: The connection has gone silent.
+        Exception: What send raised.
+    """
+    errors: list[Exception] = []
     async with anyio.create_task_group() as group:
 
         async def run_send() -> None:
-            nonlocal sent
             try:
                 await send()
-                sent = True
-            except (http1.HttpError, call.BodyError) as error:
+            except Exception as error:
                 errors.append(error)
-                group.cancel_scope.cancel()
+            group.cancel_scope.cancel()
 
-        async def run_receive() -> None:
+        async def run_watch() -> None:
             try:
-                heads.append(await watch.receive_head())
+                await _watch_heartbeats(connection, watch)
             except http1.HttpError as error:
                 errors.append(error)
             group.cancel_scope.cancel()
 
         group.start_soon(run_send)
-        group.start_soon(run_receive)
-    if not sent:
+        group.start_soon(run_watch)
+    if errors:
         connection.reusable = False
-    if heads:
-        return heads[0]
-    raise errors[0]
+        raise errors[0]
+
+
+async def _watch_heartbeats(
+    connection: http1.ClientConnection, watch: Watch
+) -> None:
+    suspected = False
+    count = 0
+    while True:
+        await anyio.sleep(CONFIRM_S if suspected else SUSPECT_AFTER_S)
+        reader = connection.reader
+        seen = len(reader.queue) if reader is not None else 0
+        if seen > count:
+            count = seen
+            suspected = False
+        elif suspected:
+            raise SilentError("connection is silent")
+        else:
+            suspected = await watch.suspect()
--- a/src/waxwingferry/request/tests/network.py
+++ b/src/waxwingferry/request/tests/network.py
@@ -10,6 +10,8 @@
 from waxwingferry.connection import tcp
 
 CALLER_PORT = 1
+# Bytes that a silent connection takes before sending on it stalls.
+BUFFER_BYTES = 65536
 
 
 class Stream(tcp.Stream):
@@ -32,6 +34,8 @@
         self.parts: list[bytes] = []
         self.ended = False
         self.closed = False
+        self.receiving = False
+        self.dropped = 0
         self.frozen: Callable[[], bool] = lambda: False
         self.changed = anyio.Event()
 
@@ -51,8 +55,14 @@
         self, max_bytes: int = 65536, timeout_s: float | None = None
     ) -> bytes:
         """Returns the next bytes."""
-        with anyio.fail_after(timeout_s):
-            return await self._receive()
+        if self.receiving:
+            raise anyio.BusyResourceError("reading from")
+        self.receiving = True
+        try:
+            with anyio.fail_after(timeout_s):
+                return await self._receive()
+        finally:
+            self.receiving = False
 
     async def _receive(self) -> bytes:
         while self.frozen() or not self.parts:
@@ -85,6 +95,10 @@
             case "cut":
                 self.end()
                 self.peer.end()
+            case "silent":
+                self.dropped += len(data)
+                while self.dropped > BUFFER_BYTES and not self.closed:
+                    await self.changed.wait()
             case "late":
                 delay_s = self.network.rng.uniform(0.1, 1.2)
                 self.network.later(delay_s, self.peer.deliver, data)
--- a/src/waxwingferry/request/tests/test_silence.py
+++ b/src/waxwingferry/request/tests/test_silence.py
@@ -21,6 +21,9 @@
 
     async def receive_chunk(self, timeout_s: float) -> bytes | None:
         """Returns the next part, or times out."""
+        if not self.events:
+            await anyio.sleep(timeout_s)
+            raise TIMEOUT
         event = self.events.pop(0)
         if isinstance(event, Exception):
             raise event
@@ -74,6 +77,45 @@
     assert await watch.receive_chunk() == b"def"
 
 
+@pytest.mark.anyio
+async def test_body_without_progress_ends(monkeypatch) -> None:
+    """Guards against a wait for each part that begins again and again."""
+    monkeypatch.setattr(call, "PROGRESS_TIMEOUT_S", 0.5)
+    watch = _make_watch([b"abc"], 3)
+    watch.attempt.deadline = call.make_deadline(0)
+    assert await watch.receive_chunk() == b"abc"
+    with anyio.fail_after(10):
+        with pytest.raises(http1.ReceiveTimeoutError):
+            await watch.receive_chunk()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("silent_after", "expected"),
+    [(0, "answered"), (30_000, "not-run"), (100_000, "unknown")],
+)
+async def test_long_request_through_two_passes(
+    silent_after: int, expected: str
+) -> None:
+    """Guards against two readers of one connection, and a stalled upload."""
+    world = worlds.World(1)
+    world.targets = {"n2"}
+    # The node sends a body on to its target after its first 64 KiB.
+    fault = ("silent" if silent_after else "", silent_after, 1_000_000)
+    async with anyio.create_task_group() as group:
+        await world.start(group)
+        await anyio.sleep(0.25)
+        world.network.script[worlds.PEER_PORT] = [fault]
+        body = b"x" * 400_000
+        reply = await world.send("n1", "send-1", body=body)
+        counters = world.nodes[0].counters
+        group.cancel_scope.cancel()
+    worlds.check(world, [reply])
+    assert reply.outcome == expected
+    found = counters.events.values.get({"event": "connection_silent"})
+    assert found == (1 if silent_after else None)
+
+
 @pytest.mark.anyio
 async def test_late_heartbeat_ends_the_suspicion() -> None:
     """Guards against a slow entry that takes its own delay for silence."""
