Keep one response parser per connection

Cause: each request made a new reader, and a reader, its events and its parser refer to each other, so each call left a cycle for the garbage collector. Found on the way: values lost trailing bytes 0xA0 and 0x85, which are white space in latin-1 but not in HTTP; the new test failed before with "('x', 'b') != ('x', 'b\xa0\x85')". Change: the reader stays until an answer to HEAD, whose parser waits for a body. Only spaces and tabs are stripped from values.

--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -291,14 +291,16 @@
         Raises:
             ConnectionLostError: The connection failed while sending.
         """
+        if self.reader is None or self.method == "HEAD":
+            # After HEAD the parser still waits for the body of its answer.
+            self.reader = reading.Reader(
+                self.stream,
+                httptools.HttpResponseParser,
+                reading.make_response_head,
+                _ANSWER_LIMITS,
+            )
         self.method = method
         self.ended = False
-        self.reader = reading.Reader(
-            self.stream,
-            httptools.HttpResponseParser,
-            reading.make_response_head,
-            _ANSWER_LIMITS,
-        )
         headers = list(headers)
         names = {name for name, _ in headers}
         if "host" not in names:
--- a/src/waxwingferry/connection/reader.py
+++ b/src/waxwingferry/connection/reader.py
@@ -89,7 +89,10 @@
             return
         self.head_bytes += len(name) + len(value) + 4
         self.headers.append(
-            (name.decode("latin-1").lower(), value.decode("latin-1").rstrip())
+            (
+                name.decode("latin-1").lower(),
+                value.decode("latin-1").rstrip(" \t"),
+            )
         )
 
     def on_headers_complete(self) -> None:
--- a/src/waxwingferry/connection/tests/test_client.py
+++ b/src/waxwingferry/connection/tests/test_client.py
@@ -168,3 +168,23 @@
         await connection.send_request("POST", "/", [], b"", rest)
     assert not connection.reusable
     assert b"0\r\n\r\n" not in stream.sent
+
+
+@pytest.mark.anyio
+async def test_answers_follow_each_other_on_one_connection() -> None:
+    """Guards against parser state that is left over from another answer."""
+    requests = [
+        ("GET", OK + b"Content-Length: 2\r\n\r\nab", b"ab"),
+        ("HEAD", OK + b"Content-Length: 2\r\n\r\n", b""),
+        ("GET", OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b""),
+        ("HEAD", OK + b"Transfer-Encoding: chunked\r\n\r\n", b""),
+        ("GET", b"HTTP/1.1 304 x\r\nContent-Length: 2\r\n\r\n", b""),
+        ("GET", OK + b"Content-Length: 2\r\n\r\ncd", b"cd"),
+    ]
+    connection, _ = wire.make_client_connection(
+        *[data for _, data, _ in requests]
+    )
+    for method, _, body in requests:
+        await connection.send_request(method, "/", [])
+        assert await receive_answer(connection) == body
+        assert connection.reusable
--- a/src/waxwingferry/connection/tests/test_http1.py
+++ b/src/waxwingferry/connection/tests/test_http1.py
@@ -121,6 +121,15 @@
     assert request[1:3] == ["/?q", [("host", "b:80")]]
 
 
+@pytest.mark.anyio
+async def test_only_optional_white_space_is_removed_from_values() -> None:
+    """Guards against values whose last byte is a space in latin-1 only."""
+    data = b"GET / HTTP/1.1\r\nHost: a\r\nX: \t b\xa0\x85 \t\r\n\r\n"
+    connection, _ = wire.make_server_connection(data)
+    (request,) = await read_messages(connection)
+    assert request[2][1] == ("x", "b\xa0\x85")
+
+
 def test_fields_named_by_connection_are_not_forwarded() -> None:
     """Guards against hop-by-hop fields that reach the next hop."""
     headers = [
