Send requests to the target without a cancel scope

Cause: each attempt at the target entered two cancel scopes, one for its deadline around sending and receiving and one to shield the release of the connection, although receives have timeouts of their own. Change: `send_request` takes the time allowed, and TcpStream starts a timer only when the other end does not take the bytes at once. Closing a TcpStream does not suspend, so releasing a connection needs no shield.

--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -247,9 +247,15 @@
     return status < 200 or status in (204, 304)
 
 
-async def _send(stream: anyio.abc.ByteStream, data: bytes) -> None:
+async def _send(
+    stream: anyio.abc.ByteStream, data: bytes, timeout_s: float | None = None
+) -> None:
     try:
-        await stream.send(data)
+        if isinstance(stream, tcp.TcpStream):
+            await stream.send(data, timeout_s)
+        else:
+            with anyio.fail_after(timeout_s):
+                await stream.send(data)
     except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
         raise ConnectionLostError("connection closed") from error
 
@@ -273,6 +279,7 @@
         headers: Headers,
         body: bytes = b"",
         rest: AsyncIterator[bytes] | None = None,
+        timeout_s: float | None = None,
     ) -> None:
         """Sends one request.
 
@@ -287,9 +294,11 @@
             rest: Further parts; the body is then sent with chunked coding
                 unless headers hold a content-length. Its own errors pass
                 through.
+            timeout_s: Time for the whole of it, or None for no limit.
 
         Raises:
             ConnectionLostError: The connection failed while sending.
+            TimeoutError: The request could not be sent in time.
         """
         if self.reader is None or self.method == "HEAD":
             # After HEAD the parser still waits for the body of its answer.
@@ -313,15 +322,17 @@
         elif not has_length and (body or method in _BODY_METHODS):
             headers.append(("content-length", str(len(body))))
         data = message.encode_head(f"{method} {target} HTTP/1.1", headers)
-        await self._write(
-            data + (message.encode_chunk(body) if chunked else body)
-        )
-        if rest is not None:
+        data += message.encode_chunk(body) if chunked else body
+        if rest is None:
+            await self._write(data, timeout_s)
+            return
+        with anyio.fail_after(timeout_s):
+            await self._write(data)
             await self._send_rest(rest, chunked)
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes, timeout_s: float | None = None) -> None:
         self.sent_bytes += len(data)
-        await _send(self.stream, data)
+        await _send(self.stream, data, timeout_s)
 
     async def _send_rest(
         self, rest: AsyncIterator[bytes], chunked: bool
@@ -410,6 +421,6 @@
         return True
 
     async def close(self) -> None:
-        """Closes the connection at once."""
+        """Closes the connection at once; on TCP without suspending."""
         self.reusable = False
-        await anyio.aclose_forcefully(self.stream)
+        await self.stream.aclose()
--- a/src/waxwingferry/connection/pool.py
+++ b/src/waxwingferry/connection/pool.py
@@ -62,7 +62,10 @@
         return http1.ClientConnection(stream)
 
     async def release(self, connection: http1.ClientConnection) -> None:
-        """Takes a connection back; closes it unless it is clean."""
+        """Takes a connection back; closes it unless it is clean.
+
+        On TCP this does not suspend, so it completes in a cancelled task.
+        """
         if not (connection.reusable and connection.ended):
             await connection.close()
             return
--- a/src/waxwingferry/connection/tcp.py
+++ b/src/waxwingferry/connection/tcp.py
@@ -145,17 +145,23 @@
         if self.receiver is not None and not self.receiver.done():
             self.receiver.set_exception(TimeoutError())
 
-    async def send(self, item: bytes) -> None:
+    async def send(self, item: bytes, timeout_s: float | None = None) -> None:
         """Sends bytes; returns when the operating system has taken them.
 
+        Args:
+            item: The bytes.
+            timeout_s: Longest wait in seconds, or None for no limit.
+
         Raises:
+            TimeoutError: The other end did not take the bytes in time.
             anyio.ClosedResourceError: This end closed the stream.
             anyio.BrokenResourceError: The connection failed.
         """
         self._check_writable()
         self.transport.write(item)
         if not self.writable.is_set():
-            await self.writable.wait()
+            with anyio.fail_after(timeout_s):
+                await self.writable.wait()
             self._check_writable()
 
     def _check_writable(self) -> None:
--- a/src/waxwingferry/connection/tests/test_client.py
+++ b/src/waxwingferry/connection/tests/test_client.py
@@ -4,6 +4,7 @@
 import pytest
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import pool
 from waxwingferry.connection.tests import wire
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -188,3 +189,21 @@
         await connection.send_request(method, "/", [])
         assert await receive_answer(connection) == body
         assert connection.reusable
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("streamed", [False, True])
+async def test_request_that_is_not_taken_times_out(streamed: bool) -> None:
+    """Guards against a call that outlives its deadline while sending."""
+
+    async def read_nothing(stream) -> None:
+        await anyio.sleep_forever()
+
+    part = b"x" * 32_000_000
+    async with wire.run_raw_server(read_nothing) as port:
+        connection = await pool.Pool(wire.HOST, port).acquire()
+        rest = iterate_parts([part]) if streamed else None
+        body = b"" if streamed else part
+        with pytest.raises(TimeoutError):
+            await connection.send_request("PUT", "/", [], body, rest, 0.05)
+        await connection.close()
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -11,7 +11,6 @@
 from typing import Annotated
 from typing import Literal
 
-import anyio
 import pydantic
 
 from waxwingferry.connection import http1
@@ -77,25 +76,24 @@
         try:
             yield await self._exchange(connection, attempt)
         finally:
-            with anyio.CancelScope(shield=True):
-                await self.pool.release(connection)
+            await self.pool.release(connection)
 
     async def _exchange(
         self, connection: http1.ClientConnection, attempt: call.Attempt
     ) -> outcome.Outcome:
         deadline = attempt.deadline
         try:
-            with anyio.fail_after(max(deadline.remaining_s(), 0)):
-                await connection.send_request(
-                    attempt.method,
-                    attempt.target,
-                    call.hop_headers(attempt),
-                    attempt.body.buffered,
-                    attempt.body.rest,
-                )
+            await connection.send_request(
+                attempt.method,
+                attempt.target,
+                call.hop_headers(attempt),
+                attempt.body.buffered,
+                attempt.body.rest,
+                max(deadline.remaining_s(), 0),
+            )
+            head = await connection.receive_head(deadline.remaining_s())
+            while head.status < 200:
                 head = await connection.receive_head(deadline.remaining_s())
-                while head.status < 200:
-                    head = await connection.receive_head(deadline.remaining_s())
         except (TimeoutError, http1.ReceiveTimeoutError):
             connection.reusable = False
             return outcome.Unknown(outcome.Reason.TIMEOUT, 504)
