Test the timeout of sending against a socket that nobody reads

The test's stand-in server ran on anyio's listener, whose streams took all 32 MB though the handler read nothing, so no time-out could occur; the code was right. Change: the test connects to a listening socket that accepts nothing, so the kernel's buffers bound what is taken. What is asserted is unchanged.

--- a/src/waxwingferry/connection/tests/test_client.py
+++ b/src/waxwingferry/connection/tests/test_client.py
@@ -1,5 +1,7 @@
 """The client's side: whole answers, cut answers, and reuse."""
 
+import socket
+
 import anyio
 import pytest
 
@@ -195,13 +197,11 @@
 @pytest.mark.parametrize("streamed", [False, True])
 async def test_request_that_is_not_taken_times_out(streamed: bool) -> None:
     """Guards against a call that outlives its deadline while sending."""
-
-    async def read_nothing(stream) -> None:
-        await anyio.sleep_forever()
-
     part = b"x" * 32_000_000
-    async with wire.run_raw_server(read_nothing) as port:
-        connection = await pool.Pool(wire.HOST, port).acquire()
+    with socket.create_server((wire.HOST, 0)) as listener:
+        # The system connects, but nobody reads.
+        peer = pool.Pool(*listener.getsockname())
+        connection = await peer.acquire()
         rest = iterate_parts([part]) if streamed else None
         body = b"" if streamed else part
         with pytest.raises(TimeoutError):
