--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -3,12 +3,14 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import json
 import pathlib
 import signal
 import subprocess
 import sys
 import tempfile
 import time
+import uuid
 
 import anyio
 import httpx
@@ -16,6 +18,8 @@
 
 FIRST_PORT = 21000
 START_TIMEOUT_S = 20.0
+ADMIN_TOKEN = "bench-token-for-loopback-only"
+_AUTHORIZATION = {"authorization": f"Bearer {ADMIN_TOKEN}"}
 
 
 class ClusterError(Exception):
@@ -46,7 +50,8 @@
         services: Number of targets by service name.
         document: The operators' document.
         slots: Slots of each target.
-        service_time_ms: Mean service time of each target.
+        behaviour: How each target behaves at first; see
+            emulator.target.Behaviour.
         domains: Names of failure domains, given to targets in turn.
         first_port: First of the ports used.
     """
@@ -56,7 +61,7 @@
         services: dict[str, int],
         document: dict,
         slots: int = 6,
-        service_time_ms: float = 2.0,
+        behaviour: dict | None = None,
         domains: tuple[str, ...] = ("d1", "d2", "d3", "d4"),
         first_port: int = FIRST_PORT,
         seed: int = 1,
@@ -64,12 +69,12 @@
         self.services = services
         self.document = document
         self.slots = slots
-        self.service_time_ms = service_time_ms
+        self.behaviour = behaviour or {}
         self.domains = domains
         self.next_port = first_port
         self.seed = seed
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="waxwingferry-"))
-        self.platform_port = self._take_port()
+        self.platform_port = self.take_port()
         self.platform: subprocess.Popen | None = None
         self.members = [
             self._make_member(service, number)
@@ -77,7 +82,8 @@
             for number in range(count)
         ]
 
-    def _take_port(self) -> int:
+    def take_port(self) -> int:
+        """Returns a port that nothing of this cluster uses yet."""
         self.next_port += 1
         return self.next_port
 
@@ -87,7 +93,7 @@
             f"{service}-{number}",
             service,
             self.domains[number % len(self.domains)],
-            {use: self._take_port() for use in uses},
+            {use: self.take_port() for use in uses},
         )
 
     @property
@@ -115,6 +121,7 @@
             "local_port": member.ports["local"],
             "peer_port": member.ports["peer"],
             "admin_port": member.ports["admin"],
+            "admin_tokens": {"bench": ADMIN_TOKEN},
             "region": "r1",
             "failure_domain": member.failure_domain,
             "platform_url": self.platform_url,
@@ -137,7 +144,8 @@
             "slots": self.slots,
             "port": member.ports["target"],
             "node_port": member.ports["local"],
-            "service_time_ms": self.service_time_ms,
+            "ledger_file": str(self.ledger_path(member)),
+            "behaviour": self.behaviour,
             "seed": self.seed * 1000 + member.ports["target"],
             **changes,
         }
@@ -202,15 +210,108 @@
             return {}
         return reply.json()
 
-    async def ledgers(self, client: httpx.AsyncClient) -> dict[str, dict]:
-        """Returns the ledgers of all targets by name."""
+    async def read_document(
+        self, client: httpx.AsyncClient, member: Member
+    ) -> dict | None:
+        """Returns {"revision", "document"} as a node knows it, or None."""
+        port = member.ports["admin"]
+        try:
+            reply = await client.get(
+                f"http://127.0.0.1:{port}/document",
+                headers=_AUTHORIZATION,
+            )
+        except httpx.HTTPError:
+            return None
+        return reply.json() if reply.status_code == 200 else None
+
+    async def write_document(
+        self,
+        client: httpx.AsyncClient,
+        member: Member,
+        current: dict,
+        why: str,
+    ) -> int | None:
+        """Accepts a changed document through a node.
+
+        Args:
+            client: Client for the request.
+            member: Its node takes the change.
+            current: Result of read_document with the document changed.
+            why: Reason given in the history.
+
+        Returns:
+            The new revision, or None if the change was not accepted.
+        """
+        port = member.ports["admin"]
+        change = {
+            "base": current["revision"],
+            "document": current["document"],
+            "why": why,
+            "change_id": uuid.uuid4().hex,
+        }
+        try:
+            reply = await client.put(
+                f"http://127.0.0.1:{port}/document",
+                headers=_AUTHORIZATION,
+                json=change,
+                timeout=10,
+            )
+        except httpx.HTTPError:
+            return None
+        return reply.json()["revision"] if reply.status_code == 200 else None
+
+    def ledger_path(self, member: Member) -> pathlib.Path:
+        """Returns the file that holds a target's ledger."""
+        return self.directory / f"ledger-{member.name}.jsonl"
+
+    def read_ledgers(self) -> dict[str, list[dict]]:
+        """Returns the ledger of each target, over all its starts."""
         result = {}
         for member in self.members:
-            port = member.ports["target"]
-            reply = await client.get(f"http://127.0.0.1:{port}/_ledger")
-            result[member.name] = reply.json()
+            entries: dict[str, dict] = {}
+            path = self.ledger_path(member)
+            lines = (
+                path.read_text("utf-8").splitlines() if path.exists() else []
+            )
+            for line in lines:
+                entry = json.loads(line)
+                entries[entry["entry_id"]] = entry
+            result[member.name] = list(entries.values())
         return result
 
+    async def counts(
+        self, client: httpx.AsyncClient, member: Member
+    ) -> dict[str, int]:
+        """Returns the counters of a running target."""
+        port = member.ports["target"]
+        reply = await client.get(f"http://127.0.0.1:{port}/_ledger")
+        return reply.json()["counts"]
+
+    async def control_target(
+        self, client: httpx.AsyncClient, member: Member, **changes
+    ) -> None:
+        """Changes how a stand-in target behaves.
+
+        A target that was just started may not listen yet, so a refused
+        connection is tried again for a while.
+        """
+        port = member.ports["target"]
+        url = f"http://127.0.0.1:{port}/_control"
+        with anyio.fail_after(START_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(httpx.TransportError):
+                    reply = await client.post(url, json=changes)
+                    reply.raise_for_status()
+                    return
+                await anyio.sleep(0.1)
+
+    async def set_platform_faults(
+        self, client: httpx.AsyncClient, **faults
+    ) -> None:
+        """Sets the platform's faults; see emulator.platform.Faults."""
+        url = f"{self.platform_url}/control/faults"
+        (await client.post(url, json=faults)).raise_for_status()
+
     def stop(self) -> None:
         """Stops all processes that were started, nodes first."""
         nodes = [member.node for member in self.members]
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -16,6 +16,8 @@
 TICK_S = 0.05
 LINGER_S = 2.0
 BODY_TOO_LARGE_STATUS = 413
+# A request that was sent when the drain began arrives within this time.
+DRAIN_GRACE_S = 0.2
 
 log = structlog.get_logger()
 
@@ -55,6 +57,7 @@
         self.stopping = False
         self.call_ended = anyio.Event()
         self.listening = anyio.Event()
+        self.listener: tcp.Listener | None = None
         self.port = 0
 
     async def serve(self, host: str, port: int) -> None:
@@ -64,15 +67,31 @@
             def accept(stream: tcp.TcpStream) -> None:
                 group.start_soon(self._serve_connection, stream)
 
-            async with tcp.listen(host, port, accept) as self.port:
+            async with tcp.listen(host, port, accept) as self.listener:
+                self.port = self.listener.port
                 self.listening.set()
                 await self._tick(group)
 
     async def drain(self) -> None:
-        """Closes idle connections and waits for calls in flight."""
+        """Ends all connections without cutting off a request.
+
+        A request that a client had sent before it could know of the drain is
+        answered, and its answer tells the client to close the connection.
+        """
         self.stopping = True
+        for connection in list(self.busy):
+            connection.keep_alive = False
+        await anyio.sleep(DRAIN_GRACE_S)
+        if self.listener is not None:
+            self.listener.close()
+        await self._wait_for_calls()
+        # Accepted connections whose request is on its way.
+        await anyio.sleep(DRAIN_GRACE_S)
+        await self._wait_for_calls()
         for connection in list(self.idle):
             await anyio.aclose_forcefully(connection.stream)
+
+    async def _wait_for_calls(self) -> None:
         while self.busy:
             self.call_ended = anyio.Event()
             await self.call_ended.wait()
--- a/src/waxwingferry/connection/tcp.py
+++ b/src/waxwingferry/connection/tcp.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import select
 import socket
 from typing import Any
@@ -209,11 +210,24 @@
     return stream
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Listener:
+    """An open listening socket.
+
+    Attributes:
+        port: Port that is listened on.
+        close: Stops accepting; accepted connections stay open.
+    """
+
+    port: int
+    close: Callable[[], None]
+
+
 @contextlib.asynccontextmanager
 async def listen(
     host: str, port: int, accept: Callable[[TcpStream], Any]
-) -> AsyncIterator[int]:
-    """Accepts connections inside the context; yields the port.
+) -> AsyncIterator[Listener]:
+    """Accepts connections inside the context.
 
     Args:
         host: IP number to listen on.
@@ -225,6 +239,6 @@
         lambda: TcpStream(accept), host, port, backlog=1024
     )
     try:
-        yield server.sockets[0].getsockname()[1]
+        yield Listener(server.sockets[0].getsockname()[1], server.close)
     finally:
         server.close()
