Use the load generator of the bench in pass_cost

Change: pass_cost.py starts that generator as its load process and keeps only the comparison of the ways.

--- a/benchmarks/pass_cost.py
+++ b/benchmarks/pass_cost.py
@@ -24,22 +24,19 @@
 import uvloop
 
 from waxwingferry.bench import cluster
-from waxwingferry.connection import http1
-from waxwingferry.connection import pool
+from waxwingferry.bench import load as loads
 from waxwingferry.process import program
 
 RATE_PER_S = 258.0
 IDLE_S = 2.0
 # Enough that no call of the bench waits or is shed.
 SLOTS = 64
-CALL_TIMEOUT_S = 5.0
+OK_STATUS = 200
 WAYS = ("direct", "one pass", "two passes")
 HEADERS = [
-    ("host", "desk.example"),
     ("user-agent", "pass-cost/1"),
     ("accept", "application/json"),
     ("accept-encoding", "identity"),
-    ("x-request-id", "3f1c8a90"),
     ("traceparent", "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"),
 ]
 DOCUMENT = {
@@ -63,52 +60,6 @@
 }
 
 
-class Load:
-    """Sends calls at scheduled times and records their latencies.
-
-    Args:
-        port: Port to call.
-        path: Path to call.
-    """
-
-    def __init__(self, port: int, path: str):
-        self.peer = pool.Pool("127.0.0.1", port)
-        self.path = path
-        self.latencies_ms: list[float] = []
-        self.failed = 0
-
-    async def call(self, scheduled_s: float) -> None:
-        """Makes one call; its latency counts from the scheduled time."""
-        connection = await self.peer.acquire()
-        status = 0
-        try:
-            await connection.send_request("GET", self.path, HEADERS)
-            head = await connection.receive_head(CALL_TIMEOUT_S)
-            status = head.status
-            while await connection.receive_chunk(CALL_TIMEOUT_S) is not None:
-                pass
-        except http1.HttpError:
-            status = 0
-        elapsed_ms = (time.monotonic() - scheduled_s) * 1000
-        await self.peer.release(connection)
-        if status == 200:
-            self.latencies_ms.append(elapsed_ms)
-        else:
-            self.failed += 1
-
-    async def run(self, rate: float, seconds: float, seed: int) -> None:
-        """Sends calls with exponential gaps; returns when all have ended."""
-        rng = random.Random(seed)
-        at_s = time.monotonic()
-        end_s = at_s + seconds
-        async with anyio.create_task_group() as group:
-            while at_s < end_s:
-                at_s += rng.expovariate(rate)
-                await anyio.sleep(max(at_s - time.monotonic(), 0))
-                group.start_soon(self.call, at_s)
-        await self.peer.close()
-
-
 def load(port: int, path: str, rate: float, seconds: float, seed: int) -> None:
     """Runs the load of one way and prints its latencies as JSON.
 
@@ -119,16 +70,23 @@
         seconds: Duration.
         seed: Seed of the gaps between calls.
     """
-    sender = Load(port, path)
-    anyio.run(
-        sender.run,
-        rate,
-        seconds,
-        seed,
-        backend_options={"loop_factory": uvloop.new_event_loop},
+
+    def make_request(rng: random.Random, number: int) -> loads.Request:
+        address = ("127.0.0.1", port)
+        return loads.Request(address, "GET", path, "", str(number), HEADERS)
+
+    plan = loads.Plan(rate, seconds, make_request)
+    backend = {"loop_factory": uvloop.new_event_loop}
+    recorder = anyio.run(
+        loads.run_load, plan, seed, True, backend_options=backend
     )
-    result = {"latencies_ms": sender.latencies_ms, "failed": sender.failed}
-    print(json.dumps(result))
+    latencies_ms = [
+        result.latency_s * 1000
+        for result in recorder.results
+        if result.status == OK_STATUS
+    ]
+    failed = len(recorder.results) - len(latencies_ms)
+    print(json.dumps({"latencies_ms": latencies_ms, "failed": failed}))
 
 
 @dataclasses.dataclass
@@ -173,7 +131,7 @@
     async with cluster.run_cluster(
         {"near": 1, "far": 1},
         DOCUMENT,
-        service_time_ms=0.0,
+        behaviour={"service_time_ms": 0.0},
         slots=SLOTS,
         first_port=first_port,
     ) as running:
