Refuse calls whose body used up the deadline, and close idle connections

Cause: the deadline now counts from the request's head, so a slow body can use it up; the entry would then have sent the request and reported an unknown outcome. A pool closed expired connections only when it came to use them, and it uses the one released last, so those of a burst stayed open. Change: the entry refuses such a call as not run before its first attempt. Each release closes the connections that were idle for too long.

--- a/src/waxwingferry/connection/pool.py
+++ b/src/waxwingferry/connection/pool.py
@@ -35,12 +35,26 @@
 
 
 class Pool:
-    """Idle connections to one address; each carries one call at a time."""
+    """Idle connections to one address; each carries one call at a time.
 
-    def __init__(self, host: str, port: int, connect: Connect = connect_tcp):
+    Args:
+        host: IP number or name of the peer.
+        port: Port of the peer.
+        connect: Opens a connection.
+        clock: Returns the time in seconds.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        connect: Connect = connect_tcp,
+        clock: Callable[[], float] = time.monotonic,
+    ):
         self.host = host
         self.port = port
         self.connect = connect
+        self.clock = clock
         self.idle: list[http1.ClientConnection] = []
 
     async def acquire(self) -> http1.ClientConnection:
@@ -52,7 +66,7 @@
         Raises:
             ConnectError: No connection could be opened.
         """
-        oldest_s = time.monotonic() - IDLE_LIMIT_S
+        oldest_s = self.clock() - IDLE_LIMIT_S
         while self.idle:
             connection = self.idle.pop()
             if connection.last_used_s >= oldest_s and connection.is_quiet():
@@ -69,8 +83,19 @@
         if not (connection.reusable and connection.ended):
             await connection.close()
             return
-        connection.last_used_s = time.monotonic()
+        connection.last_used_s = self.clock()
         self.idle.append(connection)
+        await self.close_expired()
+
+    async def close_expired(self) -> None:
+        """Closes connections that were idle for too long.
+
+        The last one released is used first, so after a burst of calls the
+        others would stay open for as long as calls go on.
+        """
+        oldest_s = self.clock() - IDLE_LIMIT_S
+        while self.idle and self.idle[0].last_used_s < oldest_s:
+            await self.idle.pop(0).close()
 
     async def close(self) -> None:
         """Closes all idle connections."""
--- a/src/waxwingferry/connection/tests/test_pool.py
+++ b/src/waxwingferry/connection/tests/test_pool.py
@@ -117,3 +117,25 @@
         assert not peer.idle
         with anyio.fail_after(5):
             await gone.wait()
+
+
+@pytest.mark.anyio
+async def test_idle_connections_are_closed_in_time() -> None:
+    """Guards against connections of a burst that stay open for good."""
+    now_s = 0.0
+    streams = []
+
+    async def connect(host: str, port: int) -> wire.ScriptedStream:
+        streams.append(wire.ScriptedStream())
+        return streams[-1]
+
+    peer = pool.Pool("a", 1, connect, lambda: now_s)  # type: ignore[arg-type]
+    burst = [await peer.acquire() for _ in range(3)]
+    for connection in burst:
+        await peer.release(connection)
+    now_s = pool.IDLE_LIMIT_S - 1
+    await peer.release(await peer.acquire())
+    assert not any(stream.closed for stream in streams)
+    now_s = pool.IDLE_LIMIT_S + 1
+    await peer.release(await peer.acquire())
+    assert [stream.closed for stream in streams] == [True, True, False]
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -66,6 +66,11 @@
         if isinstance(made, outcome.NotRun):
             await self._refuse(connection, made)
             return
+        if made.deadline.remaining_s() <= 0:
+            # A slow body used up the time; an attempt would end as unknown.
+            late = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+            await self._refuse(connection, late)
+            return
         try:
             await self._run(connection, made)
         except call.BodyError as error:
