--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -13,6 +13,8 @@
 from waxwingferry.connection import http1
 from waxwingferry.connection import serve
 from waxwingferry.process import admin
+from waxwingferry.process import attempts
+from waxwingferry.process import background
 from waxwingferry.process import configuration
 from waxwingferry.process import gossip
 from waxwingferry.process import lease
@@ -26,14 +28,17 @@
 from waxwingferry.process import settings
 from waxwingferry.process import spread
 from waxwingferry.process import target
+from waxwingferry.request import claim
 from waxwingferry.request import entry
 from waxwingferry.request import forward
 from waxwingferry.request import peer
 from waxwingferry.request import receive
+from waxwingferry.request import running
 from waxwingferry.version import document
 
 INTERIM_INTERVAL_S = 0.2
 LEAVE_DELAY_S = 1.5
+SETTLE_LIMIT_S = 5.0
 
 log = structlog.get_logger()
 
@@ -70,17 +75,31 @@
             self.get_revision,
             self.counters,
         )
+        self.tasks = background.Background()
+        self.runner = running.AttemptRunner(
+            self.receiver, attempts.Attempts(), self.tasks, self.counters
+        )
+        self.claims = claim.Claims(
+            table,
+            self.tasks,
+            claim.ClaimBudget(self.get_claim_rate),
+            self.counters,
+            rng,
+        )
         self.entry = entry.Entry(
             options.node,
             self.get_revision,
             self.members,
             routing.Router(rng),
-            forward.Forwarder(),
-            self.receiver,
+            forward.Forwarder(self.counters),
+            self.runner,
+            self.claims,
             self.counters,
             rng,
         )
-        self.peer = peer.PeerHandler(self.receiver, self.get_revision)
+        self.peer = peer.PeerHandler(
+            self.receiver, self.runner, self.get_revision
+        )
         self.callers = serve.Server(self.entry.handle)
         self.local = serve.Server(self.handle_local)
         self.peers = serve.Server(self.handle_peer, INTERIM_INTERVAL_S)
@@ -149,6 +168,14 @@
             "gossip": msgspec.to_builtins(self.gossip.counts),
         }
 
+    def get_claim_rate(self) -> float:
+        """Returns this node's share of the claim writes per second."""
+        revision = self.configured.revision
+        if revision is None:
+            return 0.0
+        total = revision.document.budgets.claim_writes_per_s
+        return total / max(len(self.members.candidates), 1)
+
     def own_domain_is_out(self) -> bool:
         """Tells whether this node's failure domain takes no work.
 
@@ -207,7 +234,9 @@
             region=self.options.region,
             failure_domain=self.options.failure_domain,
             host=self.options.host,
-            peer_port=self.options.peer_port,
+            peer_port=(
+                self.options.advertised_peer_port or self.options.peer_port
+            ),
             incarnation=self.incarnation,
             state="leaving" if leaving else announcement.state,
             slots=announcement.slots,
@@ -235,6 +264,8 @@
                 options.admin_port,
                 self.stopped.wait,
             )
+            group.start_soon(self.tasks.run)
+            group.start_soon(self.claims.settler.run)
             for task in (
                 self.learn,
                 self.lease.run,
@@ -276,6 +307,7 @@
             group.start_soon(self.peers.drain)
         # Work in flight may make nested calls until all of it has ended.
         await self.local.drain()
+        await self.tasks.drain(SETTLE_LIMIT_S)
         self.stopped.set()
         log.info("node stopped", node=self.options.node)
 
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -11,9 +11,10 @@
 from waxwingferry.process import metrics
 from waxwingferry.process import routing
 from waxwingferry.request import call
+from waxwingferry.request import claim
 from waxwingferry.request import forward
 from waxwingferry.request import outcome
-from waxwingferry.request import receive
+from waxwingferry.request import running
 from waxwingferry.version import document
 
 MAX_ATTEMPTS = 3
@@ -33,7 +34,8 @@
         known: The targets known.
         router: Chooses targets.
         forwarder: Sends attempts to other nodes.
-        receiver: Runs attempts at the node's own target.
+        runner: Runs attempts at the node's own target.
+        claims: Claims of idempotency keys.
         counters: Metrics of the node.
         rng: Source of call identities.
     """
@@ -45,7 +47,8 @@
         known: members.Members,
         router: routing.Router,
         forwarder: forward.Forwarder,
-        receiver: receive.Receiver,
+        runner: running.AttemptRunner,
+        claims: claim.Claims,
         counters: metrics.Metrics,
         rng: random.Random,
     ):
@@ -54,7 +57,8 @@
         self.known = known
         self.router = router
         self.forwarder = forwarder
-        self.receiver = receiver
+        self.runner = runner
+        self.claims = claims
         self.counters = counters
         self.rng = rng
 
@@ -71,6 +75,9 @@
             late = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
             await self._refuse(connection, late)
             return
+        if made.key:
+            await self.claims.run(connection, made, self._run, self._refuse)
+            return
         try:
             await self._run(connection, made)
         except call.BodyError as error:
@@ -101,6 +108,9 @@
             return outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
         if depth > call.MAX_DEPTH:
             return outcome.NotRun(outcome.Reason.TOO_DEEP)
+        key = "" if route.idempotent else claim.read_key(head.headers)
+        if isinstance(key, outcome.NotRun):
+            return key
         deadline_ms = min(limit_ms, route.deadline_ms)
         # The time that the body takes counts as well.
         deadline = call.make_deadline(deadline_ms / 1000)
@@ -116,7 +126,7 @@
             depth=depth,
             idempotent=route.idempotent,
             is_retry=find(head.headers, call.RETRY_HEADER) == "1",
-            key=find(head.headers, call.KEY_HEADER),
+            key=key,
         )
 
     async def _run(
@@ -146,9 +156,8 @@
                     if cut is None:
                         self.counters.calls.inc({"outcome": "answered"})
                         return
-                    last = cut
-                else:
-                    last = result
+                    result = cut
+                last = outcome.combine(last, result)
             if not _may_retry(made, last):
                 break
             self.counters.retries.inc({"reason": last.reason.value})
@@ -161,7 +170,7 @@
         candidate.in_flight += 1
         own = candidate.node == self.node
         executor = (
-            self.receiver.execute(attempt)
+            self.runner.execute_own(attempt)
             if own
             else self.forwarder.execute(candidate, attempt)
         )
@@ -214,7 +223,7 @@
     headers += extra or []
     try:
         parts, whole = await _read_start(connection, answer)
-    except http1.HttpError:
+    except outcome.AnswerCutError:
         return outcome.Unknown(outcome.Reason.ANSWER_CUT)
     if not whole and not _can_stream(connection, headers):
         return outcome.Unknown(outcome.Reason.ANSWER_CUT)
@@ -227,8 +236,11 @@
     await connection.send_head(head.status, headers)
     for part in parts:
         await connection.send_chunk(part)
-    while (chunk := await answer.receive_chunk()) is not None:
-        await connection.send_chunk(chunk)
+    try:
+        while (chunk := await answer.receive_chunk()) is not None:
+            await connection.send_chunk(chunk)
+    except outcome.AnswerCutError as error:
+        raise http1.ConnectionLostError("answer cut short") from error
     await connection.send_end()
     return None
 
--- a/src/waxwingferry/request/tests/test_entry_bodies.py
+++ b/src/waxwingferry/request/tests/test_entry_bodies.py
@@ -53,7 +53,7 @@
         }
     )
     revision = document.Revision(1, content)
-    unused: tuple[Any, Any, Any, Any] = (None, None, None, None)
+    unused: tuple[Any, Any, Any, Any, Any] = (None, None, None, None, None)
     return FailingEntry(
         "n", lambda: revision, *unused, metrics.Metrics(), random.Random(1)
     )
