Receive on a connection from one task during an upload

Cause: the forwarder receives heartbeats while it sends a long body, and `send_request` looked for an early answer at the same time. The second receiver raised BusyResourceError, which nothing caught: each request body above 64 KiB that took two passes stopped its entry node. Second, a send on a connection that was reset neither failed nor let the event loop run until the loss was reported, so a task sending a long answer could spin. Change: `send_request` leaves the watching to a caller that receives itself, and TcpStream.send fails once its transport is closing. Failing before: test_long_upload_to_a_peer_is_watched_once ("Another task is already reading from this resource") and test_sending_on_a_reset_connection_fails_at_once.

--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -280,6 +280,7 @@
         body: bytes = b"",
         rest: AsyncIterator[bytes] | None = None,
         timeout_s: float | None = None,
+        watch_answer: bool = True,
     ) -> None:
         """Sends one request.
 
@@ -295,6 +296,9 @@
                 unless headers hold a content-length. Its own errors pass
                 through.
             timeout_s: Time for the whole of it, or None for no limit.
+            watch_answer: Whether to look for an early answer. A connection
+                has one receiver, so this must be False if another task
+                receives during the sending.
 
         Raises:
             ConnectionLostError: The connection failed while sending.
@@ -328,7 +332,10 @@
             return
         with anyio.fail_after(timeout_s):
             await self._write(data)
-            await self._send_rest(rest, chunked)
+            if watch_answer:
+                await self._send_watched(rest, chunked)
+            else:
+                await self._send_rest(rest, chunked)
 
     async def _write(self, data: bytes, timeout_s: float | None = None) -> None:
         self.sent_bytes += len(data)
@@ -336,6 +343,14 @@
 
     async def _send_rest(
         self, rest: AsyncIterator[bytes], chunked: bool
+    ) -> None:
+        async for part in rest:
+            await self._write(message.encode_chunk(part) if chunked else part)
+        if chunked:
+            await self._write(b"0\r\n\r\n")
+
+    async def _send_watched(
+        self, rest: AsyncIterator[bytes], chunked: bool
     ) -> None:
         """Sends the rest of a body until an answer begins."""
         whole = False
@@ -343,12 +358,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_for_answer, group.cancel_scope)
             try:
-                async for part in rest:
-                    await self._write(
-                        message.encode_chunk(part) if chunked else part
-                    )
-                if chunked:
-                    await self._write(b"0\r\n\r\n")
+                await self._send_rest(rest, chunked)
                 whole = True
             except Exception as error:
                 failure = error
--- a/src/waxwingferry/connection/tcp.py
+++ b/src/waxwingferry/connection/tcp.py
@@ -185,7 +185,8 @@
             self._check_writable()
 
     def _check_writable(self) -> None:
-        if self.failed or (self.closed and self.ended):
+        lost = self.transport.is_closing() and not self.closed
+        if lost or self.failed or (self.closed and self.ended):
             raise anyio.BrokenResourceError
         if self.closed:
             raise anyio.ClosedResourceError
--- a/src/waxwingferry/connection/tests/test_pool.py
+++ b/src/waxwingferry/connection/tests/test_pool.py
@@ -139,3 +139,22 @@
     now_s = pool.IDLE_LIMIT_S + 1
     await peer.release(await peer.acquire())
     assert [stream.closed for stream in streams] == [True, True, False]
+
+
+@pytest.mark.anyio
+async def test_sending_on_a_reset_connection_fails_at_once() -> None:
+    """Guards against a sender that never lets the event loop run."""
+
+    async def reset(stream) -> None:
+        await stream.aclose()
+
+    async with wire.run_raw_server(reset) as port:
+        connection = await pool.Pool(wire.HOST, port).acquire()
+        await wait_until_noticed(connection)
+        stream = connection.stream
+        sent = 0
+        with pytest.raises(anyio.BrokenResourceError):
+            while sent < 1000:
+                await stream.send(b"x")
+                sent += 1
+        assert sent < 1000
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -188,7 +188,7 @@
         watch = silence.Watch(connection, candidate, attempt, self.resolver)
         try:
             with anyio.fail_after(max(attempt.deadline.remaining_s(), 0)):
-                return await _send_and_receive(connection, attempt, watch)
+                return await send_and_receive(connection, attempt, watch)
         except (TimeoutError, http1.ReceiveTimeoutError):
             reason = outcome.Reason.TIMEOUT
             if watch.node_silent:
@@ -245,11 +245,13 @@
     unknown: outcome.Unknown
 
 
-async def _send_and_receive(
+async def send_and_receive(
     connection: http1.ClientConnection,
     attempt: call.Attempt,
     watch: silence.Watch,
 ) -> http1.ResponseHead:
+    """Sends an attempt and returns the final head of its answer."""
+
     async def send() -> None:
         await connection.send_request(
             attempt.method,
@@ -257,6 +259,7 @@
             call.hop_headers(attempt),
             attempt.body.buffered,
             attempt.body.rest,
+            watch_answer=False,
         )
 
     if attempt.body.rest is None:
--- a/src/waxwingferry/request/tests/test_bodies.py
+++ b/src/waxwingferry/request/tests/test_bodies.py
@@ -11,7 +11,9 @@
 from waxwingferry.process import target
 from waxwingferry.request import call
 from waxwingferry.request import entry
+from waxwingferry.request import forward
 from waxwingferry.request import outcome
+from waxwingferry.request import silence
 
 POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -346,3 +348,28 @@
             with anyio.fail_after(10):
                 await gone.wait()
         assert not link.pool.idle
+
+
+@pytest.mark.anyio
+async def test_long_upload_to_a_peer_is_watched_once() -> None:
+    """Guards against two receivers on one connection during an upload."""
+    size = 300 * len(PART)
+
+    async def answer(connection, head) -> None:
+        received = 0
+        while (chunk := await connection.receive_chunk()) is not None:
+            received += len(chunk)
+        await connection.send_head(200, [], str(received).encode())
+
+    async def parts():
+        for _ in range(300):
+            yield PART
+
+    async with wire.run_server(answer, interval_s=0.001) as port:
+        connection = await pool.Pool(wire.HOST, port).acquire()
+        attempt = make_attempt(call.Body(b"", parts()), 60)
+        watch = silence.Watch(connection, None, attempt, None)  # type: ignore
+        head = await forward.send_and_receive(connection, attempt, watch)
+        body = await connection.receive_chunk(10)
+        await connection.close()
+    assert (head.status, body) == (200, str(size).encode())
