--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -11,6 +11,9 @@
         self.calls = self._counter("calls", "Calls by how they ended.")
         self.refusals = self._counter("refusals", "Refusals by reason.")
         self.retries = self._counter("retries", "Retries by reason.")
+        self.retry_denials = self._counter(
+            "retry_denials", "Calls not tried again, by reason."
+        )
         self.receive_refusals = self._counter(
             "receive_refusals", "Attempts refused at the target's node."
         )
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -9,6 +9,8 @@
 import pydantic
 import yaml
 
+from waxwingferry.process import routing
+
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
 Token = Annotated[pydantic.SecretStr, pydantic.Field(min_length=16)]
@@ -60,6 +62,8 @@
         platform_url: Base URL of the platform's services.
         seed_peers: Nodes asked for members and document when the platform
             is down.
+        choice: Way to choose targets; others than "weighted" are for
+            experiments.
         log: Log settings.
         random_seed: Seed of all random choices; None takes one from the
             operating system.
@@ -77,6 +81,7 @@
     failure_domain: Name
     platform_url: Annotated[str, pydantic.Field(pattern=r"^https?://\S+$")]
     seed_peers: tuple[PeerAddress, ...] = ()
+    choice: routing.Variant = routing.Variant.WEIGHTED
     log: LogSettings = LogSettings()
     random_seed: int | None = None
 
