--- a/src/waxwingferry/connection/tests/test_client.py
+++ b/src/waxwingferry/connection/tests/test_client.py
@@ -1,9 +1,12 @@
 """The client's side: whole answers, cut answers, and reuse."""
 
+import socket
+
 import anyio
 import pytest
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import pool
 from waxwingferry.connection.tests import wire
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -168,3 +171,39 @@
         await connection.send_request("POST", "/", [], b"", rest)
     assert not connection.reusable
     assert b"0\r\n\r\n" not in stream.sent
+
+
+@pytest.mark.anyio
+async def test_answers_follow_each_other_on_one_connection() -> None:
+    """Guards against parser state that is left over from another answer."""
+    requests = [
+        ("GET", OK + b"Content-Length: 2\r\n\r\nab", b"ab"),
+        ("HEAD", OK + b"Content-Length: 2\r\n\r\n", b""),
+        ("GET", OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b""),
+        ("HEAD", OK + b"Transfer-Encoding: chunked\r\n\r\n", b""),
+        ("GET", b"HTTP/1.1 304 x\r\nContent-Length: 2\r\n\r\n", b""),
+        ("GET", OK + b"Content-Length: 2\r\n\r\ncd", b"cd"),
+    ]
+    connection, _ = wire.make_client_connection(
+        *[data for _, data, _ in requests]
+    )
+    for method, _, body in requests:
+        await connection.send_request(method, "/", [])
+        assert await receive_answer(connection) == body
+        assert connection.reusable
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("streamed", [False, True])
+async def test_request_that_is_not_taken_times_out(streamed: bool) -> None:
+    """Guards against a call that outlives its deadline while sending."""
+    part = b"x" * 32_000_000
+    with socket.create_server((wire.HOST, 0)) as listener:
+        # The system connects, but nobody reads.
+        peer = pool.Pool(*listener.getsockname())
+        connection = await peer.acquire()
+        rest = iterate_parts([part]) if streamed else None
+        body = b"" if streamed else part
+        with pytest.raises(TimeoutError):
+            await connection.send_request("PUT", "/", [], body, rest, 0.05)
+        await connection.close()
