--- a/src/waxwingferry/bench/transfers.py
+++ b/src/waxwingferry/bench/transfers.py
@@ -177,7 +177,8 @@
         for line in text.splitlines():
             if line.startswith("waxwingferry_events_total{"):
                 name = line.partition('event="')[2].partition('"')[0]
-                total[name] += int(float(line.rpartition(" ")[2]))
+                if name:
+                    total[name] += int(float(line.rpartition(" ")[2]))
     return dict(total)
 
 
--- a/src/waxwingferry/emulator/relay.py
+++ b/src/waxwingferry/emulator/relay.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import socket
 
 import anyio
 import anyio.abc
@@ -37,7 +38,7 @@
         self.port = port
         self.known = known
         known[to_port] = self
-        self.datagrams: anyio.abc.UDPSocket | None = None
+        self.datagrams: socket.socket | None = None
         self.to_port = to_port
         self.open: set[_Pair] = set()
 
@@ -51,15 +52,19 @@
             await listener.serve(self._serve_pair)
 
     async def _pass_datagrams(self) -> None:
-        async with await anyio.create_udp_socket(
-            local_host="127.0.0.1", local_port=self.port
-        ) as self.datagrams:
-            async for data, (_, from_port) in self.datagrams:
-                sender = self.known.get(from_port, self)
-                if sender.datagrams is not None:
-                    await sender.datagrams.sendto(
-                        data, "127.0.0.1", self.to_port
-                    )
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as own:
+            own.setblocking(False)
+            own.bind(("127.0.0.1", self.port))
+            self.datagrams = own
+            while True:
+                await anyio.wait_readable(own)
+                # A datagram that can't be passed on is lost, as on any path.
+                with contextlib.suppress(OSError):
+                    data, (_, from_port) = own.recvfrom(RECEIVE_BYTES)
+                    sender = self.known.get(from_port, self)
+                    if sender.datagrams is not None:
+                        address = ("127.0.0.1", self.to_port)
+                        sender.datagrams.sendto(data, address)
 
     def silence(self) -> int:
         """Stops passing bytes on open connections; returns their number.
