--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -110,6 +110,11 @@
     async def _run_keyed(
         self, connection: http1.ServerConnection, made: call.Call
     ) -> None:
+        if made.deadline.remaining_s() <= 0:
+            # A slow body used up the time; an attempt would end as unknown.
+            late = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+            await self._refuse(connection, late)
+            return
         if made.key:
             await self.claims.run(connection, made, self._run, self._refuse)
             return
