Retry attempts that were lost and proved not to have run

Change: they are retried like refused connections; silence and a stale stamp say nothing against the target.

--- a/src/waxwingferry/bench/transfers.py
+++ b/src/waxwingferry/bench/transfers.py
@@ -155,6 +155,8 @@
         groups: dict[str, list[float]] = {}
         for send in self.sends:
             name = f"{send.outcome} {send.reason}".strip()
+            if send.outcome == "answered":
+                name += " keyed" if send.request.headers else " unkeyed"
             groups.setdefault(name, []).append(send.latency_s)
         for name, values in sorted(groups.items()):
             values.sort()
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -52,6 +52,16 @@
         _Reason.FENCED,
     }
 )
+# The connection failed and the node proved that the attempt did not run.
+_LOST = frozenset(
+    {
+        _Reason.CONNECTION_LOST,
+        _Reason.CONNECTION_SILENT,
+        _Reason.NODE_SILENT,
+        _Reason.ANSWER_MISMATCH,
+        _Reason.STALE_ATTEMPT,
+    }
+)
 _OVERLOADED = frozenset(
     {_Reason.QUEUE_FULL, _Reason.DEADLINE_TOO_SHORT, _Reason.TARGET_REFUSED}
 )
@@ -61,15 +71,21 @@
     """Returns what a refusal says about trying again."""
     if isinstance(last, outcome.Unknown):
         return Kind.UNKNOWN
-    if last.reason in _MOVED:
+    if last.reason in _MOVED or last.reason in _LOST:
         return Kind.MOVED
     if last.reason in _OVERLOADED:
         return Kind.OVERLOADED
     return Kind.FINAL
 
 
-# What a target's node refuses for reasons of the request itself.
-_NO_FAULT = frozenset({_Reason.DEADLINE_TOO_SHORT, _Reason.CONNECTION_SILENT})
+# What says nothing against the target.
+_NO_FAULT = frozenset(
+    {
+        _Reason.DEADLINE_TOO_SHORT,
+        _Reason.CONNECTION_SILENT,
+        _Reason.STALE_ATTEMPT,
+    }
+)
 
 
 def judge(result: outcome.Outcome) -> routing.Result:
--- a/src/waxwingferry/request/tests/test_retry.py
+++ b/src/waxwingferry/request/tests/test_retry.py
@@ -3,6 +3,7 @@
 import pytest
 
 from waxwingferry.connection import http1
+from waxwingferry.process import routing
 from waxwingferry.process.tests import test_routing
 from waxwingferry.request import call
 from waxwingferry.request import hop
@@ -165,3 +166,30 @@
     with pytest.raises(http1.HttpError) as caught:
         hop.parse_hop([(name, value)])
     assert caught.value.status == 400
+
+
+@pytest.mark.parametrize(
+    "reason",
+    [
+        outcome.Reason.CONNECTION_LOST,
+        outcome.Reason.CONNECTION_SILENT,
+        outcome.Reason.NODE_SILENT,
+        outcome.Reason.ANSWER_MISMATCH,
+        outcome.Reason.STALE_ATTEMPT,
+    ],
+)
+def test_lost_attempt_that_did_not_run(reason: outcome.Reason) -> None:
+    """Guards against refusing a call whose resolved attempt did not run."""
+    refusal = outcome.NotRun(reason)
+    assert retry.classify(refusal) is retry.Kind.MOVED
+
+
+@pytest.mark.parametrize(
+    "reason",
+    [outcome.Reason.CONNECTION_SILENT, outcome.Reason.STALE_ATTEMPT],
+)
+def test_silence_is_no_fault_of_the_target(reason: outcome.Reason) -> None:
+    """Guards against routing away from a target behind a silent connection."""
+    found = {retry.judge(outcome.NotRun(reason))}
+    found.add(retry.judge(outcome.Unknown(reason)))
+    assert found == {routing.Result.ABANDONED}
