--- a/src/waxwingferry/bench/transfers.py
+++ b/src/waxwingferry/bench/transfers.py
@@ -155,6 +155,8 @@
         groups: dict[str, list[float]] = {}
         for send in self.sends:
             name = f"{send.outcome} {send.reason}".strip()
+            if send.outcome == "answered":
+                name += " keyed" if send.request.headers else " unkeyed"
             groups.setdefault(name, []).append(send.latency_s)
         for name, values in sorted(groups.items()):
             values.sort()
@@ -177,7 +179,8 @@
         for line in text.splitlines():
             if line.startswith("waxwingferry_events_total{"):
                 name = line.partition('event="')[2].partition('"')[0]
-                total[name] += int(float(line.rpartition(" ")[2]))
+                if name:
+                    total[name] += int(float(line.rpartition(" ")[2]))
     return dict(total)
 
 
