--- a/benchmarks/admission_rules.py
+++ b/benchmarks/admission_rules.py
@@ -95,7 +95,7 @@
         rng: random.Random,
         rule: limits.GrowthRule = limits.DEFAULT_RULE,
         deadline_s: float = 1.0,
-        quantile: float | None = estimate.SERVICE_QUANTILE,
+        kept: float | None = estimate.CHANCE_KEPT,
     ):
         self.clock = Clock()
         self.target = target
@@ -103,7 +103,7 @@
         self.rng = rng
         self.deadline_s = deadline_s
         self.state = admission.Admission(SLOTS, rule=rule, clock=self.clock)
-        self.state.estimate.quantile = quantile
+        self.state.estimate.kept = kept
         self.order = itertools.count()
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.queued: list[admission.Permit] = []
@@ -250,11 +250,11 @@
     rules = {
         "none (deadline only)": 0.0,
         "mean": None,
-        "median of the route": 0.5,
-        "p75 of the route": 0.75,
-        "p90 of the route": 0.9,
+        "half of the chance": 0.5,
+        "3/4 of the chance": 0.75,
+        "9/10 of the chance": 0.9,
     }
-    for rule_name, quantile in rules.items():
+    for rule_name, kept in rules.items():
         cells = []
         for name in names:
             rng = random.Random(seed)
@@ -268,11 +268,11 @@
                 1.5 * SLOTS / 0.02,
                 rng,
                 deadline_s=0.06,
-                quantile=quantile,
+                kept=kept,
             )
-            if quantile == 0.0:
+            if kept == 0.0:
                 run.state.estimate.is_too_late = (  # type: ignore
-                    lambda route, wait_s, left_s: left_s <= 0
+                    lambda route, left_s, whole_s, contended: left_s <= 0
                 )
             run.run(20.0)
             cells.append(f"{len(run.ends_s):>9} /{run.late:5} /{run.refused:6}")
--- a/src/waxwingferry/process/admission.py
+++ b/src/waxwingferry/process/admission.py
@@ -50,6 +50,7 @@
     Attributes:
         route: Route whose service times the attempt follows.
         deadline_s: Monotonic time at which the attempt is of no more use.
+        submitted_s: Monotonic time at which it came.
         refusal: Why the attempt was refused, if it was.
         is_trial: Whether it goes to the target against the estimate.
         in_flight: Attempts in flight just after the dispatch.
@@ -57,6 +58,7 @@
 
     route: str
     deadline_s: float
+    submitted_s: float
     state: State = State.QUEUED
     refusal: outcome.NotRun | None = None
     share: "fairness.Share[Permit] | None" = None
@@ -150,7 +152,9 @@
     def submit(self, member: str, deadline_s: float, route: str = "") -> Permit:
         """Queues an attempt and dispatches what can be; never waits."""
         self.advance()
-        permit = Permit(self.estimate.bound_route(route), deadline_s)
+        permit = Permit(
+            self.estimate.bound_route(route), deadline_s, self.clock()
+        )
         reason = self.closed()
         if reason is None and self._is_hopeless(permit, member):
             reason = outcome.Reason.DEADLINE_TOO_SHORT
@@ -222,7 +226,7 @@
                 return
             cost_s = max(self.estimate.all.mean(), MIN_COST_S)
             permit = self.queue.pop(cost_s)
-            if self._is_too_late(permit, 0.0):
+            if self._is_too_late(permit, 0.0, bool(self.queue)):
                 assert permit.share is not None
                 self.queue.settle(permit.share, cost_s, 0.0)
                 _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
@@ -275,20 +279,25 @@
     def _is_hopeless(self, permit: Permit, member: str) -> bool:
         """Tells whether a new attempt can't be expected to end in time."""
         if self.in_flight < self.limit.value and not self.queue:
-            return self._is_too_late(permit, 0.0)
+            return self._is_too_late(permit, 0.0, False)
         mean_s = self.estimate.all.mean()
         share = self.queue.find_share(member)
         ahead = self.queue.count_ahead(share, max(mean_s, MIN_COST_S))
         wait_s = (ahead + 1) * mean_s / self.limit.value
-        return self._is_too_late(permit, wait_s)
+        return self._is_too_late(permit, wait_s, False)
 
-    def _is_too_late(self, permit: Permit, wait_s: float) -> bool:
+    def _is_too_late(
+        self, permit: Permit, wait_s: float, contended: bool
+    ) -> bool:
         left_s = permit.deadline_s - self.clock()
         if left_s <= 0:
             return True
         if permit.is_trial:
             return False
-        if not self.estimate.is_too_late(permit.route, wait_s, left_s):
+        whole_s = permit.deadline_s - permit.submitted_s
+        if not self.estimate.is_too_late(
+            permit.route, left_s - wait_s, whole_s, contended
+        ):
             return False
         permit.is_trial = self.estimate.take_trial(permit.route)
         return not permit.is_trial
--- a/src/waxwingferry/process/estimate.py
+++ b/src/waxwingferry/process/estimate.py
@@ -17,15 +17,18 @@
 # With more, a cold target whose queue only holds work that is nearly too late
 # would never answer often enough to have an estimate.
 MIN_SAMPLES = 3
-# An attempt is refused if fewer than three of four of its kind would end in
-# time.
-SERVICE_QUANTILE = 0.75
+# An attempt is refused if its chance to end in time is below the first part,
+# or, where others wait for the place, if it has fallen below the second part
+# of what it was with the attempt's whole time. Work that ends too late keeps
+# its place for LINGER_S more, which costs the others many turns.
+LEAST_CHANCE = 0.5
+CHANCE_KEPT = 0.9
 # A route without an answer for this long may send one request past the
 # estimate, so that refusals can't keep an outdated estimate alive.
 STALE_S = 1.0
 # A target notices a closed connection within this time. The stand-in looks
 # every 50 ms at calls older than 50 ms.
-LINGER_S = 0.2
+LINGER_S = 0.15
 
 
 class Estimate:
@@ -33,17 +36,17 @@
 
     Args:
         clock: Returns the monotonic time in seconds.
-        quantile: Share of a route's requests that must fit into the time
-            left, or None to use the mean of the whole target.
+        kept: Part of the first chance that must be left where others wait,
+            or None to compare with the mean of the whole target.
     """
 
     def __init__(
         self,
         clock: Callable[[], float] = time.monotonic,
-        quantile: float | None = SERVICE_QUANTILE,
+        kept: float | None = CHANCE_KEPT,
     ):
         self.clock = clock
-        self.quantile = quantile
+        self.kept = kept
         self.all = service_time.ServiceTimes(clock)
         self.routes: dict[str, service_time.ServiceTimes] = {}
         self.trials: dict[str, float] = {}
@@ -80,20 +83,26 @@
             return LINGER_S
         return min(times.quantile(1.0) - used_s, LINGER_S)
 
-    def is_too_late(self, route: str, wait_s: float, left_s: float) -> bool:
-        """Tells whether an attempt of a route would probably miss its end.
+    def is_too_late(
+        self, route: str, left_s: float, whole_s: float, contended: bool
+    ) -> bool:
+        """Tells whether an attempt of a route should not be run any more.
 
         Args:
             route: Name of the route.
-            wait_s: Time that the attempt will wait in the queue.
-            left_s: Time left until its deadline.
+            left_s: Time left for the service itself.
+            whole_s: Time that the attempt had when it came.
+            contended: Whether others wait for the place.
         """
         times = self.routes.get(route)
         if times is None or len(times) < MIN_SAMPLES:
             return False
-        if self.quantile is None:
-            return wait_s + self.all.mean() > left_s
-        return wait_s + times.quantile(self.quantile) > left_s
+        if self.kept is None:
+            return self.all.mean() > left_s
+        chance = times.share_within(left_s)
+        if chance < LEAST_CHANCE:
+            return True
+        return contended and chance < self.kept * times.share_within(whole_s)
 
     def take_trial(self, route: str) -> bool:
         """Takes the right to send one request past an old estimate."""
--- a/src/waxwingferry/process/service_time.py
+++ b/src/waxwingferry/process/service_time.py
@@ -48,6 +48,13 @@
             return 0.0
         return self.ordered[int(share * (len(self.ordered) - 1))]
 
+    def share_within(self, service_s: float) -> float:
+        """Returns the share of samples up to a time, 0 without samples."""
+        self._drop_old()
+        if not self.ordered:
+            return 0.0
+        return bisect.bisect_right(self.ordered, service_s) / len(self.ordered)
+
     def mean(self) -> float:
         """Returns the mean in seconds, 0 without samples."""
         self._drop_old()
