Keep readers and writers apart in the outage experiment

Change: readers only read; two writers write; reads must go on in every phase, and each keyed write must end after the outage and run once.

--- a/src/waxwingferry/bench/callers.py
+++ b/src/waxwingferry/bench/callers.py
@@ -111,6 +111,7 @@
         journal: Takes what it sees.
         calls_per_s: Mean calls per second, at most.
         give_up_s: Time after which a call is not sent again.
+        write_share: Share of calls that must not run twice.
     """
 
     def __init__(
@@ -122,6 +123,7 @@
         journal: Journal,
         calls_per_s: float = 12.0,
         give_up_s: float = 20.0,
+        write_share: float = WRITE_SHARE,
     ):
         self.name = name
         self.rng = rng
@@ -130,6 +132,7 @@
         self.journal = journal
         self.calls_per_s = calls_per_s
         self.give_up_s = give_up_s
+        self.write_share = write_share
         self.client = load.Client()
 
     async def run(self, duration_s: float) -> None:
@@ -146,7 +149,7 @@
         entry = JournalEntry(
             request_id,
             self.rng.choice(self.services),
-            self.rng.random() < WRITE_SHARE,
+            self.rng.random() < self.write_share,
         )
         self.journal.entries.append(entry)
         begin_s = time.monotonic()
--- a/src/waxwingferry/bench/experiments/platform_outage.py
+++ b/src/waxwingferry/bench/experiments/platform_outage.py
@@ -21,7 +21,10 @@
 
 SERVICES = {"registry": 5, "desk": 4}
 DOMAINS = ("d1", "d2", "d3", "d4")
-CALLERS = 6
+READERS = 6
+# Writers wait for the platform; readers must not wait behind them.
+WRITERS = 2
+GIVE_UP_S = 60.0
 PART_S = 1.0
 DEAD_GRACE_S = 3.0
 LEAVE_GRACE_S = 3.0
@@ -49,7 +52,9 @@
         """Begins a phase."""
         self.phases.append((name, time.monotonic()))
 
-    async def call(self, number: int, rng: random.Random) -> None:
+    async def call(
+        self, number: int, rng: random.Random, write_share: float
+    ) -> None:
         """Calls until the run has ended, then finishes the last call."""
         part = 0
         while not self.ended:
@@ -60,6 +65,8 @@
                 self.entries,
                 list(SERVICES),
                 self.journal,
+                give_up_s=GIVE_UP_S,
+                write_share=write_share,
             )
             await caller.run(PART_S)
 
@@ -100,7 +107,8 @@
         await anyio.sleep(2)
         # Each node checks a suspect again, but gives it no calls.
         more = await self._sum_refused() - refusals
-        self.report.figures["retries_for_dead_vm"] = more
+        self.report.figures["refused_within_3_s"] = refusals
+        self.report.figures["refused_later"] = more
         self.report.check(
             "a dead target gets no calls after 3 s",
             more == 0,
@@ -216,6 +224,12 @@
         for (name, start_s), end_s in zip(self.phases, ends, strict=True):
             table.rows.append([name, *self._count_reads(start_s, end_s)])
         self.report.tables.append(table)
+        self.report.check(
+            "reads go on in every phase",
+            all(row[1] > 0 for row in table.rows),
+            str([row[:2] for row in table.rows]),
+        )
+        self._check_writes()
         reads = [e for e in self.journal.entries if not e.write]
         failed = [e.request_id for e in reads if not e.answered()]
         self.report.check(
@@ -224,6 +238,19 @@
             f"{len(failed)} of {len(reads)} not answered",
         )
 
+    def _check_writes(self) -> None:
+        """Checks that writes ended after the outage, each run once."""
+        writes = [e for e in self.journal.entries if e.write]
+        ran = callers.count_runs(self.running.read_ledgers())
+        self.report.figures["writes"] = len(writes)
+        for entry in writes:
+            self.report.check(
+                "a keyed write ends once the platform is back, and runs once",
+                entry.answered() and ran[entry.request_id] == 1,
+                f"{entry.request_id}: {ran[entry.request_id]} runs, "
+                f"{[(r.outcome, r.reason) for r in entry.sends[-3:]]}",
+            )
+
     def _count_reads(self, start_s: float, end_s: float) -> list[int]:
         sends = [
             result
@@ -258,9 +285,10 @@
         async with httpx.AsyncClient(trust_env=False) as http:
             outage = Outage(running, http, rng, report)
             async with anyio.create_task_group() as group:
-                for number in range(CALLERS):
+                for number in range(READERS + WRITERS):
                     caller_rng = random.Random(rng.random())
-                    group.start_soon(outage.call, number, caller_rng)
+                    share = 0.0 if number < READERS else 1.0
+                    group.start_soon(outage.call, number, caller_rng, share)
                 await outage.run()
                 outage.ended = True
             outage.finish()
