--- a/src/waxwingferry/cli/main.py
+++ b/src/waxwingferry/cli/main.py
@@ -11,6 +11,7 @@
 from waxwingferry.version import document
 
 DOMAIN_TRIES = 5
+MAX_HISTORY = 100
 _BASE_LINE = re.compile(r"^# revision: (\d+)$", re.MULTILINE)
 
 
@@ -103,6 +104,8 @@
     Args:
         last: Number of revisions to print.
     """
+    if not 1 <= last <= MAX_HISTORY:
+        raise program.UsageError(f"--last = {last}: must be 1 to {MAX_HISTORY}")
     for row in client.make_client().get_history(last):
         print(f"{row['revision']:6} {row['when']} {row['who']}: {row['why']}")
     return 0
@@ -125,7 +128,7 @@
     return program.EXIT_FAILURE if failed else 0
 
 
-def domain_out(name: str, why: str = "domain out") -> int:
+def domain_out(name: str, why: str = "") -> int:
     """Takes a failure domain out: it gets no new work.
 
     Args:
@@ -135,7 +138,7 @@
     return _set_domain(name, "out", why)
 
 
-def domain_in(name: str, why: str = "domain in") -> int:
+def domain_in(name: str, why: str = "") -> int:
     """Lets a failure domain take work again.
 
     Args:
@@ -162,7 +165,9 @@
             return 0
         found[0]["state"] = state
         try:
-            revision = admin.put_document(content, number, why)
+            revision = admin.put_document(
+                content, number, why or f"{name} {state}"
+            )
         except client.ConflictError as error:
             print(f"another change came first, trying again: {error}")
             continue
--- a/src/waxwingferry/cli/tests/test_messages.py
+++ b/src/waxwingferry/cli/tests/test_messages.py
@@ -110,6 +110,7 @@
         ("waxwingferry", ["apply", "file.yaml"]),
         ("waxwingferry", ["apply", "file.yaml", "--wy", "typo"]),
         ("waxwingferry", ["history", "--last", "many"]),
+        ("waxwingferry", ["history", "--last", "500"]),
         ("waxwingferry", ["validate", "a.yaml", "b.yaml"]),
         ("waxwingferry", ["show", "--", "--interactive"]),
         ("waxwingferry", ["show"]),
--- a/src/waxwingferry/process/configuration.py
+++ b/src/waxwingferry/process/configuration.py
@@ -230,25 +230,26 @@
     async def _describe_conflict(self, change: Change) -> Conflict:
         row = await self.table.read(document.DOCUMENT_KEY)
         number = _revision_of(row)
-        empty = document.Document()
         if row is None or row.value is None:
             return Conflict(0, "", "", "")
         self.offer(number, row.value["document"])
         newest = document.Document.model_validate(row.value["document"])
-        base = await self.read_history(change.base)
-        base_document = (
-            document.Document.model_validate(base["document"])
-            if base is not None
-            else empty
-        )
         latest = await self.read_history(number) or {"who": "", "why": ""}
-        difference = document.compare(
-            base_document,
-            newest,
-            (f"revision {change.base}", f"revision {number}"),
-        )
+        difference = await self._compare(change.base, number, newest)
         return Conflict(number, latest["who"], latest["why"], difference)
 
+    async def _compare(
+        self, base: int, number: int, newest: document.Document
+    ) -> str:
+        row = await self.read_history(base)
+        if row is None and base > 0:
+            return f"revision {base} is not in the history"
+        old = document.Document()
+        if row is not None:
+            old = document.Document.model_validate(row["document"])
+        names = (f"revision {base}", f"revision {number}")
+        return document.compare(old, newest, names)
+
     async def read_history(self, number: int) -> dict[str, Any] | None:
         """Returns a revision's history row, or None.
 
--- a/src/waxwingferry/process/tests/test_configuration.py
+++ b/src/waxwingferry/process/tests/test_configuration.py
@@ -6,6 +6,7 @@
 import pytest
 
 from waxwingferry.process import configuration
+from waxwingferry.process import platform
 from waxwingferry.process.tests import fakes
 from waxwingferry.version import document
 
@@ -87,6 +88,19 @@
     assert two.number == 2
 
 
+async def test_a_base_that_is_not_in_the_history_is_told():
+    """Guards against a difference that shows all of a document as new."""
+    table = fakes.Table()
+    content = _make_document(1).model_dump(mode="json")
+    for revision in (1, 2):
+        value = {"revision": revision, "document": content}
+        await table.transact([platform.Write("document/current", value)])
+    node = configuration.Configuration(table)
+    result = await node.accept(_make_change(1, random.Random(1)))
+    assert isinstance(result, configuration.Conflict)
+    assert result.difference == "revision 1 is not in the history"
+
+
 async def test_a_lost_answer_is_read_back_and_not_written_twice():
     """Guards against a second write after the first took effect."""
     table, rng = fakes.Table(), random.Random(1)
