Send attempts to peers without a cancel scope

Cause: each attempt at a peer entered two cancel scopes, for its deadline and to shield the release of its connection; on TCP the release does not suspend, and sending and receiving have time limits of their own. Only a body that is streamed, and the question to a node that is suspected to be silent, still run under a scope.

--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import functools
 import time
 
 import anyio
@@ -84,8 +85,7 @@
                 )
             yield result
         finally:
-            with anyio.CancelScope(shield=True):
-                await peer.release(connection)
+            await peer.release(connection)
 
     async def _retire(
         self,
@@ -187,8 +187,7 @@
     ) -> "http1.ResponseHead | _Lost":
         watch = silence.Watch(connection, candidate, attempt, self.resolver)
         try:
-            with anyio.fail_after(max(attempt.deadline.remaining_s(), 0)):
-                return await send_and_receive(connection, attempt, watch)
+            return await send_and_receive(connection, attempt, watch)
         except (TimeoutError, http1.ReceiveTimeoutError):
             reason = outcome.Reason.TIMEOUT
             if watch.node_silent:
@@ -251,21 +250,23 @@
     watch: silence.Watch,
 ) -> http1.ResponseHead:
     """Sends an attempt and returns the final head of its answer."""
-
-    async def send() -> None:
-        await connection.send_request(
-            attempt.method,
-            attempt.target,
-            call.hop_headers(attempt),
-            attempt.body.buffered,
-            attempt.body.rest,
-            watch_answer=False,
-        )
-
+    left_s = max(attempt.deadline.remaining_s(), 0)
+    sending = functools.partial(
+        connection.send_request,
+        attempt.method,
+        attempt.target,
+        call.hop_headers(attempt),
+        attempt.body.buffered,
+        attempt.body.rest,
+        watch_answer=False,
+    )
     if attempt.body.rest is None:
-        await send()
+        # Both steps have time limits of their own; a cancel scope for each
+        # call would cost more than its timers.
+        await sending(timeout_s=left_s)
         return await watch.receive_head()
-    return await silence.receive_while_sending(connection, watch, send)
+    with anyio.fail_after(left_s):
+        return await silence.receive_while_sending(connection, watch, sending)
 
 
 async def _read_ahead(
--- a/src/waxwingferry/request/silence.py
+++ b/src/waxwingferry/request/silence.py
@@ -94,7 +94,7 @@
                     raise
                 if suspected:
                     raise SilentError("connection is silent") from error
-            suspected = await self._suspect()
+            suspected = await self._suspect_in_time()
             limit_s = CONFIRM_S if suspected else SUSPECT_AFTER_S
 
     def _remaining_s(self) -> float:
@@ -103,6 +103,13 @@
             return self.attempt.deadline.part_wait_s()
         return self.attempt.deadline.remaining_s()
 
+    async def _suspect_in_time(self) -> bool:
+        try:
+            with anyio.fail_after(max(self._remaining_s(), 0)):
+                return await self._suspect()
+        except TimeoutError as error:
+            raise http1.ReceiveTimeoutError("no time left") from error
+
     async def _suspect(self) -> bool:
         """Tells whether the node answers on a new connection."""
         try:
--- a/src/waxwingferry/request/tests/test_bodies.py
+++ b/src/waxwingferry/request/tests/test_bodies.py
@@ -1,6 +1,7 @@
 """Bodies on their way through a node, both ways."""
 
 import contextlib
+import socket
 
 import anyio
 import pytest
@@ -373,3 +374,25 @@
         body = await connection.receive_chunk(10)
         await connection.close()
     assert (head.status, body) == (200, str(size).encode())
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("streamed", [False, True])
+async def test_upload_that_a_peer_does_not_take_times_out(
+    streamed: bool,
+) -> None:
+    """Guards against an attempt that outlives its deadline while sending."""
+    part = b"x" * 32_000_000
+
+    async def parts():
+        yield part
+
+    with socket.create_server((wire.HOST, 0)) as listener:
+        # The system connects, but nobody reads.
+        connection = await pool.Pool(*listener.getsockname()).acquire()
+        body = call.Body(b"", parts()) if streamed else call.Body(part)
+        attempt = make_attempt(body, 0.05)
+        watch = silence.Watch(connection, None, attempt, None)  # type: ignore
+        with pytest.raises(TimeoutError):
+            await forward.send_and_receive(connection, attempt, watch)
+        await connection.close()
