Send the first part of an answer without waiting for the second

Cause: to find out whether a body has one part only, the head was held back until the second part or the end came. A target that streams events and pauses was heard one event late, or not at all within the progress timeout.

--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -290,10 +290,10 @@
 ) -> outcome.Unknown | None:
     """Passes an answer on chunk by chunk.
 
-    A length that the target gave is kept; otherwise a body of one chunk gets
-    a length and a longer one chunked coding. HTTP/1.0 callers can't read
-    that, and a body that ends with the connection can't be told from a cut
-    one, so for them it is collected, up to MAX_COLLECTED_BYTES.
+    A length that the target gave is kept; otherwise the body gets chunked
+    coding. HTTP/1.0 callers can't read that, and a body that ends with the
+    connection can't be told from a cut one, so for them it is collected, up
+    to MAX_COLLECTED_BYTES.
 
     Returns:
         None if the answer was passed on, or why nothing of it was.
@@ -337,18 +337,25 @@
 ) -> tuple[list[bytes], bool]:
     """Reads as much of a body as must be known before its head is sent.
 
+    A short body of known length is read whole, so that a cut one can still
+    become an outcome. Of others only the first part is read: a target may
+    pause after it, and the caller must not wait for the second.
+
     Returns:
         The parts read, and whether they are the whole body.
     """
-    enough = 1
+    enough = 0
+    length = http1.find_header(answer.head.headers, "content-length")
     if not _can_stream(connection, answer.head.headers):
         enough = MAX_COLLECTED_BYTES
+    elif length and int(length) <= call.MAX_BUFFERED_BODY_BYTES:
+        enough = call.MAX_BUFFERED_BODY_BYTES
     parts: list[bytes] = []
     size = 0
     while (chunk := await answer.receive_chunk()) is not None:
         parts.append(chunk)
         size += len(chunk)
-        if size > enough and len(parts) > 1:
+        if size > enough:
             return parts, False
     return parts, True
 
