--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -280,12 +280,13 @@
         body: bytes = b"",
         rest: AsyncIterator[bytes] | None = None,
         timeout_s: float | None = None,
-        watch_answer: bool = True,
     ) -> None:
         """Sends one request.
 
         An answer that begins before the whole of a long body was sent ends
-        the sending; the connection is then not reusable.
+        the sending; the connection is then not reusable. No other task may
+        receive on the connection meanwhile; what arrives waits in the
+        reader's queue.
 
         Args:
             method: Request method.
@@ -296,9 +297,6 @@
                 unless headers hold a content-length. Its own errors pass
                 through.
             timeout_s: Time for the whole of it, or None for no limit.
-            watch_answer: Whether to look for an early answer. A connection
-                has one receiver, so this must be False if another task
-                receives during the sending.
 
         Raises:
             ConnectionLostError: The connection failed while sending.
@@ -332,10 +330,7 @@
             return
         with anyio.fail_after(timeout_s):
             await self._write(data)
-            if watch_answer:
-                await self._send_watched(rest, chunked)
-            else:
-                await self._send_rest(rest, chunked)
+            await self._send_watched(rest, chunked)
 
     async def _write(self, data: bytes, timeout_s: float | None = None) -> None:
         self.sent_bytes += len(data)
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -18,6 +18,7 @@
 BODY_TOO_LARGE_STATUS = 413
 # A request that was sent when the drain began arrives within this time.
 DRAIN_GRACE_S = 0.2
+CLOSE_INTERVAL_S = 0.01
 
 log = structlog.get_logger()
 
@@ -79,7 +80,7 @@
         answered, and its answer tells the client to close the connection.
         """
         self.stopping = True
-        for connection in list(self.busy):
+        for connection in self.busy:
             connection.keep_alive = False
         await anyio.sleep(DRAIN_GRACE_S)
         if self.listener is not None:
@@ -87,9 +88,18 @@
         await self._wait_for_calls()
         # Accepted connections whose request is on its way.
         await anyio.sleep(DRAIN_GRACE_S)
-        await self._wait_for_calls()
+        while self.idle or self.busy:
+            await self._close_quiet()
+            await self._wait_for_calls()
+
+    async def _close_quiet(self) -> None:
+        """Closes idle connections on which no request has arrived."""
         for connection in list(self.idle):
-            await anyio.aclose_forcefully(connection.stream)
+            stream = connection.stream
+            assert isinstance(stream, tcp.Stream)
+            if stream.is_quiet():
+                await anyio.aclose_forcefully(stream)
+        await anyio.sleep(CLOSE_INTERVAL_S)
 
     async def _wait_for_calls(self) -> None:
         while self.busy:
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -343,8 +343,12 @@
         log.info("node stopped", node=self.options.node)
 
 
-async def run_node(options: settings.NodeSettings) -> None:
-    """Runs one node with the platform that its settings name."""
+async def run_node(options: settings.NodeSettings) -> int:
+    """Runs one node with the platform that its settings name.
+
+    Returns:
+        The exit code; stepping aside for a later process is a failure.
+    """
     rng: random.Random = random.SystemRandom()
     if options.random_seed is not None:
         rng = random.Random(options.random_seed)
@@ -355,9 +359,18 @@
         table = platform.HttpTable(client)
         node = Node(options, table, rng, peers.PeerClient(peer_client))
         await node.run()
+    return program.EXIT_FAILURE if node.lease.superseded else 0
+
 
+def _first_error(group: BaseExceptionGroup) -> BaseException:
+    """Returns one error of a group, such as a port that is in use."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
 
-def start(settings_file: str) -> None:
+
+def start(settings_file: str) -> int:
     """Runs a node until SIGTERM or SIGINT.
 
     Args:
@@ -365,11 +378,15 @@
     """
     options = settings.load_settings(settings_file)
     logs.configure_logs(options.log)
-    anyio.run(
-        run_node,
-        options,
-        backend_options={"loop_factory": uvloop.new_event_loop},
-    )
+    try:
+        return anyio.run(
+            run_node,
+            options,
+            backend_options={"loop_factory": uvloop.new_event_loop},
+        )
+    except* OSError as group:
+        error = _first_error(group)
+        raise program.CommandError(f"{settings_file}: {error}") from None
 
 
 def main() -> None:
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -258,7 +258,6 @@
         call.hop_headers(attempt),
         attempt.body.buffered,
         attempt.body.rest,
-        watch_answer=False,
     )
     if attempt.body.rest is None:
         # Both steps have time limits of their own; a cancel scope for each
@@ -266,7 +265,8 @@
         await sending(timeout_s=left_s)
         return await watch.receive_head()
     with anyio.fail_after(left_s):
-        return await silence.receive_while_sending(connection, watch, sending)
+        await silence.send_watched(connection, watch, sending)
+        return await watch.receive_head()
 
 
 async def _read_ahead(
--- a/src/waxwingferry/request/tests/test_bodies.py
+++ b/src/waxwingferry/request/tests/test_bodies.py
@@ -381,7 +381,7 @@
 
 @pytest.mark.anyio
 async def test_long_upload_to_a_peer_is_watched_once() -> None:
-    """Guards against two receivers on one connection during an upload."""
+    """Guards against two receivers, and none, during an upload."""
     size = 300 * len(PART)
 
     async def answer(connection, head) -> None:
