--- a/src/waxwingferry/request/silence.py
+++ b/src/waxwingferry/request/silence.py
@@ -100,9 +100,16 @@
                     raise
                 if suspected:
                     raise SilentError("connection is silent") from error
-            suspected = await self.suspect()
+            suspected = await self._suspect_before(end_s)
             limit_s = CONFIRM_S if suspected else SUSPECT_AFTER_S
 
+    async def _suspect_before(self, end_s: float) -> bool:
+        try:
+            with anyio.fail_after(max(end_s - time.monotonic(), 0)):
+                return await self.suspect()
+        except TimeoutError as error:
+            raise http1.ReceiveTimeoutError("no time left") from error
+
     async def suspect(self) -> bool:
         """Tells whether the node is alive but its messages don't come.
 
