--- a/src/waxwingferry/process/tests/test_admission.py
+++ b/src/waxwingferry/process/tests/test_admission.py
@@ -106,6 +106,23 @@
     assert permit.state is State.RUNNING
 
 
+def test_contended_place_goes_to_work_that_can_end_in_time() -> None:
+    """Guards against places spent on work that is nearly too late."""
+    clock = FakeClock()
+    state = make_warm(1, clock)
+    for service_s in (0.01, 0.02, 0.03, 0.04) * 4:
+        permit = state.submit("a", clock.now_s + 9, "r")
+        clock.now_s += service_s
+        state.release(permit, Ending.ANSWERED)
+    first = state.submit("a", clock.now_s + 9, "r")
+    late = state.submit("a", clock.now_s + 0.09, "r")
+    other = state.submit("a", clock.now_s + 9, "r")
+    clock.now_s += 0.065
+    state.release(first, Ending.ANSWERED)
+    assert reason_of(late) is outcome.Reason.DEADLINE_TOO_SHORT
+    assert other.state is State.RUNNING
+
+
 def test_flooding_member_is_refused_alone() -> None:
     """Guards against a flood that takes other members' queue places."""
     clock = FakeClock()
