--- /dev/null
+++ b/src/waxwingferry/request/tests/test_entry_limits.py
@@ -0,0 +1,67 @@
+"""The entry refuses what it can't hold, and what is malformed."""
+
+import random
+from typing import Any
+from typing import cast
+
+import pytest
+
+from waxwingferry.connection import http1
+from waxwingferry.process import metrics
+from waxwingferry.request import call
+from waxwingferry.request import entry
+
+
+class FakeConnection:
+    """Keeps the answer."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers: http1.Headers = []
+
+    async def send_head(self, status, headers, body=None) -> None:
+        """Records the answer."""
+        self.status = status
+        self.headers = headers
+
+
+async def ask(in_flight: int, headers: http1.Headers) -> tuple[int, str]:
+    """Returns status and reason of an entry without a document."""
+    nothing = cast(Any, None)
+    node = entry.Entry(
+        "n0",
+        lambda: None,
+        nothing,
+        nothing,
+        nothing,
+        nothing,
+        nothing,
+        metrics.Metrics(),
+        random.Random(1),
+        max_in_flight=10,
+    )
+    node.in_flight = in_flight
+    connection = FakeConnection()
+    head = http1.RequestHead("GET", "/", headers)
+    await node.handle(cast(Any, connection), head)
+    assert node.in_flight == in_flight
+    return connection.status, http1.find_header(
+        connection.headers, "x-waxwing-reason"
+    )
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("in_flight", "headers", "expected"),
+    [
+        (7, [], (503, "no_document")),
+        (8, [], (503, "entry_full")),
+        (8, [(call.DEPTH_HEADER, "3")], (503, "no_document")),
+        (10, [(call.DEPTH_HEADER, "3")], (503, "entry_full")),
+        (0, [(call.DEPTH_HEADER, "-1")], (400, "bad_request")),
+        (0, [(call.DEADLINE_HEADER, "soon")], (400, "bad_request")),
+    ],
+)
+async def test_entry_bounds_its_work(in_flight, headers, expected) -> None:
+    """Guards against unbounded calls, and nested ones shut out by others."""
+    assert await ask(in_flight, headers) == expected
