--- a/src/waxwingferry/bench/experiments/at_most_once.py
+++ b/src/waxwingferry/bench/experiments/at_most_once.py
@@ -127,11 +127,11 @@
 
 def make_relays(running: cluster.Cluster) -> list[relay.Relay]:
     """Puts a relay before the peer port of each node."""
-    relays = []
+    known: dict[int, relay.Relay] = {}
     for member in running.members:
-        member.ports["relay"] = running.take_port()
-        relays.append(relay.Relay(member.ports["relay"], member.ports["peer"]))
-    return relays
+        port = member.ports["relay"] = running.take_port()
+        relay.Relay(port, member.ports["peer"], known)
+    return list(known.values())
 
 
 async def run(options: experiment.Options) -> experiment.Report:
--- a/src/waxwingferry/connection/tests/test_pool.py
+++ b/src/waxwingferry/connection/tests/test_pool.py
@@ -117,3 +117,44 @@
         assert not peer.idle
         with anyio.fail_after(5):
             await gone.wait()
+
+
+@pytest.mark.anyio
+async def test_idle_connections_are_closed_in_time() -> None:
+    """Guards against connections of a burst that stay open for good."""
+    now_s = 0.0
+    streams = []
+
+    async def connect(host: str, port: int) -> wire.ScriptedStream:
+        streams.append(wire.ScriptedStream())
+        return streams[-1]
+
+    peer = pool.Pool("a", 1, connect, lambda: now_s)  # type: ignore[arg-type]
+    burst = [await peer.acquire() for _ in range(3)]
+    for connection in burst:
+        await peer.release(connection)
+    now_s = pool.IDLE_LIMIT_S - 1
+    await peer.release(await peer.acquire())
+    assert not any(stream.closed for stream in streams)
+    now_s = pool.IDLE_LIMIT_S + 1
+    await peer.release(await peer.acquire())
+    assert [stream.closed for stream in streams] == [True, True, False]
+
+
+@pytest.mark.anyio
+async def test_sending_on_a_reset_connection_fails_at_once() -> None:
+    """Guards against a sender that never lets the event loop run."""
+
+    async def reset(stream) -> None:
+        await stream.aclose()
+
+    async with wire.run_raw_server(reset) as port:
+        connection = await pool.Pool(wire.HOST, port).acquire()
+        await wait_until_noticed(connection)
+        stream = connection.stream
+        sent = 0
+        with pytest.raises(anyio.BrokenResourceError):
+            while sent < 1000:
+                await stream.send(b"x")
+                sent += 1
+        assert sent < 1000
--- a/src/waxwingferry/process/admission.py
+++ b/src/waxwingferry/process/admission.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import math
 import time
 
 import anyio
@@ -49,6 +50,7 @@
     Attributes:
         route: Route whose service times the attempt follows.
         deadline_s: Monotonic time at which the attempt is of no more use.
+        submitted_s: Monotonic time at which it came.
         refusal: Why the attempt was refused, if it was.
         is_trial: Whether it goes to the target against the estimate.
         in_flight: Attempts in flight just after the dispatch.
@@ -56,6 +58,7 @@
 
     route: str
     deadline_s: float
+    submitted_s: float
     state: State = State.QUEUED
     refusal: outcome.NotRun | None = None
     share: "fairness.Share[Permit] | None" = None
@@ -121,6 +124,8 @@
         self.queue: fairness.FairQueue[Permit] = fairness.FairQueue(weight)
         self.running = 0
         self.lingering: list[float] = []
+        # No queued deadline is earlier, so most calls need no scan.
+        self.earliest_s = math.inf
         self.estimate = estimates.Estimate(clock)
 
     @property
@@ -147,7 +152,9 @@
     def submit(self, member: str, deadline_s: float, route: str = "") -> Permit:
         """Queues an attempt and dispatches what can be; never waits."""
         self.advance()
-        permit = Permit(self.estimate.bound_route(route), deadline_s)
+        permit = Permit(
+            self.estimate.bound_route(route), deadline_s, self.clock()
+        )
         reason = self.closed()
         if reason is None and self._is_hopeless(permit, member):
             reason = outcome.Reason.DEADLINE_TOO_SHORT
@@ -157,6 +164,7 @@
             _refuse(permit, reason)
             return permit
         permit.share = self.queue.push(member, permit)
+        self.earliest_s = min(self.earliest_s, deadline_s)
         self._dispatch_queued()
         assert len(self.queue) <= QUEUE_PER_SLOT * self.limit.slots
         return permit
@@ -218,7 +226,7 @@
                 return
             cost_s = max(self.estimate.all.mean(), MIN_COST_S)
             permit = self.queue.pop(cost_s)
-            if self._is_too_late(permit, 0.0):
+            if self._is_too_late(permit, 0.0, bool(self.queue)):
                 assert permit.share is not None
                 self.queue.settle(permit.share, cost_s, 0.0)
                 _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
@@ -271,20 +279,25 @@
     def _is_hopeless(self, permit: Permit, member: str) -> bool:
         """Tells whether a new attempt can't be expected to end in time."""
         if self.in_flight < self.limit.value and not self.queue:
-            return self._is_too_late(permit, 0.0)
+            return self._is_too_late(permit, 0.0, False)
         mean_s = self.estimate.all.mean()
         share = self.queue.find_share(member)
         ahead = self.queue.count_ahead(share, max(mean_s, MIN_COST_S))
         wait_s = (ahead + 1) * mean_s / self.limit.value
-        return self._is_too_late(permit, wait_s)
+        return self._is_too_late(permit, wait_s, False)
 
-    def _is_too_late(self, permit: Permit, wait_s: float) -> bool:
+    def _is_too_late(
+        self, permit: Permit, wait_s: float, contended: bool
+    ) -> bool:
         left_s = permit.deadline_s - self.clock()
         if left_s <= 0:
             return True
         if permit.is_trial:
             return False
-        if not self.estimate.is_too_late(permit.route, wait_s, left_s):
+        whole_s = permit.deadline_s - permit.submitted_s
+        if not self.estimate.is_too_late(
+            permit.route, left_s - wait_s, whole_s, contended
+        ):
             return False
         permit.is_trial = self.estimate.take_trial(permit.route)
         return not permit.is_trial
@@ -316,9 +329,14 @@
             self._push_out(self.queue.find_largest(some))
 
     def _refuse_expired(self, now_s: float) -> None:
+        if now_s < self.earliest_s:
+            return
         for permit in [p for p in self.queue if p.deadline_s <= now_s]:
             self._leave_queue(permit)
             _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
+        self.earliest_s = min(
+            (permit.deadline_s for permit in self.queue), default=math.inf
+        )
 
     def _refuse_all(self, reason: outcome.Reason) -> None:
         for permit in list(self.queue):
