--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -42,6 +42,7 @@
     Attributes:
         listening: Set once connections are accepted.
         port: Port that is listened on.
+        failures: Connections ended by an unexpected error.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.call_ended = anyio.Event()
         self.listening = anyio.Event()
         self.listener: tcp.Listener | None = None
+        self.failures = 0
         self.port = 0
 
     async def serve(self, host: str, port: int) -> None:
@@ -118,6 +120,14 @@
                         await _linger(connection)
                 except http1.HttpError as error:
                     log.debug("connection ended", error=str(error))
+                except AssertionError:
+                    # A broken invariant: the process stops rather than go on
+                    # with a state that it can't trust. Peers see a new
+                    # incarnation after its restart.
+                    raise
+                except Exception:
+                    self.failures += 1
+                    log.exception("connection ended by an unexpected error")
 
     async def serve_requests(self, connection: http1.ServerConnection) -> None:
         """Answers the requests of one connection until it must end."""
--- a/src/waxwingferry/connection/tests/test_serve.py
+++ b/src/waxwingferry/connection/tests/test_serve.py
@@ -269,3 +269,20 @@
             release.set()
             rest = await wire.read_all(stream)
     assert rest.replace(interim, b"").startswith(b"HTTP/1.1 200 OK")
+
+
+@pytest.mark.anyio
+async def test_unexpected_error_ends_only_its_connection() -> None:
+    """Guards against one bad request that stops the whole process."""
+
+    async def fail(
+        connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        if head.target == "/last":
+            await echo(connection, head)
+            return
+        raise KeyError(head.target)
+
+    async with wire.run_server(fail) as port:
+        assert await wire.exchange(port, GET % 1) == b""
+        assert b"200 OK" in await wire.exchange(port, LAST)
--- a/src/waxwingferry/process/budget.py
+++ b/src/waxwingferry/process/budget.py
@@ -96,6 +96,7 @@
 
     Args:
         ratio: Events allowed per call.
+        least: Events allowed in a window however few the calls are.
         clock: Monotonic time in seconds.
         window_s: Length of the window in seconds.
     """
@@ -105,9 +106,11 @@
         ratio: float,
         clock: Callable[[], float] = time.monotonic,
         window_s: float = WINDOW_S,
+        least: float = 0.0,
     ):
         self.ratio = ratio
         self.clock = clock
+        self.least = least
         self.slice_s = window_s / WINDOW_SLICES
         self.calls = [0] * WINDOW_SLICES
         self.events = [0] * WINDOW_SLICES
@@ -135,15 +138,24 @@
         self.calls[index] += 1
         self.total_calls += 1
 
+    def _allowed(self) -> float:
+        allowed = self.ratio * self.total_calls
+        return max(allowed, self.least) if self.ratio else 0.0
+
+    def available(self, share: float = 1.0) -> bool:
+        """Tells whether an event would use at most this share."""
+        self._advance()
+        allowed = self._allowed()
+        limit = max(allowed * share, min(allowed, self.least))
+        return self.total_events + 1 <= limit
+
     def spend(self, share: float = 1.0) -> bool:
         """Takes one event if at most this share of the budget is used."""
-        index = self._advance()
-        allowed = self.ratio * self.total_calls
-        if self.total_events + 1 > allowed * share:
+        if not self.available(share):
             return False
-        self.events[index] += 1
+        self.events[self._advance()] += 1
         self.total_events += 1
-        assert self.total_events <= allowed, (
-            f"{self.total_events} retries of {allowed} allowed"
+        assert self.total_events <= self._allowed(), (
+            f"{self.total_events} retries of {self._allowed()} allowed"
         )
         return True
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -30,6 +30,7 @@
 from waxwingferry.process import settings
 from waxwingferry.process import spread
 from waxwingferry.process import target
+from waxwingferry.request import call
 from waxwingferry.request import claim
 from waxwingferry.request import entry
 from waxwingferry.request import forward
@@ -241,7 +242,10 @@
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Answers another node."""
-        if head.target in (peers.DOCUMENT_PATH, peers.MEMBERS_PATH):
+        # Attempts may be for any path; only they carry an attempt identity.
+        is_attempt = http1.find_header(head.headers, call.ATTEMPT_HEADER)
+        own_paths = (peers.DOCUMENT_PATH, peers.MEMBERS_PATH)
+        if head.target in own_paths and not is_attempt:
             await peers.answer(
                 connection, head.target, self.configured, self.members
             )
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -15,6 +15,8 @@
 # already, so such retries get only this share of the budget, once per call.
 OVERLOAD_SHARE = 0.5
 
+MAX_BUDGETS = 1024
+
 _Reason = outcome.Reason
 
 
@@ -108,7 +110,11 @@
 
 
 class RetryPolicy:
-    """Decides on retries, within a budget for each service.
+    """Decides on retries, within budgets for each service and its members.
+
+    The budget of a service bounds the retries of all its members. That of a
+    member bounds its share, so that a member whose callers meet many refusals
+    leaves the others theirs; it allows one retry for however few calls.
 
     Only calls that are not retries of an entry further up add to a budget
     and spend it. In a chain of calls each level can therefore add at most
@@ -126,17 +132,33 @@
     ):
         self.ratio = ratio
         self.clock = clock
-        self.budgets: dict[str, budget.RatioBudget] = {}
+        self.services: dict[str, budget.RatioBudget] = {}
+        self.members: dict[tuple[str, str], budget.RatioBudget] = {}
 
     def count_call(self, made: call.Call) -> None:
         """Counts a call that may be tried again."""
         if not made.is_retry:
-            self._budget(made.service).count_call()
-
-    def _budget(self, service: str) -> budget.RatioBudget:
-        if service not in self.budgets:
-            self.budgets[service] = budget.RatioBudget(self.ratio(), self.clock)
-        return self.budgets[service]
+            for limits in self._budgets(made):
+                limits.count_call()
+
+    def _budgets(self, made: call.Call) -> list[budget.RatioBudget]:
+        """Returns the budgets of a call's service and member."""
+        ratio = self.ratio()
+        name = (made.service, made.member)
+        if name not in self.members and len(self.members) >= MAX_BUDGETS:
+            # Callers choose the member's name, so the number is bounded;
+            # further members of a service share one budget.
+            name = (made.service, "")
+        if made.service not in self.services:
+            self.services[made.service] = budget.RatioBudget(ratio, self.clock)
+        if name not in self.members:
+            self.members[name] = budget.RatioBudget(
+                ratio, self.clock, least=1.0
+            )
+        found = [self.services[made.service], self.members[name]]
+        for limits in found:
+            limits.ratio = ratio
+        return found
 
     def check(
         self,
@@ -187,7 +209,10 @@
         overloaded = classify(last) is Kind.OVERLOADED
         if overloaded and not has_room:
             return Denial.NO_ROOM
-        limits = self._budget(made.service)
-        limits.ratio = self.ratio()
         share = OVERLOAD_SHARE if overloaded else 1.0
-        return None if limits.spend(share) else Denial.BUDGET
+        budgets = self._budgets(made)
+        if not all(limits.available(share) for limits in budgets):
+            return Denial.BUDGET
+        for limits in budgets:
+            limits.spend(share)
+        return None
--- a/src/waxwingferry/request/tests/test_retry.py
+++ b/src/waxwingferry/request/tests/test_retry.py
@@ -95,6 +95,28 @@
     assert paid.count(None) == 5
 
 
+def test_member_keeps_its_retries_while_another_floods() -> None:
+    """Guards against a flooding member that uses up all retries."""
+    policy = retry.RetryPolicy(lambda: RATIO, test_routing.Clock())
+    moved = outcome.NotRun(_Reason.LEAVING)
+    flooding, other = make_call(member="m1"), make_call(member="m2")
+    for _ in range(100):
+        policy.count_call(flooding)
+        policy.spend(flooding, moved, True)
+    for _ in range(10):
+        policy.count_call(other)
+    assert policy.spend(flooding, moved, True) is retry.Denial.BUDGET
+    assert policy.spend(other, moved, True) is None
+
+
+def test_number_of_budgets_is_bounded() -> None:
+    """Guards against memory that grows with names that callers make up."""
+    policy = retry.RetryPolicy(lambda: RATIO, test_routing.Clock())
+    for number in range(2 * retry.MAX_BUDGETS):
+        policy.count_call(make_call(member=f"m{number}"))
+    assert len(policy.members) <= retry.MAX_BUDGETS + 1
+
+
 @pytest.mark.parametrize(
     ("changes", "last", "attempts", "denial"),
     [
