--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import secrets
 import signal
 
 import anyio
@@ -52,7 +53,7 @@
     Args:
         options: Settings of the node.
         table: The platform's table.
-        rng: Source of all random choices.
+        rng: Source of random choices, but for identities.
         client: Fetches from peers.
     """
 
@@ -66,7 +67,10 @@
         self.options = options
         self.table = table
         self.rng = rng
-        self.incarnation = f"{rng.getrandbits(64):016x}"
+        # Identities never come from a given seed: two processes with the same
+        # one would take each other's claims and attempts for their own.
+        self.incarnation = secrets.token_hex(8)
+        identities = random.SystemRandom()
         self.ready = False
         self.counters = metrics.Metrics()
         self.stop_asked = anyio.Event()
@@ -87,7 +91,7 @@
             self.tasks,
             claim.ClaimBudget(self.get_claim_rate),
             self.counters,
-            rng,
+            identities,
         )
         self.prober = probe.Prober(
             probe.HttpFetch(),
@@ -103,7 +107,7 @@
             self.runner,
             self.claims,
             self.counters,
-            rng,
+            identities,
         )
         self.peer = peer.PeerHandler(
             self.receiver, self.runner, self.get_revision
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -65,7 +65,7 @@
         choice: Way to choose targets; others than "weighted" are for
             experiments.
         log: Log settings.
-        random_seed: Seed of all random choices; None takes one from the
+        random_seed: Seed of random choices; None takes one from the
             operating system.
     """
 
