Warm the target up fully before fairness is judged

Change: the warm-up goes on until the limit has reached the slots. The bound and the checks are the same.

Conclusion: the run judged the growth of the limit instead of the shares.

--- a/src/waxwingferry/bench/experiments/fairness.py
+++ b/src/waxwingferry/bench/experiments/fairness.py
@@ -8,6 +8,7 @@
 import random
 
 import anyio
+import httpx
 
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
@@ -25,6 +26,7 @@
 # Room for the chance in arrivals and service times of one phase.
 TOLERANCE = 0.15
 REFUSED_SHARE = 0.01
+WARM_UP_LIMIT_S = 60.0
 
 DOCUMENT = {
     "services": [
@@ -63,8 +65,7 @@
         first_port=options.first_port,
         seed=options.seed,
     ) as running:
-        # The first calls bring the target's limit up to its slots.
-        await _run_phase(options, running, {"warm-up": 200.0}, 4.0)
+        await _warm_up(options, running)
         for phase, rates in RATES_PER_S.items():
             recorders = await _run_phase(
                 options, running, rates, options.duration_s
@@ -74,6 +75,23 @@
     return report
 
 
+async def _warm_up(
+    options: experiment.Options, running: cluster.Cluster
+) -> None:
+    """Loads the target until its limit has grown to its slots.
+
+    Shares are shares of the target's capacity, so a limit that is still on
+    its way up would make the load of the first phase too much for it.
+    """
+    async with httpx.AsyncClient(trust_env=False) as client:
+        with anyio.fail_after(WARM_UP_LIMIT_S):
+            while True:
+                await _run_phase(options, running, {"warm-up": 200.0}, 2.0)
+                status = await running.status(client, running.members[0])
+                if status["load"].endswith(f"limit={SLOTS}"):
+                    return
+
+
 async def _run_phase(
     options: experiment.Options,
     running: cluster.Cluster,
--- a/src/waxwingferry/emulator/target.py
+++ b/src/waxwingferry/emulator/target.py
@@ -135,7 +135,7 @@
         attempt: Identity of the attempt.
         key: Idempotency key, or empty.
         write: Whether the request has an effect that must not repeat.
-        state: running, done, failed, refused or cancelled.
+        state: running, done, failed, refused, expired or cancelled.
         started_s: Wall-clock time of the start.
         overload: Whether it began beyond what the target bore.
     """
@@ -244,7 +244,13 @@
     async def _run(self, connection, head, echo) -> None:
         entry = self._enter(head)
         try:
-            await self._work(head)
+            with anyio.move_on_after(_remaining_s(head)) as scope:
+                await self._work(head)
+            if scope.cancelled_caught:
+                # Its effect did not happen, and nobody waits for an answer.
+                entry.state = "expired"
+                self.counts["expired"] += 1
+                raise http1.ConnectionLostError("the deadline has passed")
             entry.state = "done"
             self._store(entry)
             await self._answer(connection, head, echo, entry)
@@ -435,3 +441,9 @@
                 except httpx.HTTPError:
                     interval_s = 0.1
                 await anyio.sleep(interval_s)
+
+
+def _remaining_s(head: http1.RequestHead) -> float | None:
+    """Returns the time that a request has left, None without a deadline."""
+    text = http1.find_header(head.headers, call.DEADLINE_HEADER)
+    return int(text) / 1000 if text.isdigit() else None
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -201,6 +201,10 @@
                 "reads": self.spread.reads,
             },
             "gossip": msgspec.to_builtins(self.gossip.counts),
+            "unexpected_errors": sum(
+                server.failures
+                for server in (self.callers, self.local, self.peers)
+            ),
         }
 
     def get_claim_rate(self) -> float:
