Use one token bucket and one read route

Cause: the claim budget was a second token bucket beside process/budget.py, and five experiments repeated the same route of reads.

Change: the claim budget spends from the shared bucket, which asserts its bound; the experiments take the route from bench/callers.py. Behaviour is the same.

Conclusion: claim writes are now bounded by an assertion as well.

--- a/src/waxwingferry/bench/callers.py
+++ b/src/waxwingferry/bench/callers.py
@@ -178,6 +178,16 @@
         return load.Request(address, "GET", path, f"{service} read", request_id)
 
 
+def make_read_route(deadline_ms: int) -> dict:
+    """Returns the route of reads at the service "registry"."""
+    return {
+        "path_prefix": "/registry/",
+        "methods": ["GET"],
+        "idempotent": True,
+        "deadline_ms": deadline_ms,
+    }
+
+
 def make_document(
     services: list[str], domains: tuple[str, ...], out: str = ""
 ) -> dict:
--- a/src/waxwingferry/bench/experiments/added_latency.py
+++ b/src/waxwingferry/bench/experiments/added_latency.py
@@ -12,6 +12,7 @@
 import anyio
 import psutil
 
+from waxwingferry.bench import callers
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
 from waxwingferry.bench import load
@@ -25,14 +26,7 @@
     "services": [
         {
             "name": "registry",
-            "routes": [
-                {
-                    "path_prefix": "/registry/",
-                    "methods": ["GET"],
-                    "idempotent": True,
-                    "deadline_ms": 5000,
-                }
-            ],
+            "routes": [callers.make_read_route(5000)],
         }
     ],
     "failure_domains": [{"name": "d1", "region": "r1"}],
--- a/src/waxwingferry/bench/experiments/cold_start.py
+++ b/src/waxwingferry/bench/experiments/cold_start.py
@@ -13,6 +13,7 @@
 import anyio
 import httpx
 
+from waxwingferry.bench import callers
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
 from waxwingferry.bench import load
@@ -29,14 +30,7 @@
     "services": [
         {
             "name": "registry",
-            "routes": [
-                {
-                    "path_prefix": "/registry/",
-                    "methods": ["GET"],
-                    "idempotent": True,
-                    "deadline_ms": 500,
-                }
-            ],
+            "routes": [callers.make_read_route(500)],
         }
     ],
     "failure_domains": [{"name": "d1", "region": "r1"}],
--- a/src/waxwingferry/bench/experiments/fairness.py
+++ b/src/waxwingferry/bench/experiments/fairness.py
@@ -10,6 +10,7 @@
 import anyio
 import httpx
 
+from waxwingferry.bench import callers
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
 from waxwingferry.bench import load
@@ -33,14 +34,7 @@
         {
             "name": "registry",
             "member_weights": WEIGHTS,
-            "routes": [
-                {
-                    "path_prefix": "/registry/",
-                    "methods": ["GET"],
-                    "idempotent": True,
-                    "deadline_ms": 3000,
-                }
-            ],
+            "routes": [callers.make_read_route(3000)],
         }
     ],
     "failure_domains": [{"name": "d1", "region": "r1"}],
--- a/src/waxwingferry/bench/experiments/graceful_stop.py
+++ b/src/waxwingferry/bench/experiments/graceful_stop.py
@@ -16,6 +16,7 @@
 import anyio.to_thread
 import httpx
 
+from waxwingferry.bench import callers
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
 from waxwingferry.bench import load
@@ -33,12 +34,7 @@
         {
             "name": "registry",
             "routes": [
-                {
-                    "path_prefix": "/registry/",
-                    "methods": ["GET"],
-                    "idempotent": True,
-                    "deadline_ms": 8000,
-                },
+                callers.make_read_route(8000),
                 {
                     "path_prefix": "/registry/",
                     "methods": ["POST"],
--- a/src/waxwingferry/bench/experiments/routing.py
+++ b/src/waxwingferry/bench/experiments/routing.py
@@ -10,6 +10,7 @@
 
 import httpx
 
+from waxwingferry.bench import callers
 from waxwingferry.bench import cluster
 from waxwingferry.bench import counters
 from waxwingferry.bench import experiment
@@ -36,14 +37,7 @@
     "services": [
         {
             "name": "registry",
-            "routes": [
-                {
-                    "path_prefix": "/registry/",
-                    "methods": ["GET"],
-                    "idempotent": True,
-                    "deadline_ms": 5000,
-                }
-            ],
+            "routes": [callers.make_read_route(5000)],
         }
     ],
     "failure_domains": [
--- a/src/waxwingferry/request/claim.py
+++ b/src/waxwingferry/request/claim.py
@@ -20,6 +20,7 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.process import background
+from waxwingferry.process import budget
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
 from waxwingferry.request import call
@@ -76,25 +77,17 @@
         clock: Callable[[], float] = time.monotonic,
     ):
         self.rate = rate
-        self.clock = clock
-        self.tokens = float(WRITES_PER_CLAIM)
-        self.at_s = clock()
+        self.bucket = budget.TokenBucket(0.0, WRITES_PER_CLAIM, clock)
 
     def take(self) -> bool:
         """Takes the writes of one claim, or returns False."""
-        now_s = self.clock()
         rate = self.rate()
-        most = max(rate * BURST_S, WRITES_PER_CLAIM)
-        self.tokens = min(self.tokens + (now_s - self.at_s) * rate, most)
-        self.at_s = now_s
-        if self.tokens < WRITES_PER_CLAIM:
-            return False
-        self.tokens -= WRITES_PER_CLAIM
-        return True
+        self.bucket.set_rate(rate, max(rate * BURST_S, WRITES_PER_CLAIM))
+        return self.bucket.spend(WRITES_PER_CLAIM)
 
     def give_back(self, writes: int) -> None:
         """Returns writes that were not needed."""
-        self.tokens += writes
+        self.bucket.give_back(writes)
 
 
 class Claims:
