Remove a dead parameter and reason; name each peer path once

Cause: a read of the whole change found that PeerHandler stored a revision that nothing read, that no code gave the reason "cancelled", and that the paths of the questions about time and attempts stood in two modules each.

Change: the parameter and the reason are gone; both ends of a question take its path from one constant, in forward.py and resolve.py. The fake world of the tests loses the same argument. Behaviour and all checks are the same.

Conclusion: the two ends of a question can no longer drift apart.

--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -109,9 +109,7 @@
             self.counters,
             identities,
         )
-        self.peer = peer.PeerHandler(
-            self.receiver, self.runner, self.get_revision
-        )
+        self.peer = peer.PeerHandler(self.receiver, self.runner)
         self.callers = serve.Server(self.entry.handle)
         self.local = serve.Server(self.handle_local)
         self.peers = serve.Server(self.handle_peer, INTERIM_INTERVAL_S)
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -43,7 +43,6 @@
     TIMEOUT = "timeout"
     ANSWER_CUT = "answer_cut"
     ANSWER_MISMATCH = "answer_mismatch"
-    CANCELLED = "cancelled"
 
 
 class AnswerCutError(Exception):
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -1,7 +1,5 @@
 """Requests of other nodes to this node's peer listener."""
 
-from collections.abc import Callable
-
 import anyio
 
 from waxwingferry.connection import http1
@@ -9,15 +7,13 @@
 from waxwingferry.process import probe
 from waxwingferry.request import call
 from waxwingferry.request import entry
+from waxwingferry.request import forward
 from waxwingferry.request import hop
 from waxwingferry.request import outcome
 from waxwingferry.request import receive
 from waxwingferry.request import resolve
 from waxwingferry.request import running
-from waxwingferry.version import document
 
-ATTEMPTS_PATH = "/_peer/attempts/"
-TIME_PATH = "/_peer/time"
 MAX_WAIT_S = 5.0
 
 
@@ -27,19 +23,16 @@
     Args:
         receiver: Admission to the node's own target.
         runner: Runs attempts at the node's own target.
-        revision: Returns the newest document known, or None.
     """
 
     def __init__(
         self,
         receiver: receive.Receiver,
         runner: running.AttemptRunner,
-        revision: Callable[[], document.Revision | None],
     ):
         self.receiver = receiver
         self.runner = runner
         self.records = runner.records
-        self.revision = revision
 
     async def handle(
         self, connection: http1.ServerConnection, head: http1.RequestHead
@@ -104,13 +97,13 @@
             answer = probe.make_answer(self.receiver.load())
             await connection.send_head(200, extra, answer)
             return
-        if head.target == TIME_PATH:
+        if head.target == forward.STAMP_PATH:
             await connection.send_head(200, extra, b"")
             return
-        if not head.target.startswith(ATTEMPTS_PATH):
+        if not head.target.startswith(resolve.ATTEMPTS_PATH):
             await connection.send_head(404, extra, b"")
             return
-        attempt_id = head.target.removeprefix(ATTEMPTS_PATH)
+        attempt_id = head.target.removeprefix(resolve.ATTEMPTS_PATH)
         fence = head.method == "POST" and attempt_id.endswith("/resolve")
         attempt_id = attempt_id.removesuffix("/resolve")
         stamp = http1.find_header(head.headers, call.STAMP_HEADER)
--- a/src/waxwingferry/request/resolve.py
+++ b/src/waxwingferry/request/resolve.py
@@ -15,6 +15,8 @@
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
+ATTEMPTS_PATH = "/_peer/attempts/"
+
 # What is proven, in the answer to a resolve; it holds from then on.
 RESOLUTION_HEADER = "x-waxwing-resolution"
 # The same in the answer to a look, which leaves no fence.
@@ -174,7 +176,7 @@
     method: str,
     wait_s: float,
 ) -> Status | None:
-    path = f"/_peer/attempts/{attempt.attempt_id}"
+    path = ATTEMPTS_PATH + attempt.attempt_id
     await connection.send_request(
         method,
         path if method == "GET" else f"{path}/resolve",
--- a/src/waxwingferry/request/tests/world.py
+++ b/src/waxwingferry/request/tests/world.py
@@ -221,7 +221,7 @@
             counters,
             world.rng,
         )
-        self.peer = peer.PeerHandler(self.receiver, runner, lambda: revision)
+        self.peer = peer.PeerHandler(self.receiver, runner)
 
     async def connect(self, host: str, port: int) -> network.Stream:
         """Opens a connection of this node."""
