--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import AsyncIterator
+import re
 import sys
 import time
 
@@ -29,6 +30,7 @@
 # Answers may be of any size; they are passed on part by part.
 _ANSWER_LIMITS = message.Limits(body_bytes=sys.maxsize)
 _BODY_METHODS = ("POST", "PUT", "PATCH")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
 
 
 class ServerConnection:
@@ -260,8 +262,22 @@
         raise ConnectionLostError("connection closed") from error
 
 
+def _read_idle_limit(head: ResponseHead) -> float | None:
+    """Returns how long the server keeps an idle connection, if it says."""
+    value = find_header(head.headers, "keep-alive")
+    match = _KEEP_ALIVE_TIMEOUT.search(value) if value else None
+    return float(match[1]) if match else None
+
+
 class ClientConnection:
-    """The client's side of one connection, one request at a time."""
+    """The client's side of one connection, one request at a time.
+
+    Attributes:
+        takes_unframed: Whether a body without a length is whole when the
+            server ends the connection in order.
+        idle_limit_s: Time for which the server keeps the connection open
+            while it is idle, or None if it does not say.
+    """
 
     def __init__(self, stream: anyio.abc.ByteStream):
         self.stream = stream
@@ -270,7 +286,10 @@
         self.sent_bytes = 0
         self.method = "GET"
         self.ended = True
+        self.framed = True
+        self.takes_unframed = False
         self.last_used_s = 0.0
+        self.idle_limit_s: float | None = None
 
     async def send_request(
         self,
@@ -400,14 +419,27 @@
             self.reusable = self.reusable and not self.reader.queue
         if not head.keep_alive or not head.framed:
             self.reusable = False
+        self.framed = head.framed
+        self.idle_limit_s = _read_idle_limit(head)
         return head
 
+    def expect_another(self) -> None:
+        """Waits for a further answer after one that was not asked for."""
+        self.ended = False
+
     async def receive_chunk(self, timeout_s: float) -> bytes | None:
         """Returns the next part of the answer's body, or None at its end."""
         if self.ended:
             return None
         assert self.reader is not None
-        event = await self.reader.next_event(timeout_s)
+        try:
+            event = await self.reader.next_event(timeout_s)
+        except reading.EndOfStreamError:
+            if self.framed or not self.takes_unframed:
+                raise
+            # A body without a length ends with its connection.
+            self.ended = True
+            return None
         if event is reading.END:
             self.ended = True
             if self.reader.queue:
--- a/src/waxwingferry/connection/pool.py
+++ b/src/waxwingferry/connection/pool.py
@@ -11,6 +11,8 @@
 from waxwingferry.connection import tcp
 
 IDLE_LIMIT_S = 10.0
+# Part of the idle time stated by the server for which a connection is used.
+IDLE_SHARE = 0.8
 CONNECT_TIMEOUT_S = 1.0
 
 
@@ -66,10 +68,9 @@
         Raises:
             ConnectError: No connection could be opened.
         """
-        oldest_s = self.clock() - IDLE_LIMIT_S
         while self.idle:
             connection = self.idle.pop()
-            if connection.last_used_s >= oldest_s and connection.is_quiet():
+            if not self._is_expired(connection) and connection.is_quiet():
                 return connection
             await connection.close()
         stream = await self.connect(self.host, self.port)
@@ -93,10 +94,17 @@
         The last one released is used first, so after a burst of calls the
         others would stay open for as long as calls go on.
         """
-        oldest_s = self.clock() - IDLE_LIMIT_S
-        while self.idle and self.idle[0].last_used_s < oldest_s:
+        while self.idle and self._is_expired(self.idle[0]):
             await self.idle.pop(0).close()
 
+    def _is_expired(self, connection: http1.ClientConnection) -> bool:
+        limit_s = IDLE_LIMIT_S
+        if connection.idle_limit_s is not None:
+            # A request must not cross the server's close.
+            stated_s = connection.idle_limit_s * IDLE_SHARE
+            limit_s = min(limit_s, stated_s)
+        return self.clock() - connection.last_used_s > limit_s
+
     async def close(self) -> None:
         """Closes all idle connections."""
         while self.idle:
--- a/src/waxwingferry/connection/reader.py
+++ b/src/waxwingferry/connection/reader.py
@@ -25,6 +25,10 @@
 _ABSOLUTE = re.compile(r"(?i:https?)://([^/?#]+)([^#]*)")
 
 
+class EndOfStreamError(message.ConnectionLostError):
+    """The peer ended the connection in order, not by a reset."""
+
+
 class EndOfMessage:
     """Marks the end of a message in the event queue."""
 
@@ -212,8 +216,9 @@
         """Receives and parses one part; raises ConnectionLostError."""
         try:
             data = await self.stream.receive(RECEIVE_BYTES, *timeout_s)
+        except anyio.EndOfStream as error:
+            raise EndOfStreamError("connection closed") from error
         except (
-            anyio.EndOfStream,
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
         ) as error:
--- /dev/null
+++ b/src/waxwingferry/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the product and the users' platform."""
--- /dev/null
+++ b/src/waxwingferry/platform/fields.py
@@ -0,0 +1,122 @@
+"""Header fields of the platform's requesters and targets."""
+
+import re
+
+from waxwingferry.connection import exchange
+from waxwingferry.connection import http1
+from waxwingferry.process import target
+from waxwingferry.request import call
+from waxwingferry.request import hop
+from waxwingferry.request import outcome
+
+REQUEST_ID = "x-waxwingferry-attempt-id"
+DEADLINE_MS = "x-waxwingferry-deadline-ms"
+CALLER_SERVICE = "x-waxwingferry-caller-service"
+EXPECTED_TARGET = "x-waxwingferry-expect-instance"
+NOT_RUN = "x-waxwingferry-not-executed"
+LOAD = "x-waxwingferry-server-load"
+TARGET_ID = "x-waxwingferry-instance-id"
+COLD_MS = "x-waxwingferry-warmup-ms"
+
+# Fields that the system sets itself, whatever a requester sent.
+_SET = frozenset({CALLER_SERVICE, EXPECTED_TARGET, DEADLINE_MS})
+_MILLISECONDS = re.compile(r"[0-9]{1,9}")
+
+
+class RequesterEdge(hop.Edge):
+    """How the platform's requesters are spoken to.
+
+    Args:
+        service: Service of the target on this machine, where requests start.
+    """
+
+    def __init__(self, service: str):
+        self.service = service
+
+    def parse_hop(self, headers: http1.Headers) -> hop.Hop:
+        """See hop.Edge."""
+        text = http1.find_header(headers, DEADLINE_MS)
+        deadline_ms = None
+        if text:
+            if not _MILLISECONDS.fullmatch(text):
+                raise http1.HttpError(f"{DEADLINE_MS} = {text!r}: not a number")
+            deadline_ms = int(text)
+        return hop.Hop(0, deadline_ms, False)
+
+    def mark_request(self, headers: http1.Headers) -> http1.Headers:
+        """See hop.Edge."""
+        kept = [item for item in headers if item[0] not in _SET]
+        return [*kept, (CALLER_SERVICE, self.service)]
+
+    def name_request(self, headers: http1.Headers) -> str:
+        """See hop.Edge."""
+        return http1.find_header(headers, REQUEST_ID)
+
+    def mark_answer(
+        self, headers: http1.Headers, attempt_id: str
+    ) -> http1.Headers:
+        """See hop.Edge."""
+        return headers
+
+
+class Dialect(target.TargetDialect):
+    """How the platform's targets are spoken to."""
+
+    takes_unframed = True
+    skips_strays = True
+
+    def make_headers(
+        self, attempt: call.Attempt, announcement: target.Announcement
+    ) -> http1.Headers:
+        """See target.TargetDialect."""
+        target_id = announcement.incarnation.partition(":")[0]
+        return [
+            *call.forwarded_headers(attempt),
+            (DEADLINE_MS, str(call.remaining_ms(attempt))),
+            (EXPECTED_TARGET, target_id),
+        ]
+
+    def find_identity(self, attempt: call.Attempt) -> str:
+        """See target.TargetDialect."""
+        return http1.find_header(attempt.headers, REQUEST_ID)
+
+    def find_echo(self, head: http1.ResponseHead) -> str:
+        """See target.TargetDialect."""
+        return http1.find_header(head.headers, REQUEST_ID)
+
+    def find_refusal(self, head: http1.ResponseHead) -> outcome.Reason | None:
+        """See target.TargetDialect."""
+        if head.status == 421:
+            return outcome.Reason.NO_TARGET
+        if http1.find_header(head.headers, NOT_RUN):
+            return outcome.Reason.TARGET_REFUSED
+        return None
+
+    def read_load(self, head: http1.ResponseHead) -> target.TargetLoad | None:
+        """See target.TargetDialect."""
+        return _read_load(head.headers)
+
+
+def read_health(
+    reply: exchange.Reply, announcement: target.Announcement
+) -> target.TargetLoad | None:
+    """Returns the load in a health answer, None if it is another target's."""
+    target_id = announcement.incarnation.partition(":")[0]
+    named = http1.find_header(reply.headers, TARGET_ID)
+    if named and named != target_id:
+        return None
+    return _read_load(reply.headers)
+
+
+def _read_load(headers: http1.Headers) -> target.TargetLoad | None:
+    """Returns running, waiting, slots and slowness in percent, if stated."""
+    cold = http1.find_header(headers, COLD_MS)
+    cold_s = int(cold) / 1000 if _MILLISECONDS.fullmatch(cold) else None
+    parts = http1.find_header(headers, LOAD).split(",")
+    if len(parts) < 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    numbers = [int(part) for part in parts]
+    slowness = numbers[3] / 100 if len(numbers) > 3 else 1.0
+    return target.TargetLoad(
+        numbers[0], numbers[1], numbers[2], max(slowness, 0.01), cold_s
+    )
--- a/src/waxwingferry/process/admin.py
+++ b/src/waxwingferry/process/admin.py
@@ -156,8 +156,7 @@
             return _json({"error": "revision: must be an integer >= 0"}, 422)
         revision = self.configured.revision
         if revision is not None and wanted == revision.number:
-            content = revision.document.model_dump(mode="json")
-            return _json({"revision": wanted, "document": content})
+            return _json({"revision": wanted, "document": revision.content})
         if wanted == 0:
             return _json({"revision": 0, "document": None})
         try:
--- a/src/waxwingferry/process/admission.py
+++ b/src/waxwingferry/process/admission.py
@@ -105,6 +105,8 @@
         closed: Returns why no work goes to the target, or None.
         on_reset: Is called when the limit went back to cold.
         rule: How the limit grows.
+        make_limit: Makes the limit of a target with so many slots, if it
+            does not grow by the rule.
         clock: Returns the monotonic time in seconds.
     """
 
@@ -116,11 +118,16 @@
         on_reset: Callable[[limits.Cause], None] = _ignore_reset,
         rule: limits.GrowthRule = limits.DEFAULT_RULE,
         clock: Callable[[], float] = time.monotonic,
+        make_limit: Callable[[int], limits.Limit] | None = None,
     ):
         self.closed = closed
         self.on_reset = on_reset
         self.clock = clock
-        self.limit = limits.Limit(slots, rule, clock)
+        self.limit = (
+            make_limit(slots)
+            if make_limit
+            else limits.Limit(slots, rule, clock)
+        )
         self.queue: fairness.FairQueue[Permit] = fairness.FairQueue(weight)
         self.running = 0
         self.lingering: list[float] = []
@@ -214,15 +221,24 @@
     def find_wait_s(self, permit: Permit) -> float:
         """Returns how long a queued attempt may wait before advance()."""
         wakes_s = [permit.deadline_s, *self.lingering]
+        start_s = self.limit.find_start_s()
+        if math.isfinite(start_s):
+            wakes_s.append(start_s)
         return min(max(min(wakes_s) - self.clock(), 0.0), RECHECK_S)
 
+    def has_place(self) -> bool:
+        """Tells whether the target can be given one more request now."""
+        if self.in_flight >= self.limit.value:
+            return False
+        return self.limit.find_start_s() <= self.clock()
+
     def _dispatch_queued(self) -> None:
         while self.queue:
             reason = self.closed()
             if reason is not None:
                 self._refuse_all(reason)
                 return
-            if self.in_flight >= self.limit.value:
+            if not self.has_place():
                 return
             cost_s = max(self.estimate.all.mean(), MIN_COST_S)
             permit = self.queue.pop(cost_s)
@@ -245,6 +261,7 @@
         permit.in_flight = self.in_flight
         permit.started_s = self.clock()
         permit.charged_s = cost_s
+        limit.note_start()
         permit.wake()
 
     def _learn(self, permit: Permit, ending: Ending, used_s: float) -> None:
@@ -278,7 +295,7 @@
 
     def _is_hopeless(self, permit: Permit, member: str) -> bool:
         """Tells whether a new attempt can't be expected to end in time."""
-        if self.in_flight < self.limit.value and not self.queue:
+        if self.has_place() and not self.queue:
             return self._is_too_late(permit, 0.0, False)
         mean_s = self.estimate.all.mean()
         share = self.queue.find_share(member)
@@ -304,7 +321,7 @@
 
     def _make_room(self, member: str) -> bool:
         """Makes room for one more; tells whether there is any."""
-        if self.in_flight < self.limit.value and not self.queue:
+        if self.has_place() and not self.queue:
             return True
         arriving = self.queue.find_share(member)
         if len(arriving.items) >= MEMBER_QUEUE_PER_SLOT * self.limit.slots:
--- a/src/waxwingferry/process/budget.py
+++ b/src/waxwingferry/process/budget.py
@@ -99,6 +99,9 @@
         least: Events allowed in a window however few the calls are.
         clock: Monotonic time in seconds.
         window_s: Length of the window in seconds.
+
+    Attributes:
+        slack: Events allowed in a window beyond those for calls.
     """
 
     def __init__(
@@ -111,6 +114,7 @@
         self.ratio = ratio
         self.clock = clock
         self.least = least
+        self.slack = 0.0
         self.slice_s = window_s / WINDOW_SLICES
         self.calls = [0] * WINDOW_SLICES
         self.events = [0] * WINDOW_SLICES
@@ -139,7 +143,7 @@
         self.total_calls += 1
 
     def _allowed(self) -> float:
-        allowed = self.ratio * self.total_calls
+        allowed = self.ratio * self.total_calls + self.slack
         return max(allowed, self.least) if self.ratio else 0.0
 
     def available(self, share: float = 1.0) -> bool:
--- a/src/waxwingferry/process/configuration.py
+++ b/src/waxwingferry/process/configuration.py
@@ -16,21 +16,14 @@
 from typing import Any
 
 import anyio
-import pydantic
-import structlog
 
+from waxwingferry.process import in_force
 from waxwingferry.process import platform
 from waxwingferry.version import document
 
 HISTORY_PREFIX = "document/history/"
 READ_BACK_DELAYS_S = (0.1, 0.2, 0.4, 0.8, 1.6, 2.0)
 
-log = structlog.get_logger()
-
-
-class OlderRevisionError(AssertionError):
-    """An older revision was about to replace a newer one."""
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Change:
@@ -89,8 +82,8 @@
 Result = Accepted | Conflict | Undecided | Unavailable
 
 
-class Configuration:
-    """The newest document known to this node.
+class Configuration(in_force.InForce):
+    """The document in force, read from the table and changed there.
 
     Args:
         table: The platform's table.
@@ -104,53 +97,9 @@
         on_change: Callable[[], None] = lambda: None,
         sleep: Callable = anyio.sleep,
     ):
+        super().__init__(document.parse_revision, on_change)
         self.table = table
-        self.on_change = on_change
         self.sleep = sleep
-        self.revision: document.Revision | None = None
-        self.highest = 0
-        self.rejected = 0
-        self.known = anyio.Event()
-
-    @property
-    def number(self) -> int:
-        """Number of the revision in force, or 0."""
-        return self.revision.number if self.revision else 0
-
-    def offer(self, number: int, content: Any) -> bool:
-        """Takes a document if it is newer than the one in force.
-
-        Args:
-            number: Its revision, as the table assigned it.
-            content: The document as JSON data.
-
-        Returns:
-            Whether it came into force.
-        """
-        if number <= self.number:
-            return False
-        if number == self.rejected:
-            return False
-        try:
-            checked = document.Document.model_validate(content)
-        except pydantic.ValidationError as error:
-            # A newer program wrote it; the last good revision stays.
-            self.rejected = number
-            log.error(
-                "document not understood", revision=number, error=str(error)
-            )
-            return False
-        self._put_in_force(document.Revision(number, checked))
-        return True
-
-    def _put_in_force(self, revision: document.Revision) -> None:
-        if revision.number <= self.highest:
-            raise OlderRevisionError(f"{revision.number} after {self.highest}")
-        self.highest = revision.number
-        self.revision = revision
-        self.known.set()
-        log.info("document in force", revision=revision.number)
-        self.on_change()
 
     async def read(self) -> bool:
         """Takes the newest document from the table.
--- /dev/null
+++ b/src/waxwingferry/process/core.py
@@ -0,0 +1,284 @@
+"""What every node is made of, whatever platform it runs on."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import secrets
+from typing import Literal
+
+import anyio
+import structlog
+
+from waxwingferry.connection import http1
+from waxwingferry.connection import serve
+from waxwingferry.process import attempts
+from waxwingferry.process import background
+from waxwingferry.process import cost
+from waxwingferry.process import gossip
+from waxwingferry.process import in_force
+from waxwingferry.process import lease
+from waxwingferry.process import limit
+from waxwingferry.process import members
+from waxwingferry.process import metrics
+from waxwingferry.process import peers
+from waxwingferry.process import platform
+from waxwingferry.process import reports
+from waxwingferry.process import routing
+from waxwingferry.process import spread
+from waxwingferry.process import target
+from waxwingferry.request import call
+from waxwingferry.request import entry
+from waxwingferry.request import forward
+from waxwingferry.request import hop
+from waxwingferry.request import peer
+from waxwingferry.request import receive
+from waxwingferry.request import running
+from waxwingferry.version import revision
+
+INTERIM_INTERVAL_S = 0.2
+SETTLE_LIMIT_S = 5.0
+
+log = structlog.get_logger()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeOptions:
+    """Who a node is and where.
+
+    Attributes:
+        node: Name of the node, unique among all nodes.
+        host: IP number that other nodes reach it at.
+        peer_port: Port for other nodes, TCP and UDP.
+        advertised_peer_port: Port that other nodes connect to.
+        region: Region that the VM is in.
+        failure_domain: Failure domain that the VM is in.
+        seeds: Peers asked while the platform does not answer.
+        choice: Way to choose targets.
+        leave_delay_s: Time for others to learn that the node leaves.
+    """
+
+    node: str
+    host: str
+    peer_port: int
+    advertised_peer_port: int
+    region: str
+    failure_domain: str
+    seeds: tuple[gossip.Address, ...] = ()
+    choice: routing.Variant = routing.Variant.WEIGHTED
+    leave_delay_s: float = 1.5
+
+
+class Core:
+    """The parts of one node that decide, and what they share.
+
+    Args:
+        options: Who the node is.
+        table: The platform's table.
+        configured: The document in force.
+        rng: Source of random choices, but for identities.
+        client: Fetches from peers.
+        edge: How callers are spoken to.
+        dialect: How the node's own target is spoken to.
+        make_limit: Makes the limit of a target with so many slots.
+    """
+
+    def __init__(
+        self,
+        options: NodeOptions,
+        table: platform.Table,
+        configured: in_force.InForce,
+        rng: random.Random,
+        client: peers.PeerClient,
+        edge: hop.Edge,
+        dialect: target.TargetDialect,
+        make_limit: Callable[[int], limit.Limit] = limit.Limit,
+    ):
+        self.options = options
+        self.table = table
+        self.rng = rng
+        # Identities never come from a given seed: two processes with the same
+        # one would take each other's claims and attempts for their own.
+        self.incarnation = secrets.token_hex(8)
+        self.identities = random.SystemRandom()
+        self.ready = False
+        self.counters = metrics.Metrics()
+        self.stop_asked = anyio.Event()
+        self.configured = configured
+        self._make_control(client)
+        self.receiver = receive.Receiver(
+            self.incarnation,
+            self.own_domain_is_out,
+            self.get_revision,
+            self.counters,
+            dialect,
+            make_limit,
+        )
+        self.tasks = background.Background()
+        self.runner = running.AttemptRunner(
+            self.receiver, attempts.Attempts(), self.tasks, self.counters
+        )
+        self.entry = entry.Entry(
+            options.node,
+            self.get_revision,
+            self.members,
+            self.make_router(),
+            forward.Forwarder(self.counters),
+            self.runner,
+            self.counters,
+            self.identities,
+            edge,
+        )
+        self.peer = peer.PeerHandler(self.receiver, self.runner)
+        self.callers = serve.Server(self.entry.handle)
+        self.peers = serve.Server(self.handle_peer, INTERIM_INTERVAL_S)
+
+    def _make_control(self, client: peers.PeerClient) -> None:
+        """Makes what spreads the document and the members."""
+        options = self.options
+        self.datagrams = peers.Datagrams(options.host, options.peer_port)
+        self.members = members.Members(options.node)
+        self.gossip = gossip.Gossip(
+            self.members,
+            lambda: self.configured.number,
+            self.datagrams.send,
+            self.rng,
+            options.seeds,
+        )
+        self.lease = lease.Lease(
+            self.table,
+            self.members,
+            self.rng,
+            on_superseded=lambda: self.stop_asked.set(),
+        )
+        self.members.on_news = self.gossip.add_row
+        self.members.on_rival = self.lease.meet_rival
+        self.configured.on_change = self.gossip.add_revision
+        self.gossip.on_load = self.take_push
+        self.spread = spread.Spread(
+            self.configured,
+            self.members,
+            self.lease,
+            self.gossip,
+            client,
+            self.counters,
+            self.rng,
+            options.seeds,
+        )
+
+    def make_router(self) -> routing.Router:
+        """Returns the router of this node."""
+        options = self.options
+        place = cost.Place(options.node, options.region, options.failure_domain)
+        return routing.Router(
+            self.rng,
+            variant=options.choice,
+            place=place,
+            on_ejection=self.count_ejection,
+            own_load=self.receiver.load,
+        )
+
+    def take_push(self, push: gossip.LoadPush) -> None:
+        """Takes the load that another node pushes."""
+        candidate = self.members.candidates.get(push.node)
+        if candidate is not None:
+            candidate.load = reports.Load(
+                push.in_flight,
+                push.queue,
+                max(push.limit, 1),
+                self.entry.router.clock(),
+                max(push.slow_percent, 1) / 100,
+            )
+
+    def count_ejection(self, candidate: routing.Candidate) -> None:
+        """Counts a target whose attempts fail far more than others'."""
+        self.counters.events.inc({"name": "ejected"})
+        log.warning("target ejected", node=candidate.node)
+
+    def get_revision(self) -> revision.Revision | None:
+        """Returns the document to act on, or None.
+
+        There is none while a process that was paused catches up, because a
+        newer document may be in force everywhere else.
+        """
+        return None if self.spread.is_stale() else self.configured.revision
+
+    def own_domain_is_out(self) -> bool:
+        """Tells whether this node's failure domain takes no work.
+
+        A process that was paused does not know, and takes none.
+        """
+        newest = self.configured.revision
+        if newest is None:
+            return False
+        out = self.options.failure_domain in newest.domains_out
+        return out or self.spread.is_stale()
+
+    async def handle_peer(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        """Answers another node."""
+        # Attempts may be for any path; only they carry an attempt identity.
+        is_attempt = http1.find_header(head.headers, call.ATTEMPT_HEADER)
+        own_paths = (peers.DOCUMENT_PATH, peers.MEMBERS_PATH)
+        if head.target in own_paths and not is_attempt:
+            await peers.answer(
+                connection, head.target, self.configured, self.members
+            )
+            return
+        await self.peer.handle(connection, head)
+
+    def announce(self) -> None:
+        """Tells all nodes of this one, once it knows enough to take work."""
+        if self.ready and self.receiver.link is not None:
+            announcement = self.receiver.link.announcement
+            self.members.announce(self.make_row(announcement))
+
+    def make_row(self, announcement: target.Announcement) -> members.MemberRow:
+        """Returns this node's next member row."""
+        state: Literal["ready", "draining", "leaving"] = announcement.state
+        if state == "ready" and self.receiver.leaving:
+            state = "leaving"
+        return members.MemberRow(
+            node=self.options.node,
+            service=announcement.service,
+            version=announcement.version,
+            region=self.options.region,
+            failure_domain=self.options.failure_domain,
+            host=self.options.host,
+            peer_port=self.options.advertised_peer_port,
+            incarnation=self.incarnation,
+            state=state,
+            slots=announcement.slots,
+            generation=self.lease.generation,
+            target=announcement.incarnation,
+        )
+
+    async def learn(self) -> None:
+        """Learns document and members, then announces this node."""
+        await self.spread.learn()
+        self.ready = True
+        self.announce()
+
+    @property
+    def control_tasks(self) -> tuple[Callable, ...]:
+        """Tasks that run as long as the node."""
+        return (
+            self.tasks.run,
+            self.learn,
+            self.lease.run,
+            self.spread.run_reader,
+            self.spread.run_fetcher,
+            self.spread.run_suspects,
+            self.spread.run_watch,
+            self.gossip.run_digests,
+            self.gossip.run_news,
+        )
+
+    async def leave(self) -> None:
+        """Announces the leave and waits until others know of it."""
+        log.info("node stopping", node=self.options.node)
+        self.receiver.leaving = True
+        if not self.lease.superseded:
+            self.announce()
+        await anyio.sleep(self.options.leave_delay_s)
+        self.receiver.close()
--- a/src/waxwingferry/process/cost.py
+++ b/src/waxwingferry/process/cost.py
@@ -18,6 +18,14 @@
 LEAST_LATENCY_FACTOR = 0.5
 MOST_LATENCY_FACTOR = 2.0
 ERROR_WEIGHT = 4.0
+# Work that a report names has mostly ended after twice this time.
+STATED_HALF_LIFE_S = 0.3
+# Weight of the share of places taken against the time that work takes: a
+# machine half full is as good as an idle one in another failure domain.
+UTILISATION_COST = 0.25
+# Machines slow down above this share of places taken.
+CROWDED_SHARE = 0.75
+CROWDED_COST = 2.0
 
 # Distances in units of utilisation: a target that is this much less used is
 # chosen although it is farther away, so that near targets aren't overloaded.
@@ -73,6 +81,29 @@
     return Cost(utilisation, factor, penalty, far, total)
 
 
+def compute_stated_cost(
+    candidate: "routing.Candidate", place: Place, now_s: float
+) -> Cost:
+    """Returns the cost of a candidate whose node pushes its load.
+
+    Work costs its time on the machine as it is now, longer where it has to
+    wait or where a machine that is nearly full slows down.
+    """
+    stats = candidate.stats
+    limit = max(stats.load.limit, 1)
+    weight = reports.decay(now_s - stats.load.at_s, STATED_HALF_LIFE_S)
+    others = stats.others * weight
+    utilisation = (stats.in_flight + others + NEXT_REQUEST) / limit
+    wait = max(utilisation - 1.0, 0.0)
+    crowded = CROWDED_COST * max(utilisation - CROWDED_SHARE, 0.0)
+    errors = stats.error_share(now_s)
+    penalty = 1.0 + ERROR_WEIGHT * errors + stats.overload_now(now_s)
+    far = distance(candidate, place)
+    work = 1.0 + UTILISATION_COST * utilisation + wait + crowded
+    total = stats.load.slowness * penalty * work + far
+    return Cost(utilisation, stats.load.slowness, penalty, far, total)
+
+
 def estimate_limit(candidate: "routing.Candidate", now_s: float) -> float:
     """Returns the places that a target has by now.
 
--- a/src/waxwingferry/process/gossip.py
+++ b/src/waxwingferry/process/gossip.py
@@ -81,6 +81,27 @@
     ] = []
 
 
+class LoadPush(msgspec.Struct, frozen=True, array_like=True):
+    """The load of one target, pushed by its node.
+
+    It is a MessagePack array, because it is sent more often than anything
+    else.
+
+    Attributes:
+        slow_percent: How long work takes there, 100 for as usual.
+    """
+
+    node: members.Text
+    in_flight: members.Counter
+    queue: members.Counter
+    limit: members.Counter
+    slow_percent: members.Counter
+
+
+# First byte of a datagram that holds a LoadPush; JSON never begins with it.
+LOAD_MARK = b"\x01"
+
+
 @dataclasses.dataclass(slots=True)
 class _Item:
     """News that is being passed on."""
@@ -115,6 +136,7 @@
         clock: Monotonic time in seconds.
 
     Attributes:
+        on_load: Called with each load that another node pushes.
         newer_from: A peer that has a newer document, and its revision.
         sync_from: A peer whose member rows differ for long.
     """
@@ -146,6 +168,8 @@
         self.tokens_s = clock()
         self.encoder = msgspec.json.Encoder()
         self.decoder = msgspec.json.Decoder(Datagram)
+        self.load_decoder = msgspec.msgpack.Decoder(LoadPush)
+        self.on_load: Callable[[LoadPush], None] = lambda push: None
 
     def add_row(self, row: members.MemberRow) -> None:
         """Passes a new member row on."""
@@ -170,6 +194,9 @@
         if len(data) > MAX_DATAGRAM_BYTES:
             self.counts.oversized += 1
             return
+        if data[:1] == LOAD_MARK:
+            self._receive_load(data[1:])
+            return
         try:
             datagram = self.decoder.decode(data)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
@@ -191,6 +218,21 @@
         if datagram.kind == "digest" and behind:
             self.send_digest(address, "reply")
 
+    def push_load(self, push: LoadPush) -> None:
+        """Sends the load of the own target to all other nodes."""
+        data = LOAD_MARK + msgspec.msgpack.encode(push)
+        for row in self.known.peers():
+            self._transmit(row.address, data, urgent=True)
+
+    def _receive_load(self, data: bytes) -> None:
+        try:
+            push = self.load_decoder.decode(data)
+        except msgspec.DecodeError:
+            self.counts.malformed += 1
+            return
+        self.known.clear(push.node)
+        self.on_load(push)
+
     def _want_document(self, address: Address, revision: int) -> None:
         if self.newer_from is None or self.newer_from[1] <= revision:
             self.newer_from = (address, revision)
--- /dev/null
+++ b/src/waxwingferry/process/in_force.py
@@ -0,0 +1,86 @@
+"""The newest document known to a node."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import structlog
+
+from waxwingferry.version import revision
+
+Parse = Callable[[int, Any], revision.Revision]
+
+log = structlog.get_logger()
+
+
+class OlderRevisionError(AssertionError):
+    """An older revision was about to replace a newer one."""
+
+
+class InForce:
+    """The newest document known to this node.
+
+    Args:
+        parse: Makes a revision of its number and its content as JSON data.
+            Raises revision.ContentError.
+        on_change: Called after a newer revision came into force.
+    """
+
+    def __init__(
+        self, parse: Parse, on_change: Callable[[], None] = lambda: None
+    ):
+        self.parse = parse
+        self.on_change = on_change
+        self.revision: revision.Revision | None = None
+        self.highest = 0
+        self.rejected = 0
+        self.known = anyio.Event()
+
+    @property
+    def number(self) -> int:
+        """Number of the revision in force, or 0."""
+        return self.revision.number if self.revision else 0
+
+    async def read(self) -> bool:
+        """Takes the newest document from where it is kept.
+
+        Returns:
+            Whether one came into force.
+
+        Raises:
+            platform.PlatformError: It could not be read.
+        """
+        raise NotImplementedError
+
+    def offer(self, number: int, content: Any) -> bool:
+        """Takes a document if it is newer than the one in force.
+
+        Args:
+            number: Its revision, as the table assigned it.
+            content: The document as JSON data.
+
+        Returns:
+            Whether it came into force.
+        """
+        if number <= self.number or number == self.rejected:
+            return False
+        try:
+            newer = self.parse(number, content)
+        except revision.ContentError as error:
+            # A newer program wrote it; the last good revision stays.
+            self.rejected = number
+            log.error(
+                "document not understood", revision=number, error=str(error)
+            )
+            return False
+        self._put_in_force(newer)
+        return True
+
+    def _put_in_force(self, newer: revision.Revision) -> None:
+        if newer.number <= self.highest:
+            raise OlderRevisionError(f"{newer.number} after {self.highest}")
+        self.highest = newer.number
+        self.revision = newer
+        self.known.set()
+        log.info("document in force", revision=newer.number)
+        self.on_change()
--- a/src/waxwingferry/process/lease.py
+++ b/src/waxwingferry/process/lease.py
@@ -70,6 +70,7 @@
         self.superseded = False
         self.contests = 0
         self.written: members.MemberRow | None = None
+        self.wrote = anyio.Event()
         self.renewed_s = clock()
         self.scanned_version = 0
         self.tokens = float(WRITE_BURST)
@@ -181,6 +182,13 @@
         self.written = row
         # Counted from before the write, because the answer may come late.
         self.renewed_s = started_s
+        self.wrote.set()
+        self.wrote = anyio.Event()
+
+    async def wait_written(self, row: members.MemberRow) -> None:
+        """Returns once the table holds a row, or a newer one of this node."""
+        while self.written is None or self.written.order < row.order:
+            await self.wrote.wait()
 
     async def _learn_predecessor(self) -> None:
         row = await self.table.read(self.key)
--- /dev/null
+++ b/src/waxwingferry/process/lifetimes.py
@@ -0,0 +1,161 @@
+"""The starts of the own target, and whether one of them leaves.
+
+Each start of a target is a lifetime of its own. A report that was delayed may
+come after a newer one, even from an earlier lifetime, and changes nothing. A
+lifetime that was confirmed to leave never takes work again: the leave is in
+this node's row, which a later process of the node finds.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+import anyio
+import msgspec
+import structlog
+
+from waxwingferry.process import lease
+from waxwingferry.process import members
+from waxwingferry.process import stated_limit
+from waxwingferry.process import target
+from waxwingferry.request import receive
+
+# A report is repeated if it is not confirmed within a second.
+CONFIRM_WAIT_S = 0.8
+# While the table does not answer, a leave is confirmed once the other nodes
+# were told by datagrams for this long.
+CONFIRM_UNWRITTEN_S = 1.2
+
+log = structlog.get_logger()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Report:
+    """One report of a target.
+
+    Attributes:
+        target_id: Identity of the target; several starts may share it.
+        born_ms: Start of the target, Unix time in milliseconds.
+        sequence: Order of the reports of one start.
+        cold_s: Time for which the target still is cold, in seconds.
+    """
+
+    target_id: str
+    born_ms: int
+    sequence: int
+    cold_s: float
+    announcement: target.Announcement
+
+
+class Lifetimes:
+    """Takes the reports of the own target.
+
+    Args:
+        receiver: Admission to the target.
+        known: The members known, with the predecessor of this process.
+        held: This node's row in the table.
+        announce: Tells all nodes of a change.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        receiver: receive.Receiver,
+        known: members.Members,
+        held: lease.Lease,
+        announce: Callable[[], None],
+        clock: Callable[[], float],
+    ):
+        self.receiver = receiver
+        self.known = known
+        self.held = held
+        self.announce = announce
+        self.clock = clock
+        self.newest: Report | None = None
+        self.left: dict[str, float] = {}
+
+    async def take_report(self, report: Report) -> bool:
+        """Takes a report; returns whether it is confirmed."""
+        if self._is_outdated(report):
+            log.info(
+                "report outdated",
+                target=report.target_id,
+                born_ms=report.born_ms,
+                sequence=report.sequence,
+            )
+            return True
+        self.newest = report
+        announcement = report.announcement
+        name = announcement.incarnation
+        if self._inherits_leave(name):
+            self.left.setdefault(name, self.clock())
+        if announcement.state == "draining":
+            self.left.setdefault(name, self.clock())
+        if name in self.left:
+            announcement = msgspec.structs.replace(
+                announcement, state="draining"
+            )
+        self._apply(announcement, report.cold_s)
+        return await self._confirm(name)
+
+    def _is_outdated(self, report: Report) -> bool:
+        newest = self.newest
+        if newest is None:
+            return False
+        if report.born_ms != newest.born_ms:
+            return report.born_ms < newest.born_ms
+        if report.target_id != newest.target_id:
+            return False
+        return report.sequence <= newest.sequence
+
+    def _inherits_leave(self, name: str) -> bool:
+        """Tells whether an earlier process of this node saw the leave."""
+        older = self.known.predecessor
+        if older is None or older.target != name:
+            return False
+        return older.state == "draining"
+
+    def _apply(self, announcement: target.Announcement, cold_s: float) -> None:
+        changed = self.receiver.announce(announcement)
+        state = self.receiver.admission
+        assert state is not None
+        if isinstance(state.limit, stated_limit.StatedLimit) and cold_s > 0:
+            state.limit.set_cold(cold_s)
+        if changed:
+            log.info(
+                "target announced",
+                target=announcement.incarnation,
+                service=announcement.service,
+                version=announcement.version,
+                state=announcement.state,
+                cold_s=cold_s,
+            )
+            self.announce()
+
+    async def take_leave(self, target_id: str) -> bool:
+        """Takes a target's last message; returns whether it is confirmed."""
+        newest = self.newest
+        if newest is None or newest.target_id != target_id:
+            return True
+        name = newest.announcement.incarnation
+        self.left.setdefault(name, self.clock())
+        announcement = msgspec.structs.replace(
+            newest.announcement, state="draining"
+        )
+        self._apply(announcement, 0.0)
+        return await self._confirm(name)
+
+    async def _confirm(self, name: str) -> bool:
+        """Waits until a leave would outlive this process."""
+        if name not in self.left:
+            return True
+        row = self.known.own
+        if row is None:
+            return False
+        with anyio.move_on_after(CONFIRM_WAIT_S):
+            await self.held.wait_written(row)
+            return True
+        waited_s = self.clock() - self.left[name]
+        log.warning(
+            "leave not in the table", target=name, waited_s=round(waited_s, 2)
+        )
+        return waited_s > CONFIRM_UNWRITTEN_S
--- a/src/waxwingferry/process/limit.py
+++ b/src/waxwingferry/process/limit.py
@@ -110,6 +110,13 @@
         self.recent: list[float] = []
         self.usual: collections.deque[tuple[float, float]] = collections.deque()
 
+    def find_start_s(self) -> float:
+        """Returns the earliest monotonic time for the next request."""
+        return -math.inf
+
+    def note_start(self) -> None:
+        """Counts a request that is sent now."""
+
     def resize(self, slots: int) -> None:
         """Takes a new number of slots."""
         self.slots = slots
--- a/src/waxwingferry/process/logs.py
+++ b/src/waxwingferry/process/logs.py
@@ -5,14 +5,17 @@
 
 import structlog
 
-from waxwingferry.process import settings
 
+def configure_logs(form: str = "json", level: str = "info") -> None:
+    """Sets format and level of all logs of this process.
 
-def configure_logs(options: settings.LogSettings) -> None:
-    """Sets format and level of all logs of this process."""
-    level = logging.getLevelName(options.level.upper())
+    Args:
+        form: "json" or "console".
+        level: Least level that is logged, such as "info".
+    """
+    least = logging.getLevelName(level.upper())
     renderer: structlog.types.Processor
-    if options.format == "json":
+    if form == "json":
         renderer = structlog.processors.JSONRenderer()
     else:
         renderer = structlog.dev.ConsoleRenderer(colors=False)
@@ -23,6 +26,6 @@
             structlog.processors.format_exc_info,
             renderer,
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(level),
+        wrapper_class=structlog.make_filtering_bound_logger(least),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
--- a/src/waxwingferry/process/members.py
+++ b/src/waxwingferry/process/members.py
@@ -56,6 +56,7 @@
     Attributes:
         generation: Order of the processes of one node.
         change: Order of the rows of one process.
+        target: Name of the target's start.
     """
 
     node: Text
@@ -70,6 +71,7 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
     generation: Counter = 0
     change: Counter = 0
+    target: Annotated[str, msgspec.Meta(max_length=64)] = ""
 
     @property
     def order(self) -> tuple[int, int, str]:
@@ -98,7 +100,13 @@
         RowError: It is malformed.
     """
     try:
-        values = {"generation": 0, "change": 0, **data, "node": node}
+        values = {
+            "generation": 0,
+            "change": 0,
+            "target": "",
+            **data,
+            "node": node,
+        }
         ordered = [values[name] for name in MemberRow.__struct_fields__]
         return msgspec.convert(ordered, MemberRow)
     except (msgspec.ValidationError, KeyError, TypeError) as error:
@@ -140,6 +148,7 @@
         candidates: All targets by node, for the entry.
         forgotten: Orders of rows that were dropped, so that a peer that
             still has them can't bring them back.
+        predecessor: Newest row of another process of this node, or None.
         fingerprint: Hash over all rows, whatever their order of arrival.
 
     Args:
@@ -162,6 +171,7 @@
         self.on_news = on_news
         self.on_rival = on_rival
         self.own: MemberRow | None = None
+        self.predecessor: MemberRow | None = None
         self.own_changed = anyio.Event()
         self.records: dict[str, Record] = {}
         self.candidates: dict[str, routing.Candidate] = {}
@@ -211,6 +221,10 @@
         return True
 
     def _check_rival(self, row: MemberRow) -> None:
+        older = self.predecessor
+        foreign = self.own is None or row.incarnation != self.own.incarnation
+        if foreign and (older is None or row.order > older.order):
+            self.predecessor = row
         if self.own is None or row.incarnation == self.own.incarnation:
             return
         if row.order > self.own.order:
@@ -407,4 +421,5 @@
     "incarnation",
     "state",
     "slots",
+    "target",
 )
--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -27,6 +27,11 @@
         )
         self.events = self._counter("events", "Rare events by name.")
 
+    def render(self) -> tuple[bytes, list[tuple[str, str]]]:
+        """Returns all metrics as Prometheus text, and its fields."""
+        content, headers = aioprometheus.render(self.registry, [])
+        return content, [(k.lower(), v) for k, v in headers.items()]
+
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(
             f"waxwingferry_{name}_total", doc, registry=self.registry
--- a/src/waxwingferry/process/peers.py
+++ b/src/waxwingferry/process/peers.py
@@ -10,14 +10,14 @@
 from typing import Any
 
 import anyio
-import httpx
 import msgspec
 import structlog
 
+from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
-from waxwingferry.process import configuration
 from waxwingferry.process import gossip
+from waxwingferry.process import in_force
 from waxwingferry.process import members
 
 DOCUMENT_PATH = "/_peer/document"
@@ -36,11 +36,11 @@
     """Fetches documents and member rows from peers.
 
     Args:
-        http: HTTP client with a time limit.
+        connect: Opens a connection.
     """
 
-    def __init__(self, http: httpx.AsyncClient):
-        self.http = http
+    def __init__(self, connect: pool.Connect = pool.connect_tcp):
+        self.connect = connect
 
     async def fetch_document(self, address: gossip.Address) -> tuple[int, Any]:
         """Returns a peer's revision and its content.
@@ -68,26 +68,23 @@
             raise PeerError(str(error)) from error
 
     async def _get(self, address: gossip.Address, path: str) -> dict[str, Any]:
-        url = f"http://{address[0]}:{address[1]}{path}"
+        client = exchange.Client(*address, self.connect)
         try:
-            reply = await self.http.get(url)
-            data = reply.json() if reply.status_code == 200 else None
-        except (httpx.HTTPError, OSError, ValueError) as error:
-            raise PeerError(f"{url}: {error!r}") from error
+            reply = await client.request("GET", path, FETCH_TIMEOUT_S)
+            data = json.loads(reply.body) if reply.status == 200 else None
+        except (exchange.ExchangeError, ValueError) as error:
+            raise PeerError(f"{client.authority}{path}: {error!r}") from error
+        finally:
+            await client.close()
         if not isinstance(data, dict):
-            raise PeerError(f"{url}: status {reply.status_code}")
+            raise PeerError(f"{client.authority}{path}: {reply.status}")
         return data
 
 
-def make_client() -> httpx.AsyncClient:
-    """Returns the HTTP client for peers."""
-    return httpx.AsyncClient(timeout=FETCH_TIMEOUT_S, trust_env=False)
-
-
 async def answer(
     connection: http1.ServerConnection,
     path: str,
-    configured: configuration.Configuration,
+    configured: in_force.InForce,
     known: members.Members,
 ) -> None:
     """Answers a request for the document or the member rows."""
@@ -101,8 +98,7 @@
         return
     else:
         revision = configured.revision
-        content = revision.document.model_dump(mode="json")
-        data = {"revision": revision.number, "document": content}
+        data = {"revision": revision.number, "document": revision.content}
     headers = [("content-type", "application/json")]
     await connection.send_head(200, headers, json.dumps(data).encode())
 
--- a/src/waxwingferry/process/reports.py
+++ b/src/waxwingferry/process/reports.py
@@ -14,12 +14,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Load:
-    """A load report of a target's node, with the time it came."""
+    """A load report of a target's node, with the time it came.
+
+    Attributes:
+        slowness: How long work takes there, compared with usual.
+    """
 
     in_flight: int = 0
     queue: int = 0
     limit: int = 1
     at_s: float = -math.inf
+    slowness: float = 1.0
 
 
 def parse_load(text: str, now_s: float) -> Load | None:
@@ -29,11 +34,12 @@
         in_flight = int(parts["in_flight"])
         queue = int(parts["queue"])
         limit = int(parts["limit"])
+        slowness = int(parts.get("slow", "100")) / 100
     except (ValueError, KeyError):
         return None
     if min(in_flight, queue, limit) < 0:
         return None
-    return Load(in_flight, queue, max(limit, 1), now_s)
+    return Load(in_flight, queue, max(limit, 1), now_s, max(slowness, 0.01))
 
 
 def decay(age_s: float, half_life_s: float) -> float:
--- a/src/waxwingferry/process/routing.py
+++ b/src/waxwingferry/process/routing.py
@@ -44,6 +44,7 @@
     TWO_CHOICES = "two_choices"
     WEIGHTED_TWO = "weighted_two"
     WEIGHTED = "weighted"
+    STATED = "stated"
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +54,7 @@
     Attributes:
         node: Name of the target's node.
         incarnation: Random name of the node process.
+        target: Name of the target's start; empty if it is not known.
         stats: What this entry knows of its load. A newer row of the same
             incarnation shares the object, because attempts in flight give
             their places back to the object that they took them from.
@@ -68,6 +70,7 @@
     incarnation: str
     state: str
     slots: int
+    target: str = ""
     stats: reports.TargetStats = dataclasses.field(
         default_factory=reports.TargetStats
     )
@@ -214,6 +217,20 @@
             case Variant.WEIGHTED:
                 drawn = self._draw(pool, DRAWN) + self._find_own(pool)
                 return self._pick_cheapest(pool, drawn, now_s)
+            case Variant.STATED:
+                return self._pick_stated(pool, now_s)
+
+    def _pick_stated(self, pool: list[Candidate], now_s: float) -> Candidate:
+        """Returns the cheapest of all targets, by loads that nodes push."""
+        for item in self._find_own(pool):
+            self._refresh(item, now_s)
+        drawn = self.rng.sample(pool, len(pool))
+        return min(
+            drawn,
+            key=lambda item: (
+                cost.compute_stated_cost(item, self.place, now_s).total
+            ),
+        )
 
     def _draw(self, pool: list[Candidate], count: int) -> list[Candidate]:
         return self.rng.sample(pool, min(count, len(pool)))
@@ -348,6 +365,12 @@
     return "ejected" if item.stats.ejected_until_s > now_s else ""
 
 
+def age_ms(load: reports.Load, now_s: float) -> int | None:
+    """Returns the age of a load report in milliseconds, None without one."""
+    age_s = now_s - load.at_s
+    return round(age_s * 1000) if math.isfinite(age_s) else None
+
+
 def _reported_load(item: Candidate) -> float:
     report = item.stats.load
     return (report.in_flight + report.queue) / max(report.limit, 1)
--- /dev/null
+++ b/src/waxwingferry/process/sampler.py
@@ -0,0 +1,116 @@
+"""Samples of the own target's load, and pushes to the other nodes.
+
+A machine may turn several times slower within milliseconds and back. What the
+target's node learns is pushed to all entries when it changes what they would
+choose, so that the reports cost little while nothing changes.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import time
+
+import anyio
+import structlog
+
+from waxwingferry.process import gossip
+from waxwingferry.process import metrics
+from waxwingferry.process import target
+from waxwingferry.request import receive
+
+# A third of the samples that the platform allows for a target, because a
+# sample costs processor time on the target's machine, too.
+ACTIVE_INTERVAL_S = 0.05
+IDLE_INTERVAL_S = 0.5
+# Requests come in bursts; a node counts as active this long after one.
+ACTIVE_S = 2.0
+SAMPLE_TIMEOUT_S = 0.5
+# Change of the slowness that makes another target the better choice.
+PUSH_RATIO = 1.25
+LEAST_PUSH_GAP_S = 0.02
+
+Fetch = Callable[[target.Announcement], Awaitable[target.TargetLoad | None]]
+
+log = structlog.get_logger()
+
+
+class Sampler:
+    """Asks the own target for its load and tells the other nodes.
+
+    Args:
+        receiver: Admission to the target.
+        chatter: The gossip of this node.
+        fetch: Asks the target; returns None if it gave no usable answer.
+        counters: Metrics of the node.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        receiver: receive.Receiver,
+        chatter: gossip.Gossip,
+        fetch: Fetch,
+        counters: metrics.Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.receiver = receiver
+        self.chatter = chatter
+        self.fetch = fetch
+        self.counters = counters
+        self.clock = clock
+        self.active_s = -ACTIVE_S
+        self.pushed_slowness = 1.0
+        self.pushed_place = True
+        self.pushed_s = -LEAST_PUSH_GAP_S
+        receiver.on_sample = self.push_changes
+
+    def note_activity(self) -> None:
+        """Notes that requests come, so that samples are worth their price."""
+        self.active_s = self.clock()
+
+    async def run(self) -> None:
+        """Samples until cancelled."""
+        while True:
+            link = self.receiver.link
+            state = self.receiver.admission
+            if state is not None and state.in_flight:
+                self.note_activity()
+            if link is not None:
+                await self._sample(link.announcement)
+            active = self.clock() - self.active_s < ACTIVE_S
+            await anyio.sleep(ACTIVE_INTERVAL_S if active else IDLE_INTERVAL_S)
+
+    async def _sample(self, announcement: target.Announcement) -> None:
+        sample = None
+        with anyio.move_on_after(SAMPLE_TIMEOUT_S):
+            sample = await self.fetch(announcement)
+        if sample is None:
+            self.counters.events.inc({"event": "sample_failed"})
+            return
+        self.receiver.take_sample(sample)
+
+    def push_changes(self) -> None:
+        """Tells the other nodes if their choice would change."""
+        state = self.receiver.admission
+        if state is None:
+            return
+        now_s = self.clock()
+        slowness = self.receiver.slowness()
+        place = state.has_place() and not state.queue
+        ratio = slowness / self.pushed_slowness
+        same = 1 / PUSH_RATIO < ratio < PUSH_RATIO
+        if same and place == self.pushed_place:
+            return
+        if now_s - self.pushed_s < LEAST_PUSH_GAP_S:
+            return
+        self.pushed_s = now_s
+        self.pushed_slowness = slowness
+        self.pushed_place = place
+        self.chatter.push_load(
+            gossip.LoadPush(
+                self.chatter.known.node,
+                state.in_flight,
+                len(state.queue),
+                state.limit.value,
+                round(slowness * 100),
+            )
+        )
--- a/src/waxwingferry/process/spread.py
+++ b/src/waxwingferry/process/spread.py
@@ -8,8 +8,8 @@
 import anyio
 import structlog
 
-from waxwingferry.process import configuration
 from waxwingferry.process import gossip
+from waxwingferry.process import in_force
 from waxwingferry.process import lease
 from waxwingferry.process import members
 from waxwingferry.process import metrics
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        configured: configuration.Configuration,
+        configured: in_force.InForce,
         known: members.Members,
         held: lease.Lease,
         chatter: gossip.Gossip,
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -9,11 +9,14 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
+import dataclasses
 from typing import Annotated
 from typing import Literal
 
-import pydantic
+import msgspec
 
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
@@ -22,10 +25,10 @@
 
 NOT_RUN_HEADER = "x-target-not-run"
 
-Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][\w.:-]{0,62}\Z")]
 
 
-class Announcement(pydantic.BaseModel):
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What a target says of itself.
 
     Attributes:
@@ -34,39 +37,106 @@
         slots: Requests that it can work on at a time.
         host: IP number that it listens on.
         port: Port that it listens on.
-        incarnation: Random name of this start of the program.
+        incarnation: Name of this start of the program.
         state: Whether it takes work.
         echoes_attempts: Whether its answers repeat x-waxwing-attempt. Without
             that, an answer is tied to its request by its connection alone,
             and a target that mixes up answers is not found out.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
     service: Name
     version: Name
-    slots: Annotated[int, pydantic.Field(ge=1, le=10_000)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
     host: str
-    port: Annotated[int, pydantic.Field(ge=1, le=65535)]
+    port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
     incarnation: Name
     state: Literal["ready", "draining"] = "ready"
     echoes_attempts: bool = True
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class TargetLoad:
+    """What a target says of its load.
+
+    Attributes:
+        running: Requests that it works on.
+        waiting: Requests that wait in its own queue.
+        slots: Requests that it can work on at a time.
+        slowness: How long work takes there now, compared with usual.
+        cold_s: Time for which it still is cold, or None if it does not say.
+        incarnation: Name of its start, or empty if it does not say.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+    cold_s: float | None = None
+    incarnation: str = ""
+
+
+class TargetDialect:
+    """How a target is spoken to: the project's own fields.
+
+    A platform with other fields has a dialect of its own.
+
+    Attributes:
+        takes_unframed: Whether an answer without a length is whole when its
+            connection ends in order. Otherwise such an answer is not used,
+            because a cut one can't be told from a whole one.
+        skips_strays: Whether an answer with another identity is a stray one
+            that precedes the answer waited for.
+    """
+
+    takes_unframed = False
+    skips_strays = False
+
+    def make_headers(
+        self, attempt: call.Attempt, announcement: Announcement
+    ) -> http1.Headers:
+        """Returns the fields of an attempt as the target gets them."""
+        return call.hop_headers(attempt)
+
+    def find_identity(self, attempt: call.Attempt) -> str:
+        """Returns what the answer to an attempt repeats."""
+        return attempt.attempt_id
+
+    def find_echo(self, head: http1.ResponseHead) -> str:
+        """Returns the identity that an answer repeats, or an empty text."""
+        return http1.find_header(head.headers, call.ATTEMPT_HEADER)
+
+    def find_refusal(self, head: http1.ResponseHead) -> outcome.Reason | None:
+        """Returns why the target did not run a request, or None if it may."""
+        refused = http1.find_header(head.headers, NOT_RUN_HEADER) == "true"
+        if head.status == 503 and refused:
+            return outcome.Reason.TARGET_REFUSED
+        return None
+
+    def read_load(self, head: http1.ResponseHead) -> TargetLoad | None:
+        """Returns the load that an answer reports, or None."""
+        return None
+
+
 class TargetLink:
     """Sends attempts to the node's own target.
 
     Args:
         announcement: The target's newest announcement.
+        dialect: How it is spoken to.
+        on_load: Called with each load that an answer reports.
         connect: Opens a connection.
     """
 
     def __init__(
         self,
         announcement: Announcement,
+        dialect: TargetDialect | None = None,
+        on_load: Callable[[TargetLoad], None] = lambda load: None,
         connect: pool.Connect = pool.connect_tcp,
     ):
         self.announcement = announcement
+        self.dialect = dialect or TargetDialect()
+        self.on_load = on_load
         self.pool = pool.Pool(announcement.host, announcement.port, connect)
 
     @contextlib.asynccontextmanager
@@ -93,48 +163,76 @@
             return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
         if attempt.on_dispatch is not None and not attempt.on_dispatch():
             return outcome.NotRun(outcome.Reason.FENCED)
+        connection.takes_unframed = self.dialect.takes_unframed
         try:
             await connection.send_request(
                 attempt.method,
                 attempt.target,
-                call.hop_headers(attempt),
+                self.dialect.make_headers(attempt, self.announcement),
                 attempt.body.buffered,
                 attempt.body.rest,
                 max(deadline.remaining_s(), 0),
             )
-            head = await connection.receive_head(deadline.remaining_s())
-            while head.status < 200:
-                head = await connection.receive_head(deadline.remaining_s())
+            head = await self._receive_head(connection, attempt)
         except (TimeoutError, http1.ReceiveTimeoutError):
             connection.reusable = False
             return outcome.Unknown(outcome.Reason.TIMEOUT, 504)
         except http1.HttpError:
             connection.reusable = False
             return outcome.Unknown(outcome.Reason.CONNECTION_LOST)
-        echoes = self.announcement.echoes_attempts
-        return _classify(connection, attempt, head, echoes)
-
-
-def _classify(
-    connection: http1.ClientConnection,
-    attempt: call.Attempt,
-    head: http1.ResponseHead,
-    echoes: bool,
-) -> outcome.Outcome:
-    echoed = http1.find_header(head.headers, call.ATTEMPT_HEADER)
-    if (echoes or echoed) and echoed != attempt.attempt_id:
-        connection.reusable = False
-        return outcome.Unknown(outcome.Reason.ANSWER_MISMATCH)
-    if not echoed:
-        # A second answer could be taken for that of the next request.
-        connection.reusable = False
-    if not head.framed:
-        # Without a length a cut answer can't be told from a whole one.
-        return outcome.Unknown(outcome.Reason.ANSWER_CUT)
-    refused = http1.find_header(head.headers, NOT_RUN_HEADER) == "true"
-    if head.status == 503 and refused:
-        return outcome.NotRun(outcome.Reason.TARGET_REFUSED)
+        return self._classify(connection, attempt, head)
 
+    async def _receive_head(
+        self, connection: http1.ClientConnection, attempt: call.Attempt
+    ) -> http1.ResponseHead:
+        deadline = attempt.deadline
+        while True:
+            head = await connection.receive_head(deadline.remaining_s())
+            if head.status < 200:
+                continue
+            echo = self.dialect.find_echo(head)
+            expected = self.dialect.find_identity(attempt)
+            if not (self.dialect.skips_strays and echo and echo != expected):
+                return head
+            # A late or doubled answer of an earlier request; that of this
+            # one may follow on the same connection.
+            connection.reusable = False
+            while await connection.receive_chunk(deadline.remaining_s()):
+                pass
+            connection.expect_another()
+
+    def _classify(
+        self,
+        connection: http1.ClientConnection,
+        attempt: call.Attempt,
+        head: http1.ResponseHead,
+    ) -> outcome.Outcome:
+        echoed = self.dialect.find_echo(head)
+        refusal = self.dialect.find_refusal(head)
+        wrong = echoed != self.dialect.find_identity(attempt)
+        if wrong and (echoed or self.announcement.echoes_attempts):
+            connection.reusable = False
+            # A refusal that names no request is about the connection's only
+            # one, unless strays precede it.
+            if echoed or refusal is None or not self.dialect.skips_strays:
+                return outcome.Unknown(outcome.Reason.ANSWER_MISMATCH)
+        if not echoed:
+            # A second answer could be taken for that of the next request.
+            connection.reusable = False
+        load = self.dialect.read_load(head)
+        if load is not None:
+            self.on_load(load)
+        if not head.framed and not self.dialect.takes_unframed:
+            # Without a length a cut answer can't be told from a whole one.
+            return outcome.Unknown(outcome.Reason.ANSWER_CUT)
+        if refusal is not None:
+            return outcome.NotRun(refusal)
+        return outcome.Answer(head, _body_reader(connection, attempt))
+
+
+def _body_reader(
+    connection: http1.ClientConnection, attempt: call.Attempt
+) -> Callable[[], Awaitable[bytes | None]]:
     async def receive_chunk() -> bytes | None:
         wait_s = attempt.deadline.part_wait_s()
         try:
@@ -143,4 +241,4 @@
             connection.reusable = False
             raise outcome.AnswerCutError(str(error)) from error
 
-    return outcome.Answer(head, receive_chunk)
+    return receive_chunk
--- a/src/waxwingferry/process/tests/fakes.py
+++ b/src/waxwingferry/process/tests/fakes.py
@@ -190,8 +190,7 @@
             source = self.network.reach(self.address, newer[0])
             if source is not None and source.configured.revision is not None:
                 revision = source.configured.revision
-                content = revision.document.model_dump(mode="json")
-                self.configured.offer(revision.number, content)
+                self.configured.offer(revision.number, revision.content)
         sync, self.gossip.sync_from = self.gossip.sync_from, None
         if sync is not None:
             source = self.network.reach(self.address, sync)
--- a/src/waxwingferry/process/tests/test_configuration.py
+++ b/src/waxwingferry/process/tests/test_configuration.py
@@ -6,6 +6,7 @@
 import pytest
 
 from waxwingferry.process import configuration
+from waxwingferry.process import in_force
 from waxwingferry.process import platform
 from waxwingferry.process.tests import fakes
 from waxwingferry.version import document
@@ -144,5 +145,5 @@
     content = _make_document(1)
     assert node.offer(5, content.model_dump(mode="json"))
     assert not node.offer(4, content.model_dump(mode="json"))
-    with pytest.raises(configuration.OlderRevisionError):
-        node._put_in_force(document.Revision(5, content))
+    with pytest.raises(in_force.OlderRevisionError):
+        node._put_in_force(document.make_revision(5, content))
--- /dev/null
+++ b/src/waxwingferry/process/watch.py
@@ -0,0 +1,76 @@
+"""Keeps up with what operators write, by waiting for changes."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+import anyio
+import structlog
+
+from waxwingferry.process import metrics
+from waxwingferry.process import platform
+from waxwingferry.process import spread
+
+# First member rows are written within this time of a start of all nodes.
+FIRST_READ_S = 4.0
+RETRY_MIN_S = 0.3
+RETRY_MAX_S = 2.0
+
+log = structlog.get_logger()
+
+
+class Watcher:
+    """Waits for changes of the document as long as the node runs.
+
+    Args:
+        wait: Waits for the next change and puts it in force. Raises
+            platform.PlatformError.
+        spreading: Learns members from the table and from peers.
+        counters: Metrics of the node.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        wait: Callable[[], Awaitable[None]],
+        spreading: spread.Spread,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ):
+        self.wait = wait
+        self.spreading = spreading
+        self.counters = counters
+        self.rng = rng
+        self.lost = False
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch)
+            await anyio.sleep(FIRST_READ_S)
+            await self._read_members()
+
+    async def _read_members(self) -> None:
+        try:
+            await self.spreading.held.read_rows()
+        except platform.PlatformError as error:
+            log.warning("members not read", error=str(error))
+
+    async def _watch(self) -> None:
+        delay_s = RETRY_MIN_S
+        while True:
+            try:
+                await self.wait()
+            except platform.PlatformError as error:
+                self.counters.events.inc({"event": "watch_failed"})
+                if not self.lost:
+                    log.warning("platform lost", error=str(error))
+                self.lost = True
+                await anyio.sleep(delay_s * self.rng.uniform(0.5, 1.5))
+                delay_s = min(delay_s * 2, RETRY_MAX_S)
+                continue
+            delay_s = RETRY_MIN_S
+            if self.lost:
+                self.lost = False
+                log.info("platform regained")
+                await self._read_members()
--- a/src/waxwingferry/request/call.py
+++ b/src/waxwingferry/request/call.py
@@ -14,6 +14,10 @@
 LOAD_HEADER = "x-waxwing-load"
 MEMBER_HEADER = "x-waxwing-member"
 RETRY_HEADER = "x-waxwing-retry"
+# The attempt may be refused if it would do better at another target.
+MOVABLE_HEADER = "x-waxwing-movable"
+# Start of the target that the attempt is meant for.
+TARGET_HEADER = "x-waxwing-target"
 SERVICE_HEADER = "x-waxwing-service"
 KEY_HEADER = "idempotency-key"
 # A time of the target's node, read before the attempt was sent.
@@ -35,8 +39,10 @@
         INCARNATION_HEADER,
         KEEP_HEADER,
         LOAD_HEADER,
+        MOVABLE_HEADER,
         SERVICE_HEADER,
         STAMP_HEADER,
+        TARGET_HEADER,
     }
 )
 
@@ -110,6 +116,9 @@
     idempotent: bool
     is_retry: bool = False
     key: str = ""
+    max_attempts: int = 3
+    name: str = ""
+    route: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,6 +129,9 @@
         keyed: Whether the call has a claimed key; its answer is kept.
         stamp_ms: Time of the target's node, read before the attempt is sent.
         sent: Whether a byte of it may have left the entry.
+        movable: Whether it may be refused because another target would
+            serve it better.
+        target_start: Start of the target that it is meant for; empty for any.
         on_dispatch: Called before the first byte goes to the target; False
             means that the attempt is fenced and must not be sent.
     """
@@ -139,10 +151,14 @@
     keyed: bool = False
     stamp_ms: int = -1
     sent: bool = False
+    movable: bool = False
+    target_start: str = ""
     on_dispatch: Callable[[], bool] | None = None
 
 
-def make_attempt(call: Call, number: int, incarnation: str) -> Attempt:
+def make_attempt(
+    call: Call, number: int, incarnation: str, target_start: str = ""
+) -> Attempt:
     """Returns the attempt with the given number, from 1."""
     return Attempt(
         f"{call.call_id}.{number}",
@@ -158,21 +174,31 @@
         call.is_retry or number > 1,
         call.idempotent,
         bool(call.key) and not call.idempotent,
+        target_start=target_start,
     )
 
 
-def hop_headers(attempt: Attempt) -> http1.Headers:
-    """Returns the fields of an attempt with those of the system added."""
-    remaining_s = attempt.deadline.remaining_s() - RETURN_RESERVE_S
-    remaining_ms = max(int(remaining_s * 1000), 0)
-    headers = [
+def forwarded_headers(attempt: Attempt) -> http1.Headers:
+    """Returns the fields that the system does not set itself."""
+    return [
         item
         for item in attempt.headers
         if item[0] not in _REPLACED and item[0] not in http1.HOP_BY_HOP
     ]
+
+
+def remaining_ms(attempt: Attempt) -> int:
+    """Returns the time that the next hop has, in milliseconds."""
+    remaining_s = attempt.deadline.remaining_s() - RETURN_RESERVE_S
+    return max(int(remaining_s * 1000), 0)
+
+
+def hop_headers(attempt: Attempt) -> http1.Headers:
+    """Returns the fields of an attempt with those of the system added."""
+    headers = forwarded_headers(attempt)
     headers += [
         (ATTEMPT_HEADER, attempt.attempt_id),
-        (DEADLINE_HEADER, str(remaining_ms)),
+        (DEADLINE_HEADER, str(remaining_ms(attempt))),
         (DEPTH_HEADER, str(attempt.depth)),
         (INCARNATION_HEADER, attempt.incarnation),
         (SERVICE_HEADER, attempt.service),
@@ -183,6 +209,10 @@
         headers.append((KEEP_HEADER, "1"))
     if attempt.is_retry:
         headers.append((RETRY_HEADER, "1"))
+    if attempt.movable:
+        headers.append((MOVABLE_HEADER, "1"))
+    if attempt.target_start:
+        headers.append((TARGET_HEADER, attempt.target_start))
     return headers
 
 
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -3,9 +3,12 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import random
 import time
 
+import structlog
+
 from waxwingferry.connection import http1
 from waxwingferry.process import members
 from waxwingferry.process import metrics
@@ -17,7 +20,8 @@
 from waxwingferry.request import outcome
 from waxwingferry.request import retry
 from waxwingferry.request import running
-from waxwingferry.version import document
+from waxwingferry.version import revision as revisions
+from waxwingferry.version import shares
 
 MAX_IN_FLIGHT = 1000
 MAX_COLLECTED_BYTES = 1024 * 1024
@@ -26,10 +30,97 @@
 # no place wastes what the calls above it have done already.
 OUTSIDE_SHARE = 0.8
 
+# Refusals by nodes whose targets would serve the call late. Each costs one
+# round trip and reaches no target; further ones would cost the caller's time.
+MAX_MOVES = 4
+
+# Time after which a caller of a refused call may come back, in seconds. A
+# queue that is full now has moved on by about one service time by then.
+RETRY_AFTER_S = 0.25
+
 _REPLACED = frozenset(
-    {call.ATTEMPT_HEADER, call.LOAD_HEADER, outcome.OUTCOME_HEADER}
+    {
+        call.ATTEMPT_HEADER,
+        call.INCARNATION_HEADER,
+        call.LOAD_HEADER,
+        call.STAMP_HEADER,
+        outcome.OUTCOME_HEADER,
+    }
 )
 
+log = structlog.get_logger()
+
+
+Versions = Callable[
+    [revisions.Revision, str, list[routing.Candidate]], list[routing.Candidate]
+]
+
+
+def keep_all(
+    revision: revisions.Revision,
+    service: str,
+    candidates: list[routing.Candidate],
+) -> list[routing.Candidate]:
+    """Returns all targets: no version is preferred."""
+    return candidates
+
+
+@dataclasses.dataclass(slots=True)
+class Trail:
+    """What became of one call so far.
+
+    Attributes:
+        tried: Nodes whose targets may have been reached, or take no work.
+        busy: Nodes that refused because another target would do better.
+        number: Attempts made.
+        reached: Attempts that may have reached a target.
+        moves: Attempts refused as busy.
+        moved: Whether the newest one was refused without reaching a target,
+            so that another costs nothing.
+        newest: How the newest attempt ended, or None.
+        last: The outcome of the call if no other attempt is made.
+    """
+
+    tried: set[str] = dataclasses.field(default_factory=set)
+    busy: set[str] = dataclasses.field(default_factory=set)
+    number: int = 0
+    reached: int = 0
+    moves: int = 0
+    settled: bool = False
+    moved: bool = False
+    newest: outcome.NotRun | outcome.Unknown | None = None
+    last: outcome.NotRun | outcome.Unknown = outcome.NotRun(
+        outcome.Reason.NO_TARGET
+    )
+
+    def may_move(self) -> bool:
+        """Tells whether the next attempt may be refused as busy."""
+        return not self.settled and self.moves < MAX_MOVES
+
+    def settle(self) -> None:
+        """Takes busy targets as good as any from now on."""
+        self.busy.clear()
+        self.settled = True
+
+    def add(
+        self,
+        candidate: routing.Candidate,
+        result: outcome.NotRun | outcome.Unknown,
+    ) -> None:
+        """Notes how an attempt ended."""
+        self.newest = result
+        self.last = outcome.combine(self.last, result)
+        self.moved = retry.is_move(result)
+        if result.reason is outcome.Reason.BUSY:
+            self.busy.add(candidate.node)
+            self.moves += 1
+            if self.moves >= MAX_MOVES:
+                self.settle()
+            return
+        self.tried.add(candidate.node)
+        if not self.moved:
+            self.reached += 1
+
 
 class Entry:
     """Answers callers.
@@ -41,23 +132,29 @@
         router: Chooses targets.
         forwarder: Sends attempts to other nodes.
         runner: Runs attempts at the node's own target.
-        claims: Claims of idempotency keys.
         counters: Metrics of the node.
         rng: Source of call identities.
+        edge: How callers are spoken to.
         max_in_flight: Calls in flight at a time; more are refused.
+
+    Attributes:
+        claims: Claims of idempotency keys, or None where no call has one.
+        shares: Chooses the part of a route for each call.
+        versions: Returns the targets of a service that may get a call, by
+            the versions in force.
     """
 
     def __init__(
         self,
         node: str,
-        revision: Callable[[], document.Revision | None],
+        revision: Callable[[], revisions.Revision | None],
         known: members.Members,
         router: routing.Router,
         forwarder: forward.Forwarder,
         runner: running.AttemptRunner,
-        claims: claim.Claims,
         counters: metrics.Metrics,
         rng: random.Random,
+        edge: hop.Edge = hop.OWN_EDGE,
         max_in_flight: int = MAX_IN_FLIGHT,
     ):
         self.node = node
@@ -66,23 +163,35 @@
         self.router = router
         self.forwarder = forwarder
         self.runner = runner
-        self.claims = claims
+        self.claims: claim.Claims | None = None
         self.counters = counters
         self.rng = rng
+        self.edge = edge
+        self.shares = shares.Shares(rng)
+        self.versions: Versions = keep_all
         self.max_in_flight = max_in_flight
         self.in_flight = 0
-        self.retries = retry.RetryPolicy(self._retry_ratio)
+        self.retries = retry.RetryPolicy(
+            self._retry_ratio, slack=self._retry_slack
+        )
 
     def _retry_ratio(self) -> float:
         revision = self.revision()
-        return revision.document.budgets.retry_ratio if revision else 0.0
+        return revision.budgets.retry_ratio if revision else 0.0
+
+    def _retry_slack(self) -> float:
+        """Returns this node's part of the retries allowed without calls."""
+        revision = self.revision()
+        if revision is None or not revision.budgets.retry_slack:
+            return 0.0
+        return revision.budgets.retry_slack / max(len(self.known.records), 1)
 
     async def handle(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Answers one request of a caller."""
         try:
-            place = hop.parse_hop(head.headers)
+            place = self.edge.parse_hop(head.headers)
         except http1.HttpError:
             refusal = outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
             await self._refuse(connection, refusal)
@@ -115,7 +224,7 @@
             late = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
             await self._refuse(connection, late)
             return
-        if made.key:
+        if made.key and self.claims is not None:
             await self.claims.run(connection, made, self._run, self._refuse)
             return
         try:
@@ -137,27 +246,34 @@
         revision = self.revision()
         if revision is None:
             return outcome.NotRun(outcome.Reason.NO_DOCUMENT)
-        match = revision.match_route(head.method, head.target)
-        if match is None:
-            return outcome.NotRun(outcome.Reason.NO_ROUTE, 404)
-        service, route = match
         find = http1.find_header
+        route = revision.match_route(
+            head.method, head.target, find(head.headers, "host")
+        )
+        if route is None:
+            return outcome.NotRun(outcome.Reason.NO_ROUTE, 404)
+        service = revision.services.get(self.shares.choose(route))
+        if service is None:
+            return outcome.NotRun(outcome.Reason.NO_TARGET)
         if place.depth >= call.MAX_DEPTH:
             return outcome.NotRun(outcome.Reason.TOO_DEEP)
-        key = "" if route.idempotent else claim.read_key(head.headers)
+        key: str | outcome.NotRun = ""
+        if self.claims is not None and not route.idempotent:
+            key = claim.read_key(head.headers)
         if isinstance(key, outcome.NotRun):
             return key
-        deadline_ms = route.deadline_ms
+        deadline_s = route.deadline_s
         if place.deadline_ms is not None:
-            deadline_ms = min(deadline_ms, place.deadline_ms)
+            deadline_s = min(deadline_s, place.deadline_ms / 1000)
         # The time that the body takes counts as well.
-        deadline = call.make_deadline(deadline_ms / 1000)
+        deadline = call.make_deadline(deadline_s)
+        headers = http1.end_to_end_headers(head.headers)
         return call.Call(
             call_id=f"{self.rng.getrandbits(64):016x}",
             service=service.name,
             method=head.method,
             target=head.target,
-            headers=http1.end_to_end_headers(head.headers),
+            headers=self.edge.mark_request(headers),
             body=await read_body(connection),
             deadline=deadline,
             member=find(head.headers, service.member_header, ""),
@@ -165,78 +281,103 @@
             idempotent=route.idempotent,
             is_retry=place.is_retry,
             key=key,
+            max_attempts=route.max_attempts,
+            name=self.edge.name_request(head.headers),
+            route=route.name,
         )
 
     async def _run(
         self, connection: http1.ServerConnection, made: call.Call
     ) -> None:
-        tried: set[str] = set()
-        newest: outcome.NotRun | outcome.Unknown | None = None
-        last: outcome.NotRun | outcome.Unknown = outcome.NotRun(
-            outcome.Reason.NO_TARGET
-        )
         if made.deadline.remaining_s() <= call.RETURN_RESERVE_S:
-            last = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
-            await self._refuse(connection, last)
+            late = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+            await self._refuse(connection, late, made)
             return
-        for number in range(1, retry.MAX_ATTEMPTS + 1):
-            candidate = self._choose(made, tried)
-            if newest and not self._pay_retry(made, newest, candidate):
+        trail = Trail()
+        while True:
+            candidate = self._choose(made, trail)
+            if trail.newest and not self._pay_retry(made, trail, candidate):
                 break
             if candidate is None:
                 break
-            tried.add(candidate.node)
-            attempt = call.make_attempt(made, number, candidate.incarnation)
+            trail.number += 1
+            attempt = call.make_attempt(
+                made, trail.number, candidate.incarnation, candidate.target
+            )
+            attempt.movable = trail.may_move()
             async with self._execute(candidate, attempt) as result:
                 if isinstance(result, outcome.Answer):
-                    cut = await relay_answer(
-                        connection, result, attempt.attempt_id
-                    )
+                    cut = await self._relay(connection, result, attempt)
                     if cut is None:
-                        self.counters.calls.inc({"outcome": "answered"})
+                        self._log_end(made, candidate, trail, result)
                         return
                     result = cut
-                newest = result
-                last = outcome.combine(last, newest)
-            if not self._may_retry(made, newest, number):
+                trail.add(candidate, result)
+            self._log_attempt(made, candidate, trail, result)
+            if trail.moved:
+                continue
+            if not self._may_retry(made, trail):
                 break
-        await self._refuse(connection, last)
+        await self._refuse(connection, trail.last, made)
+
+    async def _relay(
+        self,
+        connection: http1.ServerConnection,
+        answer: outcome.Answer,
+        attempt: call.Attempt,
+    ) -> outcome.Unknown | None:
+        cut = await relay_answer(
+            connection, answer, attempt.attempt_id, edge=self.edge
+        )
+        if cut is None:
+            self.counters.calls.inc({"outcome": "answered"})
+        return cut
 
     def _choose(
-        self, made: call.Call, tried: set[str]
+        self, made: call.Call, trail: "Trail"
     ) -> routing.Candidate | None:
         revision = self.revision()
         if revision is None:
             # The process was paused, and what it knows may be out of date.
             return None
-        return self.router.choose(
-            self.known.by_service.get(made.service, []),
-            revision.domains_out,
-            tried,
-        )
+        known = self.known.by_service.get(made.service, [])
+        allowed = self.versions(revision, made.service, known)
+        while True:
+            excluded = trail.tried | trail.busy
+            chosen = self.router.choose(allowed, revision.domains_out, excluded)
+            if chosen is not None or not trail.busy:
+                return chosen
+            # All others are busy as well; the best of them queues the call.
+            trail.settle()
 
     def _may_retry(
         self,
         made: call.Call,
-        last: outcome.NotRun | outcome.Unknown,
-        attempts: int,
+        trail: "Trail",
     ) -> bool:
         latency_s = self.router.service_stats(made.service).latency_s
-        denial = self.retries.check(made, last, attempts, latency_s)
+        assert trail.newest is not None
+        denial = self.retries.check(
+            made, trail.newest, trail.reached, latency_s
+        )
         return self._count_denial(denial)
 
     def _pay_retry(
         self,
         made: call.Call,
-        last: outcome.NotRun | outcome.Unknown,
+        trail: "Trail",
         candidate: routing.Candidate | None,
     ) -> bool:
+        if trail.moved:
+            # A refusal by a node reached no target and costs no budget.
+            return True
         if candidate is None:
             return self._count_denial(retry.Denial.NO_TARGET)
         has_room = self.router.has_room(candidate)
-        denial = self.retries.spend(made, last, has_room)
+        assert trail.newest is not None
+        denial = self.retries.spend(made, trail.newest, has_room)
         if denial is None:
-            self.counters.retries.inc({"reason": last.reason.value})
+            self.counters.retries.inc({"reason": trail.newest.reason.value})
         return self._count_denial(denial)
 
     def _count_denial(self, denial: retry.Denial | None) -> bool:
@@ -273,7 +414,15 @@
         self,
         connection: http1.ServerConnection,
         refusal: outcome.NotRun | outcome.Unknown,
+        made: call.Call | None = None,
     ) -> None:
+        log.info(
+            "request refused",
+            request=made.name if made else "",
+            service=made.service if made else "",
+            reason=refusal.reason.value,
+            status=refusal.status,
+        )
         kind = "not_run" if isinstance(refusal, outcome.NotRun) else "unknown"
         self.counters.refusals.inc(
             {"kind": kind, "reason": refusal.reason.value}
@@ -281,12 +430,52 @@
         self.counters.calls.inc({"outcome": kind})
         await send_refusal(connection, refusal)
 
+    def _log_attempt(
+        self,
+        made: call.Call,
+        candidate: routing.Candidate,
+        trail: "Trail",
+        result: outcome.NotRun | outcome.Unknown,
+    ) -> None:
+        load = candidate.stats.load
+        log.info(
+            "attempt ended without an answer",
+            request=made.name,
+            route=made.route,
+            node=candidate.node,
+            number=trail.number,
+            reason=result.reason.value,
+            not_run=isinstance(result, outcome.NotRun),
+            left_ms=round(made.deadline.remaining_s() * 1000),
+            load_age_ms=routing.age_ms(load, self.router.clock()),
+            slowness=load.slowness,
+        )
+
+    def _log_end(
+        self,
+        made: call.Call,
+        candidate: routing.Candidate,
+        trail: "Trail",
+        answer: outcome.Answer,
+    ) -> None:
+        log.info(
+            "request answered",
+            request=made.name,
+            route=made.route,
+            node=candidate.node,
+            version=candidate.version,
+            number=trail.number,
+            status=answer.head.status,
+            left_ms=round(made.deadline.remaining_s() * 1000),
+        )
+
 
 async def relay_answer(
     connection: http1.ServerConnection,
     answer: outcome.Answer,
     attempt_id: str,
     extra: http1.Headers | None = None,
+    edge: hop.Edge = hop.OWN_EDGE,
 ) -> outcome.Unknown | None:
     """Passes an answer on chunk by chunk.
 
@@ -304,10 +493,8 @@
             nobody takes the answer for whole.
     """
     head = answer.head
-    headers = [item for item in head.headers if item[0] not in _REPLACED]
-    headers.append((outcome.OUTCOME_HEADER, "answered"))
-    headers.append((call.ATTEMPT_HEADER, attempt_id))
-    headers += extra or []
+    kept = [item for item in head.headers if item[0] not in _REPLACED]
+    headers = [*edge.mark_answer(kept, attempt_id), *(extra or [])]
     try:
         parts, whole = await _read_start(connection, answer)
     except outcome.AnswerCutError:
@@ -375,6 +562,8 @@
 ) -> None:
     """Answers with a refusal and what it proves."""
     headers = outcome.refusal_headers(refusal) + (extra or [])
+    if refusal.status == 503:
+        headers.append(("retry-after", f"{RETRY_AFTER_S}"))
     body = f"{refusal.reason.value}\n".encode()
     await connection.send_head(refusal.status, headers, body)
 
--- a/src/waxwingferry/request/hop.py
+++ b/src/waxwingferry/request/hop.py
@@ -5,6 +5,7 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.request import call
+from waxwingferry.request import outcome
 
 _NUMBER = re.compile(r"[0-9]{1,9}")
 
@@ -44,6 +45,42 @@
     )
 
 
+class Edge:
+    """How callers are spoken to: the project's own fields.
+
+    A platform with other fields has an edge of its own.
+    """
+
+    def parse_hop(self, headers: http1.Headers) -> Hop:
+        """Returns what a request says of the calls above it.
+
+        Raises:
+            http1.HttpError: A value is malformed (status 400).
+        """
+        return parse_hop(headers)
+
+    def mark_request(self, headers: http1.Headers) -> http1.Headers:
+        """Returns the fields that go to the target with a request."""
+        return headers
+
+    def name_request(self, headers: http1.Headers) -> str:
+        """Returns the caller's own name of a request, for logs."""
+        return ""
+
+    def mark_answer(
+        self, headers: http1.Headers, attempt_id: str
+    ) -> http1.Headers:
+        """Returns the fields of an answer as the caller gets them."""
+        return [
+            *headers,
+            (outcome.OUTCOME_HEADER, "answered"),
+            (call.ATTEMPT_HEADER, attempt_id),
+        ]
+
+
+OWN_EDGE = Edge()
+
+
 def _parse(name: str, value: str) -> int:
     """Parses a number; int() would take signs, spaces and underscores."""
     if not _NUMBER.fullmatch(value):
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -21,6 +21,8 @@
     DOMAIN_OUT = "domain_out"
     LEAVING = "leaving"
     QUEUE_FULL = "queue_full"
+    BUSY = "busy"
+    WRONG_TARGET = "wrong_target"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     TOO_DEEP = "too_deep"
     TARGET_REFUSED = "target_refused"
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -211,4 +211,6 @@
         is_retry=place.is_retry,
         keyed=find(head.headers, call.KEEP_HEADER) == "1",
         stamp_ms=int(stamp) if stamp.isdigit() else -1,
+        movable=find(head.headers, call.MOVABLE_HEADER) == "1",
+        target_start=find(head.headers, call.TARGET_HEADER),
     )
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -3,14 +3,21 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import math
 
+from waxwingferry.connection import http1
 from waxwingferry.process import admission
 from waxwingferry.process import limit as limits
 from waxwingferry.process import metrics
+from waxwingferry.process import stated_limit
 from waxwingferry.process import target
 from waxwingferry.request import call
 from waxwingferry.request import outcome
-from waxwingferry.version import document
+from waxwingferry.version import revision as revisions
+
+# A target this many times slower than usual does worse than any other one
+# that has a place: the targets' machines differ by less in the steady state.
+SLOW_FACTOR = 2.0
 
 
 class Receiver:
@@ -21,8 +28,13 @@
         domain_is_out: Tells whether the node's failure domain is out.
         revision: Returns the newest document known, or None.
         counters: Metrics of the node.
+        dialect: How the target is spoken to.
+        make_limit: Makes the limit of a target with so many slots.
 
     Attributes:
+        sample: The newest load that the target reported, or None.
+        sampled_s: Monotonic time of that report.
+        on_sample: Called after each report.
         leaving: Whether the node has announced that it leaves. Others still
             send to it until they have read that.
         closed: Whether new work is refused because the node leaves.
@@ -32,9 +44,16 @@
         self,
         incarnation: str,
         domain_is_out: Callable[[], bool],
-        revision: Callable[[], document.Revision | None],
+        revision: Callable[[], revisions.Revision | None],
         counters: metrics.Metrics,
+        dialect: target.TargetDialect | None = None,
+        make_limit: Callable[[int], limits.Limit] | None = None,
     ):
+        self.dialect = dialect
+        self.make_limit = make_limit
+        self.sample: target.TargetLoad | None = None
+        self.sampled_s = -math.inf
+        self.on_sample: Callable[[], None] = lambda: None
         self.incarnation = incarnation
         self.domain_is_out = domain_is_out
         self.revision = revision
@@ -51,17 +70,54 @@
         if old == announcement:
             return False
         if self.link is None or self.admission is None or old is None:
-            self.link = target.TargetLink(announcement)
+            self.link = self._make_link(announcement)
             self.admission = self._make_admission(announcement.slots)
             return True
         if _identify(old) != _identify(announcement):
             self.retired.append(self.link)
-            self.link = target.TargetLink(announcement)
+            self.link = self._make_link(announcement)
+            self.sample = None
             self.admission.reset(limits.Cause.INCARNATION)
         self.link.announcement = announcement
         self.admission.resize(announcement.slots)
         return True
 
+    def _make_link(
+        self, announcement: target.Announcement
+    ) -> target.TargetLink:
+        return target.TargetLink(announcement, self.dialect, self.take_sample)
+
+    def take_sample(self, sample: target.TargetLoad) -> None:
+        """Takes the load that the target reports."""
+        if self.link is None or self.admission is None:
+            return
+        named = sample.incarnation
+        if named and named != self.link.announcement.incarnation:
+            return
+        self.sample = sample
+        self.sampled_s = self.admission.clock()
+        limit = self.admission.limit
+        if sample.cold_s is not None and isinstance(
+            limit, stated_limit.StatedLimit
+        ):
+            limit.set_cold(sample.cold_s)
+        self.on_sample()
+
+    def prefers_elsewhere(self) -> bool:
+        """Tells whether another target would serve a new attempt sooner."""
+        state = self.admission
+        if state is None:
+            return True
+        return (
+            bool(state.queue)
+            or not state.has_place()
+            or self.slowness() >= SLOW_FACTOR
+        )
+
+    def slowness(self) -> float:
+        """Returns how long work takes at the target, compared with usual."""
+        return self.sample.slowness if self.sample is not None else 1.0
+
     def close(self) -> None:
         """Refuses all new and queued work from now on."""
         self.closed = True
@@ -89,6 +145,9 @@
         reason = self.find_closed_reason()
         if reason is not None:
             return outcome.NotRun(reason)
+        start = self.link.announcement.incarnation
+        if attempt.target_start and attempt.target_start != start:
+            return outcome.NotRun(outcome.Reason.WRONG_TARGET)
         if attempt.deadline.remaining_s() <= 0:
             return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
         return None
@@ -100,7 +159,11 @@
         """Runs one attempt; the answer can be read inside the context."""
         while self.retired:
             await self.retired.pop().pool.close()
-        permit = await self._admit(attempt)
+        permit: admission.Permit | outcome.NotRun
+        refusal = self.check(attempt)
+        if refusal is None and attempt.movable and self.prefers_elsewhere():
+            refusal = outcome.NotRun(outcome.Reason.BUSY)
+        permit = refusal or await self._admit(attempt)
         if isinstance(permit, outcome.NotRun):
             self._count(permit)
             yield permit
@@ -144,9 +207,10 @@
         state = self.admission
         if state is None:
             return "in_flight=0,queue=0,limit=0"
+        percent = round(self.slowness() * 100)
         return (
-            f"in_flight={state.in_flight},"
-            f"queue={len(state.queue)},limit={state.limit.value}"
+            f"in_flight={state.in_flight},queue={len(state.queue)},"
+            f"limit={state.limit.value},slow={percent}"
         )
 
     def update_gauges(self) -> None:
@@ -167,6 +231,7 @@
             weight=self._find_weight,
             closed=self.find_closed_reason,
             on_reset=self._count_reset,
+            make_limit=self.make_limit,
         )
 
     def _find_weight(self, member: str) -> float:
@@ -178,13 +243,11 @@
 
     def _find_route(self, attempt: call.Attempt) -> str:
         revision = self.revision()
-        match = revision and revision.match_route(
-            attempt.method, attempt.target
-        )
-        if not match:
+        if revision is None:
             return ""
-        _, route = match
-        return f"{route.methods[0]} {route.path_prefix}"
+        host = http1.find_header(attempt.headers, "host")
+        route = revision.match_route(attempt.method, attempt.target, host)
+        return route.name if route else ""
 
     def _count(self, result: outcome.Outcome) -> None:
         match result:
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -52,6 +52,8 @@
         _Reason.DOMAIN_OUT,
         _Reason.NO_TARGET,
         _Reason.FENCED,
+        _Reason.BUSY,
+        _Reason.WRONG_TARGET,
     }
 )
 # The connection failed and the node proved that the attempt did not run.
@@ -69,6 +71,24 @@
 )
 
 
+# The node refused by itself: no target was reached, so that another attempt
+# adds nothing to what targets bear.
+_BY_NODE = frozenset(
+    {
+        _Reason.BUSY,
+        _Reason.LEAVING,
+        _Reason.DOMAIN_OUT,
+        _Reason.WRONG_TARGET,
+        _Reason.WRONG_INCARNATION,
+    }
+)
+
+
+def is_move(last: outcome.NotRun | outcome.Unknown) -> bool:
+    """Tells whether a refusal reached no target and costs no budget."""
+    return isinstance(last, outcome.NotRun) and last.reason in _BY_NODE
+
+
 def classify(last: outcome.NotRun | outcome.Unknown) -> Kind:
     """Returns what a refusal says about trying again."""
     if isinstance(last, outcome.Unknown):
@@ -86,6 +106,8 @@
         _Reason.DEADLINE_TOO_SHORT,
         _Reason.CONNECTION_SILENT,
         _Reason.STALE_ATTEMPT,
+        _Reason.BUSY,
+        _Reason.WRONG_TARGET,
     }
 )
 
@@ -123,14 +145,17 @@
     Args:
         ratio: Returns the retries allowed per call by the document.
         clock: Monotonic time in seconds.
+        slack: Returns further retries allowed in each window.
     """
 
     def __init__(
         self,
         ratio: Callable[[], float],
         clock: Callable[[], float] = time.monotonic,
+        slack: Callable[[], float] = lambda: 0.0,
     ):
         self.ratio = ratio
+        self.slack = slack
         self.clock = clock
         self.services: dict[str, budget.RatioBudget] = {}
         self.members: dict[tuple[str, str], budget.RatioBudget] = {}
@@ -158,6 +183,7 @@
         found = [self.services[made.service], self.members[name]]
         for limits in found:
             limits.ratio = ratio
+            limits.slack = self.slack()
         return found
 
     def check(
@@ -185,7 +211,9 @@
             return Denial.RETRIED_ABOVE
         if made.body.rest is not None:
             return Denial.BODY_STREAMED
-        most = 2 if kind is Kind.OVERLOADED else MAX_ATTEMPTS
+        most = min(made.max_attempts, MAX_ATTEMPTS)
+        if kind is Kind.OVERLOADED:
+            most = min(most, 2)
         if attempts >= most:
             return Denial.ATTEMPTS
         least_s = call.RETURN_RESERVE_S + latency_s
--- a/src/waxwingferry/request/tests/test_bodies.py
+++ b/src/waxwingferry/request/tests/test_bodies.py
@@ -266,7 +266,7 @@
         port=port,
         incarnation="i1",
     )
-    return target.TargetLink(announcement, pool.connect_tcp)
+    return target.TargetLink(announcement, connect=pool.connect_tcp)
 
 
 def make_attempt(body: call.Body, deadline_s: float) -> call.Attempt:
--- a/src/waxwingferry/request/tests/test_entry_bodies.py
+++ b/src/waxwingferry/request/tests/test_entry_bodies.py
@@ -52,8 +52,8 @@
             ]
         }
     )
-    revision = document.Revision(1, content)
-    unused: tuple[Any, Any, Any, Any, Any] = (None, None, None, None, None)
+    revision = document.make_revision(1, content)
+    unused: tuple[Any, Any, Any, Any] = (None, None, None, None)
     return FailingEntry(
         "n", lambda: revision, *unused, metrics.Metrics(), random.Random(1)
     )
--- a/src/waxwingferry/request/tests/test_entry_limits.py
+++ b/src/waxwingferry/request/tests/test_entry_limits.py
@@ -35,7 +35,6 @@
         nothing,
         nothing,
         nothing,
-        nothing,
         metrics.Metrics(),
         random.Random(1),
         max_in_flight=10,
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import anyio
+import msgspec
 import pytest
 
 from waxwingferry.connection import http1
@@ -21,7 +22,7 @@
     port=1,
     incarnation="i1",
 )
-DOCUMENT = document.Revision(
+DOCUMENT = document.make_revision(
     1,
     document.Document(
         services=(
@@ -49,7 +50,7 @@
 
     def announce(self, **changes) -> None:
         """Announces the target, with some fields changed."""
-        self.receiver.announce(READY.model_copy(update=changes))
+        self.receiver.announce(msgspec.structs.replace(READY, **changes))
         assert self.receiver.link is not None
         self.receiver.link.execute = self.send  # type: ignore
 
--- a/src/waxwingferry/request/tests/world.py
+++ b/src/waxwingferry/request/tests/world.py
@@ -182,7 +182,7 @@
         self.incarnation = f"{self.name}-{self.number}"
         counters = metrics.Metrics()
         self.tasks = background.Background()
-        revision = document.Revision(1, DOCUMENT)
+        revision = document.make_revision(1, DOCUMENT)
         self.receiver = receive.Receiver(
             self.incarnation, lambda: False, lambda: revision, counters
         )
@@ -217,10 +217,10 @@
             routing.Router(world.rng),
             self.forwarder,
             runner,
-            self.claims,
             counters,
             world.rng,
         )
+        self.entry.claims = self.claims
         self.peer = peer.PeerHandler(self.receiver, runner)
 
     async def connect(self, host: str, port: int) -> network.Stream:
--- a/src/waxwingferry/version/document.py
+++ b/src/waxwingferry/version/document.py
@@ -10,6 +10,7 @@
 import yaml
 
 from waxwingferry.process import settings
+from waxwingferry.version import revision
 
 DOCUMENT_KEY = "document/current"
 
@@ -165,36 +166,53 @@
     return "\n".join(lines)
 
 
-class Revision:
-    """One accepted document with the look-ups that calls need.
-
-    Args:
-        number: Revision number, from 1.
-        document: The document.
-    """
-
-    def __init__(self, number: int, document: Document):
-        self.number = number
-        self.document = document
-        self.domains_out = frozenset(
-            d.name for d in document.failure_domains if d.state == "out"
+def make_revision(number: int, document: Document) -> revision.Revision:
+    """Returns a document with the look-ups that requests need."""
+    routes = [
+        revision.Route(
+            name=f"{route.methods[0]} {route.path_prefix}",
+            parts=(revision.Part(service.name),),
+            path_prefix=route.path_prefix,
+            methods=route.methods,
+            idempotent=route.idempotent,
+            deadline_s=route.deadline_ms / 1000,
+            objective_s=route.deadline_ms / 1000,
         )
-        self.routes = sorted(
-            (
-                (route.path_prefix, service, route)
-                for service in document.services
-                for route in service.routes
-            ),
-            key=lambda item: -len(item[0]),
+        for service in document.services
+        for route in service.routes
+    ]
+    services = {
+        item.name: revision.Service(
+            item.name, item.member_header, item.member_weights
         )
-        self.services = {s.name: s for s in document.services}
-
-    def match_route(
-        self, method: str, target: str
-    ) -> tuple[Service, Route] | None:
-        """Returns the route of a request, or None."""
-        path = target.partition("?")[0]
-        for prefix, service, route in self.routes:
-            if method in route.methods and path.startswith(prefix):
-                return service, route
-        return None
+        for item in document.services
+    }
+    budgets = document.budgets
+    return revision.Revision(
+        number,
+        document.model_dump(mode="json"),
+        routes,
+        services,
+        frozenset(
+            item.name
+            for item in document.failure_domains
+            if item.state == "out"
+        ),
+        budgets=revision.Budgets(
+            budgets.retry_ratio,
+            probe_per_s=budgets.probe_per_s,
+            claim_writes_per_s=budgets.claim_writes_per_s,
+        ),
+    )
+
+
+def parse_revision(number: int, content: Any) -> revision.Revision:
+    """Returns the revision that JSON data describes.
+
+    Raises:
+        revision.ContentError: The data is not a document.
+    """
+    try:
+        return make_revision(number, Document.model_validate(content))
+    except pydantic.ValidationError as error:
+        raise revision.ContentError(str(error)) from error
--- /dev/null
+++ b/src/waxwingferry/version/shares.py
@@ -0,0 +1,45 @@
+"""Splits the requests of a route among its parts."""
+
+import random
+
+from waxwingferry.version import revision
+
+
+class Shares:
+    """Gives each part of a route its share, in an even order.
+
+    Each part gains its weight with each request, and the part that is owed
+    most gets the request. A random choice would be off by much over the few
+    requests of one node.
+
+    Args:
+        rng: Source of the first part of each route, so that the nodes do not
+            all begin with the same one.
+    """
+
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+        self.owed: dict[tuple[str, tuple], dict[str, float]] = {}
+
+    def choose(self, route: revision.Route) -> str:
+        """Returns the service that gets the next request of a route."""
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        total = sum(part.weight for part in route.parts)
+        key = (route.name, route.parts)
+        if key not in self.owed:
+            self.owed = {
+                known: value
+                for known, value in self.owed.items()
+                if known[0] != route.name
+            }
+            self.owed[key] = {
+                part.service: self.rng.random() * part.weight / total
+                for part in route.parts
+            }
+        owed = self.owed[key]
+        for part in route.parts:
+            owed[part.service] += part.weight / total
+        chosen = max(owed, key=lambda name: owed[name])
+        owed[chosen] -= 1.0
+        return chosen
