Move versions: bursts, counts by route, one judge, a conditional decision

Change: version/rollout.py judges a new version against the old one by route over the same time; bursts after the warm-up show badness under load; an operator's row counts whatever its value is.

--- /dev/null
+++ b/src/waxwingferry/platform/decisions.py
@@ -0,0 +1,54 @@
+"""The rows in which the operator sees how version moves ended."""
+
+import structlog
+
+from waxwingferry.platform import store
+from waxwingferry.process import platform
+from waxwingferry.version import rollout
+
+TABLE = "status"
+PREFIX = "status/rollout/"
+
+log = structlog.get_logger()
+
+
+class StatusLedger:
+    """See version.rollout.Ledger.
+
+    Args:
+        table: The store.
+    """
+
+    def __init__(self, table: store.StoreTable):
+        self.table = table
+
+    async def read_all(self) -> list[tuple[rollout.Decision, int]]:
+        """See version.rollout.Ledger."""
+        found = []
+        for row in await self.table.scan(PREFIX):
+            try:
+                value = row.value or {}
+                decision = rollout.Decision(
+                    row.key.removeprefix(PREFIX),
+                    # In this row "target" is the version moved to.
+                    value["target"],
+                    row.version,
+                    rollout.State(value["state"]),
+                )
+            except (KeyError, ValueError) as error:
+                log.warning(
+                    "status not a decision", key=row.key, error=str(error)
+                )
+                continue
+            found.append((decision, row.version))
+        return found
+
+    async def write(self, decision: rollout.Decision, if_version: int) -> None:
+        """See version.rollout.Ledger."""
+        value = {
+            "service": decision.service,
+            "state": decision.state.value,
+            "target": decision.version,
+        }
+        write = platform.Write(PREFIX + decision.service, value, if_version)
+        await self.table.transact([write])
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -13,6 +13,7 @@
 from waxwingferry.connection import http1
 from waxwingferry.connection import serve
 from waxwingferry.platform import boot
+from waxwingferry.platform import decisions
 from waxwingferry.platform import fields
 from waxwingferry.platform import operator
 from waxwingferry.platform import reports
@@ -21,10 +22,12 @@
 from waxwingferry.process import lifetimes
 from waxwingferry.process import logs
 from waxwingferry.process import peers
+from waxwingferry.process import platform
 from waxwingferry.process import routing
 from waxwingferry.process import sampler
 from waxwingferry.process import stated_limit
 from waxwingferry.process import target
+from waxwingferry.process import version_moves
 from waxwingferry.process import watch
 from waxwingferry.request import entry
 
@@ -83,11 +86,21 @@
             self.announce,
             time.monotonic,
         )
+        self.moves = version_moves.make_moves(
+            self.members,
+            self.configured,
+            self.receiver,
+            self.gossip,
+            decisions.StatusLedger(table),
+            settings.bounds.expose_share,
+            settings.bounds.expose_slack,
+        )
+        self.entry.moves = self.moves
         self.sampler = sampler.Sampler(
             self.receiver, self.gossip, self.fetch_load, self.counters
         )
         self.watcher = watch.Watcher(
-            self.document.watch, self.spread, self.counters, self.rng
+            self.document.watch, self.relearn, self.counters, self.rng
         )
         self.target_client = exchange.Client(*settings.target)
         self.readiness = serve.Server(self.handle_ready)
@@ -124,6 +137,22 @@
             return None
         return fields.read_health(reply, announcement)
 
+    async def learn(self) -> None:
+        """See process.core.Core."""
+        await self.spread.learn()
+        try:
+            await self.moves.learn()
+        except platform.PlatformError as error:
+            # The watcher reads them once the platform is regained.
+            log.warning("decisions not read", error=str(error))
+        self.ready = True
+        self.announce()
+
+    async def relearn(self) -> None:
+        """Reads what the feed does not tell; raises PlatformError."""
+        await self.lease.read_rows()
+        await self.moves.learn()
+
     async def handle_ready(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
@@ -204,6 +233,7 @@
                 self.gossip.run_news,
                 self.watcher.run,
                 self.sampler.run,
+                self.moves.run,
                 self.wait_for_signals,
             ):
                 group.start_soon(task)
--- a/src/waxwingferry/platform/operator.py
+++ b/src/waxwingferry/platform/operator.py
@@ -47,7 +47,9 @@
         return self._take_all(rows, version)
 
     def _take_all(self, rows: list[platform.Row], version: int) -> bool:
-        self.rows = {row.key: _with_version(row) for row in rows if row.value}
+        self.rows = {
+            row.key: _with_version(row) for row in rows if row.value is not None
+        }
         self.version = max(self.version, version)
         number = max((row.version for row in rows), default=0)
         newest = self.revision
--- a/src/waxwingferry/process/gossip.py
+++ b/src/waxwingferry/process/gossip.py
@@ -100,6 +100,8 @@
 
 # First byte of a datagram that holds a LoadPush; JSON never begins with it.
 LOAD_MARK = b"\x01"
+# First byte of a datagram that another module's handler takes.
+OTHER_MARKS = frozenset({b"\x02", b"\x03"})
 
 
 @dataclasses.dataclass(slots=True)
@@ -137,6 +139,8 @@
 
     Attributes:
         on_load: Called with each load that another node pushes.
+        handlers: Takes datagrams by their first byte; may raise
+            msgspec.DecodeError.
         newer_from: A peer that has a newer document, and its revision.
         sync_from: A peer whose member rows differ for long.
     """
@@ -170,6 +174,7 @@
         self.decoder = msgspec.json.Decoder(Datagram)
         self.load_decoder = msgspec.msgpack.Decoder(LoadPush)
         self.on_load: Callable[[LoadPush], None] = lambda push: None
+        self.handlers: dict[bytes, Callable[[bytes], None]] = {}
 
     def add_row(self, row: members.MemberRow) -> None:
         """Passes a new member row on."""
@@ -197,6 +202,9 @@
         if data[:1] == LOAD_MARK:
             self._receive_load(data[1:])
             return
+        if data[:1] in OTHER_MARKS:
+            self._receive_other(data)
+            return
         try:
             datagram = self.decoder.decode(data)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
@@ -224,6 +232,22 @@
         for row in self.known.peers():
             self._transmit(row.address, data, urgent=True)
 
+    def send_to(self, node: str, data: bytes) -> None:
+        """Sends another module's datagram to a node, if it is known."""
+        record = self.known.records.get(node)
+        if record is not None:
+            self._transmit(record.row.address, data, urgent=True)
+
+    def _receive_other(self, data: bytes) -> None:
+        handler = self.handlers.get(data[:1])
+        if handler is None:
+            self.counts.malformed += 1
+            return
+        try:
+            handler(data[1:])
+        except msgspec.DecodeError:
+            self.counts.malformed += 1
+
     def _receive_load(self, data: bytes) -> None:
         try:
             push = self.load_decoder.decode(data)
--- a/src/waxwingferry/process/watch.py
+++ b/src/waxwingferry/process/watch.py
@@ -9,7 +9,6 @@
 
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
-from waxwingferry.process import spread
 
 # First member rows are written within this time of a start of all nodes.
 FIRST_READ_S = 4.0
@@ -25,7 +24,8 @@
     Args:
         wait: Waits for the next change and puts it in force. Raises
             platform.PlatformError.
-        spreading: Learns members from the table and from peers.
+        relearn: Reads what changes are not told of, such as members.
+            Raises platform.PlatformError.
         counters: Metrics of the node.
         rng: Source of jitter.
     """
@@ -33,12 +33,12 @@
     def __init__(
         self,
         wait: Callable[[], Awaitable[None]],
-        spreading: spread.Spread,
+        relearn: Callable[[], Awaitable[None]],
         counters: metrics.Metrics,
         rng: random.Random,
     ):
         self.wait = wait
-        self.spreading = spreading
+        self.relearn = relearn
         self.counters = counters
         self.rng = rng
         self.lost = False
@@ -48,13 +48,13 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch)
             await anyio.sleep(FIRST_READ_S)
-            await self._read_members()
+            await self._read_rest()
 
-    async def _read_members(self) -> None:
+    async def _read_rest(self) -> None:
         try:
-            await self.spreading.held.read_rows()
+            await self.relearn()
         except platform.PlatformError as error:
-            log.warning("members not read", error=str(error))
+            log.warning("platform not read", error=str(error))
 
     async def _watch(self) -> None:
         delay_s = RETRY_MIN_S
@@ -73,4 +73,4 @@
             if self.lost:
                 self.lost = False
                 log.info("platform regained")
-                await self._read_members()
+                await self._read_rest()
--- a/src/waxwingferry/request/call.py
+++ b/src/waxwingferry/request/call.py
@@ -102,7 +102,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Call:
-    """One request of a caller at its entry node."""
+    """One request of a caller at its entry node.
+
+    Attributes:
+        name: The caller's own name of the request, for logs.
+        canary: Whether it tries the version that a service is moved to.
+    """
 
     call_id: str
     service: str
@@ -119,6 +124,7 @@
     max_attempts: int = 3
     name: str = ""
     route: str = ""
+    canary: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -21,6 +21,7 @@
 from waxwingferry.request import retry
 from waxwingferry.request import running
 from waxwingferry.version import revision as revisions
+from waxwingferry.version import rollout
 from waxwingferry.version import shares
 
 MAX_IN_FLIGHT = 1000
@@ -51,20 +52,6 @@
 log = structlog.get_logger()
 
 
-Versions = Callable[
-    [revisions.Revision, str, list[routing.Candidate]], list[routing.Candidate]
-]
-
-
-def keep_all(
-    revision: revisions.Revision,
-    service: str,
-    candidates: list[routing.Candidate],
-) -> list[routing.Candidate]:
-    """Returns all targets: no version is preferred."""
-    return candidates
-
-
 @dataclasses.dataclass(slots=True)
 class Trail:
     """What became of one call so far.
@@ -140,8 +127,7 @@
     Attributes:
         claims: Claims of idempotency keys, or None where no call has one.
         shares: Chooses the part of a route for each call.
-        versions: Returns the targets of a service that may get a call, by
-            the versions in force.
+        moves: Version moves, or None where there are none.
     """
 
     def __init__(
@@ -168,7 +154,7 @@
         self.rng = rng
         self.edge = edge
         self.shares = shares.Shares(rng)
-        self.versions: Versions = keep_all
+        self.moves: rollout.Moves | None = None
         self.max_in_flight = max_in_flight
         self.in_flight = 0
         self.retries = retry.RetryPolicy(
@@ -284,6 +270,7 @@
             max_attempts=route.max_attempts,
             name=self.edge.name_request(head.headers),
             route=route.name,
+            canary=bool(self.moves and self.moves.take_turn(service.name)),
         )
 
     async def _run(
@@ -341,7 +328,10 @@
             # The process was paused, and what it knows may be out of date.
             return None
         known = self.known.by_service.get(made.service, [])
-        allowed = self.versions(revision, made.service, known)
+        allowed = known
+        if self.moves is not None:
+            canary = made.canary and not trail.number
+            allowed = self.moves.allow(made.service, known, canary)
         while True:
             excluded = trail.tried | trail.busy
             chosen = self.router.choose(allowed, revision.domains_out, excluded)
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -19,6 +19,12 @@
 # that has a place: the targets' machines differ by less in the steady state.
 SLOW_FACTOR = 2.0
 
+OnAnswer = Callable[[str, str, str, bool, float], None]
+
+
+def ignore_answer(*_: object) -> None:
+    """Counts nothing."""
+
 
 class Receiver:
     """Owns admission to the node's own target.
@@ -35,6 +41,8 @@
         sample: The newest load that the target reported, or None.
         sampled_s: Monotonic time of that report.
         on_sample: Called after each report.
+        on_answer: Called with service, version and route of each answer,
+            whether it was a failure, and the time that it took.
         leaving: Whether the node has announced that it leaves. Others still
             send to it until they have read that.
         closed: Whether new work is refused because the node leaves.
@@ -54,6 +62,7 @@
         self.sample: target.TargetLoad | None = None
         self.sampled_s = -math.inf
         self.on_sample: Callable[[], None] = lambda: None
+        self.on_answer: OnAnswer = ignore_answer
         self.incarnation = incarnation
         self.domain_is_out = domain_is_out
         self.revision = revision
@@ -171,16 +180,41 @@
         assert self.link is not None
         assert self.admission is not None
         ending = admission.Ending.ABANDONED
+        began = self.slowness()
         try:
             async with self.link.execute(attempt) as result:
                 self._count(result)
                 permit.mark_head(self.admission.clock())
                 ending = _judge(result, finished=False)
+                self._count_answer(attempt, permit, result, began)
                 yield result
                 ending = _judge(result, finished=True)
         finally:
             self.admission.release(permit, ending)
 
+    def _count_answer(
+        self,
+        attempt: call.Attempt,
+        permit: admission.Permit,
+        result: outcome.Outcome,
+        slowness: float,
+    ) -> None:
+        """Counts an answer for the judgement of a version move."""
+        if isinstance(result, outcome.NotRun) or self.link is None:
+            return
+        failed = isinstance(result, outcome.Unknown)
+        if isinstance(result, outcome.Answer):
+            failed = result.head.status >= 500
+        used_s = permit.head_s - permit.started_s
+        announcement = self.link.announcement
+        self.on_answer(
+            announcement.service,
+            announcement.version,
+            permit.route,
+            failed,
+            used_s / max(slowness, self.slowness(), 1.0),
+        )
+
     async def _admit(
         self, attempt: call.Attempt
     ) -> admission.Permit | outcome.NotRun:
--- /dev/null
+++ b/src/waxwingferry/version/rollout.py
@@ -0,0 +1,539 @@
+"""Moves a service's traffic to a new version, or takes it back.
+
+Until the move is decided, the new version gets a bounded part of the requests,
+in short bursts, so that badness under load shows as well. The nodes beside the
+targets count answers by route; one node judges the new version against the old
+one over the same time and writes the decision under a condition. Once decided,
+a move never changes.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import enum
+import math
+import time
+from typing import Protocol
+
+import anyio
+import msgspec
+import structlog
+
+from waxwingferry.process import platform
+from waxwingferry.process import routing
+from waxwingferry.version import revision
+
+# Part of the allowed exposure that is used before the decision. The rest is
+# for what is on its way when the version is found bad.
+EXPOSURE_USED = 0.5
+# The requests of a period go to the new version within its first part.
+BURST_PERIOD_S = 3.0
+BURST_S = 1.0
+# New targets start with the order. A burst at a cold one would be paced, and
+# would show nothing of the version under load.
+WARM_MARGIN_S = 1.0
+MOST_WARM_SHARE = 0.4
+# The move is completed this long before its end: all requests after that meet
+# the new version, and few of them may if it is bad after all.
+COMPLETE_BEFORE_END_S = 0.8
+# Answers of the new version without which a move is not completed.
+LEAST_SAMPLES = 10
+# Places of new targets, as a share of those of old targets, that must be ready.
+LEAST_PLACES = 0.6
+# Fewer bad answers than this are chance.
+LEAST_BAD = 3
+# Bad share of a route, above that of the old version, that condemns.
+BAD_ABOVE_OLD = 0.2
+# Times above this factor of the old version's median are bad answers. A step
+# of the histogram is a factor of 2.
+SLOW_STEPS = 2
+STEPS = 14
+FIRST_STEP_S = 0.002
+TICK_S = 0.2
+PUSH_INTERVAL_S = 0.4
+REPEATS = 3
+REPEAT_GAP_S = 0.3
+# A node acts in place of a judge of lower rank after this time.
+RANK_DELAY_S = 1.0
+WRITE_RETRY_S = 0.3
+JUDGES = 2
+
+log = structlog.get_logger()
+
+
+class State(enum.Enum):
+    """How a move was decided."""
+
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+class Decision(msgspec.Struct, frozen=True, array_like=True):
+    """The end of a move.
+
+    Attributes:
+        number: Number of the order.
+    """
+
+    service: str
+    version: str
+    number: int
+    state: State
+
+
+class RouteCount(msgspec.Struct, array_like=True):
+    """Answers of one route by one target since the order.
+
+    Attributes:
+        failed: Answers that were failures, and attempts without an answer.
+        steps: Other answers by the time they took, in steps of a factor 2.
+    """
+
+    route: str
+    failed: int = 0
+    steps: list[int] = msgspec.field(default_factory=lambda: [0] * STEPS)
+
+    @property
+    def total(self) -> int:
+        """Number of all answers."""
+        return self.failed + sum(self.steps)
+
+
+class CountPush(msgspec.Struct, array_like=True):
+    """All counts of one target for a move, pushed by its node."""
+
+    node: str
+    service: str
+    version: str
+    number: int
+    routes: list[RouteCount]
+
+
+class Ledger(Protocol):
+    """Where decisions last."""
+
+    async def read_all(self) -> list[tuple[Decision, int]]:
+        """Returns all decisions with their rows' versions.
+
+        The number of a decision is its row's version: it belongs to the
+        newest order before it. Raises platform.PlatformError.
+        """
+
+    async def write(self, decision: Decision, if_version: int) -> None:
+        """Writes a decision if the row has a version, 0 for none.
+
+        Raises:
+            platform.ConflictError: Another decision came first.
+            platform.PlatformError: The outcome is unknown.
+        """
+
+
+@dataclasses.dataclass(slots=True)
+class _Course:
+    """One move as this node sees it.
+
+    Attributes:
+        calls: Requests of the service at this node since the order.
+        exposed: Those of them that went to the new version.
+    """
+
+    move: revision.Move
+    seen_s: float
+    calls: int = 0
+    exposed: int = 0
+    stopped: bool = False
+    counts: dict[str, CountPush] = dataclasses.field(default_factory=dict)
+
+
+class Moves:
+    """The moves of all services at one node.
+
+    Args:
+        node: Name of this node.
+        newest: Returns the document in force.
+        candidates: Returns the known targets of a service.
+        ledger: Where decisions last.
+        judges: Returns the nodes that may judge, by rank.
+        send: Sends a count or a decision to a node.
+        share: Part of a service's requests that a bad version may get.
+        slack: Further requests that it may get, over all nodes.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        newest: Callable[[], revision.Revision | None],
+        candidates: Callable[[str], list[routing.Candidate]],
+        ledger: Ledger,
+        judges: Callable[[], list[str]],
+        send: Callable[[str, CountPush | Decision], None],
+        share: float,
+        slack: float,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.node = node
+        self.newest = newest
+        self.candidates = candidates
+        self.ledger = ledger
+        self.judges = judges
+        self.send = send
+        self.share = share
+        self.slack = slack
+        self.clock = clock
+        self.courses: dict[str, _Course] = {}
+        self.decisions: dict[str, Decision] = {}
+        self.row_versions: dict[str, int] = {}
+        self.own: dict[str, CountPush] = {}
+
+    # Choosing
+
+    def allow(
+        self, service: str, known: list[routing.Candidate], canary: bool
+    ) -> list[routing.Candidate]:
+        """Returns the targets that a call may use.
+
+        Args:
+            service: Service of the call.
+            known: All targets of the service.
+            canary: Whether the call tries the version moved to.
+        """
+        course = self._find_course(service)
+        decision = self.decisions.get(service)
+        if course is not None and not self._is_decided(course):
+            new = _with_version(known, course.move.version)
+            old = _without_version(known, course.move.version)
+            if canary and not course.stopped:
+                return _with_place(new) or old or new
+            return old or ([] if course.stopped else new)
+        if decision is not None:
+            if decision.state is State.COMPLETED:
+                return _with_version(known, decision.version) or known
+            return _without_version(known, decision.version)
+        return _with_version(known, _find_usual(known))
+
+    def take_turn(self, service: str) -> bool:
+        """Counts a call; returns whether it tries the version moved to."""
+        course = self._find_course(service)
+        if course is None or course.stopped or self._is_decided(course):
+            return False
+        course.calls += 1
+        nodes = max(len(self.judges()), 1)
+        allowed = self.share * course.calls + self.slack / nodes
+        if course.exposed + 1 > allowed * EXPOSURE_USED:
+            return False
+        waited_s = self.clock() - course.seen_s - self._find_warm_s(course.move)
+        if waited_s < 0 or waited_s % BURST_PERIOD_S > BURST_S:
+            return False
+        course.exposed += 1
+        return True
+
+    def _find_warm_s(self, move: revision.Move) -> float:
+        """Returns how long the new targets get nothing while they are cold."""
+        newest = self.newest()
+        service = newest.services.get(move.service) if newest else None
+        cold_s = service.cold_s if service else 0.0
+        return min(cold_s + WARM_MARGIN_S, MOST_WARM_SHARE * move.duration_s)
+
+    def _find_course(self, service: str) -> _Course | None:
+        newest = self.newest()
+        move = newest.moves.get(service) if newest else None
+        if move is None:
+            return None
+        course = self.courses.get(service)
+        if course is None or course.move.number != move.number:
+            course = _Course(move, self.clock())
+            self.courses[service] = course
+            self.own.pop(service, None)
+            log.info(
+                "version move ordered",
+                service=service,
+                version=move.version,
+                number=move.number,
+                duration_s=move.duration_s,
+            )
+        return course
+
+    def _is_decided(self, course: _Course) -> bool:
+        decision = self.decisions.get(course.move.service)
+        if decision is None or decision.version != course.move.version:
+            return False
+        return decision.number >= course.move.number
+
+    # Counting
+
+    def count(
+        self,
+        service: str,
+        version: str,
+        route: str,
+        failed: bool,
+        used_s: float,
+    ) -> None:
+        """Counts an answer of the own target while a move is open.
+
+        Args:
+            service: Service of the target.
+            version: Version of the target.
+            route: Route of the request.
+            failed: Whether it was a failure.
+            used_s: Time that the target took, as on a machine as usual.
+        """
+        course = self._find_course(service)
+        if course is None or self._is_decided(course):
+            return
+        own = self.own.get(service)
+        if own is None or own.version != version:
+            own = CountPush(self.node, service, version, course.move.number, [])
+            self.own[service] = own
+        for item in own.routes:
+            if item.route == route:
+                break
+        else:
+            item = RouteCount(route)
+            own.routes.append(item)
+        if failed:
+            item.failed += 1
+        else:
+            item.steps[find_step(used_s)] += 1
+
+    def take_count(self, push: CountPush) -> None:
+        """Takes another node's counts; tells it if the move is decided."""
+        decision = self.decisions.get(push.service)
+        if decision is not None and decision.number >= push.number:
+            self.send(push.node, decision)
+            return
+        course = self._find_course(push.service)
+        if course is not None and course.move.number == push.number:
+            course.counts[push.node] = push
+
+    def take_decision(self, decision: Decision) -> None:
+        """Takes a decision, unless a later one is known."""
+        known = self.decisions.get(decision.service)
+        if known is not None and known.number >= decision.number:
+            return
+        self.decisions[decision.service] = decision
+        log.info(
+            "version move decided",
+            service=decision.service,
+            version=decision.version,
+            number=decision.number,
+            state=decision.state.value,
+        )
+
+    async def learn(self) -> None:
+        """Reads the decisions made so far; raises PlatformError."""
+        for decision, version in await self.ledger.read_all():
+            self.row_versions[decision.service] = version
+            self.take_decision(decision)
+
+    # Judging
+
+    async def run(self) -> None:
+        """Pushes own counts and judges, until cancelled."""
+        pushed: dict[str, int] = {}
+        last_push_s = -PUSH_INTERVAL_S
+        while True:
+            await anyio.sleep(TICK_S)
+            newest = self.newest()
+            if newest is None:
+                continue
+            due = self.clock() - last_push_s >= PUSH_INTERVAL_S
+            for service in newest.moves:
+                course = self._find_course(service)
+                if course is None or self._is_decided(course):
+                    continue
+                own = self.own.get(service)
+                if due and own is not None:
+                    total = sum(item.total for item in own.routes)
+                    if pushed.get(service) != total:
+                        pushed[service] = total
+                        self._push(own)
+                await self._judge(course)
+            if due:
+                last_push_s = self.clock()
+
+    def _push(self, own: CountPush) -> None:
+        for judge in self.judges()[:JUDGES]:
+            if judge == self.node:
+                self.take_count(own)
+            else:
+                self.send(judge, own)
+
+    async def _judge(self, course: _Course) -> None:
+        ranked = self.judges()
+        rank = ranked.index(self.node) if self.node in ranked else len(ranked)
+        if rank >= JUDGES:
+            return
+        elapsed_s = self.clock() - course.seen_s - rank * RANK_DELAY_S
+        state, why = self._weigh(course, elapsed_s)
+        if state is None:
+            return
+        if state is State.ROLLED_BACK:
+            course.stopped = True
+        decision = Decision(
+            course.move.service,
+            course.move.version,
+            course.move.number,
+            state,
+        )
+        log.info(
+            "version move judged",
+            service=decision.service,
+            version=decision.version,
+            state=state.value,
+            why=why,
+            elapsed_s=round(elapsed_s, 1),
+        )
+        await self._write(decision)
+
+    def _weigh(
+        self, course: _Course, elapsed_s: float
+    ) -> tuple[State | None, str]:
+        """Returns how a move ends by now, or None, and the reason."""
+        move = course.move
+        new = merge(course.counts.values(), move.version, True)
+        old = merge(course.counts.values(), move.version, False)
+        bad = find_bad(old, new)
+        if bad:
+            return State.ROLLED_BACK, bad
+        if elapsed_s < move.duration_s - COMPLETE_BEFORE_END_S:
+            return None, ""
+        samples = sum(item.total for item in new.values())
+        if samples < LEAST_SAMPLES or not self._has_places(move):
+            if elapsed_s > 2 * move.duration_s:
+                return State.ROLLED_BACK, "too little evidence"
+            return None, ""
+        return State.COMPLETED, f"{samples} answers, none found worse"
+
+    def _has_places(self, move: revision.Move) -> bool:
+        known = self.candidates(move.service)
+        new = _with_version(known, move.version)
+        old = _without_version(known, move.version)
+        places = sum(item.slots for item in new if item.state == "ready")
+        needed = sum(item.slots for item in old if item.state == "ready")
+        return places > 0 and places >= needed * LEAST_PLACES
+
+    async def _write(self, decision: Decision) -> None:
+        expected = self.row_versions.get(decision.service, 0)
+        try:
+            await self.ledger.write(decision, expected)
+        except platform.ConflictError as error:
+            log.info("another decision came first", error=str(error))
+            self.row_versions[decision.service] = (
+                error.row.version if error.row else 0
+            )
+            await self._learn_quietly()
+            return
+        except platform.PlatformError as error:
+            log.warning("decision not written", error=str(error))
+            await anyio.sleep(WRITE_RETRY_S)
+            await self._learn_quietly()
+            return
+        self.take_decision(decision)
+        for _ in range(REPEATS):
+            for node in self.judges():
+                if node != self.node:
+                    self.send(node, decision)
+            await anyio.sleep(REPEAT_GAP_S)
+
+    async def _learn_quietly(self) -> None:
+        try:
+            await self.learn()
+        except platform.PlatformError as error:
+            log.warning("decisions not read", error=str(error))
+
+
+def find_step(used_s: float) -> int:
+    """Returns the step of a time in the histogram."""
+    if used_s <= FIRST_STEP_S:
+        return 0
+    return min(int(math.log2(used_s / FIRST_STEP_S)), STEPS - 1)
+
+
+def merge(
+    pushes: collections.abc.Iterable[CountPush], version: str, same: bool
+) -> dict[str, RouteCount]:
+    """Returns the counts by route of a version, or of all others."""
+    merged: dict[str, RouteCount] = {}
+    for push in pushes:
+        if (push.version == version) is not same:
+            continue
+        for item in push.routes:
+            whole = merged.setdefault(item.route, RouteCount(item.route))
+            whole.failed += item.failed
+            whole.steps = [
+                a + b for a, b in zip(whole.steps, item.steps, strict=True)
+            ]
+    return merged
+
+
+def find_bad(old: dict[str, RouteCount], new: dict[str, RouteCount]) -> str:
+    """Returns why a version is worse than the old one, or an empty text."""
+    all_bad = all_total = 0
+    old_bad = old_total = 0
+    for route, item in new.items():
+        base = old.get(route, RouteCount(route))
+        median = _median_step(base)
+        bad = _count_bad(item, median)
+        base_bad = _count_bad(base, median)
+        all_bad += bad
+        all_total += item.total
+        old_bad += base_bad
+        old_total += base.total
+        if _is_worse(bad, item.total, base_bad, base.total):
+            return f"{route}: {bad} of {item.total} bad"
+    if _is_worse(all_bad, all_total, old_bad, old_total):
+        return f"all routes: {all_bad} of {all_total} bad"
+    return ""
+
+
+def _is_worse(bad: int, total: int, old_bad: int, old_total: int) -> bool:
+    if bad < LEAST_BAD:
+        return False
+    base = old_bad / old_total if old_total else 0.0
+    return bad / total > base + BAD_ABOVE_OLD
+
+
+def _median_step(item: RouteCount) -> int:
+    half = sum(item.steps) / 2
+    if not half:
+        return STEPS
+    seen = 0
+    for step, number in enumerate(item.steps):
+        seen += number
+        if seen >= half:
+            return step
+    return STEPS
+
+
+def _count_bad(item: RouteCount, median: int) -> int:
+    return item.failed + sum(item.steps[median + SLOW_STEPS + 1 :])
+
+
+def _with_version(
+    known: list[routing.Candidate], version: str
+) -> list[routing.Candidate]:
+    return [item for item in known if item.version == version]
+
+
+def _without_version(
+    known: list[routing.Candidate], version: str
+) -> list[routing.Candidate]:
+    return [item for item in known if item.version != version]
+
+
+def _with_place(known: list[routing.Candidate]) -> list[routing.Candidate]:
+    """Returns ready targets that are believed to have a free place."""
+    return [
+        item
+        for item in known
+        if item.state == "ready" and item.stats.in_flight < item.slots
+    ]
+
+
+def _find_usual(known: list[routing.Candidate]) -> str:
+    """Returns the version that most targets have."""
+    counts = collections.Counter(item.version for item in known)
+    most = max(counts.values(), default=0)
+    return min((v for v, n in counts.items() if n == most), default="")
