--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -35,6 +35,9 @@
 READY_PATH = "/-/ready"
 # Second of the ports for communication between nodes.
 METRICS_PORT_OFFSET = 1
+# Readiness is asked each second, and two misses take a node out. Until then
+# requesters open connections, which must find somebody.
+OUT_AFTER_S = 2.3
 # Time for peers to hear that this node leaves, by datagrams.
 LEAVE_DELAY_S = 0.3
 
@@ -240,7 +243,10 @@
             group.start_soon(self.datagrams.run, self.gossip.receive)
             log.info("node started", node=settings.node)
             await self.stop_asked.wait()
+            asked_s = time.monotonic()
             await self.leave()
+            left_s = OUT_AFTER_S - (time.monotonic() - asked_s)
+            await anyio.sleep(max(left_s, 0))
             async with anyio.create_task_group() as drains:
                 drains.start_soon(self.callers.drain)
                 drains.start_soon(self.peers.drain)
--- a/src/waxwingferry/process/gossip.py
+++ b/src/waxwingferry/process/gossip.py
@@ -301,7 +301,8 @@
             self.known.fingerprint,
             suspects=suspects or [],
         )
-        size = len(self.encoder.encode(datagram))
+        # An empty list of rows is left out, with its name.
+        size = len(self.encoder.encode(datagram)) + len(b',"rows":[]')
         for row in rows[:MAX_ROWS]:
             size += len(self.encoder.encode(row)) + 1
             if size > MAX_DATAGRAM_BYTES:
--- a/src/waxwingferry/process/tests/test_gossip.py
+++ b/src/waxwingferry/process/tests/test_gossip.py
@@ -192,3 +192,19 @@
     assert not configured.offer(2, {"unknown": True})
     assert configured.number == 1
     assert configured.offer(3, CONTENT)
+
+
+@pytest.mark.parametrize("length", range(1, 64))
+def test_a_full_digest_stays_within_the_datagram(length):
+    """Guards against a size estimate that leaves out the name of the rows.
+
+    The assertion on the size ended a node when rows filled a datagram up to
+    the last bytes.
+    """
+    network = fakes.Network(random.Random(1), fakes.Faults())
+    node = network.add(0)
+    for number in range(1, 20):
+        version = "v" * (length if number % 2 else 1)
+        node.members.apply(fakes.make_row(number, version=version))
+    node.gossip.send_digest(("127.0.0.1", 10_001), "reply")
+    assert node.gossip.counts.sent_bytes > 0
