Send fewer datagrams: short digests, one pass among few nodes

Change: digests name rows of 3 s, news passes once among up to 16 nodes, loads are pushed on a change of the slowness only.

--- a/src/waxwingferry/process/gossip.py
+++ b/src/waxwingferry/process/gossip.py
@@ -28,12 +28,16 @@
 FANOUT = 4
 # One pass to 4 peers reaches 98% of the nodes, three passes all of 660 but
 # with a probability of 0.4%; digests reach the rest. Of many rows at once,
-# as when a failure domain returns, each is passed on once.
+# as when a failure domain returns, and among few nodes each is passed on once.
 PASSES = 3
+FEW_PEERS = 16
 PASSES_OF_MANY = 1
 COALESCE_S = 0.01
 PASS_INTERVAL_S = 0.25
+# A reply to a digest that differs names the rows of this time.
 RECENT_S = 30.0
+# A digest names the rows that news may not have reached yet.
+DIGEST_RECENT_S = 3.0
 # The budget for all control is 22 KB/s a node.
 BYTES_PER_S = 11_000.0
 BURST_BYTES = 33_000.0
@@ -281,7 +285,8 @@
 
         Of many recent rows each digest carries others.
         """
-        recent = self.known.recent_rows(self.clock() - RECENT_S)
+        span_s = DIGEST_RECENT_S if kind == "digest" else RECENT_S
+        recent = self.known.recent_rows(self.clock() - span_s)
         if len(recent) > MAX_ROWS:
             recent = self.rng.sample(recent, MAX_ROWS)
         data, _ = self._encode(kind, recent)
@@ -356,7 +361,9 @@
             for address in self.choose_peers(FANOUT):
                 self._transmit(address, data)
             if passes is None:
-                passes = PASSES if count == len(rows) else PASSES_OF_MANY
+                few = len(self.known.records) <= FEW_PEERS
+                many = count < len(rows)
+                passes = PASSES_OF_MANY if few or many else PASSES
             for row in rows[:count]:
                 self._note_pass(row.node, passes)
             rows = rows[count:]
--- a/src/waxwingferry/process/sampler.py
+++ b/src/waxwingferry/process/sampler.py
@@ -59,7 +59,6 @@
         self.clock = clock
         self.active_s = -ACTIVE_S
         self.pushed_slowness = 1.0
-        self.pushed_place = True
         self.pushed_s = -LEAST_PUSH_GAP_S
         receiver.on_sample = self.push_changes
 
@@ -95,16 +94,13 @@
             return
         now_s = self.clock()
         slowness = self.receiver.slowness()
-        place = state.has_place() and not state.queue
         ratio = slowness / self.pushed_slowness
-        same = 1 / PUSH_RATIO < ratio < PUSH_RATIO
-        if same and place == self.pushed_place:
+        if 1 / PUSH_RATIO < ratio < PUSH_RATIO:
             return
         if now_s - self.pushed_s < LEAST_PUSH_GAP_S:
             return
         self.pushed_s = now_s
         self.pushed_slowness = slowness
-        self.pushed_place = place
         self.chatter.push_load(
             gossip.LoadPush(
                 self.chatter.known.node,
