Judge versions by chance; resume the target after a restart

After kill_all a node waited up to 1.5 s for its target's next report. Change: bursts go to a third of the new targets; a binomial test against the old version decides; a restarted node takes up the target of its row after a health answer with the same identity; a writer tells all of few nodes its own row.

--- a/src/waxwingferry/platform/fields.py
+++ b/src/waxwingferry/platform/fields.py
@@ -69,7 +69,7 @@
         self, attempt: call.Attempt, announcement: target.Announcement
     ) -> http1.Headers:
         """See target.TargetDialect."""
-        target_id = announcement.incarnation.partition(":")[0]
+        target_id = announcement.incarnation.rpartition(":")[0]
         return [
             *call.forwarded_headers(attempt),
             (DEADLINE_MS, str(call.remaining_ms(attempt))),
@@ -98,10 +98,9 @@
 
 
 def read_health(
-    reply: exchange.Reply, announcement: target.Announcement
+    reply: exchange.Reply, target_id: str
 ) -> target.TargetLoad | None:
     """Returns the load in a health answer, None if it is another target's."""
-    target_id = announcement.incarnation.partition(":")[0]
     named = http1.find_header(reply.headers, TARGET_ID)
     if named and named != target_id:
         return None
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -100,7 +100,7 @@
         )
         self.entry.moves = self.moves
         self.sampler = sampler.Sampler(
-            self.receiver, self.gossip, self.fetch_load, self.counters
+            self.receiver, self.gossip, self.sample, self.counters
         )
         self.watcher = watch.Watcher(
             self.document.watch, self.relearn, self.counters, self.rng
@@ -123,12 +123,19 @@
         service = newest.services.get(link.announcement.service)
         return service.cold_per_s if service else 0.0
 
-    async def fetch_load(
+    async def sample(
         self, announcement: target.Announcement
     ) -> target.TargetLoad | None:
-        """Asks the own target for its load."""
+        """Asks the announced target for its load."""
+        target_id = announcement.incarnation.rpartition(":")[0]
+        return await self.fetch_load(announcement.service, target_id)
+
+    async def fetch_load(
+        self, name: str, target_id: str
+    ) -> target.TargetLoad | None:
+        """Asks the own target for its load, None if it is another one."""
         newest = self.configured.revision
-        service = newest and newest.services.get(announcement.service)
+        service = newest.services.get(name) if newest else None
         if not service or not service.health_path:
             return None
         try:
@@ -138,7 +145,7 @@
         except exchange.ExchangeError as error:
             log.debug("target not sampled", error=str(error))
             return None
-        return fields.read_health(reply, announcement)
+        return fields.read_health(reply, target_id)
 
     async def learn(self) -> None:
         """See process.core.Core."""
@@ -150,6 +157,19 @@
             log.warning("decisions not read", error=str(error))
         self.ready = True
         self.announce()
+        await self.resume()
+
+    async def resume(self) -> None:
+        """Takes up the target of an earlier process, if it still runs."""
+        row = self.members.predecessor
+        if row is None or not row.target or self.receiver.link is not None:
+            return
+        target_id = row.target.rpartition(":")[0]
+        sample = await self.fetch_load(row.service, target_id)
+        if sample is None or self.receiver.link is not None:
+            return
+        self.lifetimes.resume(row, *self.settings.target)
+        self.receiver.take_sample(sample)
 
     async def relearn(self) -> None:
         """Reads what the feed does not tell; raises PlatformError."""
--- a/src/waxwingferry/process/gossip.py
+++ b/src/waxwingferry/process/gossip.py
@@ -358,7 +358,7 @@
                 return
             data, count = self._encode("news", rows)
             assert count > 0
-            for address in self.choose_peers(FANOUT):
+            for address in self._choose_readers(rows[:count]):
                 self._transmit(address, data)
             if passes is None:
                 few = len(self.known.records) <= FEW_PEERS
@@ -368,6 +368,17 @@
                 self._note_pass(row.node, passes)
             rows = rows[count:]
 
+    def _choose_readers(self, rows: list[members.MemberRow]) -> list[Address]:
+        """Returns the peers that news goes to.
+
+        Among few nodes the writer of a row tells all of them, and each of
+        them only one more, in case the writer can't reach it.
+        """
+        if len(self.known.records) > FEW_PEERS:
+            return self.choose_peers(FANOUT)
+        own = any(row.node == self.known.node for row in rows)
+        return self.choose_peers(FEW_PEERS if own else 1)
+
     def _pass_short(self) -> None:
         """Passes the revision and suspects on.
 
--- a/src/waxwingferry/process/lifetimes.py
+++ b/src/waxwingferry/process/lifetimes.py
@@ -73,6 +73,37 @@
         self.newest: Report | None = None
         self.left: dict[str, float] = {}
 
+    def resume(self, row: members.MemberRow, host: str, port: int) -> None:
+        """Takes up the target that an earlier process of this node had.
+
+        Its next report tells more; until then it would get no work.
+
+        Args:
+            row: Row of the earlier process.
+            host: IP number that the target listens on.
+            port: Port that the target listens on.
+        """
+        target_id, _, born = row.target.rpartition(":")
+        announcement = target.Announcement(
+            row.service,
+            row.version,
+            row.slots,
+            host,
+            port,
+            row.target,
+            "draining" if row.state == "draining" else "ready",
+        )
+        born_ms = int(born) if born.isdigit() else 0
+        self.newest = Report(target_id, born_ms, -1, 0.0, announcement)
+        if announcement.state == "draining":
+            self.left.setdefault(row.target, self.clock())
+        log.info(
+            "target of an earlier process",
+            target=row.target,
+            state=announcement.state,
+        )
+        self._apply(announcement, 0.0)
+
     async def take_report(self, report: Report) -> bool:
         """Takes a report; returns whether it is confirmed."""
         if self._is_outdated(report):
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -33,6 +33,8 @@
 # would show nothing of the version under load.
 WARM_MARGIN_S = 1.0
 MOST_WARM_SHARE = 0.4
+# Share of the new targets that the bursts go to.
+PACKED_SHARE = 0.34
 # The move is completed this long before its end: all requests after that meet
 # the new version, and few of them may if it is bad after all.
 COMPLETE_BEFORE_END_S = 0.8
@@ -41,9 +43,12 @@
 # Places of new targets, as a share of those of old targets, that must be ready.
 LEAST_PLACES = 0.6
 # Fewer bad answers than this are chance.
-LEAST_BAD = 3
-# Bad share of a route, above that of the old version, that condemns.
-BAD_ABOVE_OLD = 0.2
+LEAST_BAD = 2
+# A version is taken back at once if so many bad answers would come by chance
+# with this probability, and at the end with the other: a good version taken
+# back is ordered again, a bad one that was completed is not.
+CHANCE_AT_ONCE = 0.01
+CHANCE_AT_END = 0.1
 # Times above this factor of the old version's median are bad answers. A step
 # of the histogram is a factor of 2.
 SLOW_STEPS = 2
@@ -394,10 +399,11 @@
         move = course.move
         new = merge(course.counts.values(), move.version, True)
         old = merge(course.counts.values(), move.version, False)
-        bad = find_bad(old, new)
+        ends = elapsed_s >= move.duration_s - COMPLETE_BEFORE_END_S
+        bad = find_bad(old, new, CHANCE_AT_END if ends else CHANCE_AT_ONCE)
         if bad:
             return State.ROLLED_BACK, bad
-        if elapsed_s < move.duration_s - COMPLETE_BEFORE_END_S:
+        if not ends:
             return None, ""
         samples = sum(item.total for item in new.values())
         if samples < LEAST_SAMPLES or not self._has_places(move):
@@ -468,8 +474,16 @@
     return merged
 
 
-def find_bad(old: dict[str, RouteCount], new: dict[str, RouteCount]) -> str:
-    """Returns why a version is worse than the old one, or an empty text."""
+def find_bad(
+    old: dict[str, RouteCount], new: dict[str, RouteCount], chance: float
+) -> str:
+    """Returns why a version is worse than the old one, or an empty text.
+
+    Args:
+        old: Counts of the old version by route.
+        new: Counts of the new version by route.
+        chance: Probability below which that many bad answers are no chance.
+    """
     all_bad = all_total = 0
     old_bad = old_total = 0
     for route, item in new.items():
@@ -481,18 +495,35 @@
         all_total += item.total
         old_bad += base_bad
         old_total += base.total
-        if _is_worse(bad, item.total, base_bad, base.total):
-            return f"{route}: {bad} of {item.total} bad"
-    if _is_worse(all_bad, all_total, old_bad, old_total):
-        return f"all routes: {all_bad} of {all_total} bad"
+        if _is_worse(bad, item.total, base_bad, base.total, chance):
+            return (
+                f"{route}: {bad} of {item.total} bad, "
+                f"old {base_bad} of {base.total}"
+            )
+    if _is_worse(all_bad, all_total, old_bad, old_total, chance):
+        return (
+            f"all routes: {all_bad} of {all_total} bad, "
+            f"old {old_bad} of {old_total}"
+        )
     return ""
 
 
-def _is_worse(bad: int, total: int, old_bad: int, old_total: int) -> bool:
+def _is_worse(
+    bad: int, total: int, old_bad: int, old_total: int, chance: float
+) -> bool:
     if bad < LEAST_BAD:
         return False
-    base = old_bad / old_total if old_total else 0.0
-    return bad / total > base + BAD_ABOVE_OLD
+    # One bad answer more keeps few old answers from proving a rate of 0.
+    base = (old_bad + 1) / (old_total + 2)
+    return _binomial_tail(bad, total, base) < chance
+
+
+def _binomial_tail(least: int, total: int, share: float) -> float:
+    """Returns the probability of at least so many of total."""
+    return sum(
+        math.comb(total, n) * share**n * (1 - share) ** (total - n)
+        for n in range(least, total + 1)
+    )
 
 
 def _median_step(item: RouteCount) -> int:
@@ -524,12 +555,14 @@
 
 
 def _with_place(known: list[routing.Candidate]) -> list[routing.Candidate]:
-    """Returns ready targets that are believed to have a free place."""
-    return [
-        item
-        for item in known
-        if item.state == "ready" and item.stats.in_flight < item.slots
-    ]
+    """Returns a few ready targets with a free place, the same at all nodes.
+
+    Packing the few requests shows what the version does under load.
+    """
+    ready = [item for item in known if item.state == "ready"]
+    ready.sort(key=lambda item: item.node)
+    packed = ready[: max(round(len(ready) * PACKED_SHARE), 1)]
+    return [item for item in packed if item.stats.in_flight < item.slots]
 
 
 def _find_usual(known: list[routing.Candidate]) -> str:
