--- /dev/null
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -0,0 +1,95 @@
+"""The store's published protocol: conditions, paging, changes, failures."""
+
+import anyio
+import pytest
+
+from waxwingferry.platform import store
+from waxwingferry.platform.tests import standin
+from waxwingferry.process import platform
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_rows_are_read_and_written():
+    """Guards against keys and values that don't survive the translation."""
+    async with standin.run_store() as (_, table):
+        write = platform.Write("members/n1", {"slots": 6}, 0)
+        versions = await table.transact([write])
+        row = await table.read("members/n1")
+        assert row == platform.Row("members/n1", {"slots": 6}, versions[0])
+        assert await table.read("members/n2") is None
+
+
+async def test_a_condition_that_does_not_hold_writes_nothing():
+    """Guards against a 412 taken for a failure of unknown effect."""
+    async with standin.run_store() as (made, table):
+        version = made.put("members", "n1", {"slots": 6})
+        write = platform.Write("members/n1", {"slots": 9}, 0)
+        with pytest.raises(platform.ConflictError) as caught:
+            await table.transact([write])
+        assert caught.value.row is not None
+        assert caught.value.row.version == version
+
+
+async def test_all_pages_of_a_table_are_read():
+    """Guards against members lost beyond the first page."""
+    async with standin.run_store() as (made, table):
+        for number in range(7):
+            made.put("members", f"n{number}", {"slots": 6})
+        rows = await table.scan("members/")
+        assert [row.key for row in rows] == [f"members/n{n}" for n in range(7)]
+
+
+async def test_a_foreign_row_has_no_value():
+    """Guards against a crash on a row that another program wrote."""
+    async with standin.run_store() as (made, table):
+        made.put("members", "n1", b"\xff\x00")
+        made.put("members", "n2", b"[1]")
+        rows = await table.scan("members/")
+        assert [row.value for row in rows] == [None, None]
+
+
+@pytest.mark.parametrize("status", [429, 503, 500])
+async def test_a_refusal_is_a_platform_error(status):
+    """Guards against a refused call taken for a row that is not there."""
+    async with standin.run_store() as (made, table):
+        made.status = status
+        with pytest.raises(platform.PlatformError):
+            await table.read("members/n1")
+
+
+async def test_a_lost_answer_leaves_the_outcome_open(monkeypatch):
+    """Guards against waiting without end, and against "nothing written"."""
+    monkeypatch.setattr(store, "REQUEST_TIMEOUT_S", 0.1)
+    async with standin.run_store() as (made, table):
+        made.lose_answers = True
+        with pytest.raises(platform.PlatformError):
+            await table._call("GET", "/-/rows-get?table=op", timeout_s=0.1)
+
+
+async def test_changes_wake_the_reader_and_name_removed_rows():
+    """Guards against orders that stay after the operator took them back."""
+    async with standin.run_store() as (made, table):
+        made.put("op", "evacuate/a", {})
+        _, version = await table.read_table("op")
+        async with anyio.create_task_group() as group:
+
+            async def change() -> None:
+                await anyio.sleep(0.05)
+                made.remove("op", "evacuate/a")
+
+            group.start_soon(change)
+            rows, newest = await table.read_changes("op", version)
+        assert [(row.key, row.value) for row in rows] == [
+            ("op/evacuate/a", None)
+        ]
+        assert newest == made.ver
+
+
+async def test_history_that_is_gone_has_its_own_error():
+    """Guards against a feed that fails for ever after 410."""
+    async with standin.run_store() as (made, table):
+        made.put("op", "config", {})
+        made.oldest = 5
+        with pytest.raises(store.HistoryGoneError):
+            await table.read_changes("op", 1)
--- a/src/waxwingferry/process/version_moves.py
+++ b/src/waxwingferry/process/version_moves.py
@@ -1,5 +1,8 @@
 """Carries the counts and decisions of version moves between nodes."""
 
+from collections.abc import Callable
+from typing import Any
+
 import msgspec
 
 from waxwingferry.process import gossip
@@ -8,8 +11,12 @@
 from waxwingferry.request import receive
 from waxwingferry.version import rollout
 
-COUNT_MARK = b"\x02"
-DECISION_MARK = b"\x03"
+# First bytes of the datagrams, from gossip.OTHER_MARKS.
+MARKS: dict[type, bytes] = {
+    rollout.CountPush: b"\x02",
+    rollout.Decision: b"\x03",
+    rollout.Stop: b"\x04",
+}
 
 
 def make_moves(
@@ -36,9 +43,10 @@
     def judges() -> list[str]:
         return sorted({known.node, *(row.node for row in known.peers())})
 
-    def send(node: str, item: rollout.CountPush | rollout.Decision) -> None:
-        counts = isinstance(item, rollout.CountPush)
-        mark = COUNT_MARK if counts else DECISION_MARK
+    def send(
+        node: str, item: rollout.CountPush | rollout.Decision | rollout.Stop
+    ) -> None:
+        mark = MARKS[type(item)]
         chatter.send_to(node, mark + msgspec.msgpack.encode(item))
 
     moves = rollout.Moves(
@@ -51,13 +59,19 @@
         share,
         slack,
     )
-    counts = msgspec.msgpack.Decoder(rollout.CountPush)
-    decisions = msgspec.msgpack.Decoder(rollout.Decision)
-    chatter.handlers[COUNT_MARK] = lambda data: moves.take_count(
-        counts.decode(data)
-    )
-    chatter.handlers[DECISION_MARK] = lambda data: moves.take_decision(
-        decisions.decode(data)
-    )
+    handlers: dict[type, Callable[[Any], None]] = {
+        rollout.CountPush: moves.take_count,
+        rollout.Decision: moves.take_decision,
+        rollout.Stop: moves.take_stop,
+    }
+    for kind, handler in handlers.items():
+        chatter.handlers[MARKS[kind]] = _make_handler(kind, handler)
     receiver.on_answer = moves.count
     return moves
+
+
+def _make_handler(
+    kind: type, handler: Callable[[Any], None]
+) -> Callable[[bytes], None]:
+    decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(kind)
+    return lambda data: handler(decoder.decode(data))
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -73,6 +73,13 @@
     ROLLED_BACK = "rolled_back"
 
 
+class Stop(msgspec.Struct, frozen=True, array_like=True):
+    """A judge found a version bad and has yet to write the decision."""
+
+    service: str
+    number: int
+
+
 class Decision(msgspec.Struct, frozen=True, array_like=True):
     """The end of a move.
 
@@ -159,7 +166,7 @@
         candidates: Returns the known targets of a service.
         ledger: Where decisions last.
         judges: Returns the nodes that may judge, by rank.
-        send: Sends a count or a decision to a node.
+        send: Sends a count, a decision or a stop to a node.
         share: Part of a service's requests that a bad version may get.
         slack: Further requests that it may get, over all nodes.
         clock: Monotonic time in seconds.
@@ -172,7 +179,7 @@
         candidates: Callable[[str], list[routing.Candidate]],
         ledger: Ledger,
         judges: Callable[[], list[str]],
-        send: Callable[[str, CountPush | Decision], None],
+        send: Callable[[str, CountPush | Decision | Stop], None],
         share: float,
         slack: float,
         clock: Callable[[], float] = time.monotonic,
@@ -312,6 +319,14 @@
         if course is not None and course.move.number == push.number:
             course.counts[push.node] = push
 
+    def take_stop(self, stop: Stop) -> None:
+        """Sends nothing more to the version of an open move."""
+        course = self._find_course(stop.service)
+        if course is not None and course.move.number == stop.number:
+            if not course.stopped:
+                log.info("version move stopped", service=stop.service)
+            course.stopped = True
+
     def take_decision(self, decision: Decision) -> None:
         """Takes a decision, unless a later one is known."""
         known = self.decisions.get(decision.service)
@@ -375,7 +390,9 @@
         if state is None:
             return
         if state is State.ROLLED_BACK:
+            # The table may be away; nobody sends to a bad version meanwhile.
             course.stopped = True
+            self._tell_all(Stop(course.move.service, course.move.number))
         decision = Decision(
             course.move.service,
             course.move.version,
@@ -438,11 +455,14 @@
             return
         self.take_decision(decision)
         for _ in range(REPEATS):
-            for node in self.judges():
-                if node != self.node:
-                    self.send(node, decision)
+            self._tell_all(decision)
             await anyio.sleep(REPEAT_GAP_S)
 
+    def _tell_all(self, item: Decision | Stop) -> None:
+        for node in self.judges():
+            if node != self.node:
+                self.send(node, item)
+
     async def _learn_quietly(self) -> None:
         try:
             await self.learn()
--- /dev/null
+++ b/src/waxwingferry/version/tests/test_rollout.py
@@ -0,0 +1,244 @@
+"""Version moves: which targets a call may use, and how a move is judged."""
+
+import random
+
+import pytest
+
+from waxwingferry.process import platform
+from waxwingferry.process import routing
+from waxwingferry.process.tests import fakes
+from waxwingferry.version import revision
+from waxwingferry.version import rollout
+
+pytestmark = pytest.mark.anyio
+
+MOVE = revision.Move("desk", "v2", 16.0, 7)
+
+
+class Ledger:
+    """Decisions in memory; answers can be made to fail."""
+
+    def __init__(self):
+        self.written: list[rollout.Decision] = []
+        self.down = False
+        self.rival: rollout.Decision | None = None
+
+    async def read_all(self):
+        """See rollout.Ledger."""
+        if self.rival is not None:
+            return [(self.rival, self.rival.number)]
+        return [(item, 9) for item in self.written]
+
+    async def write(self, decision, if_version):
+        """See rollout.Ledger."""
+        if self.down:
+            raise platform.PlatformError("down")
+        if self.rival is not None:
+            raise platform.ConflictError("status", None)
+        self.written.append(decision)
+
+
+class Made:
+    """The moves of node n0 with all that surrounds them."""
+
+    def __init__(self, move: revision.Move | None = MOVE):
+        self.clock = fakes.Clock()
+        self.ledger = Ledger()
+        self.sent: list[tuple[str, object]] = []
+        self.targets = [make_target(n, "v1") for n in range(4)]
+        self.targets += [make_target(n, "v2") for n in range(4, 8)]
+        services = {"desk": revision.Service("desk", cold_s=3.0)}
+        moves = {"desk": move} if move else {}
+        self.document = revision.Revision(1, {}, [], services, moves=moves)
+        self.moves = rollout.Moves(
+            "n0",
+            lambda: self.document,
+            lambda service: self.targets,
+            self.ledger,
+            lambda: ["n0", "n1"],
+            lambda node, item: self.sent.append((node, item)),
+            share=0.1,
+            slack=50.0,
+            clock=self.clock,
+        )
+
+    def versions(self, canary: bool = False) -> set[str]:
+        """Returns the versions that a call may use."""
+        found = self.moves.allow("desk", self.targets, canary)
+        return {item.version for item in found}
+
+    def count(self, version: str, good: int, bad: int, used_s=0.2) -> None:
+        """Counts answers of a target of node n-version."""
+        routes = [rollout.RouteCount("r1", bad)]
+        routes[0].steps[rollout.find_step(used_s)] = good
+        self.moves.take_count(
+            rollout.CountPush(f"n-{version}", "desk", version, 7, routes)
+        )
+
+    async def judge(self, elapsed_s: float) -> None:
+        """Lets the node judge at a time after the order."""
+        course = self.moves._find_course("desk")
+        assert course is not None
+        self.clock.now_s = course.seen_s + elapsed_s
+        await self.moves._judge(course)
+
+
+def make_target(number: int, version: str) -> routing.Candidate:
+    """Returns a ready target."""
+    return routing.Candidate(
+        f"n{number}",
+        "desk",
+        version,
+        "r1",
+        "d1",
+        "127.0.0.1",
+        1,
+        "i",
+        "ready",
+        6,
+    )
+
+
+@pytest.fixture
+def made(monkeypatch) -> Made:
+    """Moves whose repeated datagrams don't wait."""
+    monkeypatch.setattr(rollout, "REPEAT_GAP_S", 0.0)
+    monkeypatch.setattr(rollout, "WRITE_RETRY_S", 0.0)
+    return Made()
+
+
+async def test_a_version_gets_nothing_before_its_order():
+    """Guards against requests at a version that no order allows yet."""
+    made = Made(None)
+    made.targets = made.targets[:6]
+    assert made.versions() == {"v1"}
+
+
+async def test_only_canaries_meet_the_new_version(made):
+    """Guards against an open move that takes all requests."""
+    assert made.versions() == {"v1"}
+    assert made.versions(canary=True) == {"v2"}
+
+
+async def test_exposure_stays_within_its_bound(made):
+    """Guards against more requests at a bad version than its share allows."""
+    exposed = calls = 0
+    for _ in range(16 * 60):
+        calls += 1
+        exposed += made.moves.take_turn("desk")
+        made.clock.now_s += 1 / 60
+    assert 0 < exposed <= 0.1 * calls + 50
+
+
+async def test_new_targets_get_nothing_while_they_are_cold(made):
+    """Guards against bursts at targets that have just started."""
+    made.moves.take_turn("desk")
+    made.clock.now_s += 2.9
+    assert not made.moves.take_turn("desk")
+
+
+async def test_a_bad_version_is_taken_back_at_once(made):
+    """Guards against a bad version that stays until the end of the move."""
+    made.count("v1", 200, 2)
+    made.count("v2", 10, 6)
+    await made.judge(5.0)
+    assert [d.state for d in made.ledger.written] == [rollout.State.ROLLED_BACK]
+    assert made.versions(canary=True) == {"v1"}
+
+
+async def test_a_slow_version_is_bad(made):
+    """Guards against a version whose answers are right but eight times late."""
+    made.count("v1", 200, 0, used_s=0.1)
+    made.count("v2", 12, 0, used_s=0.9)
+    await made.judge(5.0)
+    assert made.ledger.written[0].state is rollout.State.ROLLED_BACK
+
+
+async def test_one_bad_route_does_not_hide_in_the_whole(made):
+    """Guards against an average that a large good route makes harmless."""
+    old = [rollout.RouteCount("r1"), rollout.RouteCount("r2")]
+    new = [rollout.RouteCount("r1"), rollout.RouteCount("r2", 4)]
+    old[0].steps[6] = 400
+    old[1].steps[6] = 80
+    new[0].steps[6] = 60
+    new[1].steps[6] = 4
+    made.moves.take_count(rollout.CountPush("a", "desk", "v1", 7, old))
+    made.moves.take_count(rollout.CountPush("b", "desk", "v2", 7, new))
+    await made.judge(5.0)
+    assert made.ledger.written[0].state is rollout.State.ROLLED_BACK
+
+
+async def test_trouble_of_all_versions_condemns_none(made):
+    """Guards against a good version taken back for what all targets suffer."""
+    made.count("v1", 120, 60)
+    made.count("v2", 20, 10)
+    await made.judge(5.0)
+    assert not made.ledger.written
+
+
+async def test_a_good_version_is_completed_in_time(made):
+    """Guards against moves that are decided after their time."""
+    made.count("v1", 200, 2)
+    made.count("v2", 40, 0)
+    await made.judge(14.0)
+    assert not made.ledger.written
+    await made.judge(15.5)
+    assert made.ledger.written[0].state is rollout.State.COMPLETED
+    assert made.versions() == {"v2"}
+
+
+async def test_a_version_without_targets_is_not_completed(made):
+    """Guards against all requests moved to targets that are not there."""
+    made.count("v1", 200, 2)
+    made.count("v2", 40, 0)
+    made.targets = made.targets[:5]
+    await made.judge(15.5)
+    assert not made.ledger.written
+
+
+async def test_a_bad_version_is_stopped_while_the_table_is_away(made):
+    """Guards against requests at a bad version until its end is written."""
+    made.ledger.down = True
+    made.count("v1", 200, 2)
+    made.count("v2", 5, 8)
+    await made.judge(5.0)
+    assert made.versions(canary=True) == {"v1"}
+    assert ("n1", rollout.Stop("desk", 7)) in made.sent
+
+
+async def test_the_first_decision_stands(made):
+    """Guards against two judges that decide differently."""
+    made.ledger.rival = rollout.Decision(
+        "desk", "v2", 8, rollout.State.COMPLETED
+    )
+    made.count("v1", 200, 2)
+    made.count("v2", 5, 8)
+    await made.judge(5.0)
+    decision = made.moves.decisions["desk"]
+    assert decision.state is rollout.State.COMPLETED
+
+
+async def test_a_node_that_missed_the_decision_is_told(made):
+    """Guards against counts of a move that ended without a lost datagram."""
+    decision = rollout.Decision("desk", "v2", 7, rollout.State.COMPLETED)
+    made.moves.take_decision(decision)
+    made.count("v1", 1, 0)
+    assert made.sent == [("n-v1", decision)]
+
+
+@pytest.mark.parametrize("seed", range(20))
+async def test_judgement_over_seeds(seed, monkeypatch):
+    """Guards against bad versions completed; good ones mostly are.
+
+    A canary sample of 40 meets a version that fails half of its requests, or
+    a good one, with 5 in 100 failures of both from other causes.
+    """
+    monkeypatch.setattr(rollout, "REPEAT_GAP_S", 0.0)
+    rng = random.Random(seed)
+    made = Made()
+    bad = sum(rng.random() < 0.5 for _ in range(40))
+    old = sum(rng.random() < 0.05 for _ in range(400))
+    made.count("v1", 400 - old, old)
+    made.count("v2", 40 - bad, bad)
+    await made.judge(15.5)
+    assert made.ledger.written[0].state is rollout.State.ROLLED_BACK
