--- a/src/waxwingferry/platform/fields.py
+++ b/src/waxwingferry/platform/fields.py
@@ -1,5 +1,6 @@
 """Header fields of the platform's requesters and targets."""
 
+import dataclasses
 import re
 
 from waxwingferry.connection import exchange
@@ -104,7 +105,11 @@
     named = http1.find_header(reply.headers, TARGET_ID)
     if named and named != target_id:
         return None
-    return _read_load(reply.headers)
+    load = _read_load(reply.headers)
+    if load is not None and load.cold_s is None:
+        # A target that is cold says so in each health answer.
+        return dataclasses.replace(load, cold_s=0.0)
+    return load
 
 
 def _read_load(headers: http1.Headers) -> target.TargetLoad | None:
--- a/src/waxwingferry/platform/tests/test_reports.py
+++ b/src/waxwingferry/platform/tests/test_reports.py
@@ -155,3 +155,15 @@
     assert edge.parse_hop([]).deadline_ms is None
     with pytest.raises(http1.HttpError):
         edge.parse_hop([(fields.DEADLINE_MS, "+5")])
+
+
+def test_a_health_answer_without_a_cold_time_is_of_a_warm_target():
+    """Guards against a warm target paced because its node restarted."""
+    reply = exchange.Reply(200, [(fields.LOAD, "1,0,8")], b"")
+    found = fields.read_health(reply, "i-1")
+    assert found is not None
+    assert found.cold_s == 0.0
+    cold = [(fields.LOAD, "1,0,8"), (fields.COLD_MS, "1500")]
+    found = fields.read_health(exchange.Reply(200, cold, b""), "i-1")
+    assert found is not None
+    assert found.cold_s == 1.5
--- a/src/waxwingferry/process/routing.py
+++ b/src/waxwingferry/process/routing.py
@@ -17,6 +17,9 @@
 from waxwingferry.process import reports
 
 REFUSED_PENALTY_S = 1.0
+# A target this many times slower than usual does worse than any other one
+# that has a place: the targets' machines differ by less in the steady state.
+SLOW_FACTOR = 2.0
 STALE_REPORT_S = 1.0
 
 # Work per place up to which a target is worth a retry after queue_full. A
@@ -365,6 +368,11 @@
     return "ejected" if item.stats.ejected_until_s > now_s else ""
 
 
+def is_slow(item: Candidate) -> bool:
+    """Tells whether a target's machine is slow by the newest report."""
+    return item.stats.load.slowness >= SLOW_FACTOR
+
+
 def age_ms(load: reports.Load, now_s: float) -> int | None:
     """Returns the age of a load report in milliseconds, None without one."""
     age_s = now_s - load.at_s
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -335,9 +335,11 @@
         while True:
             excluded = trail.tried | trail.busy
             chosen = self.router.choose(allowed, revision.domains_out, excluded)
-            if chosen is not None or not trail.busy:
+            if not trail.busy:
                 return chosen
-            # All others are busy as well; the best of them queues the call.
+            if chosen is not None and not routing.is_slow(chosen):
+                return chosen
+            # All others are busy or slow; the best of all queues the call.
             trail.settle()
 
     def _may_retry(
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -9,16 +9,13 @@
 from waxwingferry.process import admission
 from waxwingferry.process import limit as limits
 from waxwingferry.process import metrics
+from waxwingferry.process import routing
 from waxwingferry.process import stated_limit
 from waxwingferry.process import target
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 from waxwingferry.version import revision as revisions
 
-# A target this many times slower than usual does worse than any other one
-# that has a place: the targets' machines differ by less in the steady state.
-SLOW_FACTOR = 2.0
-
 OnAnswer = Callable[[str, str, str, bool, float], None]
 
 
@@ -120,7 +117,7 @@
         return (
             bool(state.queue)
             or not state.has_place()
-            or self.slowness() >= SLOW_FACTOR
+            or self.slowness() >= routing.SLOW_FACTOR
         )
 
     def slowness(self) -> float:
