Bound the logs and send them to standard output; fewer calls and datagrams

Change: a bounded output that never waits, with a test of a stalled reader; a histogram of call times; the predecessor's row comes from the table read at the start; loads go to 16 peers and fade, rows are passed on once among up to 128 nodes. make demo's environment has the programs that the README names.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 
 .PHONY: demo test format lint types unit lock
 
-$(VENV)/.ready: requirements/dev.txt
+$(VENV)/.ready: requirements/dev.txt pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --require-hashes -r requirements/dev.txt
+	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation --editable .
 	touch $@
 
 demo: $(VENV)/.ready
--- /dev/null
+++ b/src/waxwingferry/cli/tests/test_programs.py
@@ -0,0 +1,26 @@
+"""The programs that the README names exist where it says."""
+
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+PROGRAMS = (
+    "waxwingferry-node",
+    "waxwingferry",
+    "waxwingferry-console",
+    "waxwingferry-bench",
+    "waxwingferry-emulator",
+)
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_programs_are_installed_with_the_environment(name):
+    """Guards against an environment without the programs of the README."""
+    path = pathlib.Path(sys.executable).parent / name
+    done = subprocess.run(
+        [path, "--version"], capture_output=True, text=True, check=False
+    )
+    assert done.returncode == 0
+    assert done.stdout.startswith(f"{name} ")
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -106,7 +106,11 @@
             self.receiver, self.gossip, self.sample, self.counters
         )
         self.watcher = watch.Watcher(
-            self.document.watch, self.relearn, self.counters, self.rng
+            self.document.watch,
+            self.lease.read_rows,
+            self.relearn,
+            self.counters,
+            self.rng,
         )
         self.target_client = exchange.Client(*settings.target)
         self.readiness = serve.Server(self.handle_ready)
--- a/src/waxwingferry/process/cost.py
+++ b/src/waxwingferry/process/cost.py
@@ -20,6 +20,8 @@
 ERROR_WEIGHT = 4.0
 # Work that a report names has mostly ended after twice this time.
 STATED_HALF_LIFE_S = 0.3
+# Slow phases last half a second to a second on the users' machines.
+SLOWNESS_HALF_LIFE_S = 0.7
 # Weight of the share of places taken against the time that work takes: a
 # machine half full is as good as an idle one in another failure domain.
 UTILISATION_COST = 0.25
@@ -100,8 +102,18 @@
     penalty = 1.0 + ERROR_WEIGHT * errors + stats.overload_now(now_s)
     far = distance(candidate, place)
     work = 1.0 + UTILISATION_COST * utilisation + wait + crowded
-    total = stats.load.slowness * penalty * work + far
-    return Cost(utilisation, stats.load.slowness, penalty, far, total)
+    slowness = fade_slowness(stats.load, now_s)
+    total = slowness * penalty * work + far
+    return Cost(utilisation, slowness, penalty, far, total)
+
+
+def fade_slowness(load: reports.Load, now_s: float) -> float:
+    """Returns the slowness that a report of some age stands for.
+
+    A machine is slow for a while; the report of its end may not have come.
+    """
+    weight = reports.decay(now_s - load.at_s, SLOWNESS_HALF_LIFE_S)
+    return 1.0 + (load.slowness - 1.0) * weight
 
 
 def estimate_limit(candidate: "routing.Candidate", now_s: float) -> float:
--- a/src/waxwingferry/process/gossip.py
+++ b/src/waxwingferry/process/gossip.py
@@ -30,7 +30,13 @@
 # with a probability of 0.4%; digests reach the rest. Of many rows at once,
 # as when a failure domain returns, and among few nodes each is passed on once.
 PASSES = 3
+# Up to this number of nodes one pass and the digests of a second reach all.
+ONE_PASS_NODES = 128
+# Among so few, the writer of a row tells all of them itself.
 FEW_PEERS = 16
+# Peers told of a changed load. Telling more of them costs more bytes than the
+# requests that are refused by a slow target and sent elsewhere.
+LOAD_FANOUT = 16
 PASSES_OF_MANY = 1
 COALESCE_S = 0.01
 PASS_INTERVAL_S = 0.25
@@ -231,10 +237,10 @@
             self.send_digest(address, "reply")
 
     def push_load(self, push: LoadPush) -> None:
-        """Sends the load of the own target to all other nodes."""
+        """Sends the load of the own target to other nodes."""
         data = LOAD_MARK + msgspec.msgpack.encode(push)
-        for row in self.known.peers():
-            self._transmit(row.address, data, urgent=True)
+        for address in self.choose_peers(LOAD_FANOUT):
+            self._transmit(address, data, urgent=True)
 
     def send_to(self, node: str, data: bytes) -> None:
         """Sends another module's datagram to a node, if it is known."""
@@ -361,7 +367,7 @@
             for address in self._choose_readers(rows[:count]):
                 self._transmit(address, data)
             if passes is None:
-                few = len(self.known.records) <= FEW_PEERS
+                few = len(self.known.records) <= ONE_PASS_NODES
                 many = count < len(rows)
                 passes = PASSES_OF_MANY if few or many else PASSES
             for row in rows[:count]:
--- a/src/waxwingferry/process/lease.py
+++ b/src/waxwingferry/process/lease.py
@@ -73,6 +73,7 @@
         self.wrote = anyio.Event()
         self.renewed_s = clock()
         self.scanned_version = 0
+        self.scanned: dict[str, platform.Row] | None = None
         self.tokens = float(WRITE_BURST)
         self.tokens_s = clock()
         self.writes = 0
@@ -191,7 +192,13 @@
             await self.wrote.wait()
 
     async def _learn_predecessor(self) -> None:
-        row = await self.table.read(self.key)
+        if self.scanned is not None and not self.contests:
+            # The rows were read at the start; a change since then shows in
+            # the write's condition.
+            row: platform.Row | None = self.scanned.get(self.key)
+            self.scanned = None
+        else:
+            row = await self.table.read(self.key)
         if row is None or row.value is None:
             self.version = 0
             return
@@ -237,6 +244,8 @@
         """
         rows = await self.table.scan(members.PREFIX, self.scanned_version)
         forgotten = self.known.note_read()
+        if not self.confirmed:
+            self.scanned = {row.key: row for row in rows}
         for row in rows:
             self.scanned_version = max(self.scanned_version, row.version)
             if row.value is not None:
--- a/src/waxwingferry/process/logs.py
+++ b/src/waxwingferry/process/logs.py
@@ -1,19 +1,127 @@
-"""Structured logs on standard error."""
+"""Structured logs on standard output, bounded in volume, never blocking."""
 
+import collections
+from collections.abc import Callable
+import json
 import logging
+import os
 import sys
+import time
 
 import structlog
 
+# A node that answers 100 requests a second writes about 120 lines; the rest
+# is for decisions about what it believes.
+LINES_PER_S = 250.0
+BURST_LINES = 500.0
+# Bytes kept for a reader that is slow; more is dropped and counted.
+MAX_PENDING_BYTES = 256 * 1024
 
-def configure_logs(form: str = "json", level: str = "info") -> None:
+
+class BoundedOutput:
+    """Writes lines without ever waiting for their reader.
+
+    Lines beyond the rate, and those that a stalled reader leaves no room
+    for, are dropped; a line tells how many as soon as there is room again.
+
+    Args:
+        descriptor: Open file that the lines go to.
+        clock: Monotonic time in seconds.
+
+    Attributes:
+        dropped: Lines dropped since the start.
+    """
+
+    def __init__(
+        self, descriptor: int, clock: Callable[[], float] = time.monotonic
+    ):
+        self.descriptor = descriptor
+        self.clock = clock
+        self.pending: collections.deque[bytes] = collections.deque()
+        self.pending_bytes = 0
+        self.tokens = BURST_LINES
+        self.filled_s = clock()
+        self.dropped = 0
+        self.told = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: str) -> None:
+        """Writes a line, keeps it for later, or drops it."""
+        if not self._take_token():
+            self.dropped += 1
+            self._flush()
+            return
+        if self.dropped > self.told:
+            told = {"event": "log lines dropped", "total": self.dropped}
+            if self._keep(json.dumps(told)):
+                self.told = self.dropped
+        if not self._keep(line):
+            self.dropped += 1
+        self._flush()
+
+    def _take_token(self) -> bool:
+        now_s = self.clock()
+        gained = (now_s - self.filled_s) * LINES_PER_S
+        self.tokens = min(self.tokens + gained, BURST_LINES)
+        self.filled_s = now_s
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def _keep(self, line: str) -> bool:
+        data = line.encode("utf-8", "replace") + b"\n"
+        if self.pending_bytes + len(data) > MAX_PENDING_BYTES:
+            return False
+        self.pending.append(data)
+        self.pending_bytes += len(data)
+        return True
+
+    def _flush(self) -> None:
+        while self.pending:
+            data = self.pending[0]
+            try:
+                sent = os.write(self.descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is nowhere to tell it.
+                self.dropped += len(self.pending)
+                self.pending.clear()
+                self.pending_bytes = 0
+                return
+            self.pending_bytes -= sent
+            if sent < len(data):
+                self.pending[0] = data[sent:]
+                return
+            self.pending.popleft()
+
+
+class _Logger:
+    """What structlog hands rendered lines to."""
+
+    def __init__(self, output: BoundedOutput):
+        self.msg = output.write
+        self.debug = self.info = self.warning = output.write
+        self.error = self.critical = self.exception = output.write
+        self.fatal = self.failure = self.warn = self.log = output.write
+
+
+def configure_logs(
+    form: str = "json", level: str = "info", descriptor: int | None = None
+) -> BoundedOutput:
     """Sets format and level of all logs of this process.
 
     Args:
         form: "json" or "console".
         level: Least level that is logged, such as "info".
+        descriptor: Open file for the lines; None for standard output.
     """
     least = logging.getLevelName(level.upper())
+    if descriptor is None:
+        descriptor = sys.stdout.fileno()
+    output = BoundedOutput(descriptor)
+    logger = _Logger(output)
     renderer: structlog.types.Processor
     if form == "json":
         renderer = structlog.processors.JSONRenderer()
@@ -27,5 +135,6 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(least),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=lambda *_: logger,
     )
+    return output
--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -2,6 +2,9 @@
 
 import aioprometheus
 
+# Bounds of the latency histogram, from one pass to the longest deadline.
+LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 10.0)
+
 
 class Metrics:
     """All counters and gauges of a node, in a registry of their own."""
@@ -25,6 +28,12 @@
             "Limit, slots, in flight and queue of the target.",
             registry=self.registry,
         )
+        self.latency = aioprometheus.Histogram(
+            "waxwingferry_call_seconds",
+            "Time from a call's head to the end of its answer.",
+            registry=self.registry,
+            buckets=list(LATENCY_BUCKETS_S),
+        )
         self.events = self._counter("events", "Rare events by name.")
 
     def render(self) -> tuple[bytes, list[tuple[str, str]]]:
--- a/src/waxwingferry/process/routing.py
+++ b/src/waxwingferry/process/routing.py
@@ -368,9 +368,9 @@
     return "ejected" if item.stats.ejected_until_s > now_s else ""
 
 
-def is_slow(item: Candidate) -> bool:
+def is_slow(item: Candidate, now_s: float) -> bool:
     """Tells whether a target's machine is slow by the newest report."""
-    return item.stats.load.slowness >= SLOW_FACTOR
+    return cost.fade_slowness(item.stats.load, now_s) >= SLOW_FACTOR
 
 
 def age_ms(load: reports.Load, now_s: float) -> int | None:
--- /dev/null
+++ b/src/waxwingferry/process/tests/test_logs.py
@@ -0,0 +1,81 @@
+"""Logs: bounded, and never waiting for their reader."""
+
+import json
+import os
+import time
+
+import pytest
+import structlog
+
+from waxwingferry.process import logs
+from waxwingferry.process.tests import fakes
+
+
+@pytest.fixture
+def pipe():
+    """The two ends of a pipe."""
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+@pytest.fixture
+def restored():
+    """Leaves structlog as it was."""
+    old = structlog.get_config()
+    yield
+    structlog.configure(**old)
+
+
+def test_lines_are_json_with_what_decided(pipe, restored):
+    """Guards against lines that can't be searched by a request's id."""
+    reader, writer = pipe
+    logs.configure_logs(descriptor=writer)
+    structlog.get_logger().info("request refused", request="9c41", status=503)
+    line = json.loads(os.read(reader, 4096))
+    assert (line["event"], line["request"]) == ("request refused", "9c41")
+
+
+def test_a_stalled_reader_blocks_nothing(pipe):
+    """Guards against a node that waits for whoever collects its logs."""
+    reader, writer = pipe
+    clock = fakes.Clock()
+    output = logs.BoundedOutput(writer, clock)
+    began_s = time.monotonic()
+    for _ in range(5000):
+        clock.now_s += 0.01
+        output.write("x" * 1000)
+    assert time.monotonic() - began_s < 5.0
+    assert output.dropped > 0
+    assert output.pending_bytes <= logs.MAX_PENDING_BYTES
+    received = b""
+    while len(received) < 200_000:
+        received += os.read(reader, 65536)
+        clock.now_s += 0.01
+        output.write("y")
+    assert b"log lines dropped" in received + os.read(reader, 65536) or any(
+        b"log lines dropped" in data for data in output.pending
+    )
+
+
+def test_the_volume_is_bounded(pipe):
+    """Guards against logs that grow with the load."""
+    _, writer = pipe
+    clock = fakes.Clock()
+    output = logs.BoundedOutput(writer, clock)
+    for _ in range(2000):
+        clock.now_s += 0.0005
+        output.write("x")
+    most = logs.BURST_LINES + logs.LINES_PER_S
+    assert 2000 - output.dropped <= most + 1
+
+
+def test_a_reader_that_is_gone_ends_nothing():
+    """Guards against a node that dies with its log collector."""
+    reader, writer = os.pipe()
+    output = logs.BoundedOutput(writer)
+    os.close(reader)
+    output.write("x")
+    os.close(writer)
+    assert output.dropped == 1
--- a/src/waxwingferry/process/watch.py
+++ b/src/waxwingferry/process/watch.py
@@ -24,6 +24,8 @@
     Args:
         wait: Waits for the next change and puts it in force. Raises
             platform.PlatformError.
+        read_members: Reads the rows of nodes that started with this one.
+            Raises platform.PlatformError.
         relearn: Reads what changes are not told of, such as members.
             Raises platform.PlatformError.
         counters: Metrics of the node.
@@ -33,11 +35,13 @@
     def __init__(
         self,
         wait: Callable[[], Awaitable[None]],
+        read_members: Callable[[], Awaitable[None]],
         relearn: Callable[[], Awaitable[None]],
         counters: metrics.Metrics,
         rng: random.Random,
     ):
         self.wait = wait
+        self.read_members = read_members
         self.relearn = relearn
         self.counters = counters
         self.rng = rng
@@ -48,11 +52,11 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch)
             await anyio.sleep(FIRST_READ_S)
-            await self._read_rest()
+            await self._read_rest(self.read_members)
 
-    async def _read_rest(self) -> None:
+    async def _read_rest(self, read: Callable[[], Awaitable[None]]) -> None:
         try:
-            await self.relearn()
+            await read()
         except platform.PlatformError as error:
             log.warning("platform not read", error=str(error))
 
@@ -73,4 +77,4 @@
             if self.lost:
                 self.lost = False
                 log.info("platform regained")
-                await self._read_rest()
+                await self._read_rest(self.relearn)
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -193,7 +193,11 @@
                 await self._refuse(connection, made)
                 return
             self.retries.count_call(made)
+            began_s = time.monotonic()
             await self._run_keyed(connection, made)
+            self.counters.latency.observe(
+                {"service": made.service}, time.monotonic() - began_s
+            )
         finally:
             self.in_flight -= 1
             assert 0 <= self.in_flight <= self.max_in_flight
@@ -337,7 +341,8 @@
             chosen = self.router.choose(allowed, revision.domains_out, excluded)
             if not trail.busy:
                 return chosen
-            if chosen is not None and not routing.is_slow(chosen):
+            now_s = self.router.clock()
+            if chosen is not None and not routing.is_slow(chosen, now_s):
                 return chosen
             # All others are busy or slow; the best of all queues the call.
             trail.settle()
