Group process/ by duty, break the import circle, log what decided

Cause: 34 modules lay in one flat folder; cost, outliers and routing imported each other; the log named the load after an attempt, not the one chosen by; a refused connection ended a call although nothing had been reached. Change: process/choice, process/protection and process/spreading; Candidate has a module of its own; refusals are logged at the target's node with its state; a refused connection is followed by another target without a budget. Conclusion: behaviour kept but for refused connections.

--- a/benchmarks/admission_rules.py
+++ b/benchmarks/admission_rules.py
@@ -12,9 +12,9 @@
 import random
 import sys
 
-from waxwingferry.process import admission
-from waxwingferry.process import estimate
-from waxwingferry.process import limit as limits
+from waxwingferry.process.protection import admission
+from waxwingferry.process.protection import estimate
+from waxwingferry.process.protection import limit as limits
 
 SLOTS = 6
 OVERLOAD_SLOWDOWN = 5.0
--- a/benchmarks/gossip_cost.py
+++ b/benchmarks/gossip_cost.py
@@ -19,11 +19,11 @@
 import structlog
 
 from waxwingferry.connection import serve
-from waxwingferry.process import configuration
-from waxwingferry.process import gossip
-from waxwingferry.process import lease
-from waxwingferry.process import members
-from waxwingferry.process import peers
+from waxwingferry.process.spreading import configuration
+from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import lease
+from waxwingferry.process.spreading import members
+from waxwingferry.process.spreading import peers
 from waxwingferry.process.tests import fakes
 
 SIZES = (10, 50, 110, 220, 660)
--- a/benchmarks/routing_model.py
+++ b/benchmarks/routing_model.py
@@ -1,4 +1,4 @@
-"""Compares the variants of waxwingferry.process.routing on the same load.
+"""Compares the variants of process.choice.routing on the same load.
 
 Arrivals and service times come from an event queue with a virtual clock; the
 routers are the real ones, one for each entry node. Targets change their speed
@@ -17,10 +17,11 @@
 
 import fire
 
-from waxwingferry.process import budget
-from waxwingferry.process import cost
-from waxwingferry.process import probe
-from waxwingferry.process import routing
+from waxwingferry.process.choice import budget
+from waxwingferry.process.choice import cost
+from waxwingferry.process.choice import known_target
+from waxwingferry.process.choice import probe
+from waxwingferry.process.choice import routing
 from waxwingferry.request import retry
 
 NODE_DELAY_S = 0.00005
@@ -157,9 +158,9 @@
             own_load=(lambda: format_load(own.report())) if own else None,
         )
 
-    def _make_candidate(self, number: int) -> routing.Candidate:
+    def _make_candidate(self, number: int) -> known_target.Candidate:
         place = make_place(self.model.scenario, number)
-        return routing.Candidate(
+        return known_target.Candidate(
             node=place.node,
             service="registry",
             version="v1",
@@ -172,7 +173,7 @@
             slots=self.model.scenario.slots,
         )
 
-    def probe(self, candidate: routing.Candidate) -> None:
+    def probe(self, candidate: known_target.Candidate) -> None:
         """Sends a probe, at most one at a time to each target."""
         stats = candidate.stats
         if stats.probing or self.model.now_s < stats.probe_after_s:
@@ -195,7 +196,7 @@
 
         self.model.after(delay_s, answer)
 
-    def delay(self, candidate: routing.Candidate) -> float:
+    def delay(self, candidate: known_target.Candidate) -> float:
         """Returns the time one way to a candidate, in seconds."""
         if candidate.node == self.place.node:
             return 0.0
@@ -235,7 +236,7 @@
 
         self.model.after(delay_s, target.arrive, reply)
 
-    def pay(self, candidate: routing.Candidate, tried: set[str]) -> bool:
+    def pay(self, candidate: known_target.Candidate, tried: set[str]) -> bool:
         """Tells whether a refusal for overload is tried again."""
         match self.model.scenario.retry:
             case "free":
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -19,7 +19,8 @@
 from waxwingferry.bench import load
 from waxwingferry.bench.experiments import added_latency
 from waxwingferry.connection import pool
-from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
+from waxwingferry.process.choice import routing
 from waxwingferry.version import document
 
 FIRST_PORT = 28000
@@ -225,7 +226,7 @@
     points = []
     for count in CANDIDATE_COUNTS:
         candidates = [
-            routing.Candidate(node=f"n{number}", **_member_row(number))
+            known_target.Candidate(node=f"n{number}", **_member_row(number))
             for number in range(count)
         ]
         router = routing.Router(random.Random(1))
--- a/src/waxwingferry/bench/experiments/routing.py
+++ b/src/waxwingferry/bench/experiments/routing.py
@@ -15,8 +15,8 @@
 from waxwingferry.bench import counters
 from waxwingferry.bench import experiment
 from waxwingferry.bench import load
-from waxwingferry.process import probe
-from waxwingferry.process import routing
+from waxwingferry.process.choice import probe
+from waxwingferry.process.choice import routing
 
 TARGETS = 8
 SLOTS = 6
--- a/src/waxwingferry/cli/tests/test_commands.py
+++ b/src/waxwingferry/cli/tests/test_commands.py
@@ -8,10 +8,10 @@
 from waxwingferry.cli import client
 from waxwingferry.cli import main
 from waxwingferry.process import admin
-from waxwingferry.process import configuration
-from waxwingferry.process import members
 from waxwingferry.process import metrics
 from waxwingferry.process import program
+from waxwingferry.process.spreading import configuration
+from waxwingferry.process.spreading import members
 from waxwingferry.process.tests import fakes
 from waxwingferry.request import receive
 
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -19,16 +19,16 @@
 from waxwingferry.platform import reports
 from waxwingferry.platform import store
 from waxwingferry.process import core
-from waxwingferry.process import lifetimes
 from waxwingferry.process import logs
-from waxwingferry.process import peers
 from waxwingferry.process import platform
-from waxwingferry.process import routing
-from waxwingferry.process import sampler
-from waxwingferry.process import stated_limit
 from waxwingferry.process import target
-from waxwingferry.process import version_moves
-from waxwingferry.process import watch
+from waxwingferry.process.choice import routing
+from waxwingferry.process.protection import lifetimes
+from waxwingferry.process.protection import sampler
+from waxwingferry.process.protection import stated_limit
+from waxwingferry.process.spreading import peers
+from waxwingferry.process.spreading import version_moves
+from waxwingferry.process.spreading import watch
 from waxwingferry.request import entry
 
 EXIT_USAGE = 2
--- a/src/waxwingferry/platform/operator.py
+++ b/src/waxwingferry/platform/operator.py
@@ -11,8 +11,8 @@
 from waxwingferry.platform import boot
 from waxwingferry.platform import store
 from waxwingferry.platform import values
-from waxwingferry.process import in_force
 from waxwingferry.process import platform
+from waxwingferry.process.spreading import in_force
 from waxwingferry.version import revision
 
 TABLE = "op"
--- a/src/waxwingferry/platform/reports.py
+++ b/src/waxwingferry/platform/reports.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from waxwingferry.platform import values
-from waxwingferry.process import lifetimes
 from waxwingferry.process import target
+from waxwingferry.process.protection import lifetimes
 
 _PATH = re.compile(r"/-/instances/([^/]+)/(heartbeat|deregister)")
 
--- a/src/waxwingferry/process/admin.py
+++ b/src/waxwingferry/process/admin.py
@@ -27,11 +27,11 @@
 import starlette.routing
 import structlog
 
-from waxwingferry.process import configuration
-from waxwingferry.process import members
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
 from waxwingferry.process import settings
+from waxwingferry.process.spreading import configuration
+from waxwingferry.process.spreading import members
 from waxwingferry.request import receive
 from waxwingferry.version import document
 
--- a/src/waxwingferry/process/cost.py
+++ b/src/waxwingferry/process/choice/cost.py
@@ -2,12 +2,9 @@
 
 import dataclasses
 import math
-import typing
 
-from waxwingferry.process import reports
-
-if typing.TYPE_CHECKING:
-    from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
+from waxwingferry.process.choice import reports
 
 # The work of one more request, in requests. Below 1, an idle cold target is
 # not as costly as a full warm one, and gets the work that warms it up.
@@ -65,7 +62,7 @@
 
 
 def compute_cost(
-    candidate: "routing.Candidate",
+    candidate: known_target.Candidate,
     service: reports.ServiceStats,
     place: Place,
     now_s: float,
@@ -84,7 +81,7 @@
 
 
 def compute_stated_cost(
-    candidate: "routing.Candidate", place: Place, now_s: float
+    candidate: known_target.Candidate, place: Place, now_s: float
 ) -> Cost:
     """Returns the cost of a candidate whose node pushes its load.
 
@@ -116,7 +113,7 @@
     return 1.0 + (load.slowness - 1.0) * weight
 
 
-def estimate_limit(candidate: "routing.Candidate", now_s: float) -> float:
+def estimate_limit(candidate: known_target.Candidate, now_s: float) -> float:
     """Returns the places that a target has by now.
 
     A cold target grows with the work of all entries. An entry that kept the
@@ -131,7 +128,7 @@
 
 
 def _estimate_others(
-    candidate: "routing.Candidate",
+    candidate: known_target.Candidate,
     service: reports.ServiceStats,
     limit: float,
     now_s: float,
@@ -158,7 +155,7 @@
     return math.pow(ratio, weight)
 
 
-def distance(candidate: "routing.Candidate", place: Place) -> float:
+def distance(candidate: known_target.Candidate, place: Place) -> float:
     """Returns the cost of the distance to a candidate."""
     if not place.node or candidate.node == place.node:
         return 0.0
--- a/src/waxwingferry/process/outliers.py
+++ b/src/waxwingferry/process/choice/outliers.py
@@ -2,10 +2,8 @@
 
 import math
 import statistics
-import typing
 
-if typing.TYPE_CHECKING:
-    from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
 
 MOST_EJECTED_SHARE = 0.34
 LEAST_OUTCOMES = 5
@@ -16,8 +14,8 @@
 
 
 def eject(
-    candidates: "list[routing.Candidate]",
-    candidate: "routing.Candidate",
+    candidates: list[known_target.Candidate],
+    candidate: known_target.Candidate,
     now_s: float,
 ) -> bool:
     """Ejects a candidate if it is an outlier; tells whether it did.
@@ -44,6 +42,8 @@
     return True
 
 
-def count_ejected(candidates: "list[routing.Candidate]", now_s: float) -> int:
+def count_ejected(
+    candidates: list[known_target.Candidate], now_s: float
+) -> int:
     """Returns how many of the candidates are ejected."""
     return sum(item.stats.ejected_until_s > now_s for item in candidates)
--- a/src/waxwingferry/process/probe.py
+++ b/src/waxwingferry/process/choice/probe.py
@@ -17,10 +17,10 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
-from waxwingferry.process import budget
 from waxwingferry.process import metrics
-from waxwingferry.process import reports
-from waxwingferry.process import routing
+from waxwingferry.process.choice import budget
+from waxwingferry.process.choice import known_target
+from waxwingferry.process.choice import reports
 
 PROBE_TARGET = "/_peer/load"
 PROBE_TIMEOUT_S = 0.25
@@ -105,7 +105,7 @@
         bucket.charge(real - reserved)
 
 
-Fetch = Callable[[routing.Candidate, Cost], Awaitable[reports.Load | None]]
+Fetch = Callable[[known_target.Candidate, Cost], Awaitable[reports.Load | None]]
 
 
 class Prober:
@@ -130,10 +130,10 @@
         self.counters = counters
         self.clock = clock
         self.send, self.receive = anyio.create_memory_object_stream[
-            routing.Candidate
+            known_target.Candidate
         ](QUEUE_LENGTH)
 
-    def want(self, candidate: routing.Candidate) -> None:
+    def want(self, candidate: known_target.Candidate) -> None:
         """Queues a probe if the budget allows it; never waits."""
         stats = candidate.stats
         if stats.probing or self.clock() < stats.probe_after_s:
@@ -162,7 +162,7 @@
             candidate = await self.receive.receive()
             await self.probe(candidate)
 
-    async def probe(self, candidate: routing.Candidate) -> None:
+    async def probe(self, candidate: known_target.Candidate) -> None:
         """Sends one probe that is paid for."""
         spent = Cost()
         report = None
@@ -226,7 +226,7 @@
         self.pools: dict[tuple[str, int], pool.Pool] = {}
 
     async def __call__(
-        self, candidate: routing.Candidate, spent: Cost
+        self, candidate: known_target.Candidate, spent: Cost
     ) -> reports.Load | None:
         """Returns a node's report, or None if it gave none."""
         address = (candidate.host, candidate.peer_port)
--- a/src/waxwingferry/process/routing.py
+++ b/src/waxwingferry/process/choice/routing.py
@@ -12,9 +12,10 @@
 import random
 import time
 
-from waxwingferry.process import cost
-from waxwingferry.process import outliers
-from waxwingferry.process import reports
+from waxwingferry.process.choice import cost
+from waxwingferry.process.choice import known_target
+from waxwingferry.process.choice import outliers
+from waxwingferry.process.choice import reports
 
 REFUSED_PENALTY_S = 1.0
 # A target this many times slower than usual does worse than any other one
@@ -50,58 +51,6 @@
     STATED = "stated"
 
 
-@dataclasses.dataclass(slots=True)
-class Candidate:
-    """One target as the entry node sees it.
-
-    Attributes:
-        node: Name of the target's node.
-        incarnation: Random name of the node process.
-        target: Name of the target's start; empty if it is not known.
-        stats: What this entry knows of its load. A newer row of the same
-            incarnation shares the object, because attempts in flight give
-            their places back to the object that they took them from.
-    """
-
-    node: str
-    service: str
-    version: str
-    region: str
-    failure_domain: str
-    host: str
-    peer_port: int
-    incarnation: str
-    state: str
-    slots: int
-    target: str = ""
-    stats: reports.TargetStats = dataclasses.field(
-        default_factory=reports.TargetStats
-    )
-
-    @property
-    def in_flight(self) -> int:
-        """Attempts that this entry has with the target now."""
-        return self.stats.in_flight
-
-    @property
-    def refused_at_s(self) -> float:
-        """Monotonic time of the last refusal to take any work."""
-        return self.stats.refused_at_s
-
-    @refused_at_s.setter
-    def refused_at_s(self, at_s: float) -> None:
-        self.stats.refused_at_s = at_s
-
-    @property
-    def load(self) -> reports.Load:
-        """The newest load report."""
-        return self.stats.load
-
-    @load.setter
-    def load(self, report: reports.Load) -> None:
-        self.stats.take_report(report)
-
-
 class Result(enum.Enum):
     """How an attempt ended, as far as choosing targets goes."""
 
@@ -148,8 +97,8 @@
         clock: Callable[[], float] = time.monotonic,
         variant: Variant = Variant.WEIGHTED,
         place: cost.Place | None = None,
-        want_probe: Callable[[Candidate], None] | None = None,
-        on_ejection: Callable[[Candidate], None] | None = None,
+        want_probe: Callable[[known_target.Candidate], None] | None = None,
+        on_ejection: Callable[[known_target.Candidate], None] | None = None,
         own_load: Callable[[], str] | None = None,
     ):
         self.rng = rng
@@ -165,10 +114,10 @@
 
     def choose(
         self,
-        candidates: list[Candidate],
+        candidates: list[known_target.Candidate],
         domains_out: frozenset[str],
         excluded: set[str],
-    ) -> Candidate | None:
+    ) -> known_target.Candidate | None:
         """Returns the target for an attempt, or None if there is none.
 
         Args:
@@ -191,7 +140,9 @@
         assert not _exclusion(chosen, domains_out, excluded)
         return chosen
 
-    def _meet(self, candidates: list[Candidate], now_s: float) -> None:
+    def _meet(
+        self, candidates: list[known_target.Candidate], now_s: float
+    ) -> None:
         """Takes targets that appear while the entry runs for cold ones."""
         for item in candidates:
             stats = item.stats
@@ -201,7 +152,9 @@
             if now_s - self.started_s > START_S:
                 stats.load = reports.Load(0, 0, 1, now_s)
 
-    def _pick(self, pool: list[Candidate], now_s: float) -> Candidate:
+    def _pick(
+        self, pool: list[known_target.Candidate], now_s: float
+    ) -> known_target.Candidate:
         match self.variant:
             case Variant.RANDOM:
                 return self.rng.choice(pool)
@@ -223,7 +176,9 @@
             case Variant.STATED:
                 return self._pick_stated(pool, now_s)
 
-    def _pick_stated(self, pool: list[Candidate], now_s: float) -> Candidate:
+    def _pick_stated(
+        self, pool: list[known_target.Candidate], now_s: float
+    ) -> known_target.Candidate:
         """Returns the cheapest of all targets, by loads that nodes push."""
         for item in self._find_own(pool):
             self._refresh(item, now_s)
@@ -235,16 +190,23 @@
             ),
         )
 
-    def _draw(self, pool: list[Candidate], count: int) -> list[Candidate]:
+    def _draw(
+        self, pool: list[known_target.Candidate], count: int
+    ) -> list[known_target.Candidate]:
         return self.rng.sample(pool, min(count, len(pool)))
 
-    def _find_own(self, pool: list[Candidate]) -> list[Candidate]:
+    def _find_own(
+        self, pool: list[known_target.Candidate]
+    ) -> list[known_target.Candidate]:
         """Returns the own target, whose load is known exactly."""
         return [item for item in pool if item.node == self.place.node]
 
     def _pick_cheapest(
-        self, pool: list[Candidate], drawn: list[Candidate], now_s: float
-    ) -> Candidate:
+        self,
+        pool: list[known_target.Candidate],
+        drawn: list[known_target.Candidate],
+        now_s: float,
+    ) -> known_target.Candidate:
         service = self.service_stats(pool[0].service)
         for item in drawn:
             self._refresh(item, now_s)
@@ -256,7 +218,7 @@
         # Equal costs are decided by the random order of the draw.
         return next(item for value, item in costs if value == lowest)
 
-    def _refresh(self, item: Candidate, now_s: float) -> None:
+    def _refresh(self, item: known_target.Candidate, now_s: float) -> None:
         """Brings the report of a drawn candidate up to date, or asks for it."""
         if item.node == self.place.node and self.own_load is not None:
             report = reports.parse_load(self.own_load(), now_s)
@@ -273,18 +235,18 @@
             self.services[service] = reports.ServiceStats()
         return self.services[service]
 
-    def has_room(self, candidate: Candidate) -> bool:
+    def has_room(self, candidate: known_target.Candidate) -> bool:
         """Tells whether a candidate is believed to have a short queue."""
         service = self.service_stats(candidate.service)
         now_s = self.clock()
         estimate = cost.compute_cost(candidate, service, self.place, now_s)
         return estimate.utilisation < ROOM
 
-    def begin(self, candidate: Candidate) -> None:
+    def begin(self, candidate: known_target.Candidate) -> None:
         """Counts an attempt that is about to be sent."""
         candidate.stats.in_flight += 1
 
-    def finish(self, candidate: Candidate) -> None:
+    def finish(self, candidate: known_target.Candidate) -> None:
         """Takes an attempt that begin counted out of the count."""
         stats = candidate.stats
         stats.in_flight -= 1
@@ -292,8 +254,8 @@
 
     def observe(
         self,
-        candidates: list[Candidate],
-        candidate: Candidate,
+        candidates: list[known_target.Candidate],
+        candidate: known_target.Candidate,
         result: Result,
         latency_s: float,
     ) -> None:
@@ -330,7 +292,7 @@
 
     def explain(
         self,
-        candidates: list[Candidate],
+        candidates: list[known_target.Candidate],
         domains_out: frozenset[str],
         excluded: set[str],
     ) -> list[Explanation]:
@@ -353,7 +315,9 @@
 
 
 def _exclusion(
-    item: Candidate, domains_out: frozenset[str], excluded: set[str]
+    item: known_target.Candidate,
+    domains_out: frozenset[str],
+    excluded: set[str],
 ) -> str:
     if item.state != "ready":
         return item.state
@@ -362,13 +326,13 @@
     return "tried" if item.node in excluded else ""
 
 
-def _suspect(item: Candidate, now_s: float) -> str:
+def _suspect(item: known_target.Candidate, now_s: float) -> str:
     if now_s - item.stats.refused_at_s < REFUSED_PENALTY_S:
         return "refused"
     return "ejected" if item.stats.ejected_until_s > now_s else ""
 
 
-def is_slow(item: Candidate, now_s: float) -> bool:
+def is_slow(item: known_target.Candidate, now_s: float) -> bool:
     """Tells whether a target's machine is slow by the newest report."""
     return cost.fade_slowness(item.stats.load, now_s) >= SLOW_FACTOR
 
@@ -379,12 +343,12 @@
     return round(age_s * 1000) if math.isfinite(age_s) else None
 
 
-def _reported_load(item: Candidate) -> float:
+def _reported_load(item: known_target.Candidate) -> float:
     report = item.stats.load
     return (report.in_flight + report.queue) / max(report.limit, 1)
 
 
-def _own_and_reported(item: Candidate) -> float:
+def _own_and_reported(item: known_target.Candidate) -> float:
     report = item.stats.load
     reported = report.in_flight + report.queue
     return (max(item.in_flight, reported) + 1) / max(report.limit, 1)
--- a/src/waxwingferry/process/tests/test_budget.py
+++ b/src/waxwingferry/process/choice/tests/test_budget.py
@@ -5,11 +5,11 @@
 import pytest
 
 from waxwingferry.connection import http1
-from waxwingferry.process import budget
 from waxwingferry.process import metrics
-from waxwingferry.process import probe
-from waxwingferry.process import reports
-from waxwingferry.process.tests import test_routing
+from waxwingferry.process.choice import budget
+from waxwingferry.process.choice import probe
+from waxwingferry.process.choice import reports
+from waxwingferry.process.choice.tests import test_routing
 
 
 @pytest.mark.parametrize("seed", range(5))
--- a/src/waxwingferry/process/tests/test_routing.py
+++ b/src/waxwingferry/process/choice/tests/test_routing.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from waxwingferry.process import outliers
-from waxwingferry.process import reports
-from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
+from waxwingferry.process.choice import outliers
+from waxwingferry.process.choice import reports
+from waxwingferry.process.choice import routing
 
 
 class Clock:
@@ -20,10 +21,10 @@
         return self.now_s
 
 
-def make_candidates(count: int, slots: int = 6) -> list[routing.Candidate]:
+def make_candidates(count: int, slots: int = 6) -> list[known_target.Candidate]:
     """Returns targets of one service in four failure domains."""
     return [
-        routing.Candidate(
+        known_target.Candidate(
             node=f"n{number}",
             service="registry",
             version="v1",
@@ -68,7 +69,7 @@
     clock = Clock()
     router = make_router(seed, clock, variant)
     candidates = make_candidates(7)
-    running: list[routing.Candidate] = []
+    running: list[known_target.Candidate] = []
     for _ in range(2000):
         clock.now_s += rng.expovariate(200)
         out = frozenset(f"d{n}" for n in range(4) if rng.random() < 0.2)
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -13,19 +13,20 @@
 from waxwingferry.connection import serve
 from waxwingferry.process import attempts
 from waxwingferry.process import background
-from waxwingferry.process import cost
-from waxwingferry.process import gossip
-from waxwingferry.process import in_force
-from waxwingferry.process import lease
-from waxwingferry.process import limit
-from waxwingferry.process import members
 from waxwingferry.process import metrics
-from waxwingferry.process import peers
 from waxwingferry.process import platform
-from waxwingferry.process import reports
-from waxwingferry.process import routing
-from waxwingferry.process import spread
 from waxwingferry.process import target
+from waxwingferry.process.choice import cost
+from waxwingferry.process.choice import known_target
+from waxwingferry.process.choice import reports
+from waxwingferry.process.choice import routing
+from waxwingferry.process.protection import limit
+from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import in_force
+from waxwingferry.process.spreading import lease
+from waxwingferry.process.spreading import members
+from waxwingferry.process.spreading import peers
+from waxwingferry.process.spreading import spread
 from waxwingferry.request import call
 from waxwingferry.request import entry
 from waxwingferry.request import forward
@@ -189,7 +190,7 @@
                 max(push.slow_percent, 1) / 100,
             )
 
-    def count_ejection(self, candidate: routing.Candidate) -> None:
+    def count_ejection(self, candidate: known_target.Candidate) -> None:
         """Counts a target whose attempts fail far more than others'."""
         self.counters.events.inc({"name": "ejected"})
         log.warning("target ejected", node=candidate.node)
--- /dev/null
+++ b/src/waxwingferry/process/protection/__init__.py
@@ -0,0 +1,1 @@
+"""How the own target is protected from more than it bears."""
--- a/src/waxwingferry/process/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -8,9 +8,9 @@
 
 import anyio
 
-from waxwingferry.process import estimate as estimates
-from waxwingferry.process import fairness
-from waxwingferry.process import limit as limits
+from waxwingferry.process.protection import estimate as estimates
+from waxwingferry.process.protection import fairness
+from waxwingferry.process.protection import limit as limits
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
--- a/src/waxwingferry/process/estimate.py
+++ b/src/waxwingferry/process/protection/estimate.py
@@ -9,7 +9,7 @@
 import math
 import time
 
-from waxwingferry.process import service_time
+from waxwingferry.process.protection import service_time
 
 # Routes beyond this number share one distribution of service times.
 MAX_ROUTES = 64
--- a/src/waxwingferry/process/lifetimes.py
+++ b/src/waxwingferry/process/protection/lifetimes.py
@@ -13,10 +13,10 @@
 import msgspec
 import structlog
 
-from waxwingferry.process import lease
-from waxwingferry.process import members
-from waxwingferry.process import stated_limit
 from waxwingferry.process import target
+from waxwingferry.process.protection import stated_limit
+from waxwingferry.process.spreading import lease
+from waxwingferry.process.spreading import members
 from waxwingferry.request import receive
 
 # A report is repeated if it is not confirmed within a second.
--- a/src/waxwingferry/process/sampler.py
+++ b/src/waxwingferry/process/protection/sampler.py
@@ -12,9 +12,9 @@
 import anyio
 import structlog
 
-from waxwingferry.process import gossip
 from waxwingferry.process import metrics
 from waxwingferry.process import target
+from waxwingferry.process.spreading import gossip
 from waxwingferry.request import receive
 
 # A third of the samples that the platform allows for a target, because a
--- a/src/waxwingferry/process/stated_limit.py
+++ b/src/waxwingferry/process/protection/stated_limit.py
@@ -9,7 +9,7 @@
 import math
 import time
 
-from waxwingferry.process import limit
+from waxwingferry.process.protection import limit
 
 # The rate bound holds over every span of this length, in seconds.
 PACE_WINDOW_S = 1.0
--- a/src/waxwingferry/process/tests/test_admission.py
+++ b/src/waxwingferry/process/protection/tests/test_admission.py
@@ -5,8 +5,8 @@
 import anyio
 import pytest
 
-from waxwingferry.process import admission
-from waxwingferry.process import limit as limits
+from waxwingferry.process.protection import admission
+from waxwingferry.process.protection import limit as limits
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
--- a/src/waxwingferry/process/tests/test_lifetimes.py
+++ b/src/waxwingferry/process/protection/tests/test_lifetimes.py
@@ -5,12 +5,12 @@
 import anyio
 import pytest
 
-from waxwingferry.process import lease
-from waxwingferry.process import lifetimes
-from waxwingferry.process import members
 from waxwingferry.process import metrics
-from waxwingferry.process import stated_limit
 from waxwingferry.process import target
+from waxwingferry.process.protection import lifetimes
+from waxwingferry.process.protection import stated_limit
+from waxwingferry.process.spreading import lease
+from waxwingferry.process.spreading import members
 from waxwingferry.process.tests import fakes
 from waxwingferry.request import call
 from waxwingferry.request import outcome
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -9,7 +9,7 @@
 import pydantic
 import yaml
 
-from waxwingferry.process import routing
+from waxwingferry.process.choice import routing
 
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
--- /dev/null
+++ b/src/waxwingferry/process/spreading/__init__.py
@@ -0,0 +1,1 @@
+"""How members and documents spread, and stay in force."""
--- a/src/waxwingferry/process/configuration.py
+++ b/src/waxwingferry/process/spreading/configuration.py
@@ -17,8 +17,8 @@
 
 import anyio
 
-from waxwingferry.process import in_force
 from waxwingferry.process import platform
+from waxwingferry.process.spreading import in_force
 from waxwingferry.version import document
 
 HISTORY_PREFIX = "document/history/"
--- a/src/waxwingferry/process/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -18,7 +18,7 @@
 import msgspec
 import structlog
 
-from waxwingferry.process import members
+from waxwingferry.process.spreading import members
 
 MAX_DATAGRAM_BYTES = 1200
 MAX_ROWS = 16
--- a/src/waxwingferry/process/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -14,8 +14,8 @@
 import msgspec
 import structlog
 
-from waxwingferry.process import members
 from waxwingferry.process import platform
+from waxwingferry.process.spreading import members
 
 RENEW_INTERVAL_S = 60.0
 READ_INTERVAL_S = 30.0
--- a/src/waxwingferry/process/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -26,7 +26,7 @@
 import structlog
 import xxhash
 
-from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
 
 PREFIX = "members/"
 LEASE_TTL_S = 180.0
@@ -174,14 +174,14 @@
         self.predecessor: MemberRow | None = None
         self.own_changed = anyio.Event()
         self.records: dict[str, Record] = {}
-        self.candidates: dict[str, routing.Candidate] = {}
+        self.candidates: dict[str, known_target.Candidate] = {}
         self.forgotten: dict[str, tuple[int, int, str]] = {}
-        self.usable: dict[str, list[routing.Candidate]] | None = None
+        self.usable: dict[str, list[known_target.Candidate]] | None = None
         self.fingerprint = 0
         self.last_read_s: float | None = None
 
     @property
-    def by_service(self) -> dict[str, list[routing.Candidate]]:
+    def by_service(self) -> dict[str, list[known_target.Candidate]]:
         """Targets that may be used, by service.
 
         Those with a lapsed lease or evidence against them are used only if
@@ -250,7 +250,7 @@
                 setattr(old, name, getattr(row, name))
             return
         values = {name: getattr(row, name) for name in _SHARED_FIELDS}
-        self.candidates[row.node] = routing.Candidate(**values)
+        self.candidates[row.node] = known_target.Candidate(**values)
 
     def apply_renewed(self, row: MemberRow, version: int) -> None:
         """Takes a row that its node wrote or renewed in the table just now."""
@@ -365,8 +365,8 @@
         record = self.records[node]
         return not record.suspect and record.age_s <= LEASE_TTL_S
 
-    def _group_usable(self) -> dict[str, list[routing.Candidate]]:
-        groups: dict[str, list[routing.Candidate]] = {}
+    def _group_usable(self) -> dict[str, list[known_target.Candidate]]:
+        groups: dict[str, list[known_target.Candidate]] = {}
         for item in self.candidates.values():
             groups.setdefault(item.service, []).append(item)
         return {
@@ -375,8 +375,8 @@
         }
 
     def _choose_usable(
-        self, items: list[routing.Candidate]
-    ) -> list[routing.Candidate]:
+        self, items: list[known_target.Candidate]
+    ) -> list[known_target.Candidate]:
         current = [item for item in items if self._is_current(item.node)]
         if any(item.state == "ready" for item in current):
             return current
--- a/src/waxwingferry/process/peers.py
+++ b/src/waxwingferry/process/spreading/peers.py
@@ -16,9 +16,9 @@
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
-from waxwingferry.process import gossip
-from waxwingferry.process import in_force
-from waxwingferry.process import members
+from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import in_force
+from waxwingferry.process.spreading import members
 
 DOCUMENT_PATH = "/_peer/document"
 MEMBERS_PATH = "/_peer/members"
--- a/src/waxwingferry/process/spread.py
+++ b/src/waxwingferry/process/spreading/spread.py
@@ -8,13 +8,13 @@
 import anyio
 import structlog
 
-from waxwingferry.process import gossip
-from waxwingferry.process import in_force
-from waxwingferry.process import lease
-from waxwingferry.process import members
 from waxwingferry.process import metrics
-from waxwingferry.process import peers
 from waxwingferry.process import platform
+from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import in_force
+from waxwingferry.process.spreading import lease
+from waxwingferry.process.spreading import members
+from waxwingferry.process.spreading import peers
 
 LEARN_RETRY_S = 0.5
 LEARN_RETRY_MAX_S = 5.0
--- a/src/waxwingferry/process/tests/test_configuration.py
+++ b/src/waxwingferry/process/spreading/tests/test_configuration.py
@@ -5,9 +5,9 @@
 import anyio
 import pytest
 
-from waxwingferry.process import configuration
-from waxwingferry.process import in_force
 from waxwingferry.process import platform
+from waxwingferry.process.spreading import configuration
+from waxwingferry.process.spreading import in_force
 from waxwingferry.process.tests import fakes
 from waxwingferry.version import document
 
--- a/src/waxwingferry/process/tests/test_gossip.py
+++ b/src/waxwingferry/process/spreading/tests/test_gossip.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
-from waxwingferry.process import configuration
-from waxwingferry.process import gossip
+from waxwingferry.process.spreading import configuration
+from waxwingferry.process.spreading import gossip
 from waxwingferry.process.tests import fakes
 
 CONTENT = {"services": [{"name": "desk", "routes": [{"path_prefix": "/"}]}]}
--- a/src/waxwingferry/process/tests/test_lease.py
+++ b/src/waxwingferry/process/spreading/tests/test_lease.py
@@ -5,9 +5,9 @@
 import anyio
 import pytest
 
-from waxwingferry.process import lease
-from waxwingferry.process import members
 from waxwingferry.process import platform
+from waxwingferry.process.spreading import lease
+from waxwingferry.process.spreading import members
 from waxwingferry.process.tests import fakes
 
 pytestmark = pytest.mark.anyio
--- a/src/waxwingferry/process/tests/test_spread.py
+++ b/src/waxwingferry/process/spreading/tests/test_spread.py
@@ -6,14 +6,14 @@
 import msgspec
 import pytest
 
-from waxwingferry.process import configuration
-from waxwingferry.process import gossip
-from waxwingferry.process import lease
-from waxwingferry.process import members
 from waxwingferry.process import metrics
-from waxwingferry.process import peers
 from waxwingferry.process import platform
-from waxwingferry.process import spread
+from waxwingferry.process.spreading import configuration
+from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import lease
+from waxwingferry.process.spreading import members
+from waxwingferry.process.spreading import peers
+from waxwingferry.process.spreading import spread
 from waxwingferry.process.tests import fakes
 
 pytestmark = pytest.mark.anyio
--- a/src/waxwingferry/process/version_moves.py
+++ b/src/waxwingferry/process/spreading/version_moves.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from waxwingferry.process import gossip
-from waxwingferry.process import in_force
-from waxwingferry.process import members
+from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import in_force
+from waxwingferry.process.spreading import members
 from waxwingferry.request import receive
 from waxwingferry.version import rollout
 
--- a/src/waxwingferry/process/tests/fakes.py
+++ b/src/waxwingferry/process/tests/fakes.py
@@ -6,10 +6,10 @@
 
 import anyio
 
-from waxwingferry.process import configuration
-from waxwingferry.process import gossip
-from waxwingferry.process import members
 from waxwingferry.process import platform
+from waxwingferry.process.spreading import configuration
+from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import members
 
 
 class Clock:
--- a/src/waxwingferry/request/claim.py
+++ b/src/waxwingferry/request/claim.py
@@ -20,9 +20,9 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.process import background
-from waxwingferry.process import budget
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
+from waxwingferry.process.choice import budget
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 from waxwingferry.request import recorder
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -10,9 +10,10 @@
 import structlog
 
 from waxwingferry.connection import http1
-from waxwingferry.process import members
 from waxwingferry.process import metrics
-from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
+from waxwingferry.process.choice import routing
+from waxwingferry.process.spreading import members
 from waxwingferry.request import call
 from waxwingferry.request import claim
 from waxwingferry.request import forward
@@ -66,6 +67,9 @@
             so that another costs nothing.
         newest: How the newest attempt ended, or None.
         last: The outcome of the call if no other attempt is made.
+        load_age_ms: Age of the load report by which the newest target was
+            chosen, None without one.
+        slowness: Slowness in that report.
     """
 
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -80,6 +84,14 @@
         outcome.Reason.NO_TARGET
     )
 
+    load_age_ms: int | None = None
+    slowness: float = 1.0
+
+    def note_choice(self, load: routing.Load, now_s: float) -> None:
+        """Notes what the newest choice went by, for the logs."""
+        self.load_age_ms = routing.age_ms(load, now_s)
+        self.slowness = load.slowness
+
     def may_move(self) -> bool:
         """Tells whether the next attempt may be refused as busy."""
         return not self.settled and self.moves < MAX_MOVES
@@ -91,7 +103,7 @@
 
     def add(
         self,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         result: outcome.NotRun | outcome.Unknown,
     ) -> None:
         """Notes how an attempt ended."""
@@ -296,6 +308,7 @@
                 made, trail.number, candidate.incarnation, candidate.target
             )
             attempt.movable = trail.may_move()
+            trail.note_choice(candidate.stats.load, self.router.clock())
             async with self._execute(candidate, attempt) as result:
                 if isinstance(result, outcome.Answer):
                     cut = await self._relay(connection, result, attempt)
@@ -326,7 +339,7 @@
 
     def _choose(
         self, made: call.Call, trail: "Trail"
-    ) -> routing.Candidate | None:
+    ) -> known_target.Candidate | None:
         revision = self.revision()
         if revision is None:
             # The process was paused, and what it knows may be out of date.
@@ -363,7 +376,7 @@
         self,
         made: call.Call,
         trail: "Trail",
-        candidate: routing.Candidate | None,
+        candidate: known_target.Candidate | None,
     ) -> bool:
         if trail.moved:
             # A refusal by a node reached no target and costs no budget.
@@ -385,7 +398,7 @@
 
     @contextlib.asynccontextmanager
     async def _execute(
-        self, candidate: routing.Candidate, attempt: call.Attempt
+        self, candidate: known_target.Candidate, attempt: call.Attempt
     ) -> AsyncIterator[outcome.Outcome]:
         own = candidate.node == self.node
         executor = (
@@ -430,11 +443,10 @@
     def _log_attempt(
         self,
         made: call.Call,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         trail: "Trail",
         result: outcome.NotRun | outcome.Unknown,
     ) -> None:
-        load = candidate.stats.load
         log.info(
             "attempt ended without an answer",
             request=made.name,
@@ -444,14 +456,14 @@
             reason=result.reason.value,
             not_run=isinstance(result, outcome.NotRun),
             left_ms=round(made.deadline.remaining_s() * 1000),
-            load_age_ms=routing.age_ms(load, self.router.clock()),
-            slowness=load.slowness,
+            load_age_ms=trail.load_age_ms,
+            slowness=trail.slowness,
         )
 
     def _log_end(
         self,
         made: call.Call,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         trail: "Trail",
         answer: outcome.Answer,
     ) -> None:
@@ -464,6 +476,8 @@
             number=trail.number,
             status=answer.head.status,
             left_ms=round(made.deadline.remaining_s() * 1000),
+            load_age_ms=trail.load_age_ms,
+            slowness=trail.slowness,
         )
 
 
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -13,7 +13,8 @@
 from waxwingferry.connection import pool
 from waxwingferry.process import attempts
 from waxwingferry.process import metrics
-from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
+from waxwingferry.process.choice import routing
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 from waxwingferry.request import resolve
@@ -59,7 +60,7 @@
         self.pools: dict[tuple[str, int], pool.Pool] = {}
         self.stamps: dict[tuple[str, int], Stamp] = {}
 
-    def _pool(self, candidate: routing.Candidate) -> pool.Pool:
+    def _pool(self, candidate: known_target.Candidate) -> pool.Pool:
         address = (candidate.host, candidate.peer_port)
         if address not in self.pools:
             self.pools[address] = pool.Pool(*address, self.connect)
@@ -67,7 +68,7 @@
 
     @contextlib.asynccontextmanager
     async def execute(
-        self, candidate: routing.Candidate, attempt: call.Attempt
+        self, candidate: known_target.Candidate, attempt: call.Attempt
     ) -> AsyncIterator[outcome.Outcome]:
         """Runs an attempt at a peer; read the answer inside the context."""
         peer = self._pool(candidate)
@@ -105,7 +106,7 @@
     async def _run(
         self,
         connection: http1.ClientConnection,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         attempt: call.Attempt,
     ) -> "outcome.Outcome | _Lost":
         refusal = await self._stamp(connection, candidate, attempt)
@@ -129,7 +130,7 @@
     async def _stamp(
         self,
         connection: http1.ClientConnection,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         attempt: call.Attempt,
     ) -> outcome.NotRun | None:
         """Gives an attempt a recent time of the node it is sent to."""
@@ -155,7 +156,7 @@
     async def _read_stamp(
         self,
         connection: http1.ClientConnection,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         attempt: call.Attempt,
     ) -> Stamp:
         await connection.send_request("GET", STAMP_PATH, [])
@@ -169,7 +170,7 @@
         return stamp
 
     def _learn_stamp(
-        self, candidate: routing.Candidate, head: http1.ResponseHead
+        self, candidate: known_target.Candidate, head: http1.ResponseHead
     ) -> Stamp | None:
         value = http1.find_header(head.headers, call.STAMP_HEADER)
         name = http1.find_header(head.headers, call.INCARNATION_HEADER)
@@ -182,7 +183,7 @@
     async def _exchange(
         self,
         connection: http1.ClientConnection,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         attempt: call.Attempt,
     ) -> "http1.ResponseHead | _Lost":
         watch = silence.Watch(connection, candidate, attempt, self.resolver)
@@ -201,7 +202,7 @@
     def _classify(
         self,
         connection: http1.ClientConnection,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         attempt: call.Attempt,
         head: http1.ResponseHead,
     ) -> "outcome.Outcome | _Lost":
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -4,7 +4,7 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.process import attempts
-from waxwingferry.process import probe
+from waxwingferry.process.choice import probe
 from waxwingferry.request import call
 from waxwingferry.request import entry
 from waxwingferry.request import forward
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -5,17 +5,21 @@
 import contextlib
 import math
 
+import structlog
+
 from waxwingferry.connection import http1
-from waxwingferry.process import admission
-from waxwingferry.process import limit as limits
 from waxwingferry.process import metrics
-from waxwingferry.process import routing
-from waxwingferry.process import stated_limit
 from waxwingferry.process import target
+from waxwingferry.process.choice import routing
+from waxwingferry.process.protection import admission
+from waxwingferry.process.protection import limit as limits
+from waxwingferry.process.protection import stated_limit
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 from waxwingferry.version import revision as revisions
 
+log = structlog.get_logger()
+
 OnAnswer = Callable[[str, str, str, bool, float], None]
 
 
@@ -171,6 +175,7 @@
             refusal = outcome.NotRun(outcome.Reason.BUSY)
         permit = refusal or await self._admit(attempt)
         if isinstance(permit, outcome.NotRun):
+            self._log_refusal(attempt, permit)
             self._count(permit)
             yield permit
             return
@@ -189,6 +194,27 @@
         finally:
             self.admission.release(permit, ending)
 
+    def _log_refusal(
+        self, attempt: call.Attempt, refusal: outcome.NotRun
+    ) -> None:
+        state = self.admission
+        dialect = self.dialect or target.TargetDialect()
+        now_s = state.clock() if state else 0.0
+        log.info(
+            "attempt refused",
+            request=dialect.find_identity(attempt),
+            reason=refusal.reason.value,
+            in_flight=state.in_flight if state else None,
+            queue=len(state.queue) if state else None,
+            limit=state.limit.value if state else None,
+            paced=bool(state and state.limit.find_start_s() > now_s),
+            slowness=self.slowness(),
+            sample_age_ms=(
+                round((now_s - self.sampled_s) * 1000) if self.sample else None
+            ),
+            left_ms=round(attempt.deadline.remaining_s() * 1000),
+        )
+
     def _count_answer(
         self,
         attempt: call.Attempt,
--- a/src/waxwingferry/request/resolve.py
+++ b/src/waxwingferry/request/resolve.py
@@ -11,7 +11,7 @@
 from waxwingferry.connection import pool
 from waxwingferry.process import attempts
 from waxwingferry.process import metrics
-from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
@@ -69,7 +69,7 @@
         self.free = anyio.Semaphore(MAX_QUESTIONS)
 
     async def look(
-        self, candidate: routing.Candidate, attempt: call.Attempt
+        self, candidate: known_target.Candidate, attempt: call.Attempt
     ) -> Status | None:
         """Returns what the node knows, None without an answer.
 
@@ -81,7 +81,7 @@
 
     async def resolve(
         self,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         attempt: call.Attempt,
         lost: outcome.Unknown,
     ) -> outcome.Outcome:
@@ -101,7 +101,7 @@
 
     async def _ask_until(
         self,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         attempt: call.Attempt,
         lost: outcome.Unknown,
     ) -> outcome.Outcome:
@@ -128,7 +128,7 @@
 
     async def _ask(
         self,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         attempt: call.Attempt,
         method: str,
         timeout_s: float,
@@ -158,7 +158,7 @@
 
     @contextlib.asynccontextmanager
     async def _connection(
-        self, candidate: routing.Candidate
+        self, candidate: known_target.Candidate
     ) -> AsyncIterator[http1.ClientConnection]:
         stream = await self.connect(candidate.host, candidate.peer_port)
         connection = http1.ClientConnection(stream)
@@ -171,7 +171,7 @@
 
 async def _exchange(
     connection: http1.ClientConnection,
-    candidate: routing.Candidate,
+    candidate: known_target.Candidate,
     attempt: call.Attempt,
     method: str,
     wait_s: float,
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -4,8 +4,8 @@
 import enum
 import time
 
-from waxwingferry.process import budget
-from waxwingferry.process import routing
+from waxwingferry.process.choice import budget
+from waxwingferry.process.choice import routing
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
@@ -71,11 +71,12 @@
 )
 
 
-# The node refused by itself: no target was reached, so that another attempt
-# adds nothing to what targets bear.
-_BY_NODE = frozenset(
+# No target was reached, so that another attempt adds nothing to what targets
+# bear: the node refused by itself, or no connection was opened.
+_UNREACHED = frozenset(
     {
         _Reason.BUSY,
+        _Reason.CONNECTION_REFUSED,
         _Reason.LEAVING,
         _Reason.DOMAIN_OUT,
         _Reason.WRONG_TARGET,
@@ -86,7 +87,7 @@
 
 def is_move(last: outcome.NotRun | outcome.Unknown) -> bool:
     """Tells whether a refusal reached no target and costs no budget."""
-    return isinstance(last, outcome.NotRun) and last.reason in _BY_NODE
+    return isinstance(last, outcome.NotRun) and last.reason in _UNREACHED
 
 
 def classify(last: outcome.NotRun | outcome.Unknown) -> Kind:
--- a/src/waxwingferry/request/silence.py
+++ b/src/waxwingferry/request/silence.py
@@ -19,7 +19,7 @@
 import anyio
 
 from waxwingferry.connection import http1
-from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
 from waxwingferry.request import call
 from waxwingferry.request import resolve
 
@@ -45,7 +45,7 @@
     def __init__(
         self,
         connection: http1.ClientConnection,
-        candidate: routing.Candidate,
+        candidate: known_target.Candidate,
         attempt: call.Attempt,
         resolver: resolve.Resolver,
     ):
--- a/src/waxwingferry/request/tests/test_retry.py
+++ b/src/waxwingferry/request/tests/test_retry.py
@@ -3,8 +3,8 @@
 import pytest
 
 from waxwingferry.connection import http1
-from waxwingferry.process import routing
-from waxwingferry.process.tests import test_routing
+from waxwingferry.process.choice import routing
+from waxwingferry.process.choice.tests import test_routing
 from waxwingferry.request import call
 from waxwingferry.request import hop
 from waxwingferry.request import outcome
--- a/src/waxwingferry/request/tests/world.py
+++ b/src/waxwingferry/request/tests/world.py
@@ -14,11 +14,11 @@
 from waxwingferry.connection import serve
 from waxwingferry.process import attempts
 from waxwingferry.process import background
-from waxwingferry.process import members
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
-from waxwingferry.process import routing
 from waxwingferry.process import target
+from waxwingferry.process.choice import routing
+from waxwingferry.process.spreading import members
 from waxwingferry.request import call
 from waxwingferry.request import claim
 from waxwingferry.request import entry
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -20,7 +20,7 @@
 import structlog
 
 from waxwingferry.process import platform
-from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
 from waxwingferry.version import revision
 
 # Part of the allowed exposure that is used before the decision. The rest is
@@ -176,7 +176,7 @@
         self,
         node: str,
         newest: Callable[[], revision.Revision | None],
-        candidates: Callable[[str], list[routing.Candidate]],
+        candidates: Callable[[str], list[known_target.Candidate]],
         ledger: Ledger,
         judges: Callable[[], list[str]],
         send: Callable[[str, CountPush | Decision | Stop], None],
@@ -201,8 +201,8 @@
     # Choosing
 
     def allow(
-        self, service: str, known: list[routing.Candidate], canary: bool
-    ) -> list[routing.Candidate]:
+        self, service: str, known: list[known_target.Candidate], canary: bool
+    ) -> list[known_target.Candidate]:
         """Returns the targets that a call may use.
 
         Args:
@@ -563,18 +563,20 @@
 
 
 def _with_version(
-    known: list[routing.Candidate], version: str
-) -> list[routing.Candidate]:
+    known: list[known_target.Candidate], version: str
+) -> list[known_target.Candidate]:
     return [item for item in known if item.version == version]
 
 
 def _without_version(
-    known: list[routing.Candidate], version: str
-) -> list[routing.Candidate]:
+    known: list[known_target.Candidate], version: str
+) -> list[known_target.Candidate]:
     return [item for item in known if item.version != version]
 
 
-def _with_place(known: list[routing.Candidate]) -> list[routing.Candidate]:
+def _with_place(
+    known: list[known_target.Candidate],
+) -> list[known_target.Candidate]:
     """Returns a few ready targets with a free place, the same at all nodes.
 
     Packing the few requests shows what the version does under load.
@@ -585,7 +587,7 @@
     return [item for item in packed if item.stats.in_flight < item.slots]
 
 
-def _find_usual(known: list[routing.Candidate]) -> str:
+def _find_usual(known: list[known_target.Candidate]) -> str:
     """Returns the version that most targets have."""
     counts = collections.Counter(item.version for item in known)
     most = max(counts.values(), default=0)
--- a/src/waxwingferry/version/tests/test_rollout.py
+++ b/src/waxwingferry/version/tests/test_rollout.py
@@ -5,7 +5,7 @@
 import pytest
 
 from waxwingferry.process import platform
-from waxwingferry.process import routing
+from waxwingferry.process.choice import known_target
 from waxwingferry.process.tests import fakes
 from waxwingferry.version import revision
 from waxwingferry.version import rollout
@@ -83,9 +83,9 @@
         await self.moves._judge(course)
 
 
-def make_target(number: int, version: str) -> routing.Candidate:
+def make_target(number: int, version: str) -> known_target.Candidate:
     """Returns a ready target."""
-    return routing.Candidate(
+    return known_target.Candidate(
         f"n{number}",
         "desk",
         version,
