--- a/src/waxwingferry/platform/fields.py
+++ b/src/waxwingferry/platform/fields.py
@@ -105,22 +105,30 @@
     named = http1.find_header(reply.headers, TARGET_ID)
     if named and named != target_id:
         return None
+    # A target that is cold says so in each health answer.
+    cold_s = _read_cold(reply.headers) or 0.0
     load = _read_load(reply.headers)
-    if load is not None and load.cold_s is None:
-        # A target that is cold says so in each health answer.
-        return dataclasses.replace(load, cold_s=0.0)
-    return load
+    if load is None:
+        return target.TargetLoad(0, 0, 0, cold_s=cold_s)
+    return dataclasses.replace(load, cold_s=cold_s)
+
+
+def _read_cold(headers: http1.Headers) -> float | None:
+    text = http1.find_header(headers, COLD_MS)
+    return int(text) / 1000 if _MILLISECONDS.fullmatch(text) else None
 
 
 def _read_load(headers: http1.Headers) -> target.TargetLoad | None:
     """Returns running, waiting, slots and slowness in percent, if stated."""
-    cold = http1.find_header(headers, COLD_MS)
-    cold_s = int(cold) / 1000 if _MILLISECONDS.fullmatch(cold) else None
     parts = http1.find_header(headers, LOAD).split(",")
     if len(parts) < 3 or not all(part.strip().isdigit() for part in parts):
         return None
     numbers = [int(part) for part in parts]
     slowness = numbers[3] / 100 if len(numbers) > 3 else 1.0
     return target.TargetLoad(
-        numbers[0], numbers[1], numbers[2], max(slowness, 0.01), cold_s
+        numbers[0],
+        numbers[1],
+        numbers[2],
+        max(slowness, 0.01),
+        _read_cold(headers),
     )
--- a/src/waxwingferry/platform/tests/test_reports.py
+++ b/src/waxwingferry/platform/tests/test_reports.py
@@ -167,3 +167,10 @@
     found = fields.read_health(exchange.Reply(200, cold, b""), "i-1")
     assert found is not None
     assert found.cold_s == 1.5
+
+
+def test_a_cold_target_that_states_no_load_is_paced():
+    """Guards against a cold time that is read only beside a load."""
+    headers = [(fields.TARGET_ID, "i-1"), (fields.COLD_MS, "900")]
+    found = fields.read_health(exchange.Reply(200, headers, b""), "i-1")
+    assert found == target.TargetLoad(0, 0, 0, 1.0, 0.9)
--- a/src/waxwingferry/process/protection/sampler.py
+++ b/src/waxwingferry/process/protection/sampler.py
@@ -73,19 +73,26 @@
             state = self.receiver.admission
             if state is not None and state.in_flight:
                 self.note_activity()
+            stated = False
             if link is not None:
-                await self._sample(link.announcement)
+                stated = await self._sample(link.announcement)
             active = self.clock() - self.active_s < ACTIVE_S
-            await anyio.sleep(ACTIVE_INTERVAL_S if active else IDLE_INTERVAL_S)
+            often = active and stated
+            await anyio.sleep(ACTIVE_INTERVAL_S if often else IDLE_INTERVAL_S)
 
-    async def _sample(self, announcement: target.Announcement) -> None:
+    async def _sample(self, announcement: target.Announcement) -> bool:
+        """Takes one sample; returns whether the target states its load.
+
+        A question to one that does not may take a place from a request.
+        """
         sample = None
         with anyio.move_on_after(SAMPLE_TIMEOUT_S):
             sample = await self.fetch(announcement)
         if sample is None:
             self.counters.events.inc({"event": "sample_failed"})
-            return
+            return False
         self.receiver.take_sample(sample)
+        return sample.slots > 0
 
     def push_changes(self) -> None:
         """Tells the other nodes if their choice would change."""
