Split entry and rollout; apply the document's limits to callers

Change: request/answering.py, request/trail.py and version/judgement.py; unused fields removed; callers' limits follow the document; make lock also writes deploy/requirements.txt. Conclusion: no change of behaviour but for the limits.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 unit: $(VENV)/.ready
 	$(PYTHON) -m pytest
 
+COMPILE = $(VENV)/bin/pip-compile -q --generate-hashes --allow-unsafe --strip-extras --no-emit-index-url --no-emit-find-links --no-emit-trusted-host
+
 # Rewrites the pinned, hashed requirements from the *.in files.
 lock:
-	for f in main dev; do $(VENV)/bin/pip-compile -q --generate-hashes --allow-unsafe --strip-extras --no-emit-index-url --no-emit-find-links --no-emit-trusted-host -o requirements/$$f.txt requirements/$$f.in; done
+	for f in main dev; do $(COMPILE) -o requirements/$$f.txt requirements/$$f.in; done
+	$(COMPILE) -c requirements/main.txt -o deploy/requirements.txt requirements/node.in
--- a/src/waxwingferry/platform/boot.py
+++ b/src/waxwingferry/platform/boot.py
@@ -31,20 +31,14 @@
         retry_slack: Further second sends in each window, over all nodes.
         expose_share: Share of a service's requests that a bad version gets.
         expose_slack: Further requests that a bad version gets.
-        rollback_s: Time after which a version found bad gets nothing.
         cold_over: Factor on a cold target's rate in any second.
-        ack_s: Time in which a leave is confirmed.
-        grace_s: Time between SIGTERM and SIGKILL.
     """
 
     retry_ratio: float
     retry_slack: float
     expose_share: float
     expose_slack: float
-    rollback_s: float
     cold_over: float
-    ack_s: float
-    grace_s: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -55,7 +49,6 @@
         service: Service of the target on this machine.
         target: Address of that target.
         outbound: Address for requests that start on this machine.
-        inbound: Address reserved for other nodes' requests; not used.
         ready: Address of the readiness question.
         control: Address for the target's own reports.
         first_port: First port for communication between nodes.
@@ -125,10 +118,7 @@
             retry_slack=bounds.number("retry-budget-slack"),
             expose_share=bounds.number("expose-share"),
             expose_slack=bounds.number("expose-slack"),
-            rollback_s=bounds.time("rollback"),
             cold_over=bounds.number("cold-over"),
-            ack_s=bounds.time("ack"),
-            grace_s=bounds.time("grace"),
         ),
     )
 
@@ -161,12 +151,6 @@
             raise self._fail(key, "a number")
         return float(value)
 
-    def time(self, key: str) -> float:
-        try:
-            return values.parse_time(self.values.get(key))
-        except values.ValueFormatError:
-            raise self._fail(key, 'a time such as "500ms" or "2s"') from None
-
     def address(self, key: str) -> tuple[str, int]:
         try:
             return values.parse_address(self.values.get(key))
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -29,7 +29,7 @@
 from waxwingferry.process.spreading import peers
 from waxwingferry.process.spreading import version_moves
 from waxwingferry.process.spreading import watch
-from waxwingferry.request import entry
+from waxwingferry.request import answering
 
 EXIT_USAGE = 2
 READY_PATH = "/-/ready"
@@ -201,7 +201,7 @@
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Takes the reports of the target on this machine."""
-        body = (await entry.read_body(connection)).buffered
+        body = (await answering.read_body(connection)).buffered
         matched = reports.match_path(head.target)
         if matched is None:
             await connection.send_head(404, [], b"")
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -63,7 +63,6 @@
 
     def __init__(self, client: exchange.Client):
         self.client = client
-        self.calls = 0
 
     async def read(self, key: str) -> platform.Row | None:
         """See process.platform.Table."""
@@ -181,7 +180,6 @@
         body: bytes = b"",
         timeout_s: float = REQUEST_TIMEOUT_S,
     ) -> exchange.Reply:
-        self.calls += 1
         headers = [("content-type", "application/json")] if body else []
         try:
             return await self.client.request(
--- a/src/waxwingferry/platform/tests/test_boot.py
+++ b/src/waxwingferry/platform/tests/test_boot.py
@@ -37,10 +37,7 @@
             "retry-budget-slack": 56,
             "expose-share": 0.1,
             "expose-slack": 50,
-            "rollback": "5000ms",
             "cold-over": 1.5,
-            "ack": "4000ms",
-            "grace": "6s",
         }
     },
 }
@@ -52,7 +49,7 @@
     assert found.target == ("10.1.0.38", 8145)
     assert found.seeds == ("10.1.0.39",)
     assert found.store == boot.Store("10.200.1.7", 8142)
-    assert found.bounds.rollback_s == 5.0
+    assert found.bounds.cold_over == 1.5
 
 
 @pytest.mark.parametrize(
@@ -73,12 +70,6 @@
             [7380],
             "network.internal-ports = [7380]: must be a first and a last port",
         ),
-        (
-            ("timing", "bounds", "rollback"),
-            "5",
-            "timing.bounds.rollback = '5': must be a time such as "
-            '"500ms" or "2s"',
-        ),
         (
             ("timing", "bounds", "retry-budget-slack"),
             True,
--- a/src/waxwingferry/platform/tests/test_operator.py
+++ b/src/waxwingferry/platform/tests/test_operator.py
@@ -8,7 +8,7 @@
 
 pytestmark = pytest.mark.anyio
 
-BOUNDS = boot.Bounds(0.2, 56, 0.1, 50, 5.0, 1.5, 4.0, 6.0)
+BOUNDS = boot.Bounds(0.2, 56, 0.1, 50, 1.5)
 CONFIG = {
     "version": "r7",
     "services": [
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -10,6 +10,7 @@
 import structlog
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import message
 from waxwingferry.connection import serve
 from waxwingferry.process import attempts
 from waxwingferry.process import background
@@ -153,7 +154,7 @@
         )
         self.members.on_news = self.gossip.add_row
         self.members.on_rival = self.lease.meet_rival
-        self.configured.on_change = self.gossip.add_revision
+        self.configured.on_change = self.take_document
         self.gossip.on_load = self.take_push
         self.spread = spread.Spread(
             self.configured,
@@ -178,6 +179,13 @@
             own_load=self.receiver.load,
         )
 
+    def take_document(self) -> None:
+        """Puts what a new document says to callers in force, and tells it."""
+        newest = self.configured.revision
+        if newest is not None:
+            self.callers.limits = make_limits(newest.caller_limits)
+        self.gossip.add_revision()
+
     def take_push(self, push: gossip.LoadPush) -> None:
         """Takes the load that another node pushes."""
         candidate = self.members.candidates.get(push.node)
@@ -283,3 +291,19 @@
             self.announce()
         await anyio.sleep(self.options.leave_delay_s)
         self.receiver.close()
+
+
+def make_limits(stated: revision.CallerLimits) -> message.Limits:
+    """Returns what is taken from one caller.
+
+    A connection never idles out sooner than by default: callers may still go
+    by the longer time of an earlier document.
+    """
+    default = message.DEFAULT_LIMITS
+    return dataclasses.replace(
+        default,
+        head_bytes=stated.head_bytes or default.head_bytes,
+        body_bytes=stated.body_bytes or default.body_bytes,
+        head_s=stated.head_s or default.head_s,
+        idle_s=max(stated.idle_s or 0.0, default.idle_s),
+    )
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -22,8 +22,8 @@
 from waxwingferry.process.choice import probe
 from waxwingferry.process.spreading import configuration
 from waxwingferry.process.spreading import peers
+from waxwingferry.request import answering
 from waxwingferry.request import claim
-from waxwingferry.request import entry
 from waxwingferry.request import hop
 
 log = structlog.get_logger()
@@ -120,7 +120,7 @@
         if head.target != "/_local/announce":
             await self.entry.handle(connection, head)
             return
-        body = (await entry.read_body(connection)).buffered
+        body = (await answering.read_body(connection)).buffered
         try:
             announcement = msgspec.json.decode(body, type=target.Announcement)
         except msgspec.DecodeError as error:
--- /dev/null
+++ b/src/waxwingferry/request/answering.py
@@ -0,0 +1,152 @@
+"""Passes bodies and answers between a caller's connection and an attempt."""
+
+from collections.abc import AsyncIterator
+
+from waxwingferry.connection import http1
+from waxwingferry.request import call
+from waxwingferry.request import hop
+from waxwingferry.request import outcome
+
+MAX_COLLECTED_BYTES = 1024 * 1024
+
+# Time after which a caller of a refused call may come back, in seconds. A
+# queue that is full now has moved on by about one service time by then.
+RETRY_AFTER_S = 0.25
+
+_REPLACED = frozenset(
+    {
+        call.ATTEMPT_HEADER,
+        call.INCARNATION_HEADER,
+        call.LOAD_HEADER,
+        call.STAMP_HEADER,
+        outcome.OUTCOME_HEADER,
+    }
+)
+
+
+async def relay_answer(
+    connection: http1.ServerConnection,
+    answer: outcome.Answer,
+    attempt_id: str,
+    extra: http1.Headers | None = None,
+    edge: hop.Edge = hop.OWN_EDGE,
+) -> outcome.Unknown | None:
+    """Passes an answer on chunk by chunk.
+
+    A length that the target gave is kept; otherwise the body gets chunked
+    coding. HTTP/1.0 callers can't read that, and a body that ends with the
+    connection can't be told from a cut one, so for them it is collected, up
+    to MAX_COLLECTED_BYTES.
+
+    Returns:
+        None if the answer was passed on, or why nothing of it was.
+
+    Raises:
+        http1.HttpError: The answer was cut short after its start was sent.
+            The connection must end before the end of the message, so that
+            nobody takes the answer for whole.
+    """
+    head = answer.head
+    kept = [item for item in head.headers if item[0] not in _REPLACED]
+    headers = [*edge.mark_answer(kept, attempt_id), *(extra or [])]
+    try:
+        parts, whole = await _read_start(connection, answer)
+    except outcome.AnswerCutError:
+        return outcome.Unknown(outcome.Reason.ANSWER_CUT)
+    if not whole and not _can_stream(connection, headers):
+        return outcome.Unknown(outcome.Reason.ANSWER_CUT)
+    if connection.answers_head():
+        await connection.send_head(head.status, headers)
+        return None
+    if whole:
+        await connection.send_head(head.status, headers, b"".join(parts))
+        return None
+    await connection.send_head(head.status, headers)
+    for part in parts:
+        await connection.send_chunk(part)
+    try:
+        while (chunk := await answer.receive_chunk()) is not None:
+            await connection.send_chunk(chunk)
+    except outcome.AnswerCutError as error:
+        raise http1.ConnectionLostError("answer cut short") from error
+    await connection.send_end()
+    return None
+
+
+async def _read_start(
+    connection: http1.ServerConnection, answer: outcome.Answer
+) -> tuple[list[bytes], bool]:
+    """Reads as much of a body as must be known before its head is sent.
+
+    A short body of known length is read whole, so that a cut one can still
+    become an outcome. Of others only the first part is read: a target may
+    pause after it, and the caller must not wait for the second.
+
+    Returns:
+        The parts read, and whether they are the whole body.
+    """
+    enough = 0
+    length = http1.find_header(answer.head.headers, "content-length")
+    if not _can_stream(connection, answer.head.headers):
+        enough = MAX_COLLECTED_BYTES
+    elif length and int(length) <= call.MAX_BUFFERED_BODY_BYTES:
+        enough = call.MAX_BUFFERED_BODY_BYTES
+    parts: list[bytes] = []
+    size = 0
+    while (chunk := await answer.receive_chunk()) is not None:
+        parts.append(chunk)
+        size += len(chunk)
+        if size > enough:
+            return parts, False
+    return parts, True
+
+
+def _can_stream(
+    connection: http1.ServerConnection, headers: http1.Headers
+) -> bool:
+    return connection.takes_chunked() or bool(
+        http1.find_header(headers, "content-length")
+    )
+
+
+async def send_refusal(
+    connection: http1.ServerConnection,
+    refusal: outcome.NotRun | outcome.Unknown,
+    extra: http1.Headers | None = None,
+) -> None:
+    """Answers with a refusal and what it proves."""
+    headers = outcome.refusal_headers(refusal) + (extra or [])
+    if refusal.status == 503:
+        headers.append(("retry-after", f"{RETRY_AFTER_S}"))
+    body = f"{refusal.reason.value}\n".encode()
+    await connection.send_head(refusal.status, headers, body)
+
+
+async def read_body(connection: http1.ServerConnection) -> call.Body:
+    """Buffers a small body; a larger one is streamed after its start.
+
+    The rest of a larger body is read only as fast as it is sent on, and it
+    can be read only once, so its call is not retried.
+
+    Raises:
+        http1.HttpError: The body failed, and nothing was sent on.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while size <= call.MAX_BUFFERED_BODY_BYTES:
+        chunk = await connection.receive_chunk()
+        if chunk is None:
+            return call.Body(b"".join(parts))
+        parts.append(chunk)
+        size += len(chunk)
+    return call.Body(b"".join(parts), _iterate_body(connection))
+
+
+async def _iterate_body(
+    connection: http1.ServerConnection,
+) -> AsyncIterator[bytes]:
+    try:
+        while (chunk := await connection.receive_chunk()) is not None:
+            yield chunk
+    except http1.HttpError as error:
+        raise call.BodyError(str(error), error.status) from error
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -3,7 +3,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
-import dataclasses
 import random
 import time
 
@@ -14,6 +13,7 @@
 from waxwingferry.process.choice import known_target
 from waxwingferry.process.choice import routing
 from waxwingferry.process.spreading import members
+from waxwingferry.request import answering
 from waxwingferry.request import call
 from waxwingferry.request import claim
 from waxwingferry.request import forward
@@ -21,108 +21,23 @@
 from waxwingferry.request import outcome
 from waxwingferry.request import retry
 from waxwingferry.request import running
+from waxwingferry.request import trail as trails
 from waxwingferry.version import revision as revisions
 from waxwingferry.version import rollout
 from waxwingferry.version import shares
 
 MAX_IN_FLIGHT = 1000
-MAX_COLLECTED_BYTES = 1024 * 1024
 
 # Calls from outside leave places for nested ones: a nested call that finds
 # no place wastes what the calls above it have done already.
 OUTSIDE_SHARE = 0.8
 
-# Refusals by nodes whose targets would serve the call late. Each costs one
-# round trip and reaches no target; further ones would cost the caller's time.
-MAX_MOVES = 4
-
-# Time after which a caller of a refused call may come back, in seconds. A
-# queue that is full now has moved on by about one service time by then.
-RETRY_AFTER_S = 0.25
-
-_REPLACED = frozenset(
-    {
-        call.ATTEMPT_HEADER,
-        call.INCARNATION_HEADER,
-        call.LOAD_HEADER,
-        call.STAMP_HEADER,
-        outcome.OUTCOME_HEADER,
-    }
-)
 
 _WRONG_INCARNATION = outcome.NotRun(outcome.Reason.WRONG_INCARNATION)
 
 log = structlog.get_logger()
 
 
-@dataclasses.dataclass(slots=True)
-class Trail:
-    """What became of one call so far.
-
-    Attributes:
-        tried: Nodes whose targets may have been reached, or take no work.
-        busy: Nodes that refused because another target would do better.
-        number: Attempts made.
-        reached: Attempts that may have reached a target.
-        moves: Attempts refused as busy.
-        moved: Whether the newest one was refused without reaching a target,
-            so that another costs nothing.
-        newest: How the newest attempt ended, or None.
-        last: The outcome of the call if no other attempt is made.
-        load_age_ms: Age of the load report by which the newest target was
-            chosen, None without one.
-        slowness: Slowness in that report.
-    """
-
-    tried: set[str] = dataclasses.field(default_factory=set)
-    busy: set[str] = dataclasses.field(default_factory=set)
-    number: int = 0
-    reached: int = 0
-    moves: int = 0
-    settled: bool = False
-    moved: bool = False
-    newest: outcome.NotRun | outcome.Unknown | None = None
-    last: outcome.NotRun | outcome.Unknown = outcome.NotRun(
-        outcome.Reason.NO_TARGET
-    )
-
-    load_age_ms: int | None = None
-    slowness: float = 1.0
-
-    def note_choice(self, load: routing.Load, now_s: float) -> None:
-        """Notes what the newest choice went by, for the logs."""
-        self.load_age_ms = routing.age_ms(load, now_s)
-        self.slowness = load.slowness
-
-    def may_move(self) -> bool:
-        """Tells whether the next attempt may be refused as busy."""
-        return not self.settled and self.moves < MAX_MOVES
-
-    def settle(self) -> None:
-        """Takes busy targets as good as any from now on."""
-        self.busy.clear()
-        self.settled = True
-
-    def add(
-        self,
-        candidate: known_target.Candidate,
-        result: outcome.NotRun | outcome.Unknown,
-    ) -> None:
-        """Notes how an attempt ended."""
-        self.newest = result
-        self.last = outcome.combine(self.last, result)
-        self.moved = retry.is_move(result)
-        if result.reason is outcome.Reason.BUSY:
-            self.busy.add(candidate.node)
-            self.moves += 1
-            if self.moves >= MAX_MOVES:
-                self.settle()
-            return
-        self.tried.add(candidate.node)
-        if not self.moved:
-            self.reached += 1
-
-
 class Entry:
     """Answers callers.
 
@@ -278,7 +193,7 @@
             method=head.method,
             target=head.target,
             headers=self.edge.mark_request(headers),
-            body=await read_body(connection),
+            body=await answering.read_body(connection),
             deadline=deadline,
             member=find(head.headers, service.member_header, ""),
             depth=place.depth + 1,
@@ -298,7 +213,7 @@
             late = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
             await self._refuse(connection, late, made)
             return
-        trail = Trail()
+        trail = trails.Trail()
         while True:
             candidate = self._choose(made, trail)
             if trail.newest and not self._pay_retry(made, trail, candidate):
@@ -332,7 +247,7 @@
         answer: outcome.Answer,
         attempt: call.Attempt,
     ) -> outcome.Unknown | None:
-        cut = await relay_answer(
+        cut = await answering.relay_answer(
             connection, answer, attempt.attempt_id, edge=self.edge
         )
         if cut is None:
@@ -340,7 +255,7 @@
         return cut
 
     def _choose(
-        self, made: call.Call, trail: "Trail"
+        self, made: call.Call, trail: trails.Trail
     ) -> known_target.Candidate | None:
         revision = self.revision()
         if revision is None:
@@ -365,7 +280,7 @@
     def _may_retry(
         self,
         made: call.Call,
-        trail: "Trail",
+        trail: trails.Trail,
     ) -> bool:
         latency_s = self.router.service_stats(made.service).latency_s
         assert trail.newest is not None
@@ -377,7 +292,7 @@
     def _pay_retry(
         self,
         made: call.Call,
-        trail: "Trail",
+        trail: trails.Trail,
         candidate: known_target.Candidate | None,
     ) -> bool:
         if trail.moved:
@@ -442,13 +357,13 @@
             {"kind": kind, "reason": refusal.reason.value}
         )
         self.counters.calls.inc({"outcome": kind})
-        await send_refusal(connection, refusal)
+        await answering.send_refusal(connection, refusal)
 
     def _log_attempt(
         self,
         made: call.Call,
         candidate: known_target.Candidate,
-        trail: "Trail",
+        trail: trails.Trail,
         result: outcome.NotRun | outcome.Unknown,
     ) -> None:
         log.info(
@@ -468,7 +383,7 @@
         self,
         made: call.Call,
         candidate: known_target.Candidate,
-        trail: "Trail",
+        trail: trails.Trail,
         answer: outcome.Answer,
     ) -> None:
         log.info(
@@ -483,131 +398,3 @@
             load_age_ms=trail.load_age_ms,
             slowness=trail.slowness,
         )
-
-
-async def relay_answer(
-    connection: http1.ServerConnection,
-    answer: outcome.Answer,
-    attempt_id: str,
-    extra: http1.Headers | None = None,
-    edge: hop.Edge = hop.OWN_EDGE,
-) -> outcome.Unknown | None:
-    """Passes an answer on chunk by chunk.
-
-    A length that the target gave is kept; otherwise the body gets chunked
-    coding. HTTP/1.0 callers can't read that, and a body that ends with the
-    connection can't be told from a cut one, so for them it is collected, up
-    to MAX_COLLECTED_BYTES.
-
-    Returns:
-        None if the answer was passed on, or why nothing of it was.
-
-    Raises:
-        http1.HttpError: The answer was cut short after its start was sent.
-            The connection must end before the end of the message, so that
-            nobody takes the answer for whole.
-    """
-    head = answer.head
-    kept = [item for item in head.headers if item[0] not in _REPLACED]
-    headers = [*edge.mark_answer(kept, attempt_id), *(extra or [])]
-    try:
-        parts, whole = await _read_start(connection, answer)
-    except outcome.AnswerCutError:
-        return outcome.Unknown(outcome.Reason.ANSWER_CUT)
-    if not whole and not _can_stream(connection, headers):
-        return outcome.Unknown(outcome.Reason.ANSWER_CUT)
-    if connection.answers_head():
-        await connection.send_head(head.status, headers)
-        return None
-    if whole:
-        await connection.send_head(head.status, headers, b"".join(parts))
-        return None
-    await connection.send_head(head.status, headers)
-    for part in parts:
-        await connection.send_chunk(part)
-    try:
-        while (chunk := await answer.receive_chunk()) is not None:
-            await connection.send_chunk(chunk)
-    except outcome.AnswerCutError as error:
-        raise http1.ConnectionLostError("answer cut short") from error
-    await connection.send_end()
-    return None
-
-
-async def _read_start(
-    connection: http1.ServerConnection, answer: outcome.Answer
-) -> tuple[list[bytes], bool]:
-    """Reads as much of a body as must be known before its head is sent.
-
-    A short body of known length is read whole, so that a cut one can still
-    become an outcome. Of others only the first part is read: a target may
-    pause after it, and the caller must not wait for the second.
-
-    Returns:
-        The parts read, and whether they are the whole body.
-    """
-    enough = 0
-    length = http1.find_header(answer.head.headers, "content-length")
-    if not _can_stream(connection, answer.head.headers):
-        enough = MAX_COLLECTED_BYTES
-    elif length and int(length) <= call.MAX_BUFFERED_BODY_BYTES:
-        enough = call.MAX_BUFFERED_BODY_BYTES
-    parts: list[bytes] = []
-    size = 0
-    while (chunk := await answer.receive_chunk()) is not None:
-        parts.append(chunk)
-        size += len(chunk)
-        if size > enough:
-            return parts, False
-    return parts, True
-
-
-def _can_stream(
-    connection: http1.ServerConnection, headers: http1.Headers
-) -> bool:
-    return connection.takes_chunked() or bool(
-        http1.find_header(headers, "content-length")
-    )
-
-
-async def send_refusal(
-    connection: http1.ServerConnection,
-    refusal: outcome.NotRun | outcome.Unknown,
-    extra: http1.Headers | None = None,
-) -> None:
-    """Answers with a refusal and what it proves."""
-    headers = outcome.refusal_headers(refusal) + (extra or [])
-    if refusal.status == 503:
-        headers.append(("retry-after", f"{RETRY_AFTER_S}"))
-    body = f"{refusal.reason.value}\n".encode()
-    await connection.send_head(refusal.status, headers, body)
-
-
-async def read_body(connection: http1.ServerConnection) -> call.Body:
-    """Buffers a small body; a larger one is streamed after its start.
-
-    The rest of a larger body is read only as fast as it is sent on, and it
-    can be read only once, so its call is not retried.
-
-    Raises:
-        http1.HttpError: The body failed, and nothing was sent on.
-    """
-    parts: list[bytes] = []
-    size = 0
-    while size <= call.MAX_BUFFERED_BODY_BYTES:
-        chunk = await connection.receive_chunk()
-        if chunk is None:
-            return call.Body(b"".join(parts))
-        parts.append(chunk)
-        size += len(chunk)
-    return call.Body(b"".join(parts), _iterate_body(connection))
-
-
-async def _iterate_body(
-    connection: http1.ServerConnection,
-) -> AsyncIterator[bytes]:
-    try:
-        while (chunk := await connection.receive_chunk()) is not None:
-            yield chunk
-    except http1.HttpError as error:
-        raise call.BodyError(str(error), error.status) from error
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -5,8 +5,8 @@
 from waxwingferry.connection import http1
 from waxwingferry.process import attempts
 from waxwingferry.process.choice import probe
+from waxwingferry.request import answering
 from waxwingferry.request import call
-from waxwingferry.request import entry
 from waxwingferry.request import forward
 from waxwingferry.request import hop
 from waxwingferry.request import outcome
@@ -67,12 +67,12 @@
         extra.append((call.LOAD_HEADER, self.receiver.load()))
         if not isinstance(result, outcome.Answer):
             extra.append((call.ATTEMPT_HEADER, attempt.attempt_id))
-            await entry.send_refusal(connection, result, extra)
+            await answering.send_refusal(connection, result, extra)
             return
         record = self.records.records.get(attempt.attempt_id)
         assert record is not None
         counted = _CountingConnection(connection, record)
-        cut = await entry.relay_answer(
+        cut = await answering.relay_answer(
             counted,  # type: ignore[arg-type]
             result,
             attempt.attempt_id,
@@ -91,7 +91,7 @@
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Answers a question of another node about this one."""
-        await entry.read_body(connection)
+        await answering.read_body(connection)
         extra = self._node_headers()
         if head.target == probe.PROBE_TARGET:
             answer = probe.make_answer(self.receiver.load())
@@ -203,7 +203,7 @@
         method=head.method,
         target=head.target,
         headers=head.headers,
-        body=await entry.read_body(connection),
+        body=await answering.read_body(connection),
         deadline=deadline,
         member=find(head.headers, call.MEMBER_HEADER),
         depth=place.depth,
--- a/src/waxwingferry/request/tests/test_bodies.py
+++ b/src/waxwingferry/request/tests/test_bodies.py
@@ -10,8 +10,8 @@
 from waxwingferry.connection import pool
 from waxwingferry.connection.tests import wire
 from waxwingferry.process import target
+from waxwingferry.request import answering
 from waxwingferry.request import call
-from waxwingferry.request import entry
 from waxwingferry.request import forward
 from waxwingferry.request import outcome
 from waxwingferry.request import silence
@@ -56,7 +56,7 @@
     await connection.receive_head()
     head = http1.ResponseHead(200, headers)
     answer = outcome.Answer(head, source.receive_chunk)
-    result = await entry.relay_answer(connection, answer, "c.1")
+    result = await answering.relay_answer(connection, answer, "c.1")
     return stream.sent, result
 
 
@@ -148,7 +148,7 @@
 
     answer = outcome.Answer(http1.ResponseHead(200, headers), receive_chunk)
     async with anyio.create_task_group() as group:
-        group.start_soon(entry.relay_answer, connection, answer, "c.1")
+        group.start_soon(answering.relay_answer, connection, answer, "c.1")
         await anyio.wait_all_tasks_blocked()
         assert b"event" in stream.sent
         group.cancel_scope.cancel()
@@ -161,7 +161,7 @@
     sent, result = await relay(OLD_GET, source, [])
     assert result == outcome.Unknown(outcome.Reason.ANSWER_CUT)
     assert sent == b""
-    assert source.taken * 65536 < entry.MAX_COLLECTED_BYTES + 2 * 65536
+    assert source.taken * 65536 < answering.MAX_COLLECTED_BYTES + 2 * 65536
 
 
 @pytest.mark.anyio
@@ -177,7 +177,7 @@
     stream.send = send_blocked  # type: ignore[method-assign]
     answer = outcome.Answer(http1.ResponseHead(200, []), source.receive_chunk)
     async with anyio.create_task_group() as group:
-        group.start_soon(entry.relay_answer, connection, answer, "c.1")
+        group.start_soon(answering.relay_answer, connection, answer, "c.1")
         await anyio.wait_all_tasks_blocked()
         assert source.taken <= 2
         group.cancel_scope.cancel()
@@ -191,7 +191,7 @@
         POST + b"Content-Length: %d\r\n\r\n" % size, *[PART] * 1000
     )
     await connection.receive_head()
-    body = await entry.read_body(connection)
+    body = await answering.read_body(connection)
     assert body.rest is not None
     assert len(body.buffered) == 2 * len(PART)
     client, target_stream = wire.make_client_connection()
@@ -219,7 +219,7 @@
         POST + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
     )
     await connection.receive_head()
-    body = await entry.read_body(connection)
+    body = await answering.read_body(connection)
     assert (body.rest is None) == (size <= call.MAX_BUFFERED_BODY_BYTES)
     rest = b""
     if body.rest is not None:
@@ -248,7 +248,7 @@
         POST, *wire.parts_of(data + b"no chunk end"), body_bytes=150_000
     )
     await connection.receive_head()
-    body = await entry.read_body(connection)
+    body = await answering.read_body(connection)
     assert body.rest is not None
     with pytest.raises(call.BodyError) as caught:
         _ = [part async for part in body.rest]
@@ -285,14 +285,14 @@
     link = make_link(port)
 
     async def handle(connection, head) -> None:
-        body = await entry.read_body(connection)
+        body = await answering.read_body(connection)
         attempt = make_attempt(body, 60)
         async with link.execute(attempt) as result:
             attempt.deadline.at_s = 0
             if isinstance(result, outcome.Answer):
-                await entry.relay_answer(connection, result, "c.1")
+                await answering.relay_answer(connection, result, "c.1")
             else:
-                await entry.send_refusal(connection, result)
+                await answering.send_refusal(connection, result)
 
     async with wire.run_server(handle) as own_port:
         data = await wire.exchange(own_port, request)
@@ -364,7 +364,7 @@
         link = make_link(port)
 
         async def handle(connection, head) -> None:
-            body = await entry.read_body(connection)
+            body = await answering.read_body(connection)
             with contextlib.suppress(call.BodyError):
                 async with link.execute(make_attempt(body, 60)):
                     pass
--- a/src/waxwingferry/request/tests/world.py
+++ b/src/waxwingferry/request/tests/world.py
@@ -19,6 +19,7 @@
 from waxwingferry.process import target
 from waxwingferry.process.choice import routing
 from waxwingferry.process.spreading import members
+from waxwingferry.request import answering
 from waxwingferry.request import call
 from waxwingferry.request import claim
 from waxwingferry.request import entry
@@ -137,7 +138,7 @@
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Runs one request."""
-        body = await entry.read_body(connection)
+        body = await answering.read_body(connection)
         if body.rest is not None:
             async for _ in body.rest:
                 pass
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 import dataclasses
 import enum
-import math
 import time
 from typing import Protocol
 
@@ -21,6 +20,7 @@
 
 from waxwingferry.process import platform
 from waxwingferry.process.choice import known_target
+from waxwingferry.version import judgement
 from waxwingferry.version import revision
 
 # Part of the allowed exposure that is used before the decision. The rest is
@@ -42,18 +42,11 @@
 LEAST_SAMPLES = 10
 # Places of new targets, as a share of those of old targets, that must be ready.
 LEAST_PLACES = 0.6
-# Fewer bad answers than this are chance.
-LEAST_BAD = 2
 # A version is taken back at once if so many bad answers would come by chance
 # with this probability, and at the end with the other: a good version taken
 # back is ordered again, a bad one that was completed is not.
 CHANCE_AT_ONCE = 0.01
 CHANCE_AT_END = 0.1
-# Times above this factor of the old version's median are bad answers. A step
-# of the histogram is a factor of 2.
-SLOW_STEPS = 2
-STEPS = 14
-FIRST_STEP_S = 0.002
 TICK_S = 0.2
 PUSH_INTERVAL_S = 0.4
 REPEATS = 3
@@ -93,24 +86,6 @@
     state: State
 
 
-class RouteCount(msgspec.Struct, array_like=True):
-    """Answers of one route by one target since the order.
-
-    Attributes:
-        failed: Answers that were failures, and attempts without an answer.
-        steps: Other answers by the time they took, in steps of a factor 2.
-    """
-
-    route: str
-    failed: int = 0
-    steps: list[int] = msgspec.field(default_factory=lambda: [0] * STEPS)
-
-    @property
-    def total(self) -> int:
-        """Number of all answers."""
-        return self.failed + sum(self.steps)
-
-
 class CountPush(msgspec.Struct, array_like=True):
     """All counts of one target for a move, pushed by its node."""
 
@@ -118,7 +93,7 @@
     service: str
     version: str
     number: int
-    routes: list[RouteCount]
+    routes: list[judgement.RouteCount]
 
 
 class Ledger(Protocol):
@@ -302,12 +277,12 @@
             if item.route == route:
                 break
         else:
-            item = RouteCount(route)
+            item = judgement.RouteCount(route)
             own.routes.append(item)
         if failed:
             item.failed += 1
         else:
-            item.steps[find_step(used_s)] += 1
+            item.steps[judgement.find_step(used_s)] += 1
 
     def take_count(self, push: CountPush) -> None:
         """Takes another node's counts; tells it if the move is decided."""
@@ -417,7 +392,9 @@
         new = merge(course.counts.values(), move.version, True)
         old = merge(course.counts.values(), move.version, False)
         ends = elapsed_s >= move.duration_s - COMPLETE_BEFORE_END_S
-        bad = find_bad(old, new, CHANCE_AT_END if ends else CHANCE_AT_ONCE)
+        bad = judgement.find_bad(
+            old, new, CHANCE_AT_END if ends else CHANCE_AT_ONCE
+        )
         if bad:
             return State.ROLLED_BACK, bad
         if not ends:
@@ -470,23 +447,18 @@
             log.warning("decisions not read", error=str(error))
 
 
-def find_step(used_s: float) -> int:
-    """Returns the step of a time in the histogram."""
-    if used_s <= FIRST_STEP_S:
-        return 0
-    return min(int(math.log2(used_s / FIRST_STEP_S)), STEPS - 1)
-
-
 def merge(
     pushes: collections.abc.Iterable[CountPush], version: str, same: bool
-) -> dict[str, RouteCount]:
+) -> dict[str, judgement.RouteCount]:
     """Returns the counts by route of a version, or of all others."""
-    merged: dict[str, RouteCount] = {}
+    merged: dict[str, judgement.RouteCount] = {}
     for push in pushes:
         if (push.version == version) is not same:
             continue
         for item in push.routes:
-            whole = merged.setdefault(item.route, RouteCount(item.route))
+            whole = merged.setdefault(
+                item.route, judgement.RouteCount(item.route)
+            )
             whole.failed += item.failed
             whole.steps = [
                 a + b for a, b in zip(whole.steps, item.steps, strict=True)
@@ -494,74 +466,6 @@
     return merged
 
 
-def find_bad(
-    old: dict[str, RouteCount], new: dict[str, RouteCount], chance: float
-) -> str:
-    """Returns why a version is worse than the old one, or an empty text.
-
-    Args:
-        old: Counts of the old version by route.
-        new: Counts of the new version by route.
-        chance: Probability below which that many bad answers are no chance.
-    """
-    all_bad = all_total = 0
-    old_bad = old_total = 0
-    for route, item in new.items():
-        base = old.get(route, RouteCount(route))
-        median = _median_step(base)
-        bad = _count_bad(item, median)
-        base_bad = _count_bad(base, median)
-        all_bad += bad
-        all_total += item.total
-        old_bad += base_bad
-        old_total += base.total
-        if _is_worse(bad, item.total, base_bad, base.total, chance):
-            return (
-                f"{route}: {bad} of {item.total} bad, "
-                f"old {base_bad} of {base.total}"
-            )
-    if _is_worse(all_bad, all_total, old_bad, old_total, chance):
-        return (
-            f"all routes: {all_bad} of {all_total} bad, "
-            f"old {old_bad} of {old_total}"
-        )
-    return ""
-
-
-def _is_worse(
-    bad: int, total: int, old_bad: int, old_total: int, chance: float
-) -> bool:
-    if bad < LEAST_BAD:
-        return False
-    # One bad answer more keeps few old answers from proving a rate of 0.
-    base = (old_bad + 1) / (old_total + 2)
-    return _binomial_tail(bad, total, base) < chance
-
-
-def _binomial_tail(least: int, total: int, share: float) -> float:
-    """Returns the probability of at least so many of total."""
-    return sum(
-        math.comb(total, n) * share**n * (1 - share) ** (total - n)
-        for n in range(least, total + 1)
-    )
-
-
-def _median_step(item: RouteCount) -> int:
-    half = sum(item.steps) / 2
-    if not half:
-        return STEPS
-    seen = 0
-    for step, number in enumerate(item.steps):
-        seen += number
-        if seen >= half:
-            return step
-    return STEPS
-
-
-def _count_bad(item: RouteCount, median: int) -> int:
-    return item.failed + sum(item.steps[median + SLOW_STEPS + 1 :])
-
-
 def _with_version(
     known: list[known_target.Candidate], version: str
 ) -> list[known_target.Candidate]:
--- a/src/waxwingferry/version/tests/test_rollout.py
+++ b/src/waxwingferry/version/tests/test_rollout.py
@@ -7,6 +7,7 @@
 from waxwingferry.process import platform
 from waxwingferry.process.choice import known_target
 from waxwingferry.process.tests import fakes
+from waxwingferry.version import judgement
 from waxwingferry.version import revision
 from waxwingferry.version import rollout
 
@@ -69,8 +70,8 @@
 
     def count(self, version: str, good: int, bad: int, used_s=0.2) -> None:
         """Counts answers of a target of node n-version."""
-        routes = [rollout.RouteCount("r1", bad)]
-        routes[0].steps[rollout.find_step(used_s)] = good
+        routes = [judgement.RouteCount("r1", bad)]
+        routes[0].steps[judgement.find_step(used_s)] = good
         self.moves.take_count(
             rollout.CountPush(f"n-{version}", "desk", version, 7, routes)
         )
@@ -156,8 +157,8 @@
 
 async def test_one_bad_route_does_not_hide_in_the_whole(made):
     """Guards against an average that a large good route makes harmless."""
-    old = [rollout.RouteCount("r1"), rollout.RouteCount("r2")]
-    new = [rollout.RouteCount("r1"), rollout.RouteCount("r2", 4)]
+    old = [judgement.RouteCount("r1"), judgement.RouteCount("r2")]
+    new = [judgement.RouteCount("r1"), judgement.RouteCount("r2", 4)]
     old[0].steps[6] = 400
     old[1].steps[6] = 80
     new[0].steps[6] = 60
