Read the pages of a table in one place

Cause: the store's client had the paging loop twice, in scan and read_table. Change: scan calls read_table with a first key; behaviour is the same.

--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -76,13 +76,7 @@
     ) -> list[platform.Row]:
         """See process.platform.Table."""
         table, start = _split(prefix)
-        rows: list[platform.Row] = []
-        while True:
-            found = await self._get(table, start, None)
-            rows += [_to_row(item) for item in found.rows if not item.part]
-            if not found.has_more or not found.rows:
-                break
-            start = found.rows[-1].key + "\x00"
+        rows, _ = await self.read_table(table, start)
         return [
             row
             for row in rows
@@ -126,10 +120,16 @@
                 raise platform.ConflictError(write.key, row)
         raise platform.PlatformError("412 without a changed row")
 
-    async def read_table(self, table: str) -> tuple[list[platform.Row], int]:
-        """Returns all rows of a table and the store's newest version."""
+    async def read_table(
+        self, table: str, start: str = ""
+    ) -> tuple[list[platform.Row], int]:
+        """Returns a table's rows and the store's newest version.
+
+        Args:
+            table: Name of the table.
+            start: First key that is read.
+        """
         rows: list[platform.Row] = []
-        start = ""
         version = 0
         while True:
             found = await self._get(table, start, None)
