Give runs beside each other ports of their own

Shown by a run that holds 33003 as the source port of a connection: 'node registry-0 did not get ready', and the node's log says 'address already in use' for 33003.

Change: bench.ports reserves blocks of ports by lock files and passes over ports in use; a first port above 32699 is refused with a line that says why.

Before: two operator-race runs at once fail each other.

Conclusion: traced; a test for each part.

--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -16,7 +16,8 @@
 import httpx
 import yaml
 
-FIRST_PORT = 21000
+from waxwingferry.bench import ports
+
 START_TIMEOUT_S = 20.0
 ADMIN_TOKEN = "bench-token-for-loopback-only"
 _AUTHORIZATION = {"authorization": f"Bearer {ADMIN_TOKEN}"}
@@ -53,7 +54,7 @@
         behaviour: How each target behaves at first; see
             emulator.target.Behaviour.
         domains: Names of failure domains, given to targets in turn.
-        first_port: First of the ports used.
+        first_port: Where the search for free ports starts.
         node_settings: Further settings of all nodes.
     """
 
@@ -64,7 +65,7 @@
         slots: int = 6,
         behaviour: dict | None = None,
         domains: tuple[str, ...] = ("d1", "d2", "d3", "d4"),
-        first_port: int = FIRST_PORT,
+        first_port: int = ports.LOWEST_PORT,
         seed: int = 1,
         node_settings: dict | None = None,
     ):
@@ -74,10 +75,10 @@
         self.behaviour = behaviour or {}
         self.domains = domains
         self.node_settings = node_settings or {}
-        self.next_port = first_port
+        self.ports = ports.Ports(first_port)
         self.seed = seed
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="waxwingferry-"))
-        self.platform_port = self.take_port()
+        self.platform_port = self.ports.take()
         self.platform: subprocess.Popen | None = None
         self.members = [
             self._make_member(service, number)
@@ -85,18 +86,13 @@
             for number in range(count)
         ]
 
-    def take_port(self) -> int:
-        """Returns a port that nothing of this cluster uses yet."""
-        self.next_port += 1
-        return self.next_port
-
     def _make_member(self, service: str, number: int) -> Member:
         uses = ("caller", "local", "peer", "admin", "target")
         return Member(
             f"{service}-{number}",
             service,
             self.domains[number % len(self.domains)],
-            {use: self.take_port() for use in uses},
+            {use: self.ports.take() for use in uses},
         )
 
     @property
--- a/src/waxwingferry/bench/experiment.py
+++ b/src/waxwingferry/bench/experiment.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from waxwingferry.bench import experiments
+from waxwingferry.bench import ports
 
 
 @dataclasses.dataclass(frozen=True)
@@ -18,12 +19,12 @@
 
     Attributes:
         seed: Seed of all random choices of the run.
-        first_port: First of the loopback ports used.
+        first_port: Where the search for free loopback ports starts.
         duration_s: Length of each loaded phase in seconds.
     """
 
     seed: int = 1
-    first_port: int = 27000
+    first_port: int = ports.LOWEST_PORT
     duration_s: float = 8.0
 
 
--- a/src/waxwingferry/bench/experiments/added_latency.py
+++ b/src/waxwingferry/bench/experiments/added_latency.py
@@ -81,7 +81,7 @@
     options: experiment.Options, running: cluster.Cluster
 ) -> experiment.Report:
     own, other = running.members
-    baseline_port = running.take_port()
+    baseline_port = running.ports.take()
     baseline = running.start_process(
         "waxwingferry.bench.baseline",
         f"--port={baseline_port}",
--- a/src/waxwingferry/bench/experiments/at_most_once.py
+++ b/src/waxwingferry/bench/experiments/at_most_once.py
@@ -129,7 +129,7 @@
     """Puts a relay before the peer port of each node."""
     known: dict[int, relay.Relay] = {}
     for member in running.members:
-        port = member.ports["relay"] = running.take_port()
+        port = member.ports["relay"] = running.ports.take()
         relay.Relay(port, member.ports["peer"], known)
     return list(known.values())
 
--- a/src/waxwingferry/bench/main.py
+++ b/src/waxwingferry/bench/main.py
@@ -7,6 +7,7 @@
 
 from waxwingferry.bench import demo
 from waxwingferry.bench import experiment
+from waxwingferry.bench import ports
 from waxwingferry.process import program
 
 _BACKEND = {"loop_factory": uvloop.new_event_loop}
@@ -32,7 +33,7 @@
     name: str,
     seed: int = 1,
     json: str = "",
-    first_port: int = 27000,
+    first_port: int = ports.LOWEST_PORT,
     duration: float = 8.0,
 ) -> int:
     """Runs one experiment; exit code 1 if a promise was broken.
@@ -41,7 +42,7 @@
         name: Name of the experiment, as listed by "list".
         seed: Seed of all random choices.
         json: Path of a JSON file to write the report to.
-        first_port: First of the loopback ports used.
+        first_port: Where the search for free loopback ports starts.
         duration: Length of each loaded phase in seconds.
     """
     found = experiment.find_experiments()
@@ -52,6 +53,10 @@
             file=sys.stderr,
         )
         return program.EXIT_USAGE
+    try:
+        ports.check_first_port(first_port)
+    except ports.PortError as error:
+        raise program.UsageError(str(error)) from error
     options = experiment.Options(seed, first_port, duration)
     report = anyio.run(found[name], options, backend_options=_BACKEND)
     experiment.print_report(name, options, report)
--- /dev/null
+++ b/src/waxwingferry/bench/tests/test_ports.py
@@ -0,0 +1,65 @@
+"""Ports of runs beside each other."""
+
+import json
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from waxwingferry.bench import main
+from waxwingferry.bench import ports
+from waxwingferry.process import program
+
+_OTHER_PROCESS = """
+from waxwingferry.bench import ports
+free = ports.Ports()
+print([free.take() for _ in range(3)], flush=True)
+input()
+"""
+
+
+def test_runs_beside_each_other_take_different_ports() -> None:
+    """Guards against two experiments that take each other's ports."""
+    with subprocess.Popen(
+        [sys.executable, "-c", _OTHER_PROCESS],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as other:
+        assert other.stdout is not None
+        taken = json.loads(other.stdout.readline())
+        free = ports.Ports()
+        own = [free.take() for _ in range(3)]
+        other.communicate("\n")
+    assert len(taken) == 3
+    assert not set(own) & set(taken)
+
+
+@pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
+def test_port_in_use_is_not_handed_out(kind: socket.SocketKind) -> None:
+    """Guards against a port that another program holds."""
+    free = ports.Ports()
+    port = free.take()
+    with socket.socket(type=kind) as holder:
+        holder.bind((ports.HOST, port + 1))
+        assert free.take() > port + 1
+
+
+def test_more_ports_than_one_block() -> None:
+    """Guards against a cluster that outgrows its block."""
+    free = ports.Ports()
+    taken = [free.take() for _ in range(ports.BLOCK_SIZE + 5)]
+    assert len(set(taken)) == len(taken)
+
+
+def test_port_of_outgoing_connections_is_refused() -> None:
+    """Guards against a listener whose port a connection may hold."""
+    with pytest.raises(ports.PortError, match="first_port = 33000: must be"):
+        ports.Ports(33000)
+
+
+def test_command_names_the_ports_allowed() -> None:
+    """Guards against a traceback for a bad first port."""
+    with pytest.raises(program.UsageError, match="must be from 20000"):
+        main.run_experiment("operator-race", first_port=33000)
--- a/src/waxwingferry/platform/tests/standin.py
+++ b/src/waxwingferry/platform/tests/standin.py
@@ -2,10 +2,13 @@
 
 import base64
 import contextlib
+import dataclasses
+import functools
 import json
 import urllib.parse
 
 import anyio
+import anyio.abc
 
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
@@ -15,12 +18,29 @@
 HOST = "127.0.0.1"
 
 
-class Store:
-    """Rows in memory, served over HTTP.
+@dataclasses.dataclass
+class Access:
+    """How one node reaches the store.
 
     Attributes:
         status: Status that all calls get, or 0 to serve them.
+        silent: Whether calls are neither carried out nor answered.
         lose_answers: Whether calls are carried out and not answered.
+        write_delay_s: Time after which a write is carried out, whether or
+            not the caller still waits for it.
+    """
+
+    status: int = 0
+    silent: bool = False
+    lose_answers: bool = False
+    write_delay_s: float = 0.0
+
+
+class Store:
+    """Rows in memory, served over HTTP.
+
+    Attributes:
+        access: How the only node of most tests reaches the store.
         oldest: Version from which on changes are kept.
     """
 
@@ -29,11 +49,9 @@
         self.changes: list[dict] = []
         self.ver = 0
         self.changed = anyio.Event()
-        self.status = 0
-        self.lose_answers = False
+        self.access = Access()
         self.oldest = 0
         self.calls: list[str] = []
-        self.server = serve.Server(self.handle)
 
     def put(self, table: str, key: str, value: bytes | dict) -> int:
         """Writes a row as the operator does; returns its version."""
@@ -60,8 +78,15 @@
         self.rows[name] = row
         self.changes.append(row)
 
+    def make_server(self, access: Access) -> serve.Server:
+        """Returns a server for the node with this access."""
+        return serve.Server(functools.partial(self.handle, access))
+
     async def handle(
-        self, connection: http1.ServerConnection, head: http1.RequestHead
+        self,
+        access: Access,
+        connection: http1.ServerConnection,
+        head: http1.RequestHead,
     ) -> None:
         """Answers one call."""
         body = b""
@@ -70,11 +95,15 @@
         url = urllib.parse.urlsplit(head.target)
         fields = dict(urllib.parse.parse_qsl(url.query))
         self.calls.append(url.path)
-        if self.status:
-            await connection.send_head(self.status, [], b"")
+        if access.silent:
+            await anyio.sleep_forever()
+        if access.status:
+            await connection.send_head(access.status, [], b"")
             return
         match url.path:
             case "/-/rows-tx":
+                with anyio.CancelScope(shield=True):
+                    await anyio.sleep(access.write_delay_s)
                 status, data = self._transact(json.loads(body))
             case "/-/rows-get":
                 status, data = 200, self._get(fields)
@@ -82,7 +111,7 @@
                 status, data = await self._feed(fields)
             case _:
                 status, data = 404, {}
-        if self.lose_answers:
+        if access.lose_answers:
             await anyio.sleep_forever()
         data = {**data, "ver": self.ver, "now": "1000ms"}
         await connection.send_head(status, [], json.dumps(data).encode())
@@ -144,8 +173,15 @@
     """Runs a stand-in; yields it and a table that talks to it."""
     made = Store()
     async with anyio.create_task_group() as group:
-        group.start_soon(made.server.serve, HOST, 0)
-        await made.server.listening.wait()
-        client = exchange.Client(HOST, made.server.port)
-        yield made, store.StoreTable(client)
+        yield made, await connect_node(made, made.access, group)
         group.cancel_scope.cancel()
+
+
+async def connect_node(
+    made: Store, access: Access, group: anyio.abc.TaskGroup
+) -> store.StoreTable:
+    """Returns the table of a node that reaches the store in its own way."""
+    server = made.make_server(access)
+    group.start_soon(server.serve, HOST, 0)
+    await server.listening.wait()
+    return store.StoreTable(exchange.Client(HOST, server.port))
--- a/src/waxwingferry/process/tests/test_node.py
+++ b/src/waxwingferry/process/tests/test_node.py
@@ -4,21 +4,20 @@
 
 import pytest
 
+from waxwingferry.bench import ports
 from waxwingferry.process import node
 from waxwingferry.process import settings
 from waxwingferry.process.tests import fakes
 
-FIRST_PORT = 30900
 
-
-def make_node(port: int) -> node.Node:
+def make_node(free: ports.Ports) -> node.Node:
     """Returns a node whose random choices come from a fixed seed."""
     options = settings.NodeSettings(
         node="n0",
-        caller_port=port,
-        local_port=port + 1,
-        peer_port=port + 2,
-        admin_port=port + 3,
+        caller_port=free.take(),
+        local_port=free.take(),
+        peer_port=free.take(),
+        admin_port=free.take(),
         region="r1",
         failure_domain="d1",
         platform_url="http://127.0.0.1:1",
@@ -29,7 +28,8 @@
 @pytest.mark.anyio
 async def test_equal_seeds_give_no_equal_identities() -> None:
     """Guards against two processes that take each other's claims for theirs."""
-    first, second = make_node(FIRST_PORT), make_node(FIRST_PORT + 10)
+    free = ports.Ports()
+    first, second = make_node(free), make_node(free)
     try:
         assert first.incarnation != second.incarnation
         claims = [item.claims.rng.getrandbits(128) for item in (first, second)]
