Let the stand-in of the store fail for one node only, and write late

Change: each node reaches the stand-in through an access of its own, which refuses, falls silent, loses answers or delays writes. Tests of the client, of decisions and of the lease under these. StoreTable takes its time limit.

--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -59,10 +59,14 @@
 
     Args:
         client: Sends requests to the store.
+        timeout_s: Time for an answer, but for long polls.
     """
 
-    def __init__(self, client: exchange.Client):
+    def __init__(
+        self, client: exchange.Client, timeout_s: float = REQUEST_TIMEOUT_S
+    ):
         self.client = client
+        self.timeout_s = timeout_s
 
     async def read(self, key: str) -> platform.Row | None:
         """See process.platform.Table."""
@@ -178,12 +182,12 @@
         method: str,
         target: str,
         body: bytes = b"",
-        timeout_s: float = REQUEST_TIMEOUT_S,
+        timeout_s: float | None = None,
     ) -> exchange.Reply:
         headers = [("content-type", "application/json")] if body else []
         try:
             return await self.client.request(
-                method, target, timeout_s, body, headers
+                method, target, timeout_s or self.timeout_s, body, headers
             )
         except exchange.ExchangeError as error:
             raise platform.PlatformError(str(error)) from error
--- a/src/waxwingferry/platform/tests/standin.py
+++ b/src/waxwingferry/platform/tests/standin.py
@@ -16,6 +16,8 @@
 from waxwingferry.platform import store
 
 HOST = "127.0.0.1"
+# Time that the clients of tests wait for an answer.
+TIMEOUT_S = 0.3
 
 
 @dataclasses.dataclass
@@ -184,4 +186,5 @@
     server = made.make_server(access)
     group.start_soon(server.serve, HOST, 0)
     await server.listening.wait()
-    return store.StoreTable(exchange.Client(HOST, server.port))
+    client = exchange.Client(HOST, server.port)
+    return store.StoreTable(client, TIMEOUT_S)
--- /dev/null
+++ b/src/waxwingferry/platform/tests/test_decisions.py
@@ -0,0 +1,94 @@
+"""Decisions on version moves in the store, under lost and late writes."""
+
+import random
+
+import anyio
+import pytest
+
+from waxwingferry.platform import decisions
+from waxwingferry.platform.tests import standin
+from waxwingferry.process import platform
+from waxwingferry.process.spreading import lease
+from waxwingferry.process.spreading import members
+from waxwingferry.version import rollout
+
+pytestmark = pytest.mark.anyio
+
+DONE = rollout.Decision("desk", "v2", 0, rollout.State.COMPLETED)
+BACK = rollout.Decision("desk", "v2", 0, rollout.State.ROLLED_BACK)
+
+
+async def test_a_decision_is_read_as_written():
+    """Guards against a state that the operator can't read."""
+    async with standin.run_store() as (_, table):
+        ledger = decisions.StatusLedger(table)
+        await ledger.write(DONE, 0)
+        [(found, version)] = await ledger.read_all()
+        assert found == rollout.Decision("desk", "v2", version, DONE.state)
+
+
+async def test_the_second_of_two_decisions_is_refused():
+    """Guards against a move that ends in two ways."""
+    async with standin.run_store() as (_, table):
+        ledger = decisions.StatusLedger(table)
+        await ledger.write(BACK, 0)
+        with pytest.raises(platform.ConflictError):
+            await ledger.write(DONE, 0)
+        [(found, _)] = await ledger.read_all()
+        assert found.state == rollout.State.ROLLED_BACK
+
+
+async def test_a_decision_whose_answer_is_lost_stands():
+    """Guards against a judge that decides again after a lost answer."""
+    async with standin.run_store() as (made, table):
+        ledger = decisions.StatusLedger(table)
+        made.access.lose_answers = True
+        with pytest.raises(platform.PlatformError):
+            await ledger.write(BACK, 0)
+        made.access.lose_answers = False
+        with pytest.raises(platform.ConflictError):
+            await ledger.write(DONE, 0)
+        [(found, _)] = await ledger.read_all()
+        assert found.state == rollout.State.ROLLED_BACK
+
+
+async def test_a_foreign_status_names_no_decision():
+    """Guards against a judge that stops at a row it can't read."""
+    async with standin.run_store() as (made, table):
+        made.put("status", "rollout/desk", {"state": "paused"})
+        made.put("status", "rollout/registry", b"\xff")
+        assert await decisions.StatusLedger(table).read_all() == []
+
+
+async def test_a_late_member_row_is_taken_for_the_own():
+    """Guards against a node that stops at a row of its own late write."""
+    async with standin.run_store() as (made, table):
+        known = members.Members("n1")
+        writer = lease.Lease(table, known, random.Random(1))
+        known.announce(make_row())
+        made.access.write_delay_s = 1.5 * standin.TIMEOUT_S
+        with pytest.raises(platform.PlatformError):
+            await writer.write_once()
+        made.access.write_delay_s = 0.0
+        await anyio.sleep(standin.TIMEOUT_S)
+        await writer.write_once()
+        assert writer.confirmed
+        assert not writer.superseded
+
+
+def make_row() -> members.MemberRow:
+    """Returns a row of node n1."""
+    return members.MemberRow(
+        node="n1",
+        service="desk",
+        version="v1",
+        region="r1",
+        failure_domain="a",
+        host="127.0.0.1",
+        peer_port=1,
+        incarnation="i1",
+        state="ready",
+        slots=6,
+        generation=1,
+        target="desk-a-1:1",
+    )
--- a/src/waxwingferry/platform/tests/test_store.py
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -53,18 +53,57 @@
 async def test_a_refusal_is_a_platform_error(status):
     """Guards against a refused call taken for a row that is not there."""
     async with standin.run_store() as (made, table):
-        made.status = status
+        made.access.status = status
         with pytest.raises(platform.PlatformError):
             await table.read("members/n1")
 
 
-async def test_a_lost_answer_leaves_the_outcome_open(monkeypatch):
+async def test_a_lost_answer_leaves_the_outcome_open():
     """Guards against waiting without end, and against "nothing written"."""
-    monkeypatch.setattr(store, "REQUEST_TIMEOUT_S", 0.1)
     async with standin.run_store() as (made, table):
-        made.lose_answers = True
+        made.access.lose_answers = True
         with pytest.raises(platform.PlatformError):
-            await table._call("GET", "/-/rows-get?table=op", timeout_s=0.1)
+            await table.transact([platform.Write("status/a", {}, 0)])
+        assert ("status", "", "a") in made.rows
+
+
+async def test_silence_is_a_platform_error():
+    """Guards against a task that waits for a dead store for ever."""
+    async with standin.run_store() as (made, table):
+        made.access.silent = True
+        with pytest.raises(platform.PlatformError):
+            await table.read("members/n1")
+
+
+async def test_an_outage_of_one_node_leaves_the_others_served():
+    """Guards against state of one client that leaks into another."""
+    async with standin.run_store() as (made, table):
+        made.put("op", "config", {})
+        cut_off = standin.Access(status=503)
+        async with anyio.create_task_group() as group:
+            other = await standin.connect_node(made, cut_off, group)
+            with pytest.raises(platform.PlatformError):
+                await other.read_table("op")
+            assert (await table.read_table("op"))[1] == made.ver
+            cut_off.status = 0
+            assert (await other.read_table("op"))[1] == made.ver
+            group.cancel_scope.cancel()
+
+
+async def test_a_late_write_does_not_undo_a_newer_one():
+    """Guards against a decision that a delayed write takes back."""
+    async with standin.run_store() as (made, table):
+        slow = standin.Access(write_delay_s=2 * standin.TIMEOUT_S)
+        async with anyio.create_task_group() as group:
+            other = await standin.connect_node(made, slow, group)
+            with pytest.raises(platform.PlatformError):
+                await other.transact([platform.Write("status/a", {"n": 1}, 0)])
+            await table.transact([platform.Write("status/a", {"n": 2}, 0)])
+            await anyio.sleep(2 * standin.TIMEOUT_S)
+            row = await table.read("status/a")
+            group.cancel_scope.cancel()
+        assert row is not None
+        assert row.value == {"n": 2}
 
 
 async def test_changes_wake_the_reader_and_name_removed_rows():
