Try nothing of an open version move before the decisions are read

Change: a node that has not read the decisions since its start sends nothing to the version moved to and does not judge; it asks the store again each second, and asks one node in turn whether the move was decided or stopped. Messages and the choice by version have modules of their own.

Three new tests fail without the change.

--- a/src/waxwingferry/platform/decisions.py
+++ b/src/waxwingferry/platform/decisions.py
@@ -4,7 +4,7 @@
 
 from waxwingferry.platform import store
 from waxwingferry.process import platform
-from waxwingferry.version import rollout
+from waxwingferry.version import messages
 
 TABLE = "status"
 PREFIX = "status/rollout/"
@@ -22,18 +22,18 @@
     def __init__(self, table: store.StoreTable):
         self.table = table
 
-    async def read_all(self) -> list[tuple[rollout.Decision, int]]:
+    async def read_all(self) -> list[tuple[messages.Decision, int]]:
         """See version.rollout.Ledger."""
         found = []
         for row in await self.table.scan(PREFIX):
             try:
                 value = row.value or {}
-                decision = rollout.Decision(
+                decision = messages.Decision(
                     row.key.removeprefix(PREFIX),
                     # In this row "target" is the version moved to.
                     value["target"],
                     row.version,
-                    rollout.State(value["state"]),
+                    messages.State(value["state"]),
                 )
             except (KeyError, ValueError) as error:
                 log.warning(
@@ -43,7 +43,7 @@
             found.append((decision, row.version))
         return found
 
-    async def write(self, decision: rollout.Decision, if_version: int) -> None:
+    async def write(self, decision: messages.Decision, if_version: int) -> None:
         """See version.rollout.Ledger."""
         value = {
             "service": decision.service,
--- a/src/waxwingferry/platform/tests/test_decisions.py
+++ b/src/waxwingferry/platform/tests/test_decisions.py
@@ -10,12 +10,12 @@
 from waxwingferry.process import platform
 from waxwingferry.process.spreading import lease
 from waxwingferry.process.spreading import members
-from waxwingferry.version import rollout
+from waxwingferry.version import messages
 
 pytestmark = pytest.mark.anyio
 
-DONE = rollout.Decision("desk", "v2", 0, rollout.State.COMPLETED)
-BACK = rollout.Decision("desk", "v2", 0, rollout.State.ROLLED_BACK)
+DONE = messages.Decision("desk", "v2", 0, messages.State.COMPLETED)
+BACK = messages.Decision("desk", "v2", 0, messages.State.ROLLED_BACK)
 
 
 async def test_a_decision_is_read_as_written():
@@ -24,7 +24,7 @@
         ledger = decisions.StatusLedger(table)
         await ledger.write(DONE, 0)
         [(found, version)] = await ledger.read_all()
-        assert found == rollout.Decision("desk", "v2", version, DONE.state)
+        assert found == messages.Decision("desk", "v2", version, DONE.state)
 
 
 async def test_the_second_of_two_decisions_is_refused():
@@ -35,7 +35,7 @@
         with pytest.raises(platform.ConflictError):
             await ledger.write(DONE, 0)
         [(found, _)] = await ledger.read_all()
-        assert found.state == rollout.State.ROLLED_BACK
+        assert found.state == messages.State.ROLLED_BACK
 
 
 async def test_a_decision_whose_answer_is_lost_stands():
@@ -49,7 +49,7 @@
         with pytest.raises(platform.ConflictError):
             await ledger.write(DONE, 0)
         [(found, _)] = await ledger.read_all()
-        assert found.state == rollout.State.ROLLED_BACK
+        assert found.state == messages.State.ROLLED_BACK
 
 
 async def test_a_foreign_status_names_no_decision():
--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -111,7 +111,7 @@
 # First byte of a datagram that holds a LoadPush; JSON never begins with it.
 LOAD_MARK = b"\x01"
 # First byte of a datagram that another module's handler takes.
-OTHER_MARKS = frozenset({b"\x02", b"\x03", b"\x04"})
+OTHER_MARKS = frozenset({b"\x02", b"\x03", b"\x04", b"\x05"})
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/waxwingferry/process/spreading/version_moves.py
+++ b/src/waxwingferry/process/spreading/version_moves.py
@@ -9,13 +9,15 @@
 from waxwingferry.process.spreading import in_force
 from waxwingferry.process.spreading import members
 from waxwingferry.request import receive
+from waxwingferry.version import messages
 from waxwingferry.version import rollout
 
 # First bytes of the datagrams, from gossip.OTHER_MARKS.
 MARKS: dict[type, bytes] = {
-    rollout.CountPush: b"\x02",
-    rollout.Decision: b"\x03",
-    rollout.Stop: b"\x04",
+    messages.CountPush: b"\x02",
+    messages.Decision: b"\x03",
+    messages.Stop: b"\x04",
+    messages.Question: b"\x05",
 }
 
 
@@ -43,9 +45,7 @@
     def judges() -> list[str]:
         return sorted({known.node, *(row.node for row in known.peers())})
 
-    def send(
-        node: str, item: rollout.CountPush | rollout.Decision | rollout.Stop
-    ) -> None:
+    def send(node: str, item: messages.Message) -> None:
         mark = MARKS[type(item)]
         chatter.send_to(node, mark + msgspec.msgpack.encode(item))
 
@@ -60,9 +60,10 @@
         slack,
     )
     handlers: dict[type, Callable[[Any], None]] = {
-        rollout.CountPush: moves.take_count,
-        rollout.Decision: moves.take_decision,
-        rollout.Stop: moves.take_stop,
+        messages.CountPush: moves.take_count,
+        messages.Decision: moves.take_decision,
+        messages.Stop: moves.take_stop,
+        messages.Question: moves.take_question,
     }
     for kind, handler in handlers.items():
         chatter.handlers[MARKS[kind]] = _make_handler(kind, handler)
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -10,17 +10,17 @@
 import collections
 from collections.abc import Callable
 import dataclasses
-import enum
 import time
 from typing import Protocol
 
 import anyio
-import msgspec
 import structlog
 
 from waxwingferry.process import platform
 from waxwingferry.process.choice import known_target
+from waxwingferry.version import by_version
 from waxwingferry.version import judgement
+from waxwingferry.version import messages
 from waxwingferry.version import revision
 
 # Part of the allowed exposure that is used before the decision. The rest is
@@ -33,8 +33,6 @@
 # would show nothing of the version under load.
 WARM_MARGIN_S = 1.0
 MOST_WARM_SHARE = 0.4
-# Share of the new targets that the bursts go to.
-PACKED_SHARE = 0.34
 # The move is completed this long before its end: all requests after that meet
 # the new version, and few of them may if it is bad after all.
 COMPLETE_BEFORE_END_S = 0.8
@@ -54,59 +52,25 @@
 # A node acts in place of a judge of lower rank after this time.
 RANK_DELAY_S = 1.0
 WRITE_RETRY_S = 0.3
+# How often a node asks one other whether an open move was decided: decisions
+# are told by datagrams, which a cut or a restart loses.
+QUESTION_INTERVAL_S = 1.0
 JUDGES = 2
 
 log = structlog.get_logger()
 
 
-class State(enum.Enum):
-    """How a move was decided."""
-
-    COMPLETED = "completed"
-    ROLLED_BACK = "rolled_back"
-
-
-class Stop(msgspec.Struct, frozen=True, array_like=True):
-    """A judge found a version bad and has yet to write the decision."""
-
-    service: str
-    number: int
-
-
-class Decision(msgspec.Struct, frozen=True, array_like=True):
-    """The end of a move.
-
-    Attributes:
-        number: Number of the order.
-    """
-
-    service: str
-    version: str
-    number: int
-    state: State
-
-
-class CountPush(msgspec.Struct, array_like=True):
-    """All counts of one target for a move, pushed by its node."""
-
-    node: str
-    service: str
-    version: str
-    number: int
-    routes: list[judgement.RouteCount]
-
-
 class Ledger(Protocol):
     """Where decisions last."""
 
-    async def read_all(self) -> list[tuple[Decision, int]]:
+    async def read_all(self) -> list[tuple[messages.Decision, int]]:
         """Returns all decisions with their rows' versions.
 
         The number of a decision is its row's version: it belongs to the
         newest order before it. Raises platform.PlatformError.
         """
 
-    async def write(self, decision: Decision, if_version: int) -> None:
+    async def write(self, decision: messages.Decision, if_version: int) -> None:
         """Writes a decision if the row has a version, 0 for none.
 
         Raises:
@@ -129,7 +93,9 @@
     calls: int = 0
     exposed: int = 0
     stopped: bool = False
-    counts: dict[str, CountPush] = dataclasses.field(default_factory=dict)
+    counts: dict[str, messages.CountPush] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Moves:
@@ -141,7 +107,7 @@
         candidates: Returns the known targets of a service.
         ledger: Where decisions last.
         judges: Returns the nodes that may judge, by rank.
-        send: Sends a count, a decision or a stop to a node.
+        send: Sends a message to a node.
         share: Part of a service's requests that a bad version may get.
         slack: Further requests that it may get, over all nodes.
         clock: Monotonic time in seconds.
@@ -154,7 +120,7 @@
         candidates: Callable[[str], list[known_target.Candidate]],
         ledger: Ledger,
         judges: Callable[[], list[str]],
-        send: Callable[[str, CountPush | Decision | Stop], None],
+        send: Callable[[str, messages.Message], None],
         share: float,
         slack: float,
         clock: Callable[[], float] = time.monotonic,
@@ -169,9 +135,12 @@
         self.slack = slack
         self.clock = clock
         self.courses: dict[str, _Course] = {}
-        self.decisions: dict[str, Decision] = {}
+        self.decisions: dict[str, messages.Decision] = {}
+        # Whether the decisions made before this process started are known.
+        self.informed = False
         self.row_versions: dict[str, int] = {}
-        self.own: dict[str, CountPush] = {}
+        self.own: dict[str, messages.CountPush] = {}
+        self.asked = 0
 
     # Choosing
 
@@ -188,21 +157,21 @@
         course = self._find_course(service)
         decision = self.decisions.get(service)
         if course is not None and not self._is_decided(course):
-            new = _with_version(known, course.move.version)
-            old = _without_version(known, course.move.version)
+            new = by_version.choose_with(known, course.move.version)
+            old = by_version.choose_without(known, course.move.version)
             if canary and not course.stopped:
-                return _with_place(new) or old or new
+                return by_version.choose_with_place(new) or old or new
             return old or ([] if course.stopped else new)
         if decision is not None:
-            if decision.state is State.COMPLETED:
-                return _with_version(known, decision.version) or known
-            return _without_version(known, decision.version)
-        return _with_version(known, _find_usual(known))
+            if decision.state is messages.State.COMPLETED:
+                return by_version.choose_with(known, decision.version) or known
+            return by_version.choose_without(known, decision.version)
+        return by_version.choose_with(known, by_version.find_usual(known))
 
     def take_turn(self, service: str) -> bool:
         """Counts a call; returns whether it tries the version moved to."""
         course = self._find_course(service)
-        if course is None or course.stopped or self._is_decided(course):
+        if course is None or not self._is_open(course) or not self.informed:
             return False
         course.calls += 1
         nodes = max(len(self.judges()), 1)
@@ -247,6 +216,9 @@
             return False
         return decision.number >= course.move.number
 
+    def _is_open(self, course: _Course) -> bool:
+        return not course.stopped and not self._is_decided(course)
+
     # Counting
 
     def count(
@@ -271,7 +243,9 @@
             return
         own = self.own.get(service)
         if own is None or own.version != version:
-            own = CountPush(self.node, service, version, course.move.number, [])
+            own = messages.CountPush(
+                self.node, service, version, course.move.number, []
+            )
             self.own[service] = own
         for item in own.routes:
             if item.route == route:
@@ -284,7 +258,7 @@
         else:
             item.steps[judgement.find_step(used_s)] += 1
 
-    def take_count(self, push: CountPush) -> None:
+    def take_count(self, push: messages.CountPush) -> None:
         """Takes another node's counts; tells it if the move is decided."""
         decision = self.decisions.get(push.service)
         if decision is not None and decision.number >= push.number:
@@ -294,7 +268,7 @@
         if course is not None and course.move.number == push.number:
             course.counts[push.node] = push
 
-    def take_stop(self, stop: Stop) -> None:
+    def take_stop(self, stop: messages.Stop) -> None:
         """Sends nothing more to the version of an open move."""
         course = self._find_course(stop.service)
         if course is not None and course.move.number == stop.number:
@@ -302,7 +276,7 @@
                 log.info("version move stopped", service=stop.service)
             course.stopped = True
 
-    def take_decision(self, decision: Decision) -> None:
+    def take_decision(self, decision: messages.Decision) -> None:
         """Takes a decision, unless a later one is known."""
         known = self.decisions.get(decision.service)
         if known is not None and known.number >= decision.number:
@@ -321,6 +295,20 @@
         for decision, version in await self.ledger.read_all():
             self.row_versions[decision.service] = version
             self.take_decision(decision)
+        self.informed = True
+
+    def take_question(self, question: messages.Question) -> None:
+        """Tells another node how a move ended or that it is stopped."""
+        decision = self.decisions.get(question.service)
+        if decision is not None and decision.number >= question.number:
+            self.send(question.node, decision)
+            return
+        course = self.courses.get(question.service)
+        if course is None or course.move.number != question.number:
+            return
+        if course.stopped:
+            stop = messages.Stop(question.service, question.number)
+            self.send(question.node, stop)
 
     # Judging
 
@@ -328,6 +316,7 @@
         """Pushes own counts and judges, until cancelled."""
         pushed: dict[str, int] = {}
         last_push_s = -PUSH_INTERVAL_S
+        asked_s = self.clock()
         while True:
             await anyio.sleep(TICK_S)
             newest = self.newest()
@@ -347,8 +336,26 @@
                 await self._judge(course)
             if due:
                 last_push_s = self.clock()
+            if self.clock() - asked_s >= QUESTION_INTERVAL_S:
+                asked_s = self.clock()
+                await self._ask(newest)
+
+    async def _ask(self, newest: revision.Revision) -> None:
+        """Asks one node of each open move, and the ledger if it is unread."""
+        others = [node for node in self.judges() if node != self.node]
+        for service in newest.moves:
+            course = self._find_course(service)
+            if course is None or self._is_decided(course) or not others:
+                continue
+            self.asked += 1
+            self.send(
+                others[self.asked % len(others)],
+                messages.Question(self.node, service, course.move.number),
+            )
+        if newest.moves and not self.informed:
+            await self._learn_quietly()
 
-    def _push(self, own: CountPush) -> None:
+    def _push(self, own: messages.CountPush) -> None:
         for judge in self.judges()[:JUDGES]:
             if judge == self.node:
                 self.take_count(own)
@@ -358,17 +365,19 @@
     async def _judge(self, course: _Course) -> None:
         ranked = self.judges()
         rank = ranked.index(self.node) if self.node in ranked else len(ranked)
-        if rank >= JUDGES:
+        if rank >= JUDGES or not self.informed:
             return
         elapsed_s = self.clock() - course.seen_s - rank * RANK_DELAY_S
         state, why = self._weigh(course, elapsed_s)
         if state is None:
             return
-        if state is State.ROLLED_BACK:
+        if state is messages.State.ROLLED_BACK:
             # The table may be away; nobody sends to a bad version meanwhile.
             course.stopped = True
-            self._tell_all(Stop(course.move.service, course.move.number))
-        decision = Decision(
+            self._tell_all(
+                messages.Stop(course.move.service, course.move.number)
+            )
+        decision = messages.Decision(
             course.move.service,
             course.move.version,
             course.move.number,
@@ -386,7 +395,7 @@
 
     def _weigh(
         self, course: _Course, elapsed_s: float
-    ) -> tuple[State | None, str]:
+    ) -> tuple[messages.State | None, str]:
         """Returns how a move ends by now, or None, and the reason."""
         move = course.move
         new = merge(course.counts.values(), move.version, True)
@@ -396,25 +405,25 @@
             old, new, CHANCE_AT_END if ends else CHANCE_AT_ONCE
         )
         if bad:
-            return State.ROLLED_BACK, bad
+            return messages.State.ROLLED_BACK, bad
         if not ends:
             return None, ""
         samples = sum(item.total for item in new.values())
         if samples < LEAST_SAMPLES or not self._has_places(move):
             if elapsed_s > 2 * move.duration_s:
-                return State.ROLLED_BACK, "too little evidence"
+                return messages.State.ROLLED_BACK, "too little evidence"
             return None, ""
-        return State.COMPLETED, f"{samples} answers, none found worse"
+        return messages.State.COMPLETED, f"{samples} answers, none found worse"
 
     def _has_places(self, move: revision.Move) -> bool:
         known = self.candidates(move.service)
-        new = _with_version(known, move.version)
-        old = _without_version(known, move.version)
+        new = by_version.choose_with(known, move.version)
+        old = by_version.choose_without(known, move.version)
         places = sum(item.slots for item in new if item.state == "ready")
         needed = sum(item.slots for item in old if item.state == "ready")
         return places > 0 and places >= needed * LEAST_PLACES
 
-    async def _write(self, decision: Decision) -> None:
+    async def _write(self, decision: messages.Decision) -> None:
         expected = self.row_versions.get(decision.service, 0)
         try:
             await self.ledger.write(decision, expected)
@@ -435,7 +444,7 @@
             self._tell_all(decision)
             await anyio.sleep(REPEAT_GAP_S)
 
-    def _tell_all(self, item: Decision | Stop) -> None:
+    def _tell_all(self, item: messages.Message) -> None:
         for node in self.judges():
             if node != self.node:
                 self.send(node, item)
@@ -448,7 +457,9 @@
 
 
 def merge(
-    pushes: collections.abc.Iterable[CountPush], version: str, same: bool
+    pushes: collections.abc.Iterable[messages.CountPush],
+    version: str,
+    same: bool,
 ) -> dict[str, judgement.RouteCount]:
     """Returns the counts by route of a version, or of all others."""
     merged: dict[str, judgement.RouteCount] = {}
@@ -464,35 +475,3 @@
                 a + b for a, b in zip(whole.steps, item.steps, strict=True)
             ]
     return merged
-
-
-def _with_version(
-    known: list[known_target.Candidate], version: str
-) -> list[known_target.Candidate]:
-    return [item for item in known if item.version == version]
-
-
-def _without_version(
-    known: list[known_target.Candidate], version: str
-) -> list[known_target.Candidate]:
-    return [item for item in known if item.version != version]
-
-
-def _with_place(
-    known: list[known_target.Candidate],
-) -> list[known_target.Candidate]:
-    """Returns a few ready targets with a free place, the same at all nodes.
-
-    Packing the few requests shows what the version does under load.
-    """
-    ready = [item for item in known if item.state == "ready"]
-    ready.sort(key=lambda item: item.node)
-    packed = ready[: max(round(len(ready) * PACKED_SHARE), 1)]
-    return [item for item in packed if item.stats.in_flight < item.slots]
-
-
-def _find_usual(known: list[known_target.Candidate]) -> str:
-    """Returns the version that most targets have."""
-    counts = collections.Counter(item.version for item in known)
-    most = max(counts.values(), default=0)
-    return min((v for v, n in counts.items() if n == most), default="")
--- a/src/waxwingferry/version/tests/test_rollout.py
+++ b/src/waxwingferry/version/tests/test_rollout.py
@@ -2,12 +2,14 @@
 
 import random
 
+import anyio
 import pytest
 
 from waxwingferry.process import platform
 from waxwingferry.process.choice import known_target
 from waxwingferry.process.tests import fakes
 from waxwingferry.version import judgement
+from waxwingferry.version import messages
 from waxwingferry.version import revision
 from waxwingferry.version import rollout
 
@@ -20,12 +22,14 @@
     """Decisions in memory; answers can be made to fail."""
 
     def __init__(self):
-        self.written: list[rollout.Decision] = []
+        self.written: list[messages.Decision] = []
         self.down = False
-        self.rival: rollout.Decision | None = None
+        self.rival: messages.Decision | None = None
 
     async def read_all(self):
         """See rollout.Ledger."""
+        if self.down:
+            raise platform.PlatformError("down")
         if self.rival is not None:
             return [(self.rival, self.rival.number)]
         return [(item, 9) for item in self.written]
@@ -62,6 +66,7 @@
             slack=50.0,
             clock=self.clock,
         )
+        self.moves.informed = True
 
     def versions(self, canary: bool = False) -> set[str]:
         """Returns the versions that a call may use."""
@@ -73,7 +78,7 @@
         routes = [judgement.RouteCount("r1", bad)]
         routes[0].steps[judgement.find_step(used_s)] = good
         self.moves.take_count(
-            rollout.CountPush(f"n-{version}", "desk", version, 7, routes)
+            messages.CountPush(f"n-{version}", "desk", version, 7, routes)
         )
 
     async def judge(self, elapsed_s: float) -> None:
@@ -143,7 +148,9 @@
     made.count("v1", 200, 2)
     made.count("v2", 10, 6)
     await made.judge(5.0)
-    assert [d.state for d in made.ledger.written] == [rollout.State.ROLLED_BACK]
+    assert [d.state for d in made.ledger.written] == [
+        messages.State.ROLLED_BACK
+    ]
     assert made.versions(canary=True) == {"v1"}
 
 
@@ -152,7 +159,7 @@
     made.count("v1", 200, 0, used_s=0.1)
     made.count("v2", 12, 0, used_s=0.9)
     await made.judge(5.0)
-    assert made.ledger.written[0].state is rollout.State.ROLLED_BACK
+    assert made.ledger.written[0].state is messages.State.ROLLED_BACK
 
 
 async def test_one_bad_route_does_not_hide_in_the_whole(made):
@@ -163,10 +170,10 @@
     old[1].steps[6] = 80
     new[0].steps[6] = 60
     new[1].steps[6] = 4
-    made.moves.take_count(rollout.CountPush("a", "desk", "v1", 7, old))
-    made.moves.take_count(rollout.CountPush("b", "desk", "v2", 7, new))
+    made.moves.take_count(messages.CountPush("a", "desk", "v1", 7, old))
+    made.moves.take_count(messages.CountPush("b", "desk", "v2", 7, new))
     await made.judge(5.0)
-    assert made.ledger.written[0].state is rollout.State.ROLLED_BACK
+    assert made.ledger.written[0].state is messages.State.ROLLED_BACK
 
 
 async def test_trouble_of_all_versions_condemns_none(made):
@@ -184,7 +191,7 @@
     await made.judge(14.0)
     assert not made.ledger.written
     await made.judge(15.5)
-    assert made.ledger.written[0].state is rollout.State.COMPLETED
+    assert made.ledger.written[0].state is messages.State.COMPLETED
     assert made.versions() == {"v2"}
 
 
@@ -204,29 +211,79 @@
     made.count("v2", 5, 8)
     await made.judge(5.0)
     assert made.versions(canary=True) == {"v1"}
-    assert ("n1", rollout.Stop("desk", 7)) in made.sent
+    assert ("n1", messages.Stop("desk", 7)) in made.sent
 
 
 async def test_the_first_decision_stands(made):
     """Guards against two judges that decide differently."""
-    made.ledger.rival = rollout.Decision(
-        "desk", "v2", 8, rollout.State.COMPLETED
+    made.ledger.rival = messages.Decision(
+        "desk", "v2", 8, messages.State.COMPLETED
     )
     made.count("v1", 200, 2)
     made.count("v2", 5, 8)
     await made.judge(5.0)
     decision = made.moves.decisions["desk"]
-    assert decision.state is rollout.State.COMPLETED
+    assert decision.state is messages.State.COMPLETED
 
 
 async def test_a_node_that_missed_the_decision_is_told(made):
     """Guards against counts of a move that ended without a lost datagram."""
-    decision = rollout.Decision("desk", "v2", 7, rollout.State.COMPLETED)
+    decision = messages.Decision("desk", "v2", 7, messages.State.COMPLETED)
     made.moves.take_decision(decision)
     made.count("v1", 1, 0)
     assert made.sent == [("n-v1", decision)]
 
 
+async def test_a_node_that_has_read_no_decisions_tries_nothing(made):
+    """Guards against a restart that opens a move which was taken back."""
+    made.moves.informed = False
+    for _ in range(16 * 60):
+        assert not made.moves.take_turn("desk")
+        made.clock.now_s += 1 / 60
+    assert made.versions() == {"v1"}
+    made.targets = made.targets[4:]
+    assert made.versions() == {"v2"}
+
+
+async def test_a_restarted_node_asks_until_it_is_told(made, monkeypatch):
+    """Guards against decisions that a node never hears of."""
+    monkeypatch.setattr(rollout, "TICK_S", 0.0)
+    made.moves.informed = False
+    made.ledger.down = True
+
+    async def let_time_pass() -> None:
+        for _ in range(20):
+            made.clock.now_s += 0.2
+            await anyio.sleep(0.001)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(made.moves.run)
+        await let_time_pass()
+        assert ("n1", messages.Question("n0", "desk", 7)) in made.sent
+        assert not made.moves.informed
+        made.ledger.down = False
+        made.ledger.written = [
+            messages.Decision("desk", "v2", 9, messages.State.ROLLED_BACK)
+        ]
+        await let_time_pass()
+        group.cancel_scope.cancel()
+    assert made.moves.informed
+    assert made.versions(canary=True) == {"v1"}
+
+
+async def test_a_question_is_answered_with_the_decision(made):
+    """Guards against a node that tries a version taken back elsewhere."""
+    question = messages.Question("n3", "desk", 7)
+    made.moves.take_question(question)
+    assert made.sent == []
+    made.moves.take_stop(messages.Stop("desk", 7))
+    made.moves.take_question(question)
+    decision = messages.Decision("desk", "v2", 7, messages.State.ROLLED_BACK)
+    made.moves.take_decision(decision)
+    made.moves.take_question(question)
+    assert made.sent == [("n3", messages.Stop("desk", 7)), ("n3", decision)]
+
+
 @pytest.mark.parametrize("seed", range(20))
 async def test_judgement_over_seeds(seed, monkeypatch):
     """Guards against bad versions completed; good ones mostly are.
@@ -242,4 +299,4 @@
     made.count("v1", 400 - old, old)
     made.count("v2", 40 - bad, bad)
     await made.judge(15.5)
-    assert made.ledger.written[0].state is rollout.State.ROLLED_BACK
+    assert made.ledger.written[0].state is messages.State.ROLLED_BACK
