Judge a version by how probable it is that it is bad

Few good answers passed as well as many.

Change: at the end a move is completed only if the version is bad with a probability of 0.15 at most, on all routes or on one; above 0.5 it is taken back, between the two it goes on for as long again. 0.7 instead of 0.5 of the allowed exposure is used, and a process that starts during a move gets no slack of its own.

--- a/src/waxwingferry/version/judgement.py
+++ b/src/waxwingferry/version/judgement.py
@@ -10,6 +10,11 @@
 # of the histogram is a factor of 2.
 SLOW_STEPS = 2
 STEPS = 14
+# Shares of its requests that a bad version fails, as the final judgement
+# weighs them, all alike; figures below a seventh pass for good.
+BAD_SHARES = (0.15, 0.25, 0.35, 0.5, 0.65)
+# Probability, before any answer, that a new version is bad.
+PRIOR_BAD = 0.5
 FIRST_STEP_S = 0.002
 
 
@@ -72,6 +77,42 @@
     return ""
 
 
+def weigh_doubt(
+    old: dict[str, RouteCount], new: dict[str, RouteCount]
+) -> float:
+    """Returns the probability that a version is bad on all routes or on one.
+
+    Few answers leave a doubt even if all of them were good, which a test
+    against chance doesn't tell.
+
+    Args:
+        old: Counts of the old version by route.
+        new: Counts of the new version by route.
+    """
+    if not new:
+        return PRIOR_BAD
+    samples = []
+    for route, item in new.items():
+        base = old.get(route, RouteCount(route))
+        median = _median_step(base)
+        usual = (_count_bad(base, median) + 1) / (base.total + 2)
+        samples.append((_count_bad(item, median), item.total, usual))
+    on_all = on_one = 0.0
+    for share in BAD_SHARES:
+        ratios = [_find_ratio(*sample, share) for sample in samples]
+        on_all += math.prod(ratios) / len(BAD_SHARES)
+        on_one += sum(ratios) / len(ratios) / len(BAD_SHARES)
+    odds = PRIOR_BAD / (1 - PRIOR_BAD) * (on_all + on_one) / 2
+    return odds / (1 + odds)
+
+
+def _find_ratio(bad: int, total: int, usual: float, share: float) -> float:
+    """Returns how much likelier the answers are if so many more fail."""
+    raised = usual + (1 - usual) * share
+    good = total - bad
+    return (raised / usual) ** bad * ((1 - raised) / (1 - usual)) ** good
+
+
 def _is_worse(
     bad: int, total: int, old_bad: int, old_total: int, chance: float
 ) -> bool:
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -25,7 +25,7 @@
 
 # Part of the allowed exposure that is used before the decision. The rest is
 # for what is on its way when the version is found bad.
-EXPOSURE_USED = 0.5
+EXPOSURE_USED = 0.7
 # The requests of a period go to the new version within its first part.
 BURST_PERIOD_S = 3.0
 BURST_S = 1.0
@@ -36,15 +36,17 @@
 # The move is completed this long before its end: all requests after that meet
 # the new version, and few of them may if it is bad after all.
 COMPLETE_BEFORE_END_S = 0.8
-# Answers of the new version without which a move is not completed.
-LEAST_SAMPLES = 10
 # Places of new targets, as a share of those of old targets, that must be ready.
 LEAST_PLACES = 0.6
 # A version is taken back at once if so many bad answers would come by chance
-# with this probability, and at the end with the other: a good version taken
-# back is ordered again, a bad one that was completed is not.
+# with this probability.
 CHANCE_AT_ONCE = 0.01
-CHANCE_AT_END = 0.1
+# A move is completed if the version is bad with no more than the first
+# probability, and taken back at its end with more than the second: a good
+# version taken back is ordered again, a bad one that was completed is not.
+# Between the two it goes on for as long again.
+MOST_DOUBT = 0.15
+DOUBT_TO_TAKE_BACK = 0.5
 TICK_S = 0.2
 PUSH_INTERVAL_S = 0.4
 REPEATS = 3
@@ -84,12 +86,14 @@
     """One move as this node sees it.
 
     Attributes:
+        slack: Requests that may meet the new version besides its share.
         calls: Requests of the service at this node since the order.
         exposed: Those of them that went to the new version.
     """
 
     move: revision.Move
     seen_s: float
+    slack: float = 0.0
     calls: int = 0
     exposed: int = 0
     stopped: bool = False
@@ -141,6 +145,8 @@
         self.row_versions: dict[str, int] = {}
         self.own: dict[str, messages.CountPush] = {}
         self.asked = 0
+        # Number of the first document that this process knew.
+        self.first_number: int | None = None
 
     # Choosing
 
@@ -174,8 +180,7 @@
         if course is None or not self._is_open(course) or not self.informed:
             return False
         course.calls += 1
-        nodes = max(len(self.judges()), 1)
-        allowed = self.share * course.calls + self.slack / nodes
+        allowed = self.share * course.calls + course.slack
         if course.exposed + 1 > allowed * EXPOSURE_USED:
             return False
         waited_s = self.clock() - course.seen_s - self._find_warm_s(course.move)
@@ -193,12 +198,15 @@
 
     def _find_course(self, service: str) -> _Course | None:
         newest = self.newest()
-        move = newest.moves.get(service) if newest else None
+        if newest is None:
+            return None
+        self._note_first(newest)
+        move = newest.moves.get(service)
         if move is None:
             return None
         course = self.courses.get(service)
         if course is None or course.move.number != move.number:
-            course = _Course(move, self.clock())
+            course = _Course(move, self.clock(), self._find_slack(move))
             self.courses[service] = course
             self.own.pop(service, None)
             log.info(
@@ -210,6 +218,20 @@
             )
         return course
 
+    def _note_first(self, newest: revision.Revision) -> None:
+        if self.first_number is None:
+            self.first_number = newest.number
+
+    def _find_slack(self, move: revision.Move) -> float:
+        """Returns this node's part of the exposure allowed besides the share.
+
+        A process that starts during a move gets none: the one before it may
+        have used it.
+        """
+        if self.first_number is None or move.number <= self.first_number:
+            return 0.0
+        return self.slack / max(len(self.judges()), 1)
+
     def _is_decided(self, course: _Course) -> bool:
         decision = self.decisions.get(course.move.service)
         if decision is None or decision.version != course.move.version:
@@ -322,6 +344,7 @@
             newest = self.newest()
             if newest is None:
                 continue
+            self._note_first(newest)
             due = self.clock() - last_push_s >= PUSH_INTERVAL_S
             for service in newest.moves:
                 course = self._find_course(service)
@@ -400,20 +423,21 @@
         move = course.move
         new = merge(course.counts.values(), move.version, True)
         old = merge(course.counts.values(), move.version, False)
-        ends = elapsed_s >= move.duration_s - COMPLETE_BEFORE_END_S
-        bad = judgement.find_bad(
-            old, new, CHANCE_AT_END if ends else CHANCE_AT_ONCE
-        )
+        bad = judgement.find_bad(old, new, CHANCE_AT_ONCE)
         if bad:
             return messages.State.ROLLED_BACK, bad
-        if not ends:
+        if elapsed_s < move.duration_s - COMPLETE_BEFORE_END_S:
             return None, ""
         samples = sum(item.total for item in new.values())
-        if samples < LEAST_SAMPLES or not self._has_places(move):
-            if elapsed_s > 2 * move.duration_s:
-                return messages.State.ROLLED_BACK, "too little evidence"
-            return None, ""
-        return messages.State.COMPLETED, f"{samples} answers, none found worse"
+        doubt = judgement.weigh_doubt(old, new)
+        why = f"bad with a probability of {doubt:.3f} by {samples} answers"
+        if doubt > DOUBT_TO_TAKE_BACK:
+            return messages.State.ROLLED_BACK, why
+        if doubt <= MOST_DOUBT and self._has_places(move):
+            return messages.State.COMPLETED, why
+        if elapsed_s > 2 * move.duration_s:
+            return messages.State.ROLLED_BACK, "too little evidence"
+        return None, ""
 
     def _has_places(self, move: revision.Move) -> bool:
         known = self.candidates(move.service)
--- /dev/null
+++ b/src/waxwingferry/version/tests/test_judgement.py
@@ -0,0 +1,55 @@
+"""How sure the final judgement of a version is."""
+
+import random
+
+import pytest
+
+from waxwingferry.version import judgement
+
+ROUTES = {"r1": 0.7, "r2": 0.3}
+USUAL_SHARE = 0.06
+SEEDS = 200
+
+
+def draw(
+    rng: random.Random, answers: int, failing: dict[str, float]
+) -> dict[str, judgement.RouteCount]:
+    """Returns answers of which some fail, besides the usual share."""
+    counts = {}
+    for route, part in ROUTES.items():
+        item = counts[route] = judgement.RouteCount(route)
+        for _ in range(round(answers * part)):
+            if rng.random() < max(failing.get(route, 0.0), USUAL_SHARE):
+                item.failed += 1
+            else:
+                item.steps[6] += 1
+    return counts
+
+
+def find_share_above(answers: int, failing: dict[str, float]) -> float:
+    """Returns in what share of the seeds the doubt forbids completion."""
+    above = 0
+    for seed in range(SEEDS):
+        rng = random.Random(seed)
+        old = draw(rng, 500, {})
+        new = draw(rng, answers, failing)
+        above += judgement.weigh_doubt(old, new) > 0.15
+    return above / SEEDS
+
+
+@pytest.mark.parametrize(
+    "failing", [{"r1": 0.4, "r2": 0.4}, {"r1": 0.5}, {"r2": 0.5}]
+)
+def test_bad_versions_are_doubted_over_seeds(failing):
+    """Guards against a bad version, or one bad route, that passes."""
+    assert find_share_above(40, failing) > 0.97
+
+
+def test_most_good_versions_pass_over_seeds():
+    """Guards against a judgement that takes everything back."""
+    assert find_share_above(60, {}) < 0.2
+
+
+def test_no_answers_leave_the_prior():
+    """Guards against a version judged by nothing."""
+    assert judgement.weigh_doubt({}, {}) == judgement.PRIOR_BAD
--- a/src/waxwingferry/version/tests/test_rollout.py
+++ b/src/waxwingferry/version/tests/test_rollout.py
@@ -136,6 +136,27 @@
     assert 0 < exposed <= 0.1 * calls + 50
 
 
+async def test_a_restarted_node_gets_no_slack_again(made):
+    """Guards against exposure that grows with each restart."""
+    made.document.number = MOVE.number + 1
+    calls = 16 * 60
+    exposed = 0
+    for _ in range(calls):
+        exposed += made.moves.take_turn("desk")
+        made.clock.now_s += 1 / 60
+    assert 0 < exposed <= 0.1 * calls
+
+
+async def test_few_good_answers_leave_a_doubt(made):
+    """Guards against a bad version completed for want of evidence."""
+    made.count("v1", 200, 2)
+    made.count("v2", 4, 0)
+    await made.judge(15.5)
+    assert not made.ledger.written
+    await made.judge(33.0)
+    assert made.ledger.written[0].state is messages.State.ROLLED_BACK
+
+
 async def test_new_targets_get_nothing_while_they_are_cold(made):
     """Guards against bursts at targets that have just started."""
     made.moves.take_turn("desk")
