Let pauses and deadlines count the time of a suspended machine

Cause: the steady clock stands still while a machine is suspended, so a node that slept for ten seconds neither caught up before it acted nor ended calls whose callers had long gone (listed as open in docs/platform.md).

Change: boot_clock reads CLOCK_BOOTTIME; the watch for pauses and the deadlines of calls use it. The queue of a target stays on the monotonic clock and takes the time left instead of a moment.

--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -144,7 +144,9 @@
         self, member: str, deadline: call.Deadline, route: str = ""
     ) -> Permit | outcome.NotRun:
         """Waits for a free place, or refuses."""
-        permit = self.submit(member, deadline.at_s, route)
+        # Deadlines go by the boot clock, the queue by the monotonic one.
+        deadline_s = self.clock() + deadline.remaining_s()
+        permit = self.submit(member, deadline_s, route)
         try:
             while permit.state is State.QUEUED:
                 permit.event = anyio.Event()
--- a/src/waxwingferry/process/protection/tests/test_admission.py
+++ b/src/waxwingferry/process/protection/tests/test_admission.py
@@ -301,7 +301,7 @@
 
     async def run_one(scope: anyio.CancelScope) -> None:
         with scope:
-            permit = await state.acquire("a", call.Deadline(2000.0))
+            permit = await state.acquire("a", call.make_deadline(1000.0))
             if isinstance(permit, outcome.NotRun):
                 return
             try:
@@ -320,3 +320,16 @@
                 await anyio.lowlevel.checkpoint()
     assert state.in_flight == 0
     assert len(state.queue) == 0
+
+
+@pytest.mark.anyio
+async def test_a_deadline_keeps_its_time_on_the_own_clock() -> None:
+    """Guards against clocks mixed on machines that were once suspended."""
+    state = make_warm(1, FakeClock())
+    await state.acquire("a", call.make_deadline(1.0))
+    async with anyio.create_task_group() as group:
+        group.start_soon(state.acquire, "a", call.make_deadline(1.0))
+        await anyio.lowlevel.checkpoint()
+        (permit,) = state.queue
+        assert 0.9 < permit.deadline_s - state.clock() <= 1.0
+        group.cancel_scope.cancel()
--- a/src/waxwingferry/process/spreading/spread.py
+++ b/src/waxwingferry/process/spreading/spread.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 import dataclasses
 import random
-import time
 
 import anyio
 import structlog
 
+from waxwingferry import boot_clock
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
 from waxwingferry.process.spreading import gossip
@@ -41,7 +41,7 @@
         counters: Metrics of the node.
         rng: Source of jitter.
         seeds: Peers asked while the platform does not answer.
-        clock: Monotonic time in seconds.
+        clock: Time in seconds, with the time of suspended machines.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         counters: metrics.Metrics,
         rng: random.Random,
         seeds: tuple[gossip.Address, ...],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_clock.read_s,
     ):
         self.configured = configured
         self.known = known
--- a/src/waxwingferry/request/call.py
+++ b/src/waxwingferry/request/call.py
@@ -3,8 +3,8 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
-import time
 
+from waxwingferry import boot_clock
 from waxwingferry.connection import http1
 
 ATTEMPT_HEADER = "x-waxwing-attempt"
@@ -64,7 +64,9 @@
 
 @dataclasses.dataclass(slots=True)
 class Deadline:
-    """A point in time by the monotonic clock, in seconds.
+    """A point in time by the boot clock, in seconds.
+
+    Callers go on waiting while a machine is suspended.
 
     It bounds the time until an answer begins. A body that has begun may take
     longer while it makes progress: cutting it would lose an answer that the
@@ -75,7 +77,7 @@
 
     def remaining_s(self) -> float:
         """Returns the time left in seconds, possibly negative."""
-        return self.at_s - time.monotonic()
+        return self.at_s - boot_clock.read_s()
 
     def part_wait_s(self) -> float:
         """Returns the time allowed for the next part of an answer's body."""
@@ -84,7 +86,7 @@
 
 def make_deadline(remaining_s: float) -> Deadline:
     """Returns the deadline that lies remaining_s seconds ahead."""
-    return Deadline(time.monotonic() + remaining_s)
+    return Deadline(boot_clock.read_s() + remaining_s)
 
 
 @dataclasses.dataclass(slots=True)
