Explain a request from logs, and the next choice from a node

Cause: the path from a request's id to its cause was a page to follow by hand, and Router.explain was used by nothing but a test.

Change: 'waxwingferry explain request ID' puts the lines of several logs, or of standard input, in order, adds what the nodes concerned learned in the five seconds before, and names the cause. 'waxwingferry explain choice SERVICE' asks a node's admin listener what the next call would weigh.

--- a/src/waxwingferry/cli/client.py
+++ b/src/waxwingferry/cli/client.py
@@ -53,6 +53,10 @@
         """Returns the newest history rows, newest first."""
         return self._get("/history", {"last": str(last)})["history"]
 
+    def get_choice(self, service: str) -> list[dict[str, Any]]:
+        """Returns what the first node would choose from, cheapest first."""
+        return self._get("/choice", {"service": service})["targets"]
+
     def get_status(self, address: str) -> dict[str, Any] | None:
         """Returns a node's status, or None if it does not answer."""
         try:
--- /dev/null
+++ b/src/waxwingferry/cli/explain.py
@@ -0,0 +1,170 @@
+"""Puts a request's decisions together from the logs of several processes."""
+
+from collections.abc import Iterable
+import dataclasses
+import datetime
+import json
+import pathlib
+import sys
+from typing import Any
+
+from waxwingferry.process import program
+from waxwingferry.request import outcome
+
+STANDARD_INPUT = "-"
+# Beliefs that changed this long before a request may have decided it; a
+# chosen span, longer than a report of load or a cut stays of interest.
+CONTEXT_S = 5.0
+MAX_CONTEXT_LINES = 20
+# Fields that each line has, or that are printed by themselves.
+_COMMON_FIELDS = ("request", "event", "level", "timestamp")
+
+_CAUSES = {
+    outcome.Reason.NO_ROUTE: "no route of the document fits host and path",
+    outcome.Reason.NO_DOCUMENT: "the entry knew no document yet",
+    outcome.Reason.NO_TARGET: "no target of the service could be used",
+    outcome.Reason.BUSY: "the target's machine had turned slow",
+    outcome.Reason.QUEUE_FULL: "the target had no place and its queue was full",
+    outcome.Reason.DEADLINE_TOO_SHORT: "too little time was left to be served",
+    outcome.Reason.DOMAIN_OUT: "the target's failure domain was out",
+    outcome.Reason.LEAVING: "the target or its node was leaving",
+    outcome.Reason.WRONG_INCARNATION: "the target had been started anew",
+    outcome.Reason.CONNECTION_REFUSED: "nobody listened at the address",
+    outcome.Reason.CONNECTION_LOST: "the connection broke after the request",
+    outcome.Reason.CONNECTION_SILENT: "the connection had gone silent",
+    outcome.Reason.NODE_SILENT: "the target's node did not answer",
+    outcome.Reason.TIMEOUT: "the time ran out while the request ran",
+    outcome.Reason.ANSWER_CUT: "the target's answer ended early",
+    outcome.Reason.TARGET_REFUSED: "the target itself refused",
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Line:
+    """One line of a log.
+
+    Attributes:
+        at_s: Its time in seconds, by the clock of the process.
+        source: The process, as the file or the collector names it.
+        fields: The fields of the line.
+    """
+
+    at_s: float
+    source: str
+    fields: dict[str, Any]
+
+    @property
+    def event(self) -> str:
+        """What the line tells of."""
+        return str(self.fields.get("event", ""))
+
+
+def read_lines(names: Iterable[str]) -> list[Line]:
+    """Returns the lines of log files in the order of their time.
+
+    What stands before the JSON object of a line, as collectors write it, is
+    taken for the process's name; other lines are passed over.
+
+    Args:
+        names: Paths, or "-" for standard input.
+
+    Raises:
+        program.UsageError: A file can't be read.
+    """
+    lines: list[Line] = []
+    for name in names:
+        for text in _read_text(name).splitlines():
+            line = _parse(text, name)
+            if line is not None:
+                lines.append(line)
+    return sorted(lines, key=lambda line: line.at_s)
+
+
+def _read_text(name: str) -> str:
+    if name == STANDARD_INPUT:
+        return sys.stdin.read()
+    try:
+        return pathlib.Path(name).read_text("utf-8", errors="replace")
+    except OSError as error:
+        raise program.UsageError(
+            f"logs = {name!r}: must be readable files or '-': {error.strerror}"
+        ) from error
+
+
+def _parse(text: str, name: str) -> Line | None:
+    before, brace, rest = text.partition("{")
+    try:
+        fields = json.loads(brace + rest)
+        stamp = datetime.datetime.fromisoformat(fields["timestamp"])
+    except (ValueError, KeyError, TypeError):
+        return None
+    words = before.split()
+    return Line(stamp.timestamp(), words[-1] if words else name, fields)
+
+
+def explain(lines: list[Line], request: str) -> str:
+    """Returns the decisions on a request, those behind them, and the cause.
+
+    Args:
+        lines: Lines of all processes, by time.
+        request: The request's id.
+
+    Raises:
+        program.CommandError: No line is about the request.
+    """
+    chain = [line for line in lines if line.fields.get("request") == request]
+    if not chain:
+        raise program.CommandError(
+            f"request = {request!r}: not in the {len(lines)} lines read; they "
+            "may be older, or were dropped (look for 'log lines dropped')"
+        )
+    start_s = chain[0].at_s
+    text = [f"request {request}"]
+    context = _find_context(lines, chain)
+    if context:
+        text.append("before it, at the nodes concerned:")
+        text += [_format(line, start_s) for line in context]
+    text.append("decisions:")
+    text += [_format(line, start_s) for line in chain]
+    text.append(f"outcome: {_conclude(chain)}")
+    return "\n".join(text)
+
+
+def _find_context(lines: list[Line], chain: list[Line]) -> list[Line]:
+    """Returns what changed the beliefs of the nodes concerned."""
+    nodes = {line.source for line in chain}
+    nodes |= {line.fields["node"] for line in chain if "node" in line.fields}
+    found = [
+        line
+        for line in lines
+        if "request" not in line.fields
+        and chain[0].at_s - CONTEXT_S <= line.at_s <= chain[-1].at_s
+        and (line.source in nodes or line.fields.get("node") in nodes)
+    ]
+    return found[-MAX_CONTEXT_LINES:]
+
+
+def _format(line: Line, start_s: float) -> str:
+    offset_ms = (line.at_s - start_s) * 1000
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name not in _COMMON_FIELDS
+    )
+    return f"  {offset_ms:+9.1f} ms  {line.source}  {line.event}  {fields}"
+
+
+def _conclude(chain: list[Line]) -> str:
+    last = chain[-1]
+    status = last.fields.get("status")
+    ended = f"{last.event} with {status}" if status else last.event
+    causes = []
+    for line in chain:
+        try:
+            reason = outcome.Reason(line.fields.get("reason"))
+        except ValueError:
+            continue
+        cause = _CAUSES.get(reason, reason.value.replace("_", " "))
+        if cause not in causes:
+            causes.append(cause)
+    return f"{ended}; {', then '.join(causes)}" if causes else ended
--- a/src/waxwingferry/cli/main.py
+++ b/src/waxwingferry/cli/main.py
@@ -6,6 +6,7 @@
 import yaml
 
 from waxwingferry.cli import client
+from waxwingferry.cli import explain
 from waxwingferry.process import program
 from waxwingferry.process import settings
 from waxwingferry.version import document
@@ -176,6 +177,34 @@
     raise program.CommandError(f"{DOMAIN_TRIES} other changes came first")
 
 
+def explain_request(request: str, logs: str = explain.STANDARD_INPUT) -> int:
+    """Tells from logs how a request was decided, and why.
+
+    Args:
+        request: The request's id.
+        logs: Log files of the processes, separated by commas; "-" is
+            standard input.
+    """
+    names = [item.strip() for item in logs.split(",") if item.strip()]
+    print(explain.explain(explain.read_lines(names), request))
+    return 0
+
+
+def explain_choice(service: str) -> int:
+    """Tells which target a node would choose now, cheapest first.
+
+    Args:
+        service: Service of the request.
+    """
+    print(f"{'node':24}{'cost':>10}{'report ms':>12}  not used because")
+    for row in client.make_client().get_choice(service):
+        age = "-" if row["report_age_ms"] is None else row["report_age_ms"]
+        print(
+            f"{row['node']:24}{row['cost']:10.3f}{age:>12}  {row['excluded']}"
+        )
+    return 0
+
+
 def _load_document(file: str) -> document.Document:
     data = settings.parse_yaml(settings.read_file(file), file)
     checked, errors = document.check(data)
@@ -199,6 +228,7 @@
     "status": status,
     "history": history,
     "diff": diff,
+    "explain": {"request": explain_request, "choice": explain_choice},
     "domain": {"out": domain_out, "in": domain_in},
 }
 
--- a/src/waxwingferry/cli/tests/test_commands.py
+++ b/src/waxwingferry/cli/tests/test_commands.py
@@ -1,5 +1,7 @@
 """The command line against the administration API of a node."""
 
+import random
+
 import anyio.from_thread
 import httpx
 import pydantic
@@ -10,6 +12,7 @@
 from waxwingferry.process import admin
 from waxwingferry.process import metrics
 from waxwingferry.process import program
+from waxwingferry.process.choice import routing
 from waxwingferry.process.spreading import configuration
 from waxwingferry.process.spreading import members
 from waxwingferry.process.tests import fakes
@@ -66,10 +69,40 @@
     receiver = receive.Receiver(
         "i0", lambda: False, lambda: configured.revision, counters
     )
-    served = admin.Admin("n0", known, receiver, counters, configured, tokens)
+    known.apply_all([make_row("n1", "d1"), make_row("n2", "d2")])
+    router = routing.Router(random.Random(1))
+    served = admin.Admin(
+        "n0",
+        known,
+        receiver,
+        counters,
+        configured,
+        tokens,
+        explain=lambda service: router.explain(
+            known.by_service[service], frozenset({"d2"}), set()
+        ),
+    )
     return served.make_app()
 
 
+def make_row(node: str, domain: str) -> members.MemberRow:
+    """Returns the row of a ready target of the service desk."""
+    return members.MemberRow(
+        node=node,
+        service="desk",
+        version="v1",
+        region="r1",
+        failure_domain=domain,
+        host="127.0.0.1",
+        peer_port=1,
+        incarnation="i",
+        state="ready",
+        slots=6,
+        generation=1,
+        target="",
+    )
+
+
 @pytest.fixture
 def table():
     """The platform's table."""
@@ -198,3 +231,14 @@
         reply = operator.put(url, headers=headers, content=body)
         assert reply.status_code == status
         assert reply.json()["errors"]
+
+
+def test_the_next_choice_is_told(bridge, capsys):
+    """Guards against operators who can't see why a target gets nothing."""
+    assert main.explain_choice("desk") == 0
+    _, first, second = capsys.readouterr().out.splitlines()
+    assert first.startswith("n1")
+    assert second.startswith("n2")
+    assert second.endswith("domain_out")
+    with pytest.raises(program.CommandError, match="must be one of desk"):
+        main.explain_choice("none")
--- a/src/waxwingferry/process/admin.py
+++ b/src/waxwingferry/process/admin.py
@@ -7,13 +7,16 @@
         503 nothing written; 504 undecided, to be resolved by its history
     GET  /history?last=N      {"history": [...]}, newest first
 
-/healthz, /status and /metrics need no token. All else needs the header
+    GET  /choice?service=NAME {"targets": [...]}, what the next call would weigh
+
+/healthz, /status, /metrics and /choice need no token. All else needs the header
 "authorization: Bearer TOKEN" with a token from the settings.
 """
 
 from collections.abc import Callable
 import hmac
 import json
+import math
 from typing import Annotated
 from typing import Any
 
@@ -30,6 +33,7 @@
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
 from waxwingferry.process import settings
+from waxwingferry.process.choice import routing
 from waxwingferry.process.spreading import configuration
 from waxwingferry.process.spreading import members
 from waxwingferry.request import receive
@@ -63,6 +67,7 @@
         configured: The document in force.
         tokens: Bearer token of each operator by name.
         extra_status: Returns further entries for /status.
+        explain: Returns what the next choice for a service would weigh.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         configured: configuration.Configuration,
         tokens: dict[str, pydantic.SecretStr],
         extra_status: Callable[[], dict[str, Any]] = dict,
+        explain: Callable[[str], list[routing.Explanation]] = lambda _: [],
     ):
         self.node = node
         self.known = known
@@ -82,6 +88,7 @@
         self.configured = configured
         self.tokens = tokens
         self.extra_status = extra_status
+        self.explain = explain
 
     def make_app(self) -> starlette.applications.Starlette:
         """Returns the ASGI application."""
@@ -90,6 +97,7 @@
             route("/healthz", self.get_health),
             route("/status", self.get_status),
             route("/metrics", self.get_metrics),
+            route("/choice", self.get_choice),
         ]
         if self.tokens:
             routes += [
@@ -140,6 +148,29 @@
             }
         )
 
+    async def get_choice(self, request: starlette.requests.Request):
+        """Returns the targets of a service as the next call weighs them."""
+        service = request.query_params.get("service", "")
+        if service not in self.known.by_service:
+            allowed = ", ".join(sorted(self.known.by_service)) or "none"
+            error = f"service = {service!r}: must be one of {allowed}"
+            return _json({"error": error}, 422)
+        return _json(
+            {
+                "targets": [
+                    {
+                        "node": item.node,
+                        "cost": item.cost.total,
+                        "excluded": item.excluded_by,
+                        "report_age_ms": round(item.report_age_s * 1000)
+                        if math.isfinite(item.report_age_s)
+                        else None,
+                    }
+                    for item in self.explain(service)
+                ]
+            }
+        )
+
     async def get_metrics(self, request: starlette.requests.Request):
         """Returns the metrics in Prometheus text form."""
         self.receiver.update_gauges()
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -20,6 +20,7 @@
 from waxwingferry.process import settings
 from waxwingferry.process import target
 from waxwingferry.process.choice import probe
+from waxwingferry.process.choice import routing
 from waxwingferry.process.spreading import configuration
 from waxwingferry.process.spreading import peers
 from waxwingferry.request import answering
@@ -81,6 +82,7 @@
             configured,
             options.admin_tokens,
             self.get_control_status,
+            self.explain_choice,
         )
 
     def get_probe_rate(self) -> float:
@@ -88,6 +90,13 @@
         newest = self.configured.revision
         return newest.budgets.probe_per_s if newest else 0.0
 
+    def explain_choice(self, service: str) -> list[routing.Explanation]:
+        """Returns what the next call of a service would weigh."""
+        newest = self.configured.revision
+        out = newest.domains_out if newest else frozenset()
+        known = self.members.by_service.get(service, [])
+        return self.entry.router.explain(known, out, set())
+
     def get_control_status(self) -> dict:
         """Returns the entries of /status about spread and membership."""
         return {
