Let the soak disturb the paths between nodes, and kill all nodes at once

Change: the relay before each node's peer port delays, holds one direction, and resets; the soak's nodes stand behind relays, started in one place for three experiments. Six kinds of faults more.

The short soak of the tests passes.

--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -17,6 +17,7 @@
 import yaml
 
 from waxwingferry.bench import ports
+from waxwingferry.emulator import relay
 
 START_TIMEOUT_S = 20.0
 ADMIN_TOKEN = "bench-token-for-loopback-only"
@@ -338,3 +339,28 @@
         yield cluster
     finally:
         cluster.stop()
+
+
+@contextlib.asynccontextmanager
+async def run_behind_relays(
+    running: Cluster,
+) -> AsyncIterator[list[relay.Relay]]:
+    """Runs a cluster with a relay before each node's peer port.
+
+    Yields:
+        The relays in the order of the members.
+    """
+    known: dict[int, relay.Relay] = {}
+    for member in running.members:
+        port = member.ports["relay"] = running.ports.take()
+        relay.Relay(port, member.ports["peer"], known)
+    relays = list(known.values())
+    async with anyio.create_task_group() as group:
+        try:
+            for item in relays:
+                group.start_soon(item.serve)
+            await running.start()
+            yield relays
+        finally:
+            running.stop()
+        group.cancel_scope.cancel()
--- a/src/waxwingferry/bench/experiments/at_most_once.py
+++ b/src/waxwingferry/bench/experiments/at_most_once.py
@@ -125,15 +125,6 @@
         await self.running.set_platform_faults(self.client)
 
 
-def make_relays(running: cluster.Cluster) -> list[relay.Relay]:
-    """Puts a relay before the peer port of each node."""
-    known: dict[int, relay.Relay] = {}
-    for member in running.members:
-        port = member.ports["relay"] = running.ports.take()
-        relay.Relay(port, member.ports["peer"], known)
-    return list(known.values())
-
-
 async def run(options: experiment.Options) -> experiment.Report:
     """Runs the experiment."""
     report = experiment.Report()
@@ -145,16 +136,8 @@
         first_port=options.first_port,
         seed=options.seed,
     )
-    relays = make_relays(running)
-    async with anyio.create_task_group() as group:
-        try:
-            for item in relays:
-                group.start_soon(item.serve)
-            await running.start()
-            await _run_load(running, relays, rng, options, report)
-        finally:
-            running.stop()
-        group.cancel_scope.cancel()
+    async with cluster.run_behind_relays(running) as relays:
+        await _run_load(running, relays, rng, options, report)
     return report
 
 
--- a/src/waxwingferry/bench/experiments/silent_connection.py
+++ b/src/waxwingferry/bench/experiments/silent_connection.py
@@ -16,7 +16,6 @@
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
 from waxwingferry.bench import transfers
-from waxwingferry.bench.experiments import at_most_once
 from waxwingferry.emulator import relay
 
 TARGETS = 3
@@ -99,18 +98,10 @@
         first_port=options.first_port,
         seed=options.seed,
     )
-    relays = at_most_once.make_relays(running)
-    async with anyio.create_task_group() as group:
-        try:
-            for item in relays:
-                group.start_soon(item.serve)
-            await running.start()
-            async with httpx.AsyncClient(trust_env=False) as client:
-                phase = Phase(running, relays, rng, client)
-                await _run_phases(phase, options.duration_s, report)
-        finally:
-            running.stop()
-        group.cancel_scope.cancel()
+    async with cluster.run_behind_relays(running) as relays:
+        async with httpx.AsyncClient(trust_env=False) as client:
+            phase = Phase(running, relays, rng, client)
+            await _run_phases(phase, options.duration_s, report)
     return report
 
 
--- a/src/waxwingferry/bench/experiments/soak.py
+++ b/src/waxwingferry/bench/experiments/soak.py
@@ -1,7 +1,8 @@
 """Long randomised run that combines the faults and checks the promises.
 
 Callers read and transfer while nodes and targets are killed, frozen,
-restarted and drained, targets turn cold or slow, shed, cut and cross their
+restarted and drained, the paths between nodes are delayed, cut one way, reset
+and made silent, targets turn cold or slow, shed, cut and cross their
 answers, the platform is down, slow or loses answers, failure domains go out
 and come back, and operators race. The targets' ledgers tell what ran.
 """
@@ -97,17 +98,18 @@
     journal = callers.Journal()
     names = list(SERVICES)
     document = callers.make_document(names, DOMAINS)
-    async with cluster.run_cluster(
+    running = cluster.Cluster(
         SERVICES,
         document,
         behaviour={"cold_bears": 1, "warm_after": 3},
         domains=DOMAINS,
         first_port=options.first_port,
         seed=options.seed,
-    ) as running:
+    )
+    async with cluster.run_behind_relays(running) as relays:
         async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
             injector = faults.Injector(
-                running, client, random.Random(options.seed)
+                running, client, random.Random(options.seed), relays
             )
             sampler = Sampler(running, client)
             async with anyio.create_task_group() as group:
--- a/src/waxwingferry/bench/faults.py
+++ b/src/waxwingferry/bench/faults.py
@@ -14,8 +14,11 @@
 import httpx
 
 from waxwingferry.bench import cluster
+from waxwingferry.emulator import relay
 
 OUT_GRACE_S = 3.0
+# Longest delay of a path between nodes, above the time limit of a probe.
+MAX_DELAY_S = 0.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,6 +43,7 @@
         running: The cluster.
         client: Client for control requests.
         rng: Source of all choices.
+        relays: Paths to the nodes, in the order of the members.
 
     Attributes:
         faults: All faults brought about so far.
@@ -54,6 +58,7 @@
         running: cluster.Cluster,
         client: httpx.AsyncClient,
         rng: random.Random,
+        relays: list[relay.Relay],
     ):
         self.running = running
         self.client = client
@@ -80,6 +85,16 @@
             "platform loses answers": self.lose_platform_answers,
             "domain out": self.take_domain_out,
             "operators race": self.race_operators,
+            "path delayed": self.delay_path,
+            "path cut inwards": self.block_path_in,
+            "path cut outwards": self.block_path_out,
+            "connections reset": self.reset_connections,
+            "connections silent": self.silence_connections,
+            "all nodes killed": self.kill_all_nodes,
+        }
+        self.paths = {
+            member.name: path
+            for member, path in zip(running.members, relays, strict=True)
         }
 
     async def run(self, duration_s: float, mean_pause_s: float) -> None:
@@ -214,6 +229,65 @@
         """Lets a target announce that it drains."""
         await self._change_target("target drains", draining=True)
 
+    async def delay_path(self) -> None:
+        """Delays what passes between a node and the others."""
+        if member := self._pick():
+            fault = self._begin("path delayed", member.name)
+            path = self.paths[member.name]
+            path.delay_s = self.rng.uniform(0.01, MAX_DELAY_S)
+            try:
+                await self._pause(1.0, 3.0)
+            finally:
+                path.delay_s = 0.0
+                self._end(member, fault)
+
+    async def block_path_in(self) -> None:
+        """Lets nothing through to a node."""
+        await self._block_path("path to node cut", True)
+
+    async def block_path_out(self) -> None:
+        """Lets nothing through from a node on connections to it."""
+        await self._block_path("path from node cut", False)
+
+    async def _block_path(self, name: str, inwards: bool) -> None:
+        if member := self._pick():
+            fault = self._begin(name, member.name)
+            path = self.paths[member.name]
+            path.block(inwards)
+            try:
+                await self._pause(1.0, 3.0)
+            finally:
+                path.unblock()
+                self._end(member, fault)
+
+    async def reset_connections(self) -> None:
+        """Resets the connections to a node."""
+        if member := self._pick():
+            fault = self._begin("connections reset", member.name)
+            self.paths[member.name].reset()
+            self._end(member, fault)
+
+    async def silence_connections(self) -> None:
+        """Makes the connections to a node silent; new ones work."""
+        if member := self._pick():
+            fault = self._begin("connections silent", member.name)
+            self.paths[member.name].silence()
+            self._end(member, fault)
+
+    async def kill_all_nodes(self) -> None:
+        """Kills all nodes without another fault at once; starts them again."""
+        members = [m for m in self.running.members if m.name not in self.busy]
+        started = []
+        for member in members:
+            self.busy.add(member.name)
+            started.append((member, self._begin("kill node", member.name)))
+        for member in members:
+            await self._stop(member.node, signal.SIGKILL)
+        await self._pause(0.1, 1.0)
+        for member, fault in started:
+            self.running.start_node(member)
+            self._end(member, fault)
+
     async def _change_platform(self, name: str, **faults: Any) -> None:
         if "platform" in self.busy:
             return
