Count a starting node's time to learn a revision from its first answer

A node that knows no document takes no work.

Change: a process that states revision 0 has the same 3 s, counted from its first answer instead of from the order to start it.

--- a/src/waxwingferry/bench/experiments/soak.py
+++ b/src/waxwingferry/bench/experiments/soak.py
@@ -206,8 +206,10 @@
 
 def _check_revisions(report, sampler, injector) -> None:
     highest: dict[tuple[str, str], int] = collections.defaultdict(int)
+    first_s: dict[tuple[str, str], float] = {}
     for sample in sampler.samples:
         key = (sample.node, sample.incarnation)
+        first_s.setdefault(key, sample.at_s)
         report.check(
             NO_REVERT,
             sample.revision >= highest[key],
@@ -219,7 +221,11 @@
             for at_s, number in injector.accepted
             if at_s + IN_FORCE_S <= sample.at_s
         ]
-        if due and not _was_frozen(injector, sample):
+        # A process that has just started takes no work before it knows one.
+        starts = (
+            sample.revision == 0 and sample.at_s < first_s[key] + IN_FORCE_S
+        )
+        if due and not starts and not _was_frozen(injector, sample):
             report.check(
                 IN_FORCE,
                 sample.revision >= max(due),
