Serve a target's queue by what an answer is still worth

The route's objective and priority were decoded and used by nothing.

Change: calls carry their objective and priority to the target's node. Its queue serves first what most likely ends within its objective, by the time left and the priority; the rest gets the places that are left.

Three tests fail before.

--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -18,6 +18,9 @@
 # of the queue takes the bursts of others while one member floods the target.
 MEMBER_QUEUE_PER_SLOT = 2
 QUEUE_PER_SLOT = 4
+# A rank less of priority weighs as much as so much time until the objective:
+# about the aims' differences between neighbouring ranks of one service.
+PRIORITY_STEP_S = 0.1
 # A waiter looks this often whether the target still takes work.
 RECHECK_S = 0.25
 # Lower bound of a cost, so that shares also hold before the first answer.
@@ -51,6 +54,8 @@
         route: Route whose service times the attempt follows.
         deadline_s: Monotonic time at which the attempt is of no more use.
         submitted_s: Monotonic time at which it came.
+        useful_until_s: Monotonic time until which an answer is of full use.
+        priority: Rank of the route, 0 is the most urgent.
         refusal: Why the attempt was refused, if it was.
         is_trial: Whether it goes to the target against the estimate.
         in_flight: Attempts in flight just after the dispatch.
@@ -59,6 +64,8 @@
     route: str
     deadline_s: float
     submitted_s: float
+    useful_until_s: float
+    priority: int = 0
     state: State = State.QUEUED
     refusal: outcome.NotRun | None = None
     share: "fairness.Share[Permit] | None" = None
@@ -80,6 +87,9 @@
             self.event.set()
 
 
+_NO_HURRY = call.Urgency()
+
+
 def _ready() -> outcome.Reason | None:
     return None
 
@@ -141,12 +151,23 @@
         return self.running + len(self.lingering)
 
     async def acquire(
-        self, member: str, deadline: call.Deadline, route: str = ""
+        self,
+        member: str,
+        deadline: call.Deadline,
+        route: str = "",
+        urgency: call.Urgency = _NO_HURRY,
     ) -> Permit | outcome.NotRun:
         """Waits for a free place, or refuses."""
         # Deadlines go by the boot clock, the queue by the monotonic one.
-        deadline_s = self.clock() + deadline.remaining_s()
-        permit = self.submit(member, deadline_s, route)
+        now_s = self.clock()
+        useful = urgency.objective or deadline
+        permit = self.submit(
+            member,
+            now_s + deadline.remaining_s(),
+            route,
+            now_s + useful.remaining_s(),
+            urgency.priority,
+        )
         try:
             while permit.state is State.QUEUED:
                 permit.event = anyio.Event()
@@ -158,11 +179,31 @@
             raise
         return permit.refusal or permit
 
-    def submit(self, member: str, deadline_s: float, route: str = "") -> Permit:
-        """Queues an attempt and dispatches what can be; never waits."""
+    def submit(
+        self,
+        member: str,
+        deadline_s: float,
+        route: str = "",
+        useful_until_s: float = math.inf,
+        priority: int = 0,
+    ) -> Permit:
+        """Queues an attempt and dispatches what can be; never waits.
+
+        Args:
+            member: Member that the caller belongs to.
+            deadline_s: Monotonic time at which it is of no more use.
+            route: Route whose service times it follows.
+            useful_until_s: Monotonic time until which an answer is of full
+                use.
+            priority: Rank of the route, 0 is the most urgent.
+        """
         self.advance()
         permit = Permit(
-            self.estimate.bound_route(route), deadline_s, self.clock()
+            self.estimate.bound_route(route),
+            deadline_s,
+            self.clock(),
+            min(useful_until_s, deadline_s),
+            priority,
         )
         reason = self.closed()
         if reason is None and self._is_hopeless(permit, member):
@@ -243,13 +284,37 @@
             if not self.has_place():
                 return
             cost_s = max(self.estimate.all.mean(), MIN_COST_S)
-            permit = self.queue.pop(cost_s)
+            permit = self.queue.pop(cost_s, self._rank)
             if self._is_too_late(permit, 0.0, bool(self.queue)):
                 assert permit.share is not None
                 self.queue.settle(permit.share, cost_s, 0.0)
                 _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
                 continue
             self._dispatch(permit, cost_s)
+            self._refuse_overtaken(permit)
+
+    def _refuse_overtaken(self, dispatched: Permit) -> None:
+        """Refuses what came earlier and can't be expected to end in time."""
+        assert dispatched.share is not None
+        overtaken = [
+            permit
+            for permit in dispatched.share.items
+            if permit.submitted_s <= dispatched.submitted_s
+            and self._is_too_late(permit, 0.0, True)
+        ]
+        for permit in overtaken:
+            self._leave_queue(permit)
+            _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
+
+    def _rank(self, permit: Permit) -> tuple[bool, float]:
+        """Returns the order of a queued attempt among those of its member.
+
+        What can still be of full use goes first, by urgency; the rest gets
+        the places that are left.
+        """
+        due_s = permit.useful_until_s + permit.priority * PRIORITY_STEP_S
+        left_s = permit.useful_until_s - self.clock()
+        return not self.estimate.is_likely(permit.route, left_s), due_s
 
     def _dispatch(self, permit: Permit, cost_s: float) -> None:
         self.running += 1
@@ -302,7 +367,10 @@
         mean_s = self.estimate.all.mean()
         share = self.queue.find_share(member)
         ahead = self.queue.count_ahead(share, max(mean_s, MIN_COST_S))
+        rank = self._rank(permit)
+        ahead -= sum(self._rank(other) > rank for other in share.items)
         wait_s = (ahead + 1) * mean_s / self.limit.value
+        wait_s = max(wait_s, self.limit.find_pace_wait_s(ahead))
         return self._is_too_late(permit, wait_s, False)
 
     def _is_too_late(
--- a/src/waxwingferry/process/protection/estimate.py
+++ b/src/waxwingferry/process/protection/estimate.py
@@ -104,6 +104,13 @@
             return True
         return contended and chance < self.kept * times.share_within(whole_s)
 
+    def is_likely(self, route: str, left_s: float) -> bool:
+        """Tells whether an attempt most likely ends within a time."""
+        times = self.routes.get(route)
+        if times is None or len(times) < MIN_SAMPLES:
+            return left_s > self.all.mean()
+        return times.share_within(left_s) >= LEAST_CHANCE
+
     def take_trial(self, route: str) -> bool:
         """Takes the right to send one request past an old estimate."""
         now_s = self.clock()
--- a/src/waxwingferry/process/protection/fairness.py
+++ b/src/waxwingferry/process/protection/fairness.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator
 import dataclasses
 import math
+from typing import Any
 from typing import Generic
 from typing import TypeVar
 
@@ -91,8 +92,16 @@
         self.size += 1
         return share
 
-    def pop(self, cost_s: float) -> Item:
-        """Takes the item that is next, and charges its member."""
+    def pop(
+        self, cost_s: float, order: Callable[[Item], Any] | None = None
+    ) -> Item:
+        """Takes the item that is next, and charges its member.
+
+        Args:
+            cost_s: Estimated cost of the item.
+            order: Key by which a member's items go, the least one first, or
+                None for the order in which they came.
+        """
         share = min(
             (item for item in self.shares.values() if item.items),
             key=lambda item: item.start,
@@ -101,7 +110,11 @@
         share.start += cost_s / share.weight
         share.running += 1
         self.size -= 1
-        return share.items.popleft()
+        if order is None:
+            return share.items.popleft()
+        item = min(share.items, key=order)
+        share.items.remove(item)
+        return item
 
     def settle(
         self, share: Share[Item], charged_s: float, used_s: float
--- a/src/waxwingferry/process/protection/limit.py
+++ b/src/waxwingferry/process/protection/limit.py
@@ -114,6 +114,10 @@
         """Returns the earliest monotonic time for the next request."""
         return -math.inf
 
+    def find_pace_wait_s(self, ahead: int) -> float:
+        """Returns how long the pace holds up one behind so many others."""
+        return 0.0
+
     def note_start(self) -> None:
         """Counts a request that is sent now."""
 
--- a/src/waxwingferry/process/protection/stated_limit.py
+++ b/src/waxwingferry/process/protection/stated_limit.py
@@ -81,6 +81,13 @@
             return -math.inf
         return self.starts[-most] + PACE_WINDOW_S
 
+    def find_pace_wait_s(self, ahead: int) -> float:
+        """Returns how long the pace holds up one behind so many others."""
+        cold_s = self.cold_until_s - self.clock()
+        if cold_s <= 0:
+            return 0.0
+        return min(ahead / max(self.cold_per_s(), LEAST_COLD_PER_S), cold_s)
+
     def note_start(self) -> None:
         """Counts a request that is sent now."""
         self.starts.append(self.clock())
--- a/src/waxwingferry/process/protection/tests/test_admission.py
+++ b/src/waxwingferry/process/protection/tests/test_admission.py
@@ -7,6 +7,7 @@
 
 from waxwingferry.process.protection import admission
 from waxwingferry.process.protection import limit as limits
+from waxwingferry.process.protection import stated_limit
 from waxwingferry.request import call
 from waxwingferry.request import outcome
 
@@ -123,6 +124,59 @@
     assert other.state is State.RUNNING
 
 
+def test_what_can_still_be_of_full_use_goes_first() -> None:
+    """Guards against a queue that answers all of an overload late."""
+    clock = FakeClock()
+    state = make_warm(1, clock)
+    for _ in range(4):
+        permit = state.submit("a", clock.now_s + 9, "r")
+        clock.now_s += 0.1
+        state.release(permit, Ending.ANSWERED)
+    now_s = clock.now_s
+    running = state.submit("a", now_s + 9, "r")
+    missed = state.submit("a", now_s + 9, "r", now_s + 0.15)
+    useful = state.submit("a", now_s + 9, "r", now_s + 0.5)
+    clock.now_s += 0.1
+    state.release(running, Ending.ANSWERED)
+    assert useful.state is State.RUNNING
+    assert missed.state is State.QUEUED
+    clock.now_s += 0.1
+    state.release(useful, Ending.ANSWERED)
+    assert missed.state is State.RUNNING
+
+
+def test_the_more_urgent_of_two_goes_first() -> None:
+    """Guards against urgent calls behind others of the same aim."""
+    clock = FakeClock()
+    state = make_warm(1, clock)
+    now_s = clock.now_s
+    running = state.submit("a", now_s + 9)
+    plain = state.submit("a", now_s + 9, "", now_s + 0.4, priority=2)
+    urgent = state.submit("a", now_s + 9, "", now_s + 0.4, priority=0)
+    state.release(running, Ending.ANSWERED)
+    assert urgent.state is State.RUNNING
+    assert plain.state is State.QUEUED
+
+
+def test_a_pace_that_leaves_no_time_refuses_at_once() -> None:
+    """Guards against calls held until it is too late for their callers."""
+    clock = FakeClock()
+    paced = stated_limit.StatedLimit(6, lambda: 4.0, clock)
+    paced.set_cold(3.0)
+    state = admission.Admission(6, clock=clock, make_limit=lambda _: paced)
+    for _ in range(4):
+        permit = state.submit("a", clock.now_s + 9, "r")
+        clock.now_s += 0.01
+        state.release(permit, Ending.ANSWERED)
+    now_s = clock.now_s
+    waiting = [state.submit("a", now_s + 9, "r", now_s + 0.5) for _ in range(8)]
+    assert all(item.state is State.QUEUED for item in waiting)
+    short = state.submit("a", now_s + 1.0, "r")
+    assert reason_of(short) is outcome.Reason.DEADLINE_TOO_SHORT
+    urgent = state.submit("a", now_s + 1.0, "r", now_s + 0.3)
+    assert urgent.state is State.QUEUED
+
+
 def test_flooding_member_is_refused_alone() -> None:
     """Guards against a flood that takes other members' queue places."""
     clock = FakeClock()
--- a/src/waxwingferry/request/call.py
+++ b/src/waxwingferry/request/call.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
+import re
 
 from waxwingferry import boot_clock
 from waxwingferry.connection import http1
@@ -22,6 +23,8 @@
 KEY_HEADER = "idempotency-key"
 # A time of the target's node, read before the attempt was sent.
 STAMP_HEADER = "x-waxwing-node-time"
+# Priority of the attempt and milliseconds for which an answer is of full use.
+URGENCY_HEADER = "x-waxwing-urgency"
 # Asks the target's node to finish the attempt and keep its answer.
 KEEP_HEADER = "x-waxwing-keep"
 
@@ -43,9 +46,12 @@
         SERVICE_HEADER,
         STAMP_HEADER,
         TARGET_HEADER,
+        URGENCY_HEADER,
     }
 )
 
+_URGENCY = re.compile(r"([0-9]{1,3}),([0-9]{1,9})")
+
 # Longest wait for the next part of an answer whose deadline has passed.
 PROGRESS_TIMEOUT_S = 5.0
 
@@ -89,6 +95,20 @@
     return Deadline(boot_clock.read_s() + remaining_s)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Urgency:
+    """What a wait costs a call.
+
+    Attributes:
+        objective: Until when an answer is of full use, or None for as long
+            as the call has time.
+        priority: Rank of the route, 0 is the most urgent.
+    """
+
+    objective: Deadline | None = None
+    priority: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Body:
     """A request body: its buffered first part and the rest, if any.
@@ -127,6 +147,7 @@
     name: str = ""
     route: str = ""
     canary: bool = False
+    urgency: Urgency = Urgency()
 
 
 @dataclasses.dataclass(slots=True)
@@ -161,6 +182,7 @@
     sent: bool = False
     movable: bool = False
     target_start: str = ""
+    urgency: Urgency = Urgency()
     on_dispatch: Callable[[], bool] | None = None
 
 
@@ -183,9 +205,24 @@
         call.idempotent,
         bool(call.key) and not call.idempotent,
         target_start=target_start,
+        urgency=call.urgency,
     )
 
 
+def parse_urgency(text: str) -> Urgency:
+    """Returns the urgency that a hop header states.
+
+    Raises:
+        http1.HttpError: The text is none.
+    """
+    if not text:
+        return Urgency()
+    found = _URGENCY.fullmatch(text)
+    if found is None:
+        raise http1.HttpError(f"{URGENCY_HEADER} = {text!r}: must be P,MS")
+    return Urgency(make_deadline(int(found[2]) / 1000), int(found[1]))
+
+
 def forwarded_headers(attempt: Attempt) -> http1.Headers:
     """Returns the fields that the system does not set itself."""
     return [
@@ -219,6 +256,10 @@
         headers.append((RETRY_HEADER, "1"))
     if attempt.movable:
         headers.append((MOVABLE_HEADER, "1"))
+    if attempt.urgency.objective is not None:
+        left_ms = max(int(attempt.urgency.objective.remaining_s() * 1000), 0)
+        text = f"{attempt.urgency.priority},{left_ms}"
+        headers.append((URGENCY_HEADER, text))
     if attempt.target_start:
         headers.append((TARGET_HEADER, attempt.target_start))
     return headers
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -204,6 +204,9 @@
             name=self.edge.name_request(head.headers),
             route=route.name,
             canary=bool(self.moves and self.moves.take_turn(service.name)),
+            urgency=call.Urgency(
+                call.make_deadline(route.objective_s), route.priority
+            ),
         )
 
     async def _run(
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -213,4 +213,5 @@
         stamp_ms=int(stamp) if stamp.isdigit() else -1,
         movable=find(head.headers, call.MOVABLE_HEADER) == "1",
         target_start=find(head.headers, call.TARGET_HEADER),
+        urgency=call.parse_urgency(find(head.headers, call.URGENCY_HEADER)),
     )
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -248,7 +248,10 @@
                 return refusal
             assert self.admission is not None
             permit = await self.admission.acquire(
-                attempt.member, attempt.deadline, self._find_route(attempt)
+                attempt.member,
+                attempt.deadline,
+                self._find_route(attempt),
+                attempt.urgency,
             )
             if isinstance(permit, outcome.NotRun):
                 return permit
