--- a/src/waxwingferry/platform/boot.py
+++ b/src/waxwingferry/platform/boot.py
@@ -32,6 +32,7 @@
         expose_share: Share of a service's requests that a bad version gets.
         expose_slack: Further requests that a bad version gets.
         cold_over: Factor on a cold target's rate in any second.
+        cold_slack: Requests that it bears besides in any second.
     """
 
     retry_ratio: float
@@ -39,6 +40,7 @@
     expose_share: float
     expose_slack: float
     cold_over: float
+    cold_slack: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -119,6 +121,7 @@
             expose_share=bounds.number("expose-share"),
             expose_slack=bounds.number("expose-slack"),
             cold_over=bounds.number("cold-over"),
+            cold_slack=bounds.number("cold-slack"),
         ),
     )
 
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -38,9 +38,9 @@
 # Readiness is asked each second, and two misses take a node out. Until then
 # requesters open connections, which must find somebody.
 OUT_AFTER_S = 2.3
-# Part of the factor by which the platform lets a cold target's rate exceed
-# the stated one in any second; targets fall over well above the stated rate.
-COLD_OVER_USED = 0.85
+# Part of what the platform allows a cold target in any second that is used;
+# the rest is for requests that a link bunches together.
+COLD_USED = 0.85
 # Time for peers to hear that this node leaves, by datagrams.
 LEAVE_DELAY_S = 0.3
 
@@ -128,10 +128,11 @@
         if newest is None or link is None:
             return 0.0
         service = newest.services.get(link.announcement.service)
-        if service is None:
+        if service is None or not service.cold_per_s:
             return 0.0
-        over = self.settings.bounds.cold_over * COLD_OVER_USED
-        return service.cold_per_s * max(over, 1.0)
+        bounds = self.settings.bounds
+        most = service.cold_per_s * bounds.cold_over + bounds.cold_slack
+        return max(most * COLD_USED, service.cold_per_s)
 
     async def sample(
         self, announcement: target.Announcement
--- a/src/waxwingferry/platform/tests/test_boot.py
+++ b/src/waxwingferry/platform/tests/test_boot.py
@@ -38,6 +38,7 @@
             "expose-share": 0.1,
             "expose-slack": 50,
             "cold-over": 1.5,
+            "cold-slack": 5,
         }
     },
 }
@@ -50,6 +51,7 @@
     assert found.seeds == ("10.1.0.39",)
     assert found.store == boot.Store("10.200.1.7", 8142)
     assert found.bounds.cold_over == 1.5
+    assert found.bounds.cold_slack == 5
 
 
 @pytest.mark.parametrize(
--- a/src/waxwingferry/platform/tests/test_operator.py
+++ b/src/waxwingferry/platform/tests/test_operator.py
@@ -8,7 +8,7 @@
 
 pytestmark = pytest.mark.anyio
 
-BOUNDS = boot.Bounds(0.2, 56, 0.1, 50, 1.5)
+BOUNDS = boot.Bounds(0.2, 56, 0.1, 50, 1.5, 5)
 CONFIG = {
     "version": "r7",
     "services": [
