--- a/src/waxwingferry/version/messages.py
+++ b/src/waxwingferry/version/messages.py
@@ -1,5 +1,6 @@
 """What nodes tell each other of version moves."""
 
+from collections.abc import Iterable
 import enum
 
 import msgspec
@@ -58,3 +59,24 @@
 
 
 Message = CountPush | Decision | Question | Stop
+
+
+def merge(
+    pushes: Iterable[CountPush],
+    version: str,
+    same: bool,
+) -> dict[str, judgement.RouteCount]:
+    """Returns the counts by route of a version, or of all others."""
+    merged: dict[str, judgement.RouteCount] = {}
+    for push in pushes:
+        if (push.version == version) is not same:
+            continue
+        for item in push.routes:
+            whole = merged.setdefault(
+                item.route, judgement.RouteCount(item.route)
+            )
+            whole.failed += item.failed
+            whole.steps = [
+                a + b for a, b in zip(whole.steps, item.steps, strict=True)
+            ]
+    return merged
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -7,7 +7,6 @@
 a move never changes.
 """
 
-import collections
 from collections.abc import Callable
 import dataclasses
 import time
@@ -421,8 +420,8 @@
     ) -> tuple[messages.State | None, str]:
         """Returns how a move ends by now, or None, and the reason."""
         move = course.move
-        new = merge(course.counts.values(), move.version, True)
-        old = merge(course.counts.values(), move.version, False)
+        new = messages.merge(course.counts.values(), move.version, True)
+        old = messages.merge(course.counts.values(), move.version, False)
         bad = judgement.find_bad(old, new, CHANCE_AT_ONCE)
         if bad:
             return messages.State.ROLLED_BACK, bad
@@ -478,24 +477,3 @@
             await self.learn()
         except platform.PlatformError as error:
             log.warning("decisions not read", error=str(error))
-
-
-def merge(
-    pushes: collections.abc.Iterable[messages.CountPush],
-    version: str,
-    same: bool,
-) -> dict[str, judgement.RouteCount]:
-    """Returns the counts by route of a version, or of all others."""
-    merged: dict[str, judgement.RouteCount] = {}
-    for push in pushes:
-        if (push.version == version) is not same:
-            continue
-        for item in push.routes:
-            whole = merged.setdefault(
-                item.route, judgement.RouteCount(item.route)
-            )
-            whole.failed += item.failed
-            whole.steps = [
-                a + b for a, b in zip(whole.steps, item.steps, strict=True)
-            ]
-    return merged
