Start without the figures of rules that are not in force

Cause: read while a bound was added: each figure of the settings' bounds was required, but a deployment without a rule need not hold its figure; the node would have ended with exit code 2.

Change: bounds that are missing have the product's defaults; a wrong value is refused as before.

--- a/src/waxwingferry/platform/boot.py
+++ b/src/waxwingferry/platform/boot.py
@@ -26,6 +26,9 @@
 class Bounds:
     """Figures of the platform's rules.
 
+    The settings hold those of the rules in force; for others, the defaults
+    ask no more of the platform than a deployment without that rule bears.
+
     Attributes:
         retry_ratio: Second sends per request of a service.
         retry_slack: Further second sends in each window, over all nodes.
@@ -35,12 +38,23 @@
         cold_slack: Requests that it bears besides in any second.
     """
 
-    retry_ratio: float
-    retry_slack: float
-    expose_share: float
-    expose_slack: float
-    cold_over: float
-    cold_slack: float
+    retry_ratio: float = 0.1
+    retry_slack: float = 0.0
+    expose_share: float = 0.1
+    expose_slack: float = 0.0
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
+
+
+# Keys of the settings by field of Bounds.
+_BOUND_KEYS = {
+    "retry_ratio": "retry-budget-ratio",
+    "retry_slack": "retry-budget-slack",
+    "expose_share": "expose-share",
+    "expose_slack": "expose-slack",
+    "cold_over": "cold-over",
+    "cold_slack": "cold-slack",
+}
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -116,12 +130,11 @@
         seeds=network.hosts("seeds"),
         store=Store(store_host, store_port),
         bounds=Bounds(
-            retry_ratio=bounds.number("retry-budget-ratio"),
-            retry_slack=bounds.number("retry-budget-slack"),
-            expose_share=bounds.number("expose-share"),
-            expose_slack=bounds.number("expose-slack"),
-            cold_over=bounds.number("cold-over"),
-            cold_slack=bounds.number("cold-slack"),
+            **{
+                field: bounds.number(key)
+                for field, key in _BOUND_KEYS.items()
+                if key in bounds.values
+            }
         ),
     )
 
--- a/src/waxwingferry/platform/tests/test_boot.py
+++ b/src/waxwingferry/platform/tests/test_boot.py
@@ -91,6 +91,16 @@
     assert str(caught.value) == line
 
 
+def test_bounds_of_rules_that_are_not_in_force_have_defaults():
+    """Guards against a node that doesn't start for want of a figure."""
+    data = copy.deepcopy(DATA)
+    del data["timing"]["bounds"]["cold-slack"]
+    del data["timing"]["bounds"]["expose-share"]
+    bounds = boot.parse(data).bounds
+    assert bounds.cold_slack == boot.Bounds().cold_slack
+    assert bounds.retry_slack == 56
+
+
 def test_unknown_fields_are_ignored():
     """Guards against a start that fails because a field came new."""
     data = copy.deepcopy(DATA)
