Remember a leave that comes before a restarted node has learned

Change: such a leave is kept by the target's id, applied to the start that is then taken up or reported, and confirmed only after the time in which leaves without the table are.

Figures: two new tests fail without the change.

--- a/src/waxwingferry/process/protection/lifetimes.py
+++ b/src/waxwingferry/process/protection/lifetimes.py
@@ -72,6 +72,9 @@
         self.clock = clock
         self.newest: Report | None = None
         self.left: dict[str, float] = {}
+        # Targets whose leave came before anything else was known of them, as
+        # it may while a restarted process learns.
+        self.left_unseen: dict[str, float] = {}
 
     def resume(self, row: members.MemberRow, host: str, port: int) -> None:
         """Takes up the target that an earlier process of this node had.
@@ -95,8 +98,12 @@
         )
         born_ms = int(born) if born.isdigit() else 0
         self.newest = Report(target_id, born_ms, -1, 0.0, announcement)
-        if announcement.state == "draining":
+        self._recall_leave(target_id, row.target)
+        if announcement.state == "draining" or row.target in self.left:
             self.left.setdefault(row.target, self.clock())
+            announcement = msgspec.structs.replace(
+                announcement, state="draining"
+            )
         log.info(
             "target of an earlier process",
             target=row.target,
@@ -117,6 +124,7 @@
         self.newest = report
         announcement = report.announcement
         name = announcement.incarnation
+        self._recall_leave(report.target_id, name)
         if self._inherits_leave(name):
             self.left.setdefault(name, self.clock())
         if announcement.state == "draining":
@@ -138,6 +146,12 @@
             return False
         return report.sequence <= newest.sequence
 
+    def _recall_leave(self, target_id: str, name: str) -> None:
+        """Applies a leave that came first to the start that it was for."""
+        if target_id in self.left_unseen:
+            left_s = self.left_unseen.pop(target_id)
+            self.left.setdefault(name, left_s)
+
     def _inherits_leave(self, name: str) -> bool:
         """Tells whether an earlier process of this node saw the leave."""
         older = self.known.predecessor
@@ -165,7 +179,12 @@
     async def take_leave(self, target_id: str) -> bool:
         """Takes a target's last message; returns whether it is confirmed."""
         newest = self.newest
-        if newest is None or newest.target_id != target_id:
+        if newest is None:
+            log.info("leave of a target not known yet", target=target_id)
+            left_s = self.left_unseen.setdefault(target_id, self.clock())
+            # Until its start is known, the leave would not outlive a restart.
+            return self.clock() - left_s > CONFIRM_UNWRITTEN_S
+        if newest.target_id != target_id:
             return True
         name = newest.announcement.incarnation
         self.left.setdefault(name, self.clock())
--- a/src/waxwingferry/process/protection/tests/test_lifetimes.py
+++ b/src/waxwingferry/process/protection/tests/test_lifetimes.py
@@ -143,6 +143,27 @@
     assert made.reports.newest.sequence == 4
 
 
+async def test_a_leave_before_the_restarted_node_has_learned_counts(made):
+    """Guards against a leave that is confirmed and then forgotten."""
+    assert not await made.reports.take_leave("i-1")
+    row = fakes.make_row(0, target="i-1:10", incarnation="earlier")
+    made.reports.resume(row, "127.0.0.1", 80)
+    assert made.state == "draining"
+    await made.report(born=10, sequence=4)
+    assert made.state == "draining"
+    await made.report(born=20)
+    assert made.state == "ready"
+
+
+async def test_a_leave_before_the_first_report_counts(made):
+    """Guards against a late report that undoes a leave."""
+    assert not await made.reports.take_leave("i-1")
+    made.clock.now_s += lifetimes.CONFIRM_UNWRITTEN_S + 0.1
+    assert await made.reports.take_leave("i-1")
+    await made.report(born=10)
+    assert made.state == "draining"
+
+
 async def test_a_leave_message_without_a_draining_report_counts(made):
     """Guards against targets that only say that they end."""
     await made.report()
