Join what the change wrote twice, after a second read

Cause: read whole, the change held twins. Change: both judgements of a version compare the counts in one place; leaves of a target are marked in one place, and names of starts made and split in one; control tasks are listed in Core only; gossip asks its handlers instead of a second list of marks; the queue refuses several attempts in one place; a report's age is computed by routing.age_ms; two tests take their rows from fakes.

--- a/src/waxwingferry/cli/tests/test_commands.py
+++ b/src/waxwingferry/cli/tests/test_commands.py
@@ -69,7 +69,7 @@
     receiver = receive.Receiver(
         "i0", lambda: False, lambda: configured.revision, counters
     )
-    known.apply_all([make_row("n1", "d1"), make_row("n2", "d2")])
+    known.apply_all([fakes.make_row(n, failure_domain=f"d{n}") for n in (1, 2)])
     router = routing.Router(random.Random(1))
     served = admin.Admin(
         "n0",
@@ -85,24 +85,6 @@
     return served.make_app()
 
 
-def make_row(node: str, domain: str) -> members.MemberRow:
-    """Returns the row of a ready target of the service desk."""
-    return members.MemberRow(
-        node=node,
-        service="desk",
-        version="v1",
-        region="r1",
-        failure_domain=domain,
-        host="127.0.0.1",
-        peer_port=1,
-        incarnation="i",
-        state="ready",
-        slots=6,
-        generation=1,
-        target="",
-    )
-
-
 @pytest.fixture
 def table():
     """The platform's table."""
--- a/src/waxwingferry/platform/boot.py
+++ b/src/waxwingferry/platform/boot.py
@@ -26,8 +26,8 @@
 class Bounds:
     """Figures of the platform's rules.
 
-    The settings hold those of the rules in force; for others, the defaults
-    ask no more of the platform than a deployment without that rule bears.
+    The settings hold those of the rules in force; the others keep the
+    product's defaults.
 
     Attributes:
         retry_ratio: Second sends per request of a service.
--- a/src/waxwingferry/platform/fields.py
+++ b/src/waxwingferry/platform/fields.py
@@ -70,7 +70,7 @@
         self, attempt: call.Attempt, announcement: target.Announcement
     ) -> http1.Headers:
         """See target.TargetDialect."""
-        target_id = announcement.incarnation.rpartition(":")[0]
+        target_id, _ = target.split_start(announcement.incarnation)
         return [
             *call.forwarded_headers(attempt),
             (DEADLINE_MS, str(call.remaining_ms(attempt))),
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -138,7 +138,7 @@
         self, announcement: target.Announcement
     ) -> target.TargetLoad | None:
         """Asks the announced target for its load."""
-        target_id = announcement.incarnation.rpartition(":")[0]
+        target_id, _ = target.split_start(announcement.incarnation)
         return await self.fetch_load(announcement.service, target_id)
 
     async def fetch_load(
@@ -175,7 +175,7 @@
         row = self.members.predecessor
         if row is None or not row.target or self.receiver.link is not None:
             return
-        target_id = row.target.rpartition(":")[0]
+        target_id, _ = target.split_start(row.target)
         sample = await self.fetch_load(row.service, target_id)
         if sample is None or self.receiver.link is not None:
             return
@@ -257,14 +257,7 @@
             ):
                 group.start_soon(server.serve, host, port)
             for task in (
-                self.tasks.run,
-                self.learn,
-                self.lease.run,
-                self.spread.run_fetcher,
-                self.spread.run_suspects,
-                self.spread.run_watch,
-                self.gossip.run_digests,
-                self.gossip.run_news,
+                *self.control_tasks,
                 self.watcher.run,
                 self.sampler.run,
                 self.moves.run,
--- a/src/waxwingferry/platform/reports.py
+++ b/src/waxwingferry/platform/reports.py
@@ -62,7 +62,7 @@
         host, port = values.parse_address(read.address)
         cold_s = values.parse_time(read.status.warmup_left)
         # The start is part of the name, because an id may be used again.
-        name = f"{target_id}:{read.born}"
+        name = target.format_start(target_id, read.born)
         announcement = msgspec.convert(
             {
                 "service": read.info.service,
--- a/src/waxwingferry/platform/tests/test_decisions.py
+++ b/src/waxwingferry/platform/tests/test_decisions.py
@@ -10,6 +10,7 @@
 from waxwingferry.process import platform
 from waxwingferry.process.spreading import lease
 from waxwingferry.process.spreading import members
+from waxwingferry.process.tests import fakes
 from waxwingferry.version import messages
 
 pytestmark = pytest.mark.anyio
@@ -65,7 +66,7 @@
     async with standin.run_store() as (made, table):
         known = members.Members("n1")
         writer = lease.Lease(table, known, random.Random(1))
-        known.announce(make_row())
+        known.announce(fakes.make_row(1))
         made.access.write_delay_s = 1.5 * standin.TIMEOUT_S
         with pytest.raises(platform.PlatformError):
             await writer.write_once()
@@ -74,21 +75,3 @@
         await writer.write_once()
         assert writer.confirmed
         assert not writer.superseded
-
-
-def make_row() -> members.MemberRow:
-    """Returns a row of node n1."""
-    return members.MemberRow(
-        node="n1",
-        service="desk",
-        version="v1",
-        region="r1",
-        failure_domain="a",
-        host="127.0.0.1",
-        peer_port=1,
-        incarnation="i1",
-        state="ready",
-        slots=6,
-        generation=1,
-        target="desk-a-1:1",
-    )
--- a/src/waxwingferry/process/admin.py
+++ b/src/waxwingferry/process/admin.py
@@ -16,7 +16,6 @@
 from collections.abc import Callable
 import hmac
 import json
-import math
 from typing import Annotated
 from typing import Any
 
@@ -162,9 +161,7 @@
                         "node": item.node,
                         "cost": item.cost.total,
                         "excluded": item.excluded_by,
-                        "report_age_ms": round(item.report_age_s * 1000)
-                        if math.isfinite(item.report_age_s)
-                        else None,
+                        "report_age_ms": item.report_age_ms,
                     }
                     for item in self.explain(service)
                 ]
--- a/src/waxwingferry/process/choice/routing.py
+++ b/src/waxwingferry/process/choice/routing.py
@@ -69,13 +69,13 @@
         node: Name of the target's node.
         excluded_by: Why it is no candidate, or empty.
         cost: Its cost and the parts that make it up.
-        report_age_s: Age of its load report in seconds; inf without one.
+        report_age_ms: Age of its load report; None without one.
     """
 
     node: str
     excluded_by: str
     cost: cost.Cost
-    report_age_s: float
+    report_age_ms: int | None
 
 
 class Router:
@@ -301,14 +301,13 @@
         result = []
         for item in candidates:
             service = self.service_stats(item.service)
-            age_s = now_s - item.stats.load.at_s
             result.append(
                 Explanation(
                     item.node,
                     _exclusion(item, domains_out, excluded)
                     or _suspect(item, now_s),
                     cost.compute_cost(item, service, self.place, now_s),
-                    age_s if math.isfinite(age_s) else math.inf,
+                    age_ms(item.stats.load, now_s),
                 )
             )
         return sorted(result, key=lambda e: (bool(e.excluded_by), e.cost.total))
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -275,7 +275,6 @@
             self.tasks.run,
             self.learn,
             self.lease.run,
-            self.spread.run_reader,
             self.spread.run_fetcher,
             self.spread.run_suspects,
             self.spread.run_watch,
--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -279,7 +279,7 @@
         while self.queue:
             reason = self.closed()
             if reason is not None:
-                self._refuse_all(reason)
+                self._refuse_queued(list(self.queue), reason)
                 return
             if not self.has_place():
                 return
@@ -302,9 +302,7 @@
             if permit.submitted_s <= dispatched.submitted_s
             and self._is_too_late(permit, 0.0, True)
         ]
-        for permit in overtaken:
-            self._leave_queue(permit)
-            _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
+        self._refuse_queued(overtaken, outcome.Reason.DEADLINE_TOO_SHORT)
 
     def _rank(self, permit: Permit) -> tuple[bool, float]:
         """Returns the order of a queued attempt among those of its member.
@@ -418,15 +416,16 @@
     def _refuse_expired(self, now_s: float) -> None:
         if now_s < self.earliest_s:
             return
-        for permit in [p for p in self.queue if p.deadline_s <= now_s]:
-            self._leave_queue(permit)
-            _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
+        expired = [p for p in self.queue if p.deadline_s <= now_s]
+        self._refuse_queued(expired, outcome.Reason.DEADLINE_TOO_SHORT)
         self.earliest_s = min(
             (permit.deadline_s for permit in self.queue), default=math.inf
         )
 
-    def _refuse_all(self, reason: outcome.Reason) -> None:
-        for permit in list(self.queue):
+    def _refuse_queued(
+        self, permits: list[Permit], reason: outcome.Reason
+    ) -> None:
+        for permit in permits:
             self._leave_queue(permit)
             _refuse(permit, reason)
 
--- a/src/waxwingferry/process/protection/lifetimes.py
+++ b/src/waxwingferry/process/protection/lifetimes.py
@@ -86,7 +86,7 @@
             host: IP number that the target listens on.
             port: Port that the target listens on.
         """
-        target_id, _, born = row.target.rpartition(":")
+        target_id, born_ms = target.split_start(row.target)
         announcement = target.Announcement(
             row.service,
             row.version,
@@ -96,14 +96,8 @@
             row.target,
             "draining" if row.state == "draining" else "ready",
         )
-        born_ms = int(born) if born.isdigit() else 0
         self.newest = Report(target_id, born_ms, -1, 0.0, announcement)
-        self._recall_leave(target_id, row.target)
-        if announcement.state == "draining" or row.target in self.left:
-            self.left.setdefault(row.target, self.clock())
-            announcement = msgspec.structs.replace(
-                announcement, state="draining"
-            )
+        announcement = self._mark_left(target_id, announcement)
         log.info(
             "target of an earlier process",
             target=row.target,
@@ -122,19 +116,9 @@
             )
             return True
         self.newest = report
-        announcement = report.announcement
-        name = announcement.incarnation
-        self._recall_leave(report.target_id, name)
-        if self._inherits_leave(name):
-            self.left.setdefault(name, self.clock())
-        if announcement.state == "draining":
-            self.left.setdefault(name, self.clock())
-        if name in self.left:
-            announcement = msgspec.structs.replace(
-                announcement, state="draining"
-            )
+        announcement = self._mark_left(report.target_id, report.announcement)
         self._apply(announcement, report.cold_s)
-        return await self._confirm(name)
+        return await self._confirm(announcement.incarnation)
 
     def _is_outdated(self, report: Report) -> bool:
         newest = self.newest
@@ -146,11 +130,18 @@
             return False
         return report.sequence <= newest.sequence
 
-    def _recall_leave(self, target_id: str, name: str) -> None:
-        """Applies a leave that came first to the start that it was for."""
+    def _mark_left(
+        self, target_id: str, announcement: target.Announcement
+    ) -> target.Announcement:
+        """Returns an announcement that drains if its start has left."""
+        name = announcement.incarnation
         if target_id in self.left_unseen:
-            left_s = self.left_unseen.pop(target_id)
-            self.left.setdefault(name, left_s)
+            self.left.setdefault(name, self.left_unseen.pop(target_id))
+        if announcement.state == "draining" or self._inherits_leave(name):
+            self.left.setdefault(name, self.clock())
+        if name not in self.left:
+            return announcement
+        return msgspec.structs.replace(announcement, state="draining")
 
     def _inherits_leave(self, name: str) -> bool:
         """Tells whether an earlier process of this node saw the leave."""
@@ -188,10 +179,7 @@
             return True
         name = newest.announcement.incarnation
         self.left.setdefault(name, self.clock())
-        announcement = msgspec.structs.replace(
-            newest.announcement, state="draining"
-        )
-        self._apply(announcement, 0.0)
+        self._apply(self._mark_left(target_id, newest.announcement), 0.0)
         return await self._confirm(name)
 
     async def _confirm(self, name: str) -> bool:
--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -110,8 +110,6 @@
 
 # First byte of a datagram that holds a LoadPush; JSON never begins with it.
 LOAD_MARK = b"\x01"
-# First byte of a datagram that another module's handler takes.
-OTHER_MARKS = frozenset({b"\x02", b"\x03", b"\x04", b"\x05"})
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,7 +147,8 @@
 
     Attributes:
         on_load: Called with each load that another node pushes.
-        handlers: Takes datagrams by their first byte; may raise
+        handlers: Takes datagrams of other modules by their first byte, one
+            that neither JSON nor a LoadPush begins with; may raise
             msgspec.DecodeError.
         newer_from: A peer that has a newer document, and its revision.
         sync_from: A peer whose member rows differ for long.
@@ -212,8 +211,9 @@
         if data[:1] == LOAD_MARK:
             self._receive_load(data[1:])
             return
-        if data[:1] in OTHER_MARKS:
-            self._receive_other(data)
+        handler = self.handlers.get(data[:1])
+        if handler is not None:
+            self._receive_other(handler, data[1:])
             return
         try:
             datagram = self.decoder.decode(data)
@@ -248,13 +248,11 @@
         if record is not None:
             self._transmit(record.row.address, data, urgent=True)
 
-    def _receive_other(self, data: bytes) -> None:
-        handler = self.handlers.get(data[:1])
-        if handler is None:
-            self.counts.malformed += 1
-            return
+    def _receive_other(
+        self, handler: Callable[[bytes], None], data: bytes
+    ) -> None:
         try:
-            handler(data[1:])
+            handler(data)
         except msgspec.DecodeError:
             self.counts.malformed += 1
 
--- a/src/waxwingferry/process/spreading/version_moves.py
+++ b/src/waxwingferry/process/spreading/version_moves.py
@@ -12,7 +12,7 @@
 from waxwingferry.version import messages
 from waxwingferry.version import rollout
 
-# First bytes of the datagrams, from gossip.OTHER_MARKS.
+# First bytes of the datagrams; gossip.LOAD_MARK is another one.
 MARKS: dict[type, bytes] = {
     messages.CountPush: b"\x02",
     messages.Decision: b"\x03",
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -54,6 +54,17 @@
     echoes_attempts: bool = True
 
 
+def format_start(target_id: str, born_ms: int) -> str:
+    """Returns the name of a start of a target whose identity may come again."""
+    return f"{target_id}:{born_ms}"
+
+
+def split_start(start: str) -> tuple[str, int]:
+    """Returns identity and time of a start; see format_start."""
+    target_id, _, born = start.rpartition(":")
+    return target_id, int(born) if born.isdigit() else 0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TargetLoad:
     """What a target says of its load.
--- a/src/waxwingferry/version/judgement.py
+++ b/src/waxwingferry/version/judgement.py
@@ -1,5 +1,6 @@
 """Whether a version answers worse than the one before it."""
 
+import dataclasses
 import math
 
 import msgspec
@@ -18,6 +19,25 @@
 FIRST_STEP_S = 0.002
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Sample:
+    """Answers of one route, or of all, by both versions."""
+
+    route: str
+    bad: int
+    total: int
+    old_bad: int
+    old_total: int
+
+    @property
+    def usual(self) -> float:
+        """Share that fails anyway; one bad answer more than were seen.
+
+        That keeps few old answers from proving a share of 0.
+        """
+        return (self.old_bad + 1) / (self.old_total + 2)
+
+
 class RouteCount(msgspec.Struct, array_like=True):
     """Answers of one route by one target since the order.
 
@@ -53,27 +73,20 @@
         new: Counts of the new version by route.
         chance: Probability below which that many bad answers are no chance.
     """
-    all_bad = all_total = 0
-    old_bad = old_total = 0
-    for route, item in new.items():
-        base = old.get(route, RouteCount(route))
-        median = _median_step(base)
-        bad = _count_bad(item, median)
-        base_bad = _count_bad(base, median)
-        all_bad += bad
-        all_total += item.total
-        old_bad += base_bad
-        old_total += base.total
-        if _is_worse(bad, item.total, base_bad, base.total, chance):
+    samples = _compare(old, new)
+    whole = _Sample(
+        "all routes",
+        sum(item.bad for item in samples),
+        sum(item.total for item in samples),
+        sum(item.old_bad for item in samples),
+        sum(item.old_total for item in samples),
+    )
+    for item in (*samples, whole):
+        if _is_worse(item, chance):
             return (
-                f"{route}: {bad} of {item.total} bad, "
-                f"old {base_bad} of {base.total}"
+                f"{item.route}: {item.bad} of {item.total} bad, "
+                f"old {item.old_bad} of {item.old_total}"
             )
-    if _is_worse(all_bad, all_total, old_bad, old_total, chance):
-        return (
-            f"all routes: {all_bad} of {all_total} bad, "
-            f"old {old_bad} of {old_total}"
-        )
     return ""
 
 
@@ -91,36 +104,48 @@
     """
     if not new:
         return PRIOR_BAD
-    samples = []
-    for route, item in new.items():
-        base = old.get(route, RouteCount(route))
-        median = _median_step(base)
-        usual = (_count_bad(base, median) + 1) / (base.total + 2)
-        samples.append((_count_bad(item, median), item.total, usual))
+    samples = _compare(old, new)
     on_all = on_one = 0.0
     for share in BAD_SHARES:
-        ratios = [_find_ratio(*sample, share) for sample in samples]
+        ratios = [_find_ratio(item, share) for item in samples]
         on_all += math.prod(ratios) / len(BAD_SHARES)
         on_one += sum(ratios) / len(ratios) / len(BAD_SHARES)
     odds = PRIOR_BAD / (1 - PRIOR_BAD) * (on_all + on_one) / 2
     return odds / (1 + odds)
 
 
-def _find_ratio(bad: int, total: int, usual: float, share: float) -> float:
+def _compare(
+    old: dict[str, RouteCount], new: dict[str, RouteCount]
+) -> list[_Sample]:
+    """Returns the answers of each route that the new version answered."""
+    samples = []
+    for route, item in new.items():
+        base = old.get(route, RouteCount(route))
+        median = _median_step(base)
+        samples.append(
+            _Sample(
+                route,
+                _count_bad(item, median),
+                item.total,
+                _count_bad(base, median),
+                base.total,
+            )
+        )
+    return samples
+
+
+def _find_ratio(item: _Sample, share: float) -> float:
     """Returns how much likelier the answers are if so many more fail."""
+    usual = item.usual
     raised = usual + (1 - usual) * share
-    good = total - bad
-    return (raised / usual) ** bad * ((1 - raised) / (1 - usual)) ** good
+    good = item.total - item.bad
+    return (raised / usual) ** item.bad * ((1 - raised) / (1 - usual)) ** good
 
 
-def _is_worse(
-    bad: int, total: int, old_bad: int, old_total: int, chance: float
-) -> bool:
-    if bad < LEAST_BAD:
+def _is_worse(item: _Sample, chance: float) -> bool:
+    if item.bad < LEAST_BAD:
         return False
-    # One bad answer more keeps few old answers from proving a rate of 0.
-    base = (old_bad + 1) / (old_total + 2)
-    return _binomial_tail(bad, total, base) < chance
+    return _binomial_tail(item.bad, item.total, item.usual) < chance
 
 
 def _binomial_tail(least: int, total: int, share: float) -> float:
