Log what targets state in their responses, and the rate they get

Neither logs nor metrics told whether a target's stated rate limit was seen, nor how many requests its node sent, so the hypotheses of the incident could not be told apart.

Read the rate limit and the leave that a target states, from answers and health responses, at the border (target protocol) and log each change; warn about a target that gets more than it states; two gauges. A health response counts only for the incarnation that was asked. Nothing is enforced yet.

--- a/src/waxwingferry/platform/header_fields.py
+++ b/src/waxwingferry/platform/header_fields.py
@@ -18,6 +18,8 @@
 LOAD = "x-waxwingferry-server-load"
 TARGET_ID = "x-waxwingferry-instance-id"
 WARMUP_MS = "x-waxwingferry-warmup-ms"
+MAX_RATE = "server-limit"
+LEAVING = "server-leaving"
 
 # Set by the node itself; values sent by a caller are removed.
 _NODE_SET_HEADERS = frozenset({CALLER_SERVICE, EXPECTED_TARGET, DEADLINE_MS})
@@ -99,6 +101,10 @@
         """See target.TargetProtocol."""
         return _parse_load(head.headers)
 
+    def read_statement(self, head: http1.ResponseHead) -> target.Statement:
+        """See target.TargetProtocol."""
+        return _parse_statement(head.headers)
+
 
 def parse_health(
     reply: exchange.Reply, target_id: str
@@ -110,10 +116,19 @@
     # A target in warm-up sends the remaining time in each health response,
     # so a missing value means that it is warm.
     warmup_left_s = _parse_warmup_left_s(reply.headers) or 0.0
-    load = _parse_load(reply.headers)
-    if load is None:
-        return target.TargetLoad(0, 0, 0, warmup_left_s=warmup_left_s)
-    return dataclasses.replace(load, warmup_left_s=warmup_left_s)
+    load = _parse_load(reply.headers) or target.TargetLoad(0, 0, 0)
+    return dataclasses.replace(
+        load,
+        warmup_left_s=warmup_left_s,
+        statement=_parse_statement(reply.headers),
+    )
+
+
+def _parse_statement(headers: http1.Headers) -> target.Statement:
+    return target.Statement(
+        target.parse_rate(http1.find_header(headers, MAX_RATE)),
+        http1.find_header(headers, LEAVING) == "1",
+    )
 
 
 def _parse_warmup_left_s(headers: http1.Headers) -> float | None:
--- a/src/waxwingferry/platform/tests/test_target_messages.py
+++ b/src/waxwingferry/platform/tests/test_target_messages.py
@@ -189,4 +189,30 @@
         (header_fields.WARMUP_MS, "900"),
     ]
     found = header_fields.parse_health(exchange.Reply(200, headers, b""), "i-1")
-    assert found == target.TargetLoad(0, 0, 0, 1.0, 0.9)
+    assert found == target.TargetLoad(
+        0, 0, 0, 1.0, 0.9, statement=target.Statement()
+    )
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ([], target.Statement()),
+        ([("server-limit", "2.5")], target.Statement(2.5)),
+        ([("server-limit", "4")], target.Statement(4.0)),
+        ([("server-limit", "-1")], target.Statement()),
+        ([("server-limit", "nan")], target.Statement()),
+        ([("server-leaving", "1")], target.Statement(None, True)),
+        ([("server-leaving", "0")], target.Statement()),
+    ],
+)
+def test_statements_are_read_from_answers_and_health_responses(
+    headers, expected
+):
+    """Guards against a stated rate limit or leave that is not noticed."""
+    head = http1.ResponseHead(200, headers)
+    protocol = header_fields.PlatformTargetProtocol()
+    assert protocol.read_statement(head) == expected
+    found = header_fields.parse_health(exchange.Reply(200, headers, b""), "")
+    assert found is not None
+    assert found.statement == expected
--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -11,6 +11,7 @@
 from waxwingferry.process.protection import estimate as estimates
 from waxwingferry.process.protection import fairness
 from waxwingferry.process.protection import limit as limits
+from waxwingferry.process.protection import rate_limit
 from waxwingferry.request import calls
 from waxwingferry.request import outcome
 
@@ -151,6 +152,7 @@
         # Lower bound of the queued deadlines; saves most scans of the queue.
         self.earliest_deadline_s = math.inf
         self.estimate = estimates.Estimate(clock)
+        self.rate_limit = rate_limit.RateLimit(clock)
 
     @property
     def in_flight(self) -> int:
@@ -337,6 +339,7 @@
         permit.started_s = self.clock()
         permit.charged_s = cost_s
         limit.record_dispatch()
+        self.rate_limit.record_dispatch()
         permit.wake()
 
     def _record_result(
--- a/src/waxwingferry/process/protection/sampler.py
+++ b/src/waxwingferry/process/protection/sampler.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import time
 
 import anyio
@@ -91,7 +92,10 @@
         if sample is None:
             self.counters.events.inc({"event": "sample_failed"})
             return False
-        self.receiver.record_sample(sample)
+        # The target may have been replaced while the request was in transit.
+        self.receiver.record_sample(
+            dataclasses.replace(sample, incarnation=announcement.incarnation)
+        )
         return sample.slots > 0
 
     def push_changes(self) -> None:
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -6,6 +6,11 @@
 says that it can't; a response without it could belong to another request and
 is dropped. A target that refuses a request before running it responds with 503
 and "x-target-not-run: true".
+
+Responses also carry what the target states about itself: the highest rate of
+requests that it takes ("x-target-max-rate: 3.5", in requests per second from
+all nodes together), and that it is about to leave ("x-target-leaving: true").
+A statement holds until a response of the same target omits it.
 """
 
 from collections.abc import AsyncIterator
@@ -13,6 +18,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import re
 import sys
 from typing import Annotated
 from typing import Literal
@@ -25,6 +31,8 @@
 from waxwingferry.request import outcome
 
 NOT_RUN_HEADER = "x-target-not-run"
+MAX_RATE_HEADER = "x-target-max-rate"
+LEAVING_HEADER = "x-target-leaving"
 
 # Limits on what a faulty target may send. Without them, a target that sends
 # without end would keep its node busy until the deadline, or until the caller
@@ -35,6 +43,8 @@
 SKIPPED_HEAD_BYTES = 1024
 MAX_UNDECLARED_BODY_BYTES = 64 * 1024 * 1024
 
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][\w.:-]{0,62}\Z")]
 
 
@@ -75,6 +85,20 @@
     return target_id, int(started) if started.isdigit() else 0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Statement:
+    """What a target states about itself in its responses.
+
+    Attributes:
+        max_rate_per_s: Requests per second that it takes from all nodes
+            together, or None for any number.
+        leaving: Whether it is about to leave.
+    """
+
+    max_rate_per_s: float | None = None
+    leaving: bool = False
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TargetLoad:
     """Load that a target reports.
@@ -87,6 +111,8 @@
         slowness: Current service time relative to normal.
         warmup_left_s: Remaining warm-up time, or None if not reported.
         incarnation: Incarnation of the target; empty if not reported.
+        statement: What the target states besides its load, or None if it was
+            not read.
     """
 
     running: int
@@ -95,6 +121,12 @@
     slowness: float = 1.0
     warmup_left_s: float | None = None
     incarnation: str = ""
+    statement: Statement | None = None
+
+
+def parse_rate(text: str) -> float | None:
+    """Returns a decimal number of requests per second, None if malformed."""
+    return float(text) if _DECIMAL.fullmatch(text) else None
 
 
 class TargetProtocol:
@@ -142,6 +174,14 @@
         """Returns the load that a response reports, or None."""
         return None
 
+    def read_statement(self, head: http1.ResponseHead) -> Statement:
+        """Returns what the target states about itself in a response."""
+        find = http1.find_header
+        return Statement(
+            parse_rate(find(head.headers, MAX_RATE_HEADER)),
+            find(head.headers, LEAVING_HEADER) == "true",
+        )
+
 
 class TargetClient:
     """Sends attempts to the node's local target.
@@ -150,6 +190,8 @@
         announcement: The target's latest announcement.
         protocol: Headers that the target uses.
         on_load: Called with each load that a response reports.
+        on_statement: Called with the incarnation of the target and what it
+            states in each response.
         connect: Opens a connection.
     """
 
@@ -158,11 +200,13 @@
         announcement: Announcement,
         protocol: TargetProtocol | None = None,
         on_load: Callable[[TargetLoad], None] = lambda load: None,
+        on_statement: Callable[[str, Statement], None] = lambda *_: None,
         connect: pool.Connect = pool.connect_tcp,
     ):
         self.announcement = announcement
         self.protocol = protocol or TargetProtocol()
         self.on_load = on_load
+        self.on_statement = on_statement
         self.pool = pool.Pool(announcement.host, announcement.port, connect)
 
     @contextlib.asynccontextmanager
@@ -270,6 +314,9 @@
         load = self.protocol.read_load(head)
         if load is not None:
             self.on_load(load)
+        self.on_statement(
+            self.announcement.incarnation, self.protocol.read_statement(head)
+        )
         if (
             not head.self_delimited
             and not self.protocol.accepts_close_delimited
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -42,6 +42,7 @@
         sample: The newest load report of the target, or None.
         sampled_s: Monotonic time of that report.
         on_sample: Called after each report.
+        statement: What the target stated about itself in its newest response.
         on_answer: Called with service, version and route of each answer,
             whether it was a failure, and its service time.
         leaving: Whether the node has announced that it is leaving. Other
@@ -62,6 +63,7 @@
         self.make_limit = make_limit
         self.sample: target.TargetLoad | None = None
         self.sampled_s = -math.inf
+        self.statement = target.Statement()
         self.on_sample: Callable[[], None] = lambda: None
         self.on_answer: OnAnswer = ignore_answer
         self.incarnation = incarnation
@@ -87,6 +89,7 @@
             self.replaced_links.append(self.link)
             self.link = self._make_link(announcement)
             self.sample = None
+            self.statement = target.Statement()
             self.admission.reset(limits.ResetCause.INCARNATION)
         self.link.announcement = announcement
         self.admission.resize(announcement.slots)
@@ -96,9 +99,26 @@
         self, announcement: target.Announcement
     ) -> target.TargetClient:
         return target.TargetClient(
-            announcement, self.target_protocol, self.record_sample
+            announcement,
+            self.target_protocol,
+            self.record_sample,
+            self.record_statement,
         )
 
+    def record_statement(
+        self, incarnation: str, statement: target.Statement
+    ) -> None:
+        """Records what the target states about itself in a response."""
+        if self.link is None or self.admission is None:
+            return
+        if incarnation != self.link.announcement.incarnation:
+            return
+        self.admission.rate_limit.record_statement(statement.max_rate_per_s)
+        if statement.leaving and not self.statement.leaving:
+            log.info("target states that it leaves", target=incarnation)
+            self.counters.events.inc({"event": "target_states_leaving"})
+        self.statement = statement
+
     def record_sample(self, sample: target.TargetLoad) -> None:
         """Records a load report, unless it is of another incarnation."""
         if self.link is None or self.admission is None:
@@ -113,6 +133,10 @@
             limit, stated_limit.StatedLimit
         ):
             limit.set_warmup_left(sample.warmup_left_s)
+        if sample.statement is not None:
+            self.record_statement(
+                self.link.announcement.incarnation, sample.statement
+            )
         self.on_sample()
 
     def is_congested(self) -> bool:
@@ -290,6 +314,12 @@
         gauge.set({"value": "queue"}, len(state.queue))
         gauge.set({"value": "limit"}, state.limit.value)
         gauge.set({"value": "slots"}, state.limit.slots)
+        rate_per_s = state.rate_limit.rate_per_s
+        gauge.set(
+            {"value": "max_rate_per_s"},
+            math.inf if rate_per_s is None else rate_per_s,
+        )
+        gauge.set({"value": "dispatched"}, state.rate_limit.count_dispatches())
 
     def _make_admission(self, slots: int) -> admission.Admission:
         return admission.Admission(
