Send a target no more than the rate that it states

Cause: the admission at the target's node knew slots and a rate in warm-up, but not what a target states in its responses; the field was passed on to callers and read by nobody.

A token bucket with the stated rate now holds for all requests to the target. Its node is the only sender, so no state is shared. Load reports tell entries the wait; entries prefer targets without a stated rate while those have free slots, and what can't be sent in time is refused at once.

--- a/src/waxwingferry/process/choice/cost.py
+++ b/src/waxwingferry/process/choice/cost.py
@@ -26,6 +26,12 @@
 CROWDING_THRESHOLD = 0.75
 CROWDING_COST = 2.0
 
+# A target that states a rate limit gets requests once the others have few free
+# slots. What its rate allows is then left for the time when they are slow.
+RATE_LIMIT_COST = 0.5
+# Service time that a wait is compared with before the first answer.
+DEFAULT_SERVICE_TIME_S = 0.1
+
 # Costs of distance in units of utilisation. A farther target is chosen if its
 # utilisation is lower by more than this, so that near ones aren't overloaded.
 OTHER_NODE_COST = 0.1
@@ -52,14 +58,17 @@
             slowness of its machine for loads that nodes push.
         penalty: Factor for errors and refusals for overload.
         distance: Cost of the distance.
-        total: utilisation x latency_factor x penalty + distance; for loads
-            that nodes push, see compute_stated_cost.
+        wait: Cost of the rate limit that the target states: the time until it
+            allows a request, in service times, and RATE_LIMIT_COST.
+        total: utilisation x latency_factor x penalty + distance + wait; for
+            loads that nodes push, see compute_stated_cost.
     """
 
     utilisation: float
     latency_factor: float
     penalty: float
     distance: float
+    wait: float
     total: float
 
 
@@ -78,12 +87,16 @@
     error_rate = stats.current_error_rate(now_s)
     penalty = 1.0 + ERROR_WEIGHT * error_rate + stats.current_overload(now_s)
     distance_cost = distance(candidate, location)
-    total = utilisation * factor * penalty + distance_cost
-    return Cost(utilisation, factor, penalty, distance_cost, total)
+    wait = _compute_wait(stats.load, service, now_s)
+    total = utilisation * factor * penalty + distance_cost + wait
+    return Cost(utilisation, factor, penalty, distance_cost, wait, total)
 
 
 def compute_stated_cost(
-    candidate: known_target.Candidate, location: Location, now_s: float
+    candidate: known_target.Candidate,
+    service: load_stats.ServiceStats,
+    location: Location,
+    now_s: float,
 ) -> Cost:
     """Returns the cost of a candidate whose node pushes its load.
 
@@ -102,8 +115,21 @@
     distance_cost = distance(candidate, location)
     work = 1.0 + UTILISATION_COST * utilisation + queueing + crowding
     slowness = estimate_slowness(stats.load, now_s)
-    total = slowness * penalty * work + distance_cost
-    return Cost(utilisation, slowness, penalty, distance_cost, total)
+    wait = _compute_wait(stats.load, service, now_s)
+    total = slowness * penalty * work + distance_cost + wait
+    return Cost(utilisation, slowness, penalty, distance_cost, wait, total)
+
+
+def _compute_wait(
+    load: load_stats.LoadReport,
+    service: load_stats.ServiceStats,
+    now_s: float,
+) -> float:
+    """Returns the cost of the rate limit that a target states."""
+    if not load.is_rate_limited():
+        return 0.0
+    service_time_s = service.latency_s or DEFAULT_SERVICE_TIME_S
+    return RATE_LIMIT_COST + load.find_wait_s(now_s) / service_time_s
 
 
 def estimate_slowness(load: load_stats.LoadReport, now_s: float) -> float:
--- a/src/waxwingferry/process/choice/load_stats.py
+++ b/src/waxwingferry/process/choice/load_stats.py
@@ -19,6 +19,8 @@
     Attributes:
         at_s: Monotonic time when the report was received.
         slowness: Service time relative to normal.
+        ready_at_s: Monotonic time from which the rate that the target states
+            allows another request; minus infinity if it states none.
     """
 
     in_flight: int = 0
@@ -26,6 +28,15 @@
     limit: int = 1
     at_s: float = -math.inf
     slowness: float = 1.0
+    ready_at_s: float = -math.inf
+
+    def is_rate_limited(self) -> bool:
+        """Returns whether the target states a rate limit."""
+        return math.isfinite(self.ready_at_s)
+
+    def find_wait_s(self, now_s: float) -> float:
+        """Returns the time until the target takes another request."""
+        return max(self.ready_at_s - now_s, 0.0)
 
 
 def parse_load(text: str, now_s: float) -> LoadReport | None:
@@ -36,12 +47,18 @@
         queue = int(parts["queue"])
         limit = int(parts["limit"])
         slowness = int(parts.get("slow", "100")) / 100
+        wait_s = int(parts["wait"]) / 1000 if "wait" in parts else -math.inf
     except (ValueError, KeyError):
         return None
     if min(in_flight, queue, limit) < 0:
         return None
     return LoadReport(
-        in_flight, queue, max(limit, 1), now_s, max(slowness, 0.01)
+        in_flight,
+        queue,
+        max(limit, 1),
+        now_s,
+        max(slowness, 0.01),
+        now_s + wait_s,
     )
 
 
--- a/src/waxwingferry/process/choice/routing.py
+++ b/src/waxwingferry/process/choice/routing.py
@@ -206,10 +206,13 @@
         for item in self._find_local(pool):
             self._refresh_report(item, now_s)
         sampled = self.rng.sample(pool, len(pool))
+        service = self.service_stats(pool[0].service)
         return min(
             sampled,
             key=lambda item: (
-                cost.compute_stated_cost(item, self.location, now_s).total
+                cost.compute_stated_cost(
+                    item, service, self.location, now_s
+                ).total
             ),
         )
 
@@ -361,6 +364,11 @@
     return cost.estimate_slowness(item.stats.load, now_s) >= SLOW_FACTOR
 
 
+def must_wait(item: known_target.Candidate, now_s: float) -> bool:
+    """Returns whether the target's stated rate allows no request now."""
+    return item.stats.load.find_wait_s(now_s) > 0
+
+
 def report_age_ms(load: load_stats.LoadReport, now_s: float) -> int | None:
     """Returns the age of a load report in milliseconds, None without one."""
     age_s = now_s - load.at_s
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 import secrets
 from typing import Literal
@@ -196,12 +197,16 @@
         """Records the load that another node pushed."""
         candidate = self.members.candidates.get(push.node)
         if candidate is not None:
+            now_s = self.entry.router.clock()
             candidate.load = load_stats.LoadReport(
                 push.in_flight,
                 push.queue,
                 max(push.limit, 1),
-                self.entry.router.clock(),
+                now_s,
                 max(push.slow_percent, 1) / 100,
+                now_s + push.wait_ms / 1000
+                if push.wait_ms is not None
+                else -math.inf,
             )
 
     def count_ejection(self, candidate: known_target.Candidate) -> None:
--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -259,6 +259,8 @@
         self.limit.reset(cause)
         if cause in limits.COLD_START_CAUSES:
             self.estimate.clear()
+        if cause is limits.ResetCause.INCARNATION:
+            self.rate_limit.record_statement(None)
         self.on_reset(cause)
 
     def advance(self) -> None:
@@ -274,7 +276,7 @@
     def find_wait_s(self, permit: Permit) -> float:
         """Returns how long a queued attempt can wait until advance()."""
         wake_times_s = [permit.deadline_s, *self.abandoned_until_s]
-        dispatch_time_s = self.limit.find_dispatch_time_s()
+        dispatch_time_s = self.find_dispatch_time_s()
         if math.isfinite(dispatch_time_s):
             wake_times_s.append(dispatch_time_s)
         return min(
@@ -285,7 +287,14 @@
         """Returns whether one more request can be sent to the target now."""
         if self.in_flight >= self.limit.value:
             return False
-        return self.limit.find_dispatch_time_s() <= self.clock()
+        return self.find_dispatch_time_s() <= self.clock()
+
+    def find_dispatch_time_s(self) -> float:
+        """Returns the earliest time that the rate limits allow a request."""
+        return max(
+            self.limit.find_dispatch_time_s(),
+            self.rate_limit.find_dispatch_time_s(),
+        )
 
     def _dispatch_queued(self) -> None:
         while self.queue:
@@ -385,7 +394,11 @@
         rank = self._rank(permit)
         ahead -= sum(self._rank(other) > rank for other in member_queue.items)
         wait_s = (ahead + 1) * mean_s / self.limit.value
-        wait_s = max(wait_s, self.limit.estimate_rate_limit_wait_s(ahead))
+        wait_s = max(
+            wait_s,
+            self.limit.estimate_rate_limit_wait_s(ahead),
+            self.rate_limit.estimate_wait_s(ahead),
+        )
         return self._will_miss_deadline(permit, wait_s, False)
 
     def _will_miss_deadline(
--- a/src/waxwingferry/process/protection/sampler.py
+++ b/src/waxwingferry/process/protection/sampler.py
@@ -60,6 +60,7 @@
         self.clock = clock
         self.last_active_s = -ACTIVE_PERIOD_S
         self.pushed_slowness = 1.0
+        self.pushed_rate_limited = False
         self.last_push_s = -MIN_PUSH_INTERVAL_S
         receiver.on_sample = self.push_changes
 
@@ -106,12 +107,17 @@
         now_s = self.clock()
         slowness = self.receiver.slowness()
         ratio = slowness / self.pushed_slowness
-        if 1 / PUSH_THRESHOLD_RATIO < ratio < PUSH_THRESHOLD_RATIO:
+        rate_limited = admission.rate_limit.rate_per_s is not None
+        if (
+            1 / PUSH_THRESHOLD_RATIO < ratio < PUSH_THRESHOLD_RATIO
+            and rate_limited == self.pushed_rate_limited
+        ):
             return
         if now_s - self.last_push_s < MIN_PUSH_INTERVAL_S:
             return
         self.last_push_s = now_s
         self.pushed_slowness = slowness
+        self.pushed_rate_limited = rate_limited
         self.gossiper.push_load(
             gossip.LoadPush(
                 self.gossiper.membership.node,
@@ -119,5 +125,6 @@
                 len(admission.queue),
                 admission.limit.value,
                 round(slowness * 100),
+                self.receiver.find_rate_limit_wait_ms(),
             )
         )
--- a/src/waxwingferry/process/protection/tests/test_rate_limit.py
+++ b/src/waxwingferry/process/protection/tests/test_rate_limit.py
@@ -11,10 +11,12 @@
 
 WINDOW_S = 4.0
 # The operators' bound: one and a half times the stated rate in any window, and
-# five requests, from three seconds after the first statement.
+# five requests, from three seconds after the first statement. A request counts
+# if it is sent half a second after the statement was passed on, or later.
 MAX_EXCESS_FACTOR = 1.5
 MAX_EXCESS_REQUESTS = 5
 SETTLING_S = 3.0
+NOTICE_S = 0.5
 
 
 class Load:
@@ -68,14 +70,12 @@
                 still_waiting.append(permit)
         self.waiting = still_waiting
 
-    def find_busiest_window(self, from_s: float, to_s: float) -> int:
-        """Returns the most requests sent in one window that ends in a span."""
-        ends = [time_s for time_s in self.sent_s if from_s <= time_s < to_s]
+    def find_busiest_window(self, stated_s: float) -> int:
+        """Returns the most requests counted in one window."""
+        counted = [t for t in self.sent_s if t >= stated_s + NOTICE_S]
+        ends = [t for t in counted if t >= stated_s + SETTLING_S]
         return max(
-            (
-                sum(end - WINDOW_S < time_s <= end for time_s in self.sent_s)
-                for end in ends
-            ),
+            (sum(end - WINDOW_S < t <= end for t in counted) for end in ends),
             default=0,
         )
 
@@ -90,5 +90,65 @@
         load.run(6.0, 15.0)
         load.admission.rate_limit.record_statement(rate_per_s)
         load.run(20.0, 15.0)
-        busiest = load.find_busiest_window(6.0 + SETTLING_S, 26.0)
+        busiest = load.find_busiest_window(stated_s=6.0)
         assert busiest <= allowed, f"seed {seed}"
+
+
+@pytest.mark.parametrize("rate_per_s", [0.5, 2.1, 3.5, 8.0])
+def test_a_target_gets_most_of_the_rate_that_it_states(rate_per_s):
+    """Guards against a limit that wastes what the target would take."""
+    for seed in range(1, 7):
+        load = Load(seed)
+        load.admission.rate_limit.record_statement(rate_per_s)
+        load.run(20.0, 15.0)
+        assert len(load.sent_s) >= 0.8 * rate_per_s * 20.0, f"seed {seed}"
+
+
+def test_the_end_of_the_statement_ends_the_limit():
+    """Guards against holding back requests that the target takes again."""
+    load = Load(1)
+    load.admission.rate_limit.record_statement(0.5)
+    load.run(5.0, 15.0)
+    load.admission.rate_limit.record_statement(None)
+    before = len(load.sent_s)
+    load.run(4.0, 15.0)
+    assert len(load.sent_s) - before >= 40
+
+
+def test_a_target_that_takes_nothing_gets_only_rare_requests():
+    """Guards against never learning that the limit has ended."""
+    load = Load(1)
+    load.admission.rate_limit.record_statement(0.0)
+    load.run(20.0, 15.0)
+    assert 1 <= len(load.sent_s) <= MAX_EXCESS_REQUESTS
+
+
+def test_a_changed_statement_does_not_refill_the_burst():
+    """Guards against a burst each time that the stated rate changes."""
+    load = Load(1)
+    load.run(2.0, 1.0)
+    load.sent_s.clear()
+    for step in range(100):
+        load.admission.rate_limit.record_statement(3.0 + 0.1 * (step % 2))
+        load.run(0.1, 30.0)
+    assert len(load.sent_s) <= 3.1 * 10.0 + 3.1
+
+
+def test_a_request_that_can_not_be_sent_in_time_is_refused_at_once():
+    """Guards against queueing behind a rate that is too low until a timeout."""
+    load = Load(1)
+    load.clock.now_s += stated_limit.RATE_WINDOW_S
+    for _ in range(20):
+        permit = load.admission.submit("", load.clock.now_s + 2.0)
+        load.clock.now_s += 0.1
+        load.admission.release(permit, admissions.Ending.ANSWERED)
+    load.admission.rate_limit.record_statement(0.5)
+    permits = [
+        load.admission.submit("", load.clock.now_s + 3.0) for _ in range(4)
+    ]
+    assert [permit.state for permit in permits] == [
+        admissions.State.QUEUED,
+        admissions.State.ENDED,
+        admissions.State.ENDED,
+        admissions.State.ENDED,
+    ]
--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -101,6 +101,8 @@
 
     Attributes:
         slow_percent: Service time in percent; 100 is the normal one.
+        wait_ms: Time until the rate that the target states allows a request;
+            None if it states none.
     """
 
     node: members.Name
@@ -108,6 +110,7 @@
     queue: members.Counter
     limit: members.Counter
     slow_percent: members.Counter
+    wait_ms: members.Counter | None = None
 
 
 # First byte of a datagram with a LoadPush; JSON never begins with it.
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -304,10 +304,14 @@
             if not history.busy:
                 return chosen
             now_s = self.router.clock()
-            if chosen is not None and not routing.is_slow(chosen, now_s):
+            if (
+                chosen is not None
+                and not routing.is_slow(chosen, now_s)
+                and not routing.must_wait(chosen, now_s)
+            ):
                 return chosen
-            # All other targets are busy or slow: choose among the busy ones as
-            # well, and let the call wait in a queue.
+            # All other targets are busy, slow or at their rate limit: choose
+            # among the busy ones as well, and let the call wait in a queue.
             history.accept_busy()
 
     def _may_retry(
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -233,7 +233,7 @@
             in_flight=state.in_flight if state else None,
             queue=len(state.queue) if state else None,
             limit=state.limit.value if state else None,
-            paced=bool(state and state.limit.find_dispatch_time_s() > now_s),
+            paced=bool(state and state.find_dispatch_time_s() > now_s),
             slowness=self.slowness(),
             sample_age_ms=(
                 round((now_s - self.sampled_s) * 1000) if self.sample else None
@@ -298,10 +298,27 @@
         if state is None:
             return "in_flight=0,queue=0,limit=0"
         percent = round(self.slowness() * 100)
-        return (
+        text = (
             f"in_flight={state.in_flight},queue={len(state.queue)},"
             f"limit={state.limit.value},slow={percent}"
         )
+        wait_ms = self.find_rate_limit_wait_ms()
+        return text if wait_ms is None else f"{text},wait={wait_ms}"
+
+    def find_rate_limit_wait_ms(self) -> int | None:
+        """Returns the time until the stated rate allows another request.
+
+        Attempts that are already queued go first.
+
+        Returns:
+            None if the target states no rate.
+        """
+        state = self.admission
+        if state is None or state.rate_limit.rate_per_s is None:
+            return None
+        return math.ceil(
+            state.rate_limit.estimate_wait_s(len(state.queue)) * 1000
+        )
 
     def update_gauges(self) -> None:
         """Updates the admission gauges."""
