Send nothing more to a target that states in its answers that it leaves

Cause: the same as for the stated rate: what targets state in responses was passed on and read by nobody.

The target's node now takes the statement as the start of draining: queued and new attempts are refused as not run and rerouted, and the member row is published. The statement holds for that incarnation whatever it announces later. Load reports carry it to entries, which remember it by incarnation, so that a restarted node that does not know it yet changes nothing.

--- a/src/waxwingferry/process/choice/load_stats.py
+++ b/src/waxwingferry/process/choice/load_stats.py
@@ -21,6 +21,8 @@
         slowness: Service time relative to normal.
         ready_at_s: Monotonic time from which the rate that the target states
             allows another request; minus infinity if it states none.
+        leaving_target: Incarnation of the target if it states that it leaves,
+            otherwise empty.
     """
 
     in_flight: int = 0
@@ -29,6 +31,7 @@
     at_s: float = -math.inf
     slowness: float = 1.0
     ready_at_s: float = -math.inf
+    leaving_target: str = ""
 
     def is_rate_limited(self) -> bool:
         """Returns whether the target states a rate limit."""
@@ -59,6 +62,7 @@
         now_s,
         max(slowness, 0.01),
         now_s + wait_s,
+        parts.get("leaving", ""),
     )
 
 
--- a/src/waxwingferry/process/choice/probe.py
+++ b/src/waxwingferry/process/choice/probe.py
@@ -278,7 +278,10 @@
     """Returns the response body of a probe, from an x-waxwing-load text."""
     parts = dict(item.split("=", 1) for item in load.split(","))
     return json.dumps(
-        {name: int(value) for name, value in parts.items()}
+        {
+            name: int(value) if value.isdigit() else value
+            for name, value in parts.items()
+        }
     ).encode()
 
 
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -116,6 +116,7 @@
             target_protocol,
             make_limit,
         )
+        self.receiver.on_leaving = self.announce
         self.tasks = background.Background()
         self.runner = attempt_runner.AttemptRunner(
             self.receiver, attempts.Attempts(), self.tasks, self.counters
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -150,6 +150,8 @@
         candidates: All targets by node, for the entry.
         removed_orders: Orders of removed rows, so that a peer that still
             has them can't add them again.
+        leaving_targets: Incarnations of targets that stated in a response that
+            they leave. Their nodes may announce them as ready after a restart.
         predecessor: Newest row of another process of this node, or None.
         fingerprint: Hash of all rows, independent of their order of arrival.
 
@@ -178,6 +180,7 @@
         self.records: dict[str, Record] = {}
         self.candidates: dict[str, known_target.Candidate] = {}
         self.removed_orders: dict[str, tuple[int, int, str]] = {}
+        self.leaving_targets: dict[str, None] = {}
         self.usable_targets: dict[str, list[known_target.Candidate]] | None = (
             None
         )
@@ -250,7 +253,26 @@
         self._update_candidate(row)
         self.usable_targets = None
 
+    def record_leaving(self, target: str) -> None:
+        """Records that a target stated in a response that it leaves.
+
+        Args:
+            target: Incarnation of the target.
+        """
+        if not target or target in self.leaving_targets:
+            return
+        while len(self.leaving_targets) >= MAX_MEMBERS:
+            del self.leaving_targets[next(iter(self.leaving_targets))]
+        self.leaving_targets[target] = None
+        log.info("leave passed on in an answer", target=target)
+        for record in self.records.values():
+            if record.row.target == target:
+                self._update_candidate(record.row)
+        self.usable_targets = None
+
     def _update_candidate(self, row: MemberRow) -> None:
+        if row.target in self.leaving_targets and row.state == "ready":
+            row = msgspec.structs.replace(row, state="draining")
         old = self.candidates.get(row.node)
         if old is not None and old.incarnation == row.incarnation:
             # Calls in flight refer to this object and update its counters.
--- a/src/waxwingferry/process/spreading/tests/test_members.py
+++ b/src/waxwingferry/process/spreading/tests/test_members.py
@@ -23,3 +23,24 @@
     chosen = router.choose(membership.by_service["desk"], frozenset(), set())
     assert chosen is membership.candidates["n1"]
     assert chosen.incarnation == "next"
+
+
+# DRAIN: an entry that had passed on an answer of a leaving target sent requests
+# there again, once the target's node had restarted and announced it as ready.
+def test_a_leave_that_an_entry_saw_outlives_the_target_node():
+    """Guards against requests to a target that said that it leaves."""
+    membership = members.Membership("n0", fakes.Clock())
+    membership.apply(fakes.make_row(1, target="i-1:7"))
+    router = routing.Router(random.Random(1))
+    membership.record_leaving("i-1:7")
+    restarted = fakes.make_row(
+        1, target="i-1:7", generation=2, incarnation="next"
+    )
+    membership.apply(restarted)
+    targets = membership.by_service["desk"]
+    assert router.choose(targets, frozenset(), set()) is None
+    membership.apply(
+        fakes.make_row(1, target="i-1:8", generation=3, incarnation="third")
+    )
+    chosen = router.choose(membership.by_service["desk"], frozenset(), set())
+    assert chosen is membership.candidates["n1"]
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -376,6 +376,7 @@
                 )
                 if result == _WRONG_INCARNATION:
                     candidate.mark_replaced()
+                self.membership.record_leaving(candidate.load.leaving_target)
                 yield result
         finally:
             self.router.finish_attempt(candidate)
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -5,6 +5,7 @@
 import contextlib
 import math
 
+import msgspec
 import structlog
 
 from waxwingferry.connection import http1
@@ -42,7 +43,9 @@
         sample: The newest load report of the target, or None.
         sampled_s: Monotonic time of that report.
         on_sample: Called after each report.
-        statement: What the target stated about itself in its newest response.
+        leaving_target: Incarnation of the target that stated that it leaves,
+            or an empty string.
+        on_leaving: Called when the target first states that it leaves.
         on_answer: Called with service, version and route of each answer,
             whether it was a failure, and its service time.
         leaving: Whether the node has announced that it is leaving. Other
@@ -63,7 +66,8 @@
         self.make_limit = make_limit
         self.sample: target.TargetLoad | None = None
         self.sampled_s = -math.inf
-        self.statement = target.Statement()
+        self.leaving_target = ""
+        self.on_leaving: Callable[[], None] = lambda: None
         self.on_sample: Callable[[], None] = lambda: None
         self.on_answer: OnAnswer = ignore_answer
         self.incarnation = incarnation
@@ -78,6 +82,12 @@
 
     def apply_announcement(self, announcement: target.Announcement) -> bool:
         """Applies an announcement; returns whether it changed anything."""
+        if announcement.incarnation == self.leaving_target:
+            # Announcements are sent at intervals and may be older than the
+            # responses of the target.
+            announcement = msgspec.structs.replace(
+                announcement, state="draining"
+            )
         old = self.link.announcement if self.link else None
         if old == announcement:
             return False
@@ -89,7 +99,6 @@
             self.replaced_links.append(self.link)
             self.link = self._make_link(announcement)
             self.sample = None
-            self.statement = target.Statement()
             self.admission.reset(limits.ResetCause.INCARNATION)
         self.link.announcement = announcement
         self.admission.resize(announcement.slots)
@@ -114,10 +123,19 @@
         if incarnation != self.link.announcement.incarnation:
             return
         self.admission.rate_limit.record_statement(statement.max_rate_per_s)
-        if statement.leaving and not self.statement.leaving:
-            log.info("target states that it leaves", target=incarnation)
-            self.counters.events.inc({"event": "target_states_leaving"})
-        self.statement = statement
+        if statement.leaving and incarnation != self.leaving_target:
+            self._record_leaving(incarnation)
+
+    def _record_leaving(self, incarnation: str) -> None:
+        """Sends the target nothing more; it won't take the statement back."""
+        assert self.link is not None
+        assert self.admission is not None
+        log.info("target states that it leaves", target=incarnation)
+        self.counters.events.inc({"event": "target_states_leaving"})
+        self.leaving_target = incarnation
+        self.apply_announcement(self.link.announcement)
+        self.admission.advance()
+        self.on_leaving()
 
     def record_sample(self, sample: target.TargetLoad) -> None:
         """Records a load report, unless it is of another incarnation."""
@@ -303,7 +321,17 @@
             f"limit={state.limit.value},slow={percent}"
         )
         wait_ms = self.find_rate_limit_wait_ms()
-        return text if wait_ms is None else f"{text},wait={wait_ms}"
+        if wait_ms is not None:
+            text = f"{text},wait={wait_ms}"
+        if self.is_target_leaving():
+            text = f"{text},leaving={self.leaving_target}"
+        return text
+
+    def is_target_leaving(self) -> bool:
+        """Returns whether the current target stated that it leaves."""
+        if self.link is None or not self.leaving_target:
+            return False
+        return self.link.announcement.incarnation == self.leaving_target
 
     def find_rate_limit_wait_ms(self) -> int | None:
         """Returns the time until the stated rate allows another request.
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -119,6 +119,37 @@
     assert refused.get({"kind": "not_run", "reason": "leaving"}) == 1
 
 
+# DRAIN: a target that stated its leave in answers was sent further requests.
+@pytest.mark.anyio
+async def test_a_target_that_states_its_leave_gets_no_more_requests() -> None:
+    """Guards against waiting for the announcement of a target that leaves."""
+    fixture = ReceiverFixture()
+    published: list[str] = []
+    receiver = fixture.receiver
+    receiver.on_leaving = lambda: published.append(receiver.format_load())
+    results: dict = {}
+    async with anyio.create_task_group() as group:
+        group.start_soon(fixture.run, "a", results)
+        await anyio.wait_all_tasks_blocked()
+        group.start_soon(fixture.run, "b", results)
+        await anyio.wait_all_tasks_blocked()
+        receiver.record_statement("i1", target.Statement(leaving=True))
+        # A later announcement or answer does not take the statement back.
+        fixture.announce(state="ready")
+        receiver.record_statement("i1", target.Statement())
+        await fixture.run("c", results)
+        fixture.release.set()
+    assert results == {
+        "a": "answered",
+        "b": outcome.Reason.LEAVING,
+        "c": outcome.Reason.LEAVING,
+    }
+    assert published == ["in_flight=1,queue=0,limit=1,slow=100,leaving=i1"]
+    fixture.announce(incarnation="i2")
+    await fixture.run("d", results)
+    assert results["d"] == "answered"
+
+
 @pytest.mark.anyio
 async def test_slot_granted_before_a_restart_is_not_used_after_it() -> None:
     """Guards against a burst to a cold target that replaced another one."""
