Trust a refusal without a request ID only as a connection's first response

Reported by other operators: a faulty target writes an earlier refusal once more on a kept connection; callers are told "not run" for a request that runs (REFUSED), or it runs at a second target (TWICE).

It could happen here in one form: a refusal that carries no request ID was taken for that of the only request in flight, also on a connection that had carried others. A repeated refusal with its ID was skipped, and a connection is closed after a refusal, so only the form without an ID got through.

Such a refusal is now the outcome of a request only if the connection has carried no other; otherwise the outcome is unknown. A connection on which part of a further response has already been read is not kept either.

The cases for an answer that is broken off in its head passed before as well, at every byte: that report can't happen here.

--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -279,6 +279,7 @@
     Attributes:
         reusable: Whether another request may be sent on the connection.
         sent_bytes: Bytes sent on the connection so far.
+        requests_sent: Requests sent on the connection so far.
         ended: Whether the response to the last request is complete.
         self_delimited: Whether the head of the last response defines where
             its body ends.
@@ -293,6 +294,7 @@
         self.reader: reading.Reader | None = None
         self.reusable = True
         self.sent_bytes = 0
+        self.requests_sent = 0
         self.method = "GET"
         self.ended = True
         self.self_delimited = True
@@ -339,6 +341,7 @@
                 _RESPONSE_LIMITS,
             )
         self.method = method
+        self.requests_sent += 1
         self.ended = False
         headers = list(headers)
         names = {name for name, _ in headers}
@@ -451,7 +454,7 @@
             return None
         if event is reading.END_OF_MESSAGE:
             self.ended = True
-            if self.reader.queue:
+            if self.reader.queue or self.reader.events.in_message:
                 self.reusable = False
             return None
         return event
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -298,13 +298,13 @@
         mismatched = response_id != self.protocol.get_correlation_id(attempt)
         if mismatched and (response_id or self.announcement.echoes_attempts):
             connection.reusable = False
-            # A refusal without a correlation ID belongs to the only request in
-            # flight on the connection, if the protocol skips late responses to
-            # earlier requests by their IDs. Otherwise it may be one of those.
+            # A refusal without a correlation ID may be that of an earlier
+            # request, written once more, unless there was none.
             if (
                 response_id
                 or refusal is None
                 or not self.protocol.skips_unmatched
+                or connection.requests_sent > 1
             ):
                 return outcome.Unknown(outcome.Reason.ANSWER_MISMATCH)
         if not response_id:
