Cut off no request that comes late in the stop of a node

Reported by other operators: in a planned stop of one machine, requests that came late in the grace were taken, passed on and cut off without an answer when the process was killed, among them some that may not be repeated (LOST).

It could happen here. Cause: the drain closed idle connections only when no request ran. While one long request ran, others began on kept connections until the end of the grace, with deadlines beyond it.

Idle connections are now closed while other requests run. An entry that drains refuses calls whose deadline is later than 0.3 s before the process is killed, as not run, if the settings tell when that is (stop_grace_s; on the users' platform the bound "grace").

--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -97,12 +97,14 @@
         await anyio.sleep(DRAIN_GRACE_S)
         if self.listener is not None:
             self.listener.close()
-        await self._wait_for_calls()
         # Requests on newly accepted connections may still be on their way.
         await anyio.sleep(DRAIN_GRACE_S)
         while self.idle or self.active:
+            # Idle connections close while other requests run, since a request
+            # that begins later may be cut off by the end of the process.
             await self._close_idle()
-            await self._wait_for_calls()
+            if not self.idle:
+                await self._wait_for_call()
 
     async def _close_idle(self) -> None:
         """Closes idle connections that have no unread data."""
@@ -113,8 +115,8 @@
                 await anyio.aclose_forcefully(stream)
         await anyio.sleep(CLOSE_INTERVAL_S)
 
-    async def _wait_for_calls(self) -> None:
-        while self.active:
+    async def _wait_for_call(self) -> None:
+        if self.active:
             self.call_ended = anyio.Event()
             await self.call_ended.wait()
 
--- a/src/waxwingferry/connection/tests/test_drain.py
+++ b/src/waxwingferry/connection/tests/test_drain.py
@@ -116,6 +116,30 @@
             await running.connect()
 
 
+# LOST: while one request ran, others started on idle connections until the
+# process was killed, and were cut off.
+@pytest.mark.anyio
+async def test_no_request_starts_on_an_idle_connection_during_a_long_one() -> (
+    None
+):
+    """Guards against requests that begin just before the process is killed."""
+    async with run_server() as running:
+        async with await running.connect() as idle:
+            await idle.send(REQUEST)
+            assert b"whole" in await idle.receive()
+            async with await running.connect() as busy:
+                await busy.send(REQUEST.replace(b"/ ", b"/later "))
+                async with anyio.create_task_group() as group:
+                    group.start_soon(running.server.drain)
+                    await running.wait_until_stopping()
+                    with anyio.fail_after(TIMEOUT_S / 2):
+                        with pytest.raises(anyio.EndOfStream):
+                            await idle.receive()
+                    assert running.server.active
+                    running.answer_allowed.set()
+                assert b"connection: close" in await busy.receive()
+
+
 @pytest.mark.anyio
 async def test_streamed_answer_outlives_the_drain() -> None:
     """Guards against truncating a response that is still being sent."""
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -82,6 +82,7 @@
                 seeds=seeds,
                 choice=routing.Policy.STATED,
                 leave_delay_s=LEAVE_DELAY_S,
+                stop_grace_s=settings.stop_grace_s,
             ),
             table,
             self.document,
@@ -298,6 +299,7 @@
                 time.monotonic() - stop_requested_s
             )
             await anyio.sleep(max(remaining_s, 0))
+            self.limit_calls_to_grace(time.monotonic() - stop_requested_s)
             async with anyio.create_task_group() as drain_group:
                 drain_group.start_soon(self.caller_server.drain)
                 drain_group.start_soon(self.peer_server.drain)
--- a/src/waxwingferry/platform/settings_file.py
+++ b/src/waxwingferry/platform/settings_file.py
@@ -71,6 +71,7 @@
         first_internal_port: First port for communication between nodes.
         seed_hosts: Hosts of VMs that may run a node; the ports given with
             them are not used.
+        stop_grace_s: Time from SIGTERM to SIGKILL, or None if not given.
     """
 
     node: str
@@ -86,6 +87,7 @@
     seed_hosts: tuple[str, ...]
     store_address: StoreAddress
     bounds: Bounds
+    stop_grace_s: float | None = None
 
 
 def load(path: str) -> Settings:
@@ -139,6 +141,7 @@
                 if key in bounds.values
             }
         ),
+        stop_grace_s=bounds.get_optional_duration("grace"),
     )
 
 
@@ -174,6 +177,16 @@
             raise self._make_error(key, "a number")
         return float(value)
 
+    def get_optional_duration(self, key: str) -> float | None:
+        if key not in self.values:
+            return None
+        try:
+            return parsing.parse_duration(self.values[key])
+        except parsing.ValueFormatError:
+            raise self._make_error(
+                key, "a number with the unit ms or s"
+            ) from None
+
     def get_address(self, key: str) -> tuple[str, int]:
         try:
             return parsing.parse_address(self.values.get(key))
--- a/src/waxwingferry/platform/tests/test_settings_file.py
+++ b/src/waxwingferry/platform/tests/test_settings_file.py
@@ -39,6 +39,7 @@
             "expose-slack": 50,
             "cold-over": 1.5,
             "cold-slack": 5,
+            "grace": "6s",
         }
     },
 }
@@ -54,6 +55,7 @@
     )
     assert parsed.bounds.warmup_rate_factor == 1.5
     assert parsed.bounds.warmup_rate_slack == 5
+    assert parsed.stop_grace_s == 6.0
 
 
 @pytest.mark.parametrize(
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -39,6 +39,8 @@
 from waxwingferry.version import revision
 
 INTERIM_INTERVAL_S = 0.2
+# Time before the end of the grace by which the last calls must end.
+STOP_RESERVE_S = 0.3
 TASK_DRAIN_TIMEOUT_S = 5.0
 
 log = structlog.get_logger()
@@ -58,6 +60,8 @@
         seeds: Peers to query while the platform does not answer.
         choice: Load-balancing policy.
         leave_delay_s: Time for the news of the leave to reach other nodes.
+        stop_grace_s: Time from the request to stop until the process is
+            killed, or None if it is given any time.
     """
 
     node: str
@@ -69,6 +73,7 @@
     seeds: tuple[gossip.Address, ...] = ()
     choice: routing.Policy = routing.Policy.WEIGHTED
     leave_delay_s: float = 1.5
+    stop_grace_s: float | None = None
 
 
 class Core:
@@ -297,6 +302,16 @@
             self.gossip.run_dissemination,
         )
 
+    def limit_calls_to_grace(self, stopping_s: float) -> None:
+        """Refuses calls from now on that could outlast the process.
+
+        Args:
+            stopping_s: Time since the stop was requested.
+        """
+        if self.options.stop_grace_s is not None:
+            left_s = self.options.stop_grace_s - stopping_s - STOP_RESERVE_S
+            self.entry.stop_deadline = calls.make_deadline(left_s)
+
     async def leave(self) -> None:
         """Announces the leave and gives other nodes time to receive it."""
         log.info("node stopping", node=self.options.node)
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -3,6 +3,7 @@
 import json
 import random
 import signal
+import time
 
 import anyio
 import msgspec
@@ -193,7 +194,9 @@
 
     async def stop(self) -> None:
         """Announces the leave, then waits for work in flight to end."""
+        requested_s = time.monotonic()
         await self.leave()
+        self.limit_calls_to_grace(time.monotonic() - requested_s)
         async with anyio.create_task_group() as group:
             group.start_soon(self.caller_server.drain)
             group.start_soon(self.peer_server.drain)
@@ -214,6 +217,7 @@
         failure_domain=options.failure_domain,
         seeds=tuple((item.host, item.port) for item in options.seed_peers),
         choice=options.choice,
+        stop_grace_s=options.stop_grace_s,
     )
 
 
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -64,6 +64,9 @@
             platform is unavailable.
         choice: Routing policy; policies other than "weighted" are meant for
             experiments.
+        stop_grace_s: Time from SIGTERM until the process is killed. Calls that
+            could last longer are refused once the node has announced that it
+            leaves; None sets no limit.
         log: Log settings.
         random_seed: Seed of random choices; None uses a seed from the
             operating system.
@@ -82,6 +85,7 @@
     platform_url: Annotated[str, pydantic.Field(pattern=r"^https?://\S+$")]
     seed_peers: tuple[PeerAddress, ...] = ()
     choice: routing.Policy = routing.Policy.WEIGHTED
+    stop_grace_s: Annotated[float, pydantic.Field(gt=0)] | None = None
     log: LogSettings = LogSettings()
     random_seed: int | None = None
 
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -58,6 +58,8 @@
         traffic_splitter: Chooses a service for each call of a route with
             several.
         rollouts: Version rollouts, or None if they are not supported.
+        stop_deadline: Time by which calls must end because the process will
+            be killed then, or None. Later ones are refused before they start.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         self.protocol = protocol
         self.traffic_splitter = traffic_split.TrafficSplitter(rng)
         self.rollouts: rollout.RolloutController | None = None
+        self.stop_deadline: calls.Deadline | None = None
         self.max_in_flight = max_in_flight
         self.in_flight = 0
         self.retry_policy = retry.RetryPolicy(
@@ -205,6 +208,8 @@
             deadline_s = min(deadline_s, context.deadline_ms / 1000)
         # Set before the body is read, so that this time counts as well.
         deadline = calls.make_deadline(deadline_s)
+        if self.stop_deadline and deadline.at_s > self.stop_deadline.at_s:
+            return outcome.NotRun(outcome.Reason.LEAVING)
         headers = http1.end_to_end_headers(head.headers)
         return calls.Call(
             call_id=f"{self.rng.getrandbits(64):016x}",
--- a/src/waxwingferry/request/tests/test_entry_limits.py
+++ b/src/waxwingferry/request/tests/test_entry_limits.py
@@ -8,8 +8,10 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.process import metrics
+from waxwingferry.request import answering
 from waxwingferry.request import calls
 from waxwingferry.request import entry
+from waxwingferry.version import document
 
 
 class FakeConnection:
@@ -66,3 +68,55 @@
 ) -> None:
     """Guards against unlimited calls, and nested ones crowded out by others."""
     assert await ask(in_flight, headers) == expected
+
+
+# LOST: requests that came shortly before the process was killed were passed on
+# and then cut off.
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("deadline_ms", "expected"), [("900", "taken"), ("1500", "leaving")]
+)
+async def test_a_stopping_node_takes_only_calls_that_end_before_it(
+    monkeypatch, deadline_ms, expected
+) -> None:
+    """Guards against calls cut off by the end of the process."""
+    nothing = cast(Any, None)
+    revision = document.make_revision(
+        1,
+        document.Document(
+            services=(
+                document.Service(
+                    name="s", routes=(document.Route(path_prefix="/"),)
+                ),
+            )
+        ),
+    )
+    node = entry.EntryHandler(
+        "n0",
+        lambda: revision,
+        nothing,
+        nothing,
+        nothing,
+        nothing,
+        metrics.Metrics(),
+        random.Random(1),
+    )
+    taken: list[calls.Call] = []
+
+    async def read_body(_: object) -> calls.Body:
+        return calls.Body(b"")
+
+    async def run_call(_: object, call: calls.Call) -> None:
+        taken.append(call)
+
+    monkeypatch.setattr(answering, "read_body", read_body)
+    monkeypatch.setattr(node, "_run_call", run_call)
+    monkeypatch.setattr(node.retry_policy, "count_call", lambda call: None)
+    node.stop_deadline = calls.make_deadline(1.0)
+    connection = FakeConnection()
+    headers = [("host", "a"), (calls.DEADLINE_HEADER, deadline_ms)]
+    head = http1.RequestHead("GET", "/", headers)
+    await node.handle(cast(Any, connection), head)
+    reason = http1.find_header(connection.headers, "x-waxwing-reason")
+    assert (reason or "taken") == expected
+    assert bool(taken) == (expected == "taken")
