Read nothing about the target from a response of another one

A response with status 421 comes from another target, which has taken over the address, but its load, stated rate and leave were recorded for the announced target. A leave is never taken back, so a target that does not leave would have got nothing more until its next start.

Such a response is now only a refusal.

--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -311,12 +311,8 @@
             # A duplicate response could be mistaken for that to the next
             # request, so the connection is not reused.
             connection.reusable = False
-        load = self.protocol.read_load(head)
-        if load is not None:
-            self.on_load(load)
-        self.on_statement(
-            self.announcement.incarnation, self.protocol.read_statement(head)
-        )
+        if refusal is not outcome.Reason.NO_TARGET:
+            self._record_state(head)
         if (
             not head.self_delimited
             and not self.protocol.accepts_close_delimited
@@ -331,6 +327,15 @@
         reader = _make_body_reader(connection, attempt, max_bytes)
         return outcome.Answer(head, reader)
 
+    def _record_state(self, head: http1.ResponseHead) -> None:
+        """Records what the announced target reports in a response."""
+        load = self.protocol.read_load(head)
+        if load is not None:
+            self.on_load(load)
+        self.on_statement(
+            self.announcement.incarnation, self.protocol.read_statement(head)
+        )
+
 
 def _check_skipped_bytes(count: int) -> None:
     if count > MAX_SKIPPED_BYTES:
--- a/src/waxwingferry/process/tests/test_faulty_target.py
+++ b/src/waxwingferry/process/tests/test_faulty_target.py
@@ -169,3 +169,23 @@
                 continue
             client = make_client([[head]])
             assert await send(client, "b") == "Unknown", head
+
+
+# DRAIN, LIMIT: a target that had taken over the address of another one stated
+# that it leaves, and the other one, which did not leave, got nothing more.
+async def test_a_misdirected_response_says_nothing_about_the_target() -> None:
+    """Guards against the state of one target recorded for another."""
+    misdirected = (
+        b"HTTP/1.1 421 Misdirected Request\r\n%s: a\r\n"
+        b"server-limit: 2.5\r\nserver-leaving: 1\r\n"
+        b"x-waxwingferry-server-load: 9,9,9\r\ncontent-length: 0\r\n\r\n"
+        % ID_FIELD
+    )
+    client = make_client([[misdirected]], [[make_answer("b")]])
+    recorded: list[object] = []
+    client.on_load = recorded.append
+    client.on_statement = lambda *args: recorded.append(args)
+    assert await send(client, "a") == "NotRun"
+    assert recorded == []
+    assert await send(client, "b") == "whole"
+    assert recorded == [("t:1", target.Statement())]
