State rates and leaves in the soak, and check what the targets get

Emulated targets can now state a rate and that they leave. The soak makes them do so, stops or kills the node of a target that states a rate, and checks in the ledgers that the target gets at most one and a half times the rate and five requests in any 4 s from 3 s on, and no request later than 2 s after the first answer with a stated leave.

--- a/src/waxwingferry/bench/experiments/soak.py
+++ b/src/waxwingferry/bench/experiments/soak.py
@@ -3,11 +3,13 @@
 Callers read and write while nodes and targets are killed, paused, restarted
 and drained, network paths between nodes are delayed, blocked in one direction,
 reset and made silent, targets turn cold or slow, shed load, truncate or swap
-their answers, the platform is down, slow or loses answers, failure domains are
-set to "out" and back to "in", and operators change the document concurrently.
+their answers, or state a rate or that they leave, the platform is down, slow or
+loses answers, failure domains are set to "out" and back to "in", and operators
+change the document concurrently.
 The targets' ledgers show which requests ran.
 """
 
+import bisect
 import collections
 import dataclasses
 import math
@@ -29,10 +31,21 @@
 MEAN_FAULT_INTERVAL_S = 0.7
 SAMPLE_INTERVAL_S = 0.5
 
+# A target that states a rate may get RATE_EXCESS_RATIO times that rate, and
+# RATE_EXCESS_REQUESTS, in any RATE_WINDOW_S from RATE_NOTICE_S after that on.
+RATE_WINDOW_S = 4.0
+RATE_NOTICE_S = 3.0
+RATE_EXCESS_RATIO = 1.5
+RATE_EXCESS_REQUESTS = 5
+# Time after an answer with such a statement until no request arrives any more.
+LEAVE_NOTICE_S = 2.0
+
 ANSWERS_INTACT = "every answer is whole and the caller's own"
 REFUSALS_TRUE = "a refusal that says not run is true"
 AT_MOST_ONCE = "a non-idempotent request runs at most once"
 COLD_TARGET_LIMIT = "a started target is never given more than it bears"
+STATED_RATE = "a target that states a rate is given little more"
+STATED_LEAVE = "a target that states that it leaves gets no new work after 2 s"
 DOMAIN_OUT = "a failure domain that is out gets no new work after 3 s"
 MONOTONIC_REVISIONS = "a revision in force never reverts"
 PROPAGATION_TIME = "an accepted revision is in force everywhere within 3 s"
@@ -42,6 +55,8 @@
     REFUSALS_TRUE,
     AT_MOST_ONCE,
     COLD_TARGET_LIMIT,
+    STATED_RATE,
+    STATED_LEAVE,
     DOMAIN_OUT,
     MONOTONIC_REVISIONS,
     PROPAGATION_TIME,
@@ -159,6 +174,8 @@
     ledgers = running.read_ledgers()
     _check_calls(report, call_log, ledgers)
     _check_cold(report, ledgers, injector)
+    _check_stated_rates(report, ledgers, injector)
+    _check_stated_leaves(report, ledgers, injector)
     _check_domains(report, running, ledgers, injector)
     _check_revisions(report, sampler, injector)
     for winners in injector.race_winners:
@@ -213,6 +230,62 @@
             )
 
 
+def _check_stated_rates(report, ledgers, injector) -> None:
+    for stated in injector.stated_rates:
+        allowed = (
+            RATE_EXCESS_RATIO * stated.rate_per_s * RATE_WINDOW_S
+            + RATE_EXCESS_REQUESTS
+        )
+        starts_s = sorted(
+            entry["started_s"]
+            for entry in ledgers[stated.instance]
+            if stated.begin_s + RATE_NOTICE_S
+            <= entry["started_s"]
+            <= stated.end_s
+        )
+        most = max(
+            (
+                bisect.bisect_left(starts_s, start_s + RATE_WINDOW_S) - index
+                for index, start_s in enumerate(starts_s)
+            ),
+            default=0,
+        )
+        report.check(
+            STATED_RATE,
+            most <= allowed,
+            f"{most} requests in {RATE_WINDOW_S} s at {stated.instance}, "
+            f"which states {stated.rate_per_s:.2f} a second",
+        )
+
+
+def _check_stated_leaves(report, ledgers, injector) -> None:
+    for fault in injector.faults:
+        if fault.name != "target states that it leaves":
+            continue
+        entries = [
+            entry
+            for entry in ledgers[fault.victim]
+            if fault.begin_s <= entry["started_s"] <= fault.end_s
+        ]
+        answered_s = min(
+            (
+                entry["ended_s"]
+                for entry in entries
+                if entry["state"] in ("done", "failed")
+            ),
+            default=math.inf,
+        )
+        late_count = sum(
+            entry["started_s"] > answered_s + LEAVE_NOTICE_S
+            for entry in entries
+        )
+        report.check(
+            STATED_LEAVE,
+            not late_count,
+            f"{late_count} requests at {fault.victim}",
+        )
+
+
 def _check_domains(report, running, ledgers, injector) -> None:
     domain_faults = [
         item for item in injector.faults if item.name == "domain out"
--- a/src/waxwingferry/bench/faults.py
+++ b/src/waxwingferry/bench/faults.py
@@ -39,6 +39,23 @@
     end_s: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StatedRate:
+    """A rate that a target stated in its responses.
+
+    Attributes:
+        instance: Name of the target's instance.
+        rate_per_s: Stated requests per second.
+        begin_s: Wall-clock time from which all responses stated it.
+        end_s: Wall-clock time until which they did.
+    """
+
+    instance: str
+    rate_per_s: float
+    begin_s: float
+    end_s: float
+
+
 class Injector:
     """Injects random faults and reverts them.
 
@@ -55,6 +72,7 @@
         turned_cold: Names of targets that became cold without a restart.
         accepted: Wall-clock time and number of each accepted revision.
         race_winners: Number of accepted changes in each race of operators.
+        stated_rates: Rates that targets stated.
         actions: Injecting methods by kind of fault.
         relays_by_name: Relays by name of the instance.
     """
@@ -74,6 +92,7 @@
         self.turned_cold: set[str] = set()
         self.accepted: list[tuple[float, int]] = []
         self.race_winners: list[int] = []
+        self.stated_rates: list[StatedRate] = []
         self.actions: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
             "kill node": self.kill_node,
             "freeze node": self.freeze_node,
@@ -86,6 +105,8 @@
             "answers cut": self.cut_answers,
             "answers crossed": self.cross_answers,
             "target drains": self.drain_target,
+            "target states a rate": self.state_rate,
+            "target states that it leaves": self.state_leave,
             "platform down": self.stop_platform,
             "platform slow": self.slow_platform,
             "platform loses answers": self.lose_platform_answers,
@@ -244,6 +265,55 @@
         """Makes a target announce that it is draining."""
         await self._change_target("target drains", draining=True)
 
+    async def state_rate(self) -> None:
+        """Makes a target state a rate, and stops or kills its node meanwhile.
+
+        The node is started again, and knows nothing of the rate then.
+        """
+        if instance := self._reserve_instance():
+            fault = self._start_fault("target states a rate", instance.name)
+            rate_per_s = self.rng.uniform(0.5, 4.0)
+            try:
+                await self.running.control_target(
+                    self.client, instance, max_rate_per_s=rate_per_s
+                )
+                begin_s = time.time()
+                await self._sleep_random(1.0, 6.0)
+                await self._signal_and_wait(
+                    instance.node,
+                    self.rng.choice((signal.SIGKILL, signal.SIGTERM)),
+                )
+                self.running.start_node(instance)
+                await self._sleep_random(7.0, 9.0)
+                self.stated_rates.append(
+                    StatedRate(instance.name, rate_per_s, begin_s, time.time())
+                )
+                await self.running.control_target(
+                    self.client, instance, max_rate_per_s=None
+                )
+            finally:
+                self._end_fault(instance, fault)
+
+    async def state_leave(self) -> None:
+        """Makes a target state that it leaves, then replaces it.
+
+        Its announcements go on to say that it is ready.
+        """
+        if instance := self._reserve_instance():
+            fault = self._start_fault(
+                "target states that it leaves", instance.name
+            )
+            try:
+                await self.running.control_target(
+                    self.client, instance, leaving=True
+                )
+                fault.begin_s = time.time()
+                await self._sleep_random(4.0, 6.0)
+                await self._signal_and_wait(instance.target, signal.SIGKILL)
+                self.running.start_target(instance)
+            finally:
+                self._end_fault(instance, fault)
+
     async def delay_path(self) -> None:
         """Delays the traffic between a node and its peers."""
         if instance := self._reserve_instance():
--- a/src/waxwingferry/emulator/target.py
+++ b/src/waxwingferry/emulator/target.py
@@ -73,6 +73,9 @@
             load_lag_s ago.
         load_lag_s: Age of the load that /_load returns.
         draining: Announces that the target drains.
+        max_rate_per_s: Highest rate of requests that responses state, or None
+            to state none.
+        leaving: States in responses that the target leaves.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -97,6 +100,8 @@
     load: int | None = None
     load_lag_s: Annotated[float, pydantic.Field(ge=0)] = 0.5
     draining: bool = False
+    max_rate_per_s: Annotated[float, pydantic.Field(ge=0)] | None = None
+    leaving: bool = False
 
 
 class TargetSettings(pydantic.BaseModel):
@@ -142,6 +147,7 @@
         state: running, done, failed, refused, expired or cancelled.
         started_s: Wall-clock time of the start.
         overload: Whether it started above the current capacity of the target.
+        ended_s: Wall-clock time of the end, or 0 while it runs.
     """
 
     entry_id: str
@@ -154,6 +160,7 @@
     started_s: float
     state: str = "running"
     overload: bool = False
+    ended_s: float = 0.0
 
 
 class SpeedVariation:
@@ -229,7 +236,10 @@
             await self._handle_control(connection, head, b"".join(parts))
             return
         attempt = http1.find_header(head.headers, calls.ATTEMPT_HEADER)
-        response_headers = [(calls.ATTEMPT_HEADER, attempt)]
+        response_headers = [
+            (calls.ATTEMPT_HEADER, attempt),
+            *self._make_statement(),
+        ]
         if self.behaviour.shed or self.in_flight >= self.options.slots:
             self.counts["shed"] += 1
             response_headers.append((target_interface.NOT_RUN_HEADER, "true"))
@@ -242,6 +252,19 @@
             return
         await self._run(connection, head, response_headers)
 
+    def _make_statement(self) -> http1.Headers:
+        headers = []
+        if self.behaviour.max_rate_per_s is not None:
+            headers.append(
+                (
+                    target_interface.MAX_RATE_HEADER,
+                    f"{self.behaviour.max_rate_per_s:.3f}",
+                )
+            )
+        if self.behaviour.leaving:
+            headers.append((target_interface.LEAVING_HEADER, "true"))
+        return headers
+
     def _should_refuse(self, head: http1.RequestHead) -> bool:
         behaviour = self.behaviour
         matches = head.target.startswith(behaviour.fail_path)
@@ -271,6 +294,7 @@
             if entry.state == "running":
                 entry.state = "cancelled"
                 self.counts["cancelled"] += 1
+            entry.ended_s = time.time()
             self.in_flight -= 1
             self.served_since_cold += 1
             self._append_to_ledger_file(entry)
