Log fields of health responses that nothing reads

The class of the incident: a target states something that it expects to be obeyed, in a field that the node passes on or drops without a trace. No log line or metric told that there was a new field.

Each such field is now logged once a process, 32 names at most.

--- a/src/waxwingferry/platform/header_fields.py
+++ b/src/waxwingferry/platform/header_fields.py
@@ -3,6 +3,8 @@
 import dataclasses
 import re
 
+import structlog
+
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
 from waxwingferry.process import target
@@ -24,6 +26,28 @@
 # Set by the node itself; values sent by a caller are removed.
 _NODE_SET_HEADERS = frozenset({CALLER_SERVICE, EXPECTED_TARGET, DEADLINE_MS})
 _MILLISECONDS = re.compile(r"[0-9]{1,9}")
+_HEALTH_FIELDS = frozenset(
+    {
+        REQUEST_ID,
+        LOAD,
+        TARGET_ID,
+        WARMUP_MS,
+        MAX_RATE,
+        LEAVING,
+        NOT_RUN,
+        "connection",
+        "content-length",
+        "content-type",
+        "date",
+        "keep-alive",
+        "retry-after",
+        "server",
+        "transfer-encoding",
+    }
+)
+_MAX_UNKNOWN_FIELDS = 32
+
+log = structlog.get_logger()
 
 
 class PlatformCallerProtocol(call_context.CallerProtocol):
@@ -106,6 +130,28 @@
         return _parse_statement(head.headers)
 
 
+class UnknownFields:
+    """Logs each field of health responses that nothing reads, once.
+
+    Targets may state something new there that they expect the system to obey.
+    """
+
+    def __init__(self):
+        self.names: set[str] = set()
+
+    def record(self, headers: http1.Headers) -> None:
+        """Logs the unknown fields of one response."""
+        for name, value in headers:
+            if name in _HEALTH_FIELDS or name in self.names:
+                continue
+            if len(self.names) >= _MAX_UNKNOWN_FIELDS:
+                return
+            self.names.add(name)
+            log.warning(
+                "target states an unknown field", name=name, value=value
+            )
+
+
 def parse_health(
     reply: exchange.Reply, target_id: str
 ) -> target.TargetLoad | None:
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -122,6 +122,7 @@
         self.target_client = exchange.Client(
             *settings.target_address, max_body_bytes=MAX_HEALTH_BODY_BYTES
         )
+        self.unknown_fields = header_fields.UnknownFields()
         self.readiness_server = serve.Server(self.handle_readiness)
         self.control_server = serve.Server(self.handle_control)
         self.metrics_server = serve.Server(self.handle_metrics)
@@ -174,6 +175,7 @@
         except exchange.ExchangeError as error:
             log.debug("target not sampled", error=str(error))
             return None
+        self.unknown_fields.record(reply.headers)
         return header_fields.parse_health(reply, target_id)
 
     async def join(self) -> None:
--- a/src/waxwingferry/platform/tests/test_target_messages.py
+++ b/src/waxwingferry/platform/tests/test_target_messages.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+import structlog.testing
 
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
@@ -216,3 +217,27 @@
     found = header_fields.parse_health(exchange.Reply(200, headers, b""), "")
     assert found is not None
     assert found.statement == expected
+
+
+# LIMIT: targets stated a rate limit in a field that no code read.
+def test_a_field_that_nothing_reads_is_logged_once():
+    """Guards against new statements of targets that go unnoticed."""
+    unknown_fields = header_fields.UnknownFields()
+    headers = [
+        (header_fields.LOAD, "1,0,8"),
+        (header_fields.MAX_RATE, "2.5"),
+        ("content-length", "0"),
+        ("server-mood", "fair"),
+    ]
+    with structlog.testing.capture_logs() as logs:
+        unknown_fields.record(headers)
+        unknown_fields.record(headers)
+        unknown_fields.record([(f"x-{n}", "") for n in range(1000)])
+    assert logs[0] == {
+        "name": "server-mood",
+        "value": "fair",
+        "event": "target states an unknown field",
+        "log_level": "warning",
+    }
+    assert all(entry["name"].startswith("x-") for entry in logs[1:])
+    assert len(logs) == header_fields._MAX_UNKNOWN_FIELDS
