--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 types: $(VENV)/.ready
 	$(PYTHON) -m mypy --no-incremental --cache-dir=/dev/null
+	$(PYTHON) -m mypy --no-incremental --cache-dir=/dev/null benchmarks
 
 unit: $(VENV)/.ready
 	$(PYTHON) -m pytest
--- a/benchmarks/admission_rules.py
+++ b/benchmarks/admission_rules.py
@@ -276,13 +276,13 @@
         cells = []
         for name in distributions:
             rng = random.Random(seed)
-            draw_service_time_s = {
+            draws: dict[str, Callable[[], float]] = {
                 distributions[0]: lambda: 0.02,
                 distributions[1]: _exponential(rng, 0.02),
                 distributions[2]: functools.partial(_two_values, rng),
-            }[name]
+            }
             run = Simulation(
-                Target(draw_service_time_s, 1),
+                Target(draws[name], 1),
                 1.5 * SLOTS / 0.02,
                 rng,
                 deadline_s=0.06,
