End calls of a planned stop before the process is killed

What callers saw: calls that came between SIGTERM and the drain could wait in a target's queue or run until the process was killed, and were cut off without an answer (LOST).

Cause: their deadline did not know of the end of the process; only the drain refused late deadlines. Both node programs drain by one method.

The test of the entry has two more cases.

--- a/src/waxwingferry/bench/tests/test_scripts.py
+++ b/src/waxwingferry/bench/tests/test_scripts.py
@@ -16,6 +16,7 @@
     "cold-start",
     "fairness",
     "graceful-stop",
+    "killed-stop",
     "operator-race",
     "platform-outage",
     "propagation",
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -301,10 +301,7 @@
                 time.monotonic() - stop_requested_s
             )
             await anyio.sleep(max(remaining_s, 0))
-            self.limit_calls_to_grace(time.monotonic() - stop_requested_s)
-            async with anyio.create_task_group() as drain_group:
-                drain_group.start_soon(self.caller_server.drain)
-                drain_group.start_soon(self.peer_server.drain)
+            await self.drain()
             log.info("node stopped", node=settings.node)
             group.cancel_scope.cancel()
         self.datagrams.close()
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -302,25 +302,26 @@
             self.gossip.run_dissemination,
         )
 
-    def limit_calls_to_grace(self, stopping_s: float) -> None:
-        """Refuses calls from now on that could outlast the process.
-
-        Args:
-            stopping_s: Time since the stop was requested.
-        """
-        if self.options.stop_grace_s is not None:
-            left_s = self.options.stop_grace_s - stopping_s - STOP_RESERVE_S
-            self.entry.stop_deadline = calls.make_deadline(left_s)
-
     async def leave(self) -> None:
         """Announces the leave and gives other nodes time to receive it."""
         log.info("node stopping", node=self.options.node)
+        if self.options.stop_grace_s is not None:
+            self.entry.stop_deadline = calls.make_deadline(
+                self.options.stop_grace_s - STOP_RESERVE_S
+            )
         self.receiver.leaving = True
         if not self.lease.superseded:
             self.announce()
         await anyio.sleep(self.options.leave_delay_s)
         self.receiver.close()
 
+    async def drain(self) -> None:
+        """Ends the connections of callers and peers; cuts off no call."""
+        self.entry.draining = True
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.caller_server.drain)
+            group.start_soon(self.peer_server.drain)
+
 
 def make_caller_limits(caller_limits: revision.CallerLimits) -> message.Limits:
     """Returns the limits for connections from callers.
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -3,7 +3,6 @@
 import json
 import random
 import signal
-import time
 
 import anyio
 import msgspec
@@ -194,12 +193,8 @@
 
     async def stop(self) -> None:
         """Announces the leave, then waits for work in flight to end."""
-        requested_s = time.monotonic()
         await self.leave()
-        self.limit_calls_to_grace(time.monotonic() - requested_s)
-        async with anyio.create_task_group() as group:
-            group.start_soon(self.caller_server.drain)
-            group.start_soon(self.peer_server.drain)
+        await self.drain()
         # Drained after the others: work in flight may still make nested calls.
         await self.local_server.drain()
         await self.tasks.drain(core.TASK_DRAIN_TIMEOUT_S)
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -64,9 +64,9 @@
             platform is unavailable.
         choice: Routing policy; policies other than "weighted" are meant for
             experiments.
-        stop_grace_s: Time from SIGTERM until the process is killed. Calls that
-            could last longer are refused once the node has announced that it
-            leaves; None sets no limit.
+        stop_grace_s: Time from SIGTERM until the process is killed. Calls of
+            that time get a deadline before its end or are refused; None sets
+            no limit.
         log: Log settings.
         random_seed: Seed of random choices; None uses a seed from the
             operating system.
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -58,8 +58,10 @@
         traffic_splitter: Chooses a service for each call of a route with
             several.
         rollouts: Version rollouts, or None if they are not supported.
-        stop_deadline: Time by which calls must end because the process will
-            be killed then, or None. Later ones are refused before they start.
+        stop_deadline: Time by which calls must end because the process is
+            killed soon after, or None.
+        draining: Whether calls that could last longer than the process are
+            refused. Before that, callers can't know of the stop yet.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         self.traffic_splitter = traffic_split.TrafficSplitter(rng)
         self.rollouts: rollout.RolloutController | None = None
         self.stop_deadline: calls.Deadline | None = None
+        self.draining = False
         self.max_in_flight = max_in_flight
         self.in_flight = 0
         self.retry_policy = retry.RetryPolicy(
@@ -209,7 +212,10 @@
         # Set before the body is read, so that this time counts as well.
         deadline = calls.make_deadline(deadline_s)
         if self.stop_deadline and deadline.at_s > self.stop_deadline.at_s:
-            return outcome.NotRun(outcome.Reason.LEAVING)
+            if self.draining:
+                return outcome.NotRun(outcome.Reason.LEAVING)
+            # The caller gets an answer before the process is killed.
+            deadline = self.stop_deadline
         headers = http1.end_to_end_headers(head.headers)
         return calls.Call(
             call_id=f"{self.rng.getrandbits(64):016x}",
--- a/src/waxwingferry/request/tests/test_entry_limits.py
+++ b/src/waxwingferry/request/tests/test_entry_limits.py
@@ -70,14 +70,20 @@
     assert await ask(in_flight, headers) == expected
 
 
-# LOST: requests that came shortly before the process was killed were passed on
-# and then cut off.
+# LOST: requests that came during a planned stop were passed on or queued, and
+# cut off when the process was killed.
 @pytest.mark.anyio
 @pytest.mark.parametrize(
-    ("deadline_ms", "expected"), [("900", "taken"), ("1500", "leaving")]
+    ("draining", "deadline_ms", "expected"),
+    [
+        (False, "900", "own deadline"),
+        (False, "1500", "end of the process"),
+        (True, "900", "own deadline"),
+        (True, "1500", "leaving"),
+    ],
 )
 async def test_a_stopping_node_takes_only_calls_that_end_before_it(
-    monkeypatch, deadline_ms, expected
+    monkeypatch, draining, deadline_ms, expected
 ) -> None:
     """Guards against calls cut off by the end of the process."""
     nothing = cast(Any, None)
@@ -113,10 +119,13 @@
     monkeypatch.setattr(node, "_run_call", run_call)
     monkeypatch.setattr(node.retry_policy, "count_call", lambda call: None)
     node.stop_deadline = calls.make_deadline(1.0)
+    node.draining = draining
     connection = FakeConnection()
     headers = [("host", "a"), (calls.DEADLINE_HEADER, deadline_ms)]
     head = http1.RequestHead("GET", "/", headers)
     await node.handle(cast(Any, connection), head)
-    reason = http1.find_header(connection.headers, "x-waxwing-reason")
-    assert (reason or "taken") == expected
-    assert bool(taken) == (expected == "taken")
+    found = http1.find_header(connection.headers, "x-waxwing-reason")
+    for call in taken:
+        is_capped = call.deadline == node.stop_deadline
+        found = "end of the process" if is_capped else "own deadline"
+    assert found == expected
