--- a/src/waxwingferry/bench/tests/test_scripts.py
+++ b/src/waxwingferry/bench/tests/test_scripts.py
@@ -14,6 +14,7 @@
     "added-latency",
     "at-most-once",
     "cold-start",
+    "domain-move",
     "fairness",
     "graceful-stop",
     "killed-stop",
