Add an experiment that runs an earlier program beside the present one

Half of the nodes run the package of a commit 40 back in the repository's history; all nodes change to the other program one after the other under load, and documents are changed through nodes of both. Without a history the run is skipped and says so.

--- a/src/waxwingferry/bench/cluster.py
+++ b/src/waxwingferry/bench/cluster.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -38,6 +39,8 @@
             if a relay is in front of the peer port.
         node: Process of the node, once started.
         target: Process of the target, once started.
+        node_source: Directory of the package that the node runs, or None for
+            the package of this process.
     """
 
     name: str
@@ -46,6 +49,7 @@
     ports: dict[str, int]
     node: subprocess.Popen | None = None
     target: subprocess.Popen | None = None
+    node_source: pathlib.Path | None = None
 
 
 class Cluster:
@@ -106,8 +110,23 @@
         """Base URL of the platform emulator."""
         return f"http://127.0.0.1:{self.platform_port}"
 
-    def start_process(self, module: str, *arguments: str) -> subprocess.Popen:
-        """Starts a module as a process that logs to a file of its own."""
+    def start_process(
+        self,
+        module: str,
+        *arguments: str,
+        source: pathlib.Path | None = None,
+    ) -> subprocess.Popen:
+        """Starts a module as a process that logs to a file of its own.
+
+        Args:
+            module: Module to run.
+            *arguments: Its arguments.
+            source: Directory of the package to run, or None for the package
+                of this process.
+        """
+        environment = dict(os.environ)
+        if source is not None:
+            environment["PYTHONPATH"] = str(source)
         name = "-".join([module.rsplit(".", 1)[1], *arguments[-1:]])
         path = self.directory / f"{name.replace('/', '_')}.log"
         with path.open("ab") as file:
@@ -116,6 +135,7 @@
                 stdout=file,
                 stderr=file,
                 stdin=subprocess.DEVNULL,
+                env=environment,
             )
 
     def start_node(self, instance: Instance) -> None:
@@ -140,7 +160,10 @@
         path = self.directory / f"node-{instance.name}.yaml"
         path.write_text(yaml.safe_dump(settings), encoding="utf-8")
         instance.node = self.start_process(
-            "waxwingferry.process.node", "--settings_file", str(path)
+            "waxwingferry.process.node",
+            "--settings_file",
+            str(path),
+            source=instance.node_source,
         )
 
     def start_target(self, instance: Instance, **changes) -> None:
--- a/src/waxwingferry/bench/tests/test_scripts.py
+++ b/src/waxwingferry/bench/tests/test_scripts.py
@@ -22,6 +22,7 @@
     "platform-outage",
     "propagation",
     "retry-storm",
+    "rolling-upgrade",
     "routing",
     "silent-connection",
     "soak",
