--- a/src/waxwingferry/bench/experiments/domain_move.py
+++ b/src/waxwingferry/bench/experiments/domain_move.py
@@ -18,7 +18,6 @@
 from waxwingferry.bench import experiment
 from waxwingferry.bench import load
 from waxwingferry.bench.experiments import propagation
-from waxwingferry.cli import client
 
 SERVICES = {"registry": 4, "desk": 4}
 DOMAINS = ("d1", "d2", "d3", "d4")
@@ -106,7 +105,7 @@
     """Takes the domain out and back; both changes go through random nodes."""
     operator = propagation.make_operator_client(running.instances, rng)
     await anyio.to_thread.run_sync(
-        set_domain_state, operator, move.domain, "out"
+        propagation.set_domain_state, operator, move.domain, "out"
     )
     move.out_s = time.monotonic()
     if move.platform_down:
@@ -116,20 +115,11 @@
     # Taken before the change, because nodes may apply it at once.
     move.back_s = time.monotonic()
     await anyio.to_thread.run_sync(
-        set_domain_state, operator, move.domain, "in"
+        propagation.set_domain_state, operator, move.domain, "in"
     )
     await anyio.sleep(BACK_S)
 
 
-def set_domain_state(operator: client.Client, name: str, state: str) -> int:
-    """Sets the state of a failure domain; returns the new revision."""
-    base, content = operator.get_document()
-    for domain in content["failure_domains"]:
-        if domain["name"] == name:
-            domain["state"] = state
-    return operator.put_document(content, base, f"{name} {state}")
-
-
 def _check_ledgers(report, running, moves: list[Move]) -> None:
     wall_offset_s = time.time() - time.monotonic()
     ledgers = running.read_ledgers()
--- a/src/waxwingferry/bench/experiments/propagation.py
+++ b/src/waxwingferry/bench/experiments/propagation.py
@@ -234,7 +234,9 @@
             group.start_soon(caller.run, LOAD_DURATION_S)
         await anyio.sleep(1.0)
         operator = make_operator_client(running.instances, rng)
-        await anyio.to_thread.run_sync(_set_domain_out, operator, out_domain)
+        await anyio.to_thread.run_sync(
+            set_domain_state, operator, out_domain, "out"
+        )
         await anyio.sleep(DOMAIN_OUT_GRACE_S)
         before = [
             await running.counts(sampler.http, m) for m in domain_instances
@@ -259,9 +261,10 @@
     )
 
 
-def _set_domain_out(operator: client.Client, name: str) -> int:
+def set_domain_state(operator: client.Client, name: str, state: str) -> int:
+    """Sets the state of a failure domain; returns the new revision."""
     base, content = operator.get_document()
     for domain in content["failure_domains"]:
         if domain["name"] == name:
-            domain["state"] = "out"
-    return operator.put_document(content, base, f"{name} out")
+            domain["state"] = state
+    return operator.put_document(content, base, f"{name} {state}")
--- a/src/waxwingferry/connection/tests/test_drain.py
+++ b/src/waxwingferry/connection/tests/test_drain.py
@@ -116,7 +116,7 @@
             await running.connect()
 
 
-# LOST: while one request ran, others started on idle connections until the
+# While one request ran, others started on idle connections until the
 # process was killed, and were cut off.
 @pytest.mark.anyio
 async def test_no_request_starts_on_an_idle_connection_during_a_long_one() -> (
--- a/src/waxwingferry/process/tests/test_faulty_target.py
+++ b/src/waxwingferry/platform/tests/test_faulty_target.py
@@ -107,7 +107,7 @@
     )
 
 
-# REFUSED, TWICE: a refusal without an ID, written once more on a connection in
+# A refusal without an ID, written once more on a connection in
 # use again, was taken for that of a request which the target was running.
 @pytest.mark.parametrize("repeated", [make_refusal(""), make_refusal("a")])
 @pytest.mark.parametrize("earlier", [make_refusal("a"), make_answer("a")])
@@ -139,7 +139,7 @@
     assert not client.pool.idle
 
 
-# MIXED: an answer whose head was broken off was passed on as a whole one.
+# An answer whose head was broken off was passed on as a whole one.
 @pytest.mark.parametrize("after_another", [False, True])
 async def test_an_answer_broken_off_in_its_head_is_no_answer(
     after_another: bool,
@@ -171,7 +171,7 @@
             assert await send(client, "b") == "Unknown", head
 
 
-# DRAIN, LIMIT: a target that had taken over the address of another one stated
+# A target that had taken over the address of another one stated
 # that it leaves, and the other one, which did not leave, got nothing more.
 async def test_a_misdirected_response_says_nothing_about_the_target() -> None:
     """Guards against the state of one target recorded for another."""
--- a/src/waxwingferry/platform/tests/test_target_messages.py
+++ b/src/waxwingferry/platform/tests/test_target_messages.py
@@ -219,7 +219,7 @@
     assert found.statement == expected
 
 
-# LIMIT: targets stated a rate limit in a field that no code read.
+# Targets stated a rate limit in a field that no code read.
 def test_a_field_that_nothing_reads_is_logged_once():
     """Guards against new statements of targets that go unnoticed."""
     unknown_fields = header_fields.UnknownFields()
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -39,7 +39,7 @@
 from waxwingferry.version import revision
 
 INTERIM_INTERVAL_S = 0.2
-# Time before the end of the grace by which the last calls must end.
+# Time before the process is killed by which the last calls must end.
 STOP_RESERVE_S = 0.3
 TASK_DRAIN_TIMEOUT_S = 5.0
 
--- a/src/waxwingferry/process/protection/tests/test_rate_limit.py
+++ b/src/waxwingferry/process/protection/tests/test_rate_limit.py
@@ -80,7 +80,7 @@
         )
 
 
-# LIMIT: a target that states a rate got what arrived, up to its slots.
+# A target that states a rate got what arrived, up to its slots.
 @pytest.mark.parametrize("rate_per_s", [0.5, 2.1, 3.5, 8.0])
 def test_a_target_gets_no_more_than_the_rate_that_it_states(rate_per_s):
     """Guards against more requests than the target says that it takes."""
--- a/src/waxwingferry/process/spreading/tests/test_members.py
+++ b/src/waxwingferry/process/spreading/tests/test_members.py
@@ -25,7 +25,7 @@
     assert chosen.incarnation == "next"
 
 
-# DRAIN: an entry that had passed on an answer of a leaving target sent requests
+# An entry that had passed on an answer of a leaving target sent requests
 # there again, once the target's node had restarted and announced it as ready.
 def test_a_leave_that_an_entry_saw_outlives_the_target_node():
     """Guards against requests to a target that said that it leaves."""
--- a/src/waxwingferry/request/tests/test_entry_limits.py
+++ b/src/waxwingferry/request/tests/test_entry_limits.py
@@ -70,7 +70,7 @@
     assert await ask(in_flight, headers) == expected
 
 
-# LOST: requests that came during a planned stop were passed on or queued, and
+# Requests that came during a planned stop were passed on or queued, and
 # cut off when the process was killed.
 @pytest.mark.anyio
 @pytest.mark.parametrize(
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -119,7 +119,7 @@
     assert refused.get({"kind": "not_run", "reason": "leaving"}) == 1
 
 
-# DRAIN: a target that stated its leave in answers was sent further requests.
+# A target that stated its leave in answers was sent further requests.
 @pytest.mark.anyio
 async def test_a_target_that_states_its_leave_gets_no_more_requests() -> None:
     """Guards against waiting for the announcement of a target that leaves."""
