Do not warn of an excess when a stated rate falls

What operators saw: "target gets more requests than it states" although the node had kept to the rate. Cause: the window of the count still held requests that the earlier, higher rate allowed; only the first statement was excused. The count now starts anew whenever the rate falls. Only the log changes.

Found on reading the change. The new test fails before (one warning too many).

--- a/src/waxwingferry/process/protection/rate_limit.py
+++ b/src/waxwingferry/process/protection/rate_limit.py
@@ -33,7 +33,8 @@
 
     Attributes:
         rate_per_s: Stated requests per second, or None if any number is taken.
-        stated_s: Monotonic time since which a rate is stated.
+        lowered_s: Monotonic time since which the rate has not fallen. Until a
+            window later, the window may hold more requests than it allows.
         bucket: Token bucket of the stated rate, or None without a rate.
         dispatch_times_s: Monotonic times of the dispatches in the last window.
         excess_logged_s: Monotonic time of the last warning about an excess.
@@ -43,7 +44,7 @@
         self.clock = clock
         self.rate_per_s: float | None = None
         self.bucket: budget.TokenBucket | None = None
-        self.stated_s = clock()
+        self.lowered_s = clock()
         self.dispatch_times_s: collections.deque[float] = collections.deque()
         self.excess_logged_s = clock() - WINDOW_S
 
@@ -53,8 +54,10 @@
         if rate_per_s == previous:
             return
         self.rate_per_s = rate_per_s
-        if previous is None:
-            self.stated_s = self.clock()
+        if rate_per_s is not None and (
+            previous is None or rate_per_s < previous
+        ):
+            self.lowered_s = self.clock()
         self._update_bucket()
         log.info(
             "target states a rate limit",
@@ -109,7 +112,7 @@
             return
         spent = self.bucket.spend()
         assert spent, "a request is sent only if the stated rate allows it"
-        if now_s - self.stated_s < WINDOW_S:
+        if now_s - self.lowered_s < WINDOW_S:
             return
         if count <= self.bucket.rate_per_s * WINDOW_S + self.bucket.burst:
             return
--- a/src/waxwingferry/process/protection/tests/test_rate_limit.py
+++ b/src/waxwingferry/process/protection/tests/test_rate_limit.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+import structlog.testing
 
 from waxwingferry.process.protection import admission as admissions
 from waxwingferry.process.protection import stated_limit
@@ -134,6 +135,17 @@
     assert len(load.sent_s) <= 3.1 * 10.0 + 3.1
 
 
+def test_a_rate_that_falls_is_not_reported_as_excess():
+    """Guards against a warning about requests that the earlier rate allowed."""
+    load = Load(1)
+    load.admission.rate_limit.record_statement(8.0)
+    load.run(10.0, 15.0)
+    with structlog.testing.capture_logs() as logs:
+        load.admission.rate_limit.record_statement(1.0)
+        load.run(10.0, 15.0)
+    assert [entry["event"] for entry in logs] == ["target states a rate limit"]
+
+
 def test_a_request_that_can_not_be_sent_in_time_is_refused_at_once():
     """Guards against queueing behind a rate that is too low until a timeout."""
     load = Load(1)
