Take a load report with an endless number for malformed

A wait or slowness of some hundred digits in a load report raised an overflow error from parse_load, which promises None for malformed reports. What an attempt with such a report ended with was not run. The field for the wait is new with the stated rate; the one for the slowness had the same fault before.

Found on reading the change. The two new cases of the test fail before.

--- a/src/waxwingferry/process/choice/load_stats.py
+++ b/src/waxwingferry/process/choice/load_stats.py
@@ -51,7 +51,7 @@
         limit = int(parts["limit"])
         slowness = int(parts.get("slow", "100")) / 100
         wait_s = int(parts["wait"]) / 1000 if "wait" in parts else -math.inf
-    except (ValueError, KeyError):
+    except (ValueError, KeyError, OverflowError):
         return None
     if min(in_flight, queue, limit) < 0:
         return None
--- a/src/waxwingferry/process/choice/tests/test_routing.py
+++ b/src/waxwingferry/process/choice/tests/test_routing.py
@@ -224,7 +224,15 @@
 
 
 @pytest.mark.parametrize(
-    "text", ["", "in_flight=1", "in_flight=-1,queue=0,limit=6", "a,b,c"]
+    "text",
+    [
+        "",
+        "in_flight=1",
+        "in_flight=-1,queue=0,limit=6",
+        "a,b,c",
+        f"in_flight=1,queue=0,limit=6,slow={'9' * 400}",
+        f"in_flight=1,queue=0,limit=6,wait={'9' * 400}",
+    ],
 )
 def test_malformed_report_is_no_report(text: str) -> None:
     """Guards against malformed reports that lower the cost of a target."""
