Log a stated rate that is malformed; say how long a leave holds

A rate that is no decimal number was read as none without a log line. The module's header said that each statement holds until a response omits it; a leave holds until the next start of the target.

Found on reading the change; what is sent to the target is as before.

--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -10,7 +10,8 @@
 Responses also carry what the target states about itself: the highest rate of
 requests that it takes ("x-target-max-rate: 3.5", in requests per second from
 all nodes together), and that it is about to leave ("x-target-leaving: true").
-A statement holds until a response of the same target omits it.
+A rate holds until a response of the same target omits it; a leave holds until
+the next start of the target.
 """
 
 from collections.abc import AsyncIterator
@@ -24,6 +25,7 @@
 from typing import Literal
 
 import msgspec
+import structlog
 
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
@@ -43,6 +45,8 @@
 SKIPPED_HEAD_BYTES = 1024
 MAX_UNDECLARED_BODY_BYTES = 64 * 1024 * 1024
 
+log = structlog.get_logger()
+
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][\w.:-]{0,62}\Z")]
@@ -125,8 +129,16 @@
 
 
 def parse_rate(text: str) -> float | None:
-    """Returns a decimal number of requests per second, None if malformed."""
-    return float(text) if _DECIMAL.fullmatch(text) else None
+    """Returns a decimal number of requests per second.
+
+    Returns:
+        None if the text is empty or malformed.
+    """
+    if _DECIMAL.fullmatch(text):
+        return float(text)
+    if text:
+        log.debug("stated rate ignored: not a decimal number", value=text)
+    return None
 
 
 class TargetProtocol:
