Report requests whose connection ends without a response

A server connection that ended with a request in progress left no trace, unless an unexpected exception ended it. Nothing is done for a request that is answered.

--- a/src/waxwingferry/connection/pipeline.py
+++ b/src/waxwingferry/connection/pipeline.py
@@ -93,6 +93,7 @@
         closing: Whether a response has announced that the connection closes.
         advancing: Whether responses that are due are being sent.
         receiving: Whether the next request head is being received.
+        exclusive: Request that runs alone and isn't answered yet, or None.
         error: First error that ended the connection, or None.
         scope: Cancels all work of the pipeline.
     """
@@ -103,6 +104,7 @@
         self.held_bytes = 0
         self.closing = False
         self.receiving = False
+        self.exclusive: message.RequestHead | None = None
         self.error: Exception | None = None
         self.scope = anyio.CancelScope()
         self.advancing = False
@@ -149,6 +151,11 @@
         while self.pending:
             await self._changed.wait()
 
+    def list_unanswered(self) -> list[message.RequestHead]:
+        """Returns the started requests without a complete response."""
+        requests = [exchange.request for exchange in self.pending]
+        return [self.exclusive, *requests] if self.exclusive else requests
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import enum
 import time
 
 import anyio
@@ -29,6 +30,32 @@
 Handler = Callable[[http1.ServerConnection, http1.RequestHead], Awaitable[None]]
 
 
+class Unanswered(enum.Enum):
+    """Why a connection ended without the response to a request it had read.
+
+    Attributes:
+        CLIENT_CLOSED: The client had closed the connection.
+        BEHIND_CLOSE: It was sent behind a response that closes the connection,
+            and was not started.
+        ANSWER_CUT: A response of the connection could not be completed.
+        ERROR: An unexpected error ended the connection.
+        CANCELLED: The server ended the connection.
+    """
+
+    CLIENT_CLOSED = "client_closed"
+    BEHIND_CLOSE = "behind_close"
+    ANSWER_CUT = "answer_cut"
+    ERROR = "error"
+    CANCELLED = "cancelled"
+
+
+OnUnanswered = Callable[[http1.RequestHead, Unanswered], None]
+
+
+def ignore_unanswered(*_: object) -> None:
+    """Default for Server.on_unanswered: does nothing."""
+
+
 class Server:
     """Accepts connections on one address and runs a handler per request.
 
@@ -51,6 +78,8 @@
         listening: Set once the server accepts connections.
         port: Port that the server listens on.
         failures: Number of connections ended by an unexpected error.
+        on_unanswered: Called with each request that was read and whose
+            connection ended without a complete response.
     """
 
     def __init__(
@@ -71,6 +100,7 @@
         self.listening = anyio.Event()
         self.listener: tcp.Listener | None = None
         self.failures = 0
+        self.on_unanswered: OnUnanswered = ignore_unanswered
         self.port = 0
 
     async def serve(self, host: str, port: int) -> None:
@@ -144,15 +174,33 @@
     async def serve_requests(self, connection: http1.ServerConnection) -> None:
         """Handles the requests of one connection until it has to close."""
         requests = pipeline.Pipeline(connection)
-        async with anyio.create_task_group() as group:
-            requests.scope = group.cancel_scope
-            try:
-                await self._serve_pipeline(requests, group)
-            except Exception as error:
-                requests.fail(error)
+        try:
+            async with anyio.create_task_group() as group:
+                requests.scope = group.cancel_scope
+                try:
+                    await self._serve_pipeline(requests, group)
+                except Exception as error:
+                    requests.fail(error)
+        finally:
+            self._report_unanswered(requests)
         if requests.error is not None:
             raise requests.error
 
+    def _report_unanswered(self, requests: pipeline.Pipeline) -> None:
+        heads = requests.list_unanswered()
+        if not heads:
+            return
+        stream = requests.connection.stream
+        reason = Unanswered.CANCELLED
+        if isinstance(stream, tcp.Stream) and stream.is_closed_by_peer():
+            reason = Unanswered.CLIENT_CLOSED
+        elif isinstance(requests.error, http1.HttpError):
+            reason = Unanswered.ANSWER_CUT
+        elif requests.error is not None:
+            reason = Unanswered.ERROR
+        for head in heads:
+            self.on_unanswered(head, reason)
+
     async def _serve_pipeline(
         self, requests: pipeline.Pipeline, group: anyio.abc.TaskGroup
     ) -> None:
@@ -172,6 +220,7 @@
                 # The client sends a request again that was sent behind a
                 # closing response.
                 await requests.wait_until_empty()
+                self.on_unanswered(head, Unanswered.BEHIND_CLOSE)
                 return
             if self.stopping:
                 connection.keep_alive = False
@@ -182,8 +231,12 @@
             else:
                 await requests.wait_until_empty()
                 if requests.closing:
+                    self.on_unanswered(head, Unanswered.BEHIND_CLOSE)
                     return
+                requests.exclusive = head
                 await self._serve_call(connection, head)
+                if connection.answer_started:
+                    requests.exclusive = None
             if not (connection.keep_alive and connection.request_ended):
                 await requests.wait_until_empty()
                 return
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -141,6 +141,7 @@
         self.caller_server = serve.Server(
             self.entry.handle, may_overlap=self.entry.may_overlap
         )
+        self.caller_server.on_unanswered = self.record_unanswered
         self.peer_server = serve.Server(self.handle_peer, INTERIM_INTERVAL_S)
 
     def _make_control_plane(self, client: peers.PeerClient) -> None:
@@ -215,6 +216,20 @@
                 else -math.inf,
             )
 
+    def record_unanswered(
+        self, head: http1.RequestHead, reason: serve.Unanswered
+    ) -> None:
+        """Counts and logs a caller's request that got no response."""
+        self.counters.unanswered.inc({"reason": reason.value})
+        if reason is serve.Unanswered.CLIENT_CLOSED:
+            return
+        log.warning(
+            "request unanswered",
+            request=self.entry.protocol.find_request_id(head.headers),
+            reason=reason.value,
+            stopping=self.stop_requested.is_set(),
+        )
+
     def count_ejection(self, candidate: known_target.Candidate) -> None:
         """Counts the ejection of a target that fails far more than others."""
         self.counters.events.inc({"name": "ejected"})
--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -13,6 +13,9 @@
         self.registry = aioprometheus.Registry()
         self.calls = self._make_counter("calls", "Calls by how they ended.")
         self.refusals = self._make_counter("refusals", "Refusals by reason.")
+        self.unanswered = self._make_counter(
+            "unanswered", "Requests whose connection ended without a response."
+        )
         self.retries = self._make_counter("retries", "Retries by reason.")
         self.retry_denials = self._make_counter(
             "retry_denials", "Calls not tried again, by reason."
