Keep handling signals while a node stops

Callers saw connections that ended at once, with whole requests unanswered, when a signal reached a node that was stopping: a SIGHUP, or a second SIGTERM or SIGINT.

The task that waited for signals returned at the first SIGTERM. That removed the handlers, so the default action of the next signal ended the process, with all requests in flight. The node now receives signals from before its first listener opens until it has stopped; SIGHUP reloads the settings, further SIGTERM and SIGINT change nothing. waxwingferry-node had the same fault with SIGTERM and SIGINT.

The tests run node processes.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -1,5 +1,6 @@
 """Node program for the users' platform: connects its parts and runs it."""
 
+from collections.abc import AsyncIterator
 import os
 import random
 import signal
@@ -273,9 +274,20 @@
 
     async def run(self) -> None:
         """Runs until a stop is requested, then stops gracefully."""
+        # Without a receiver, a signal ends the process and all requests.
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            await self._run_until_stopped(signals)
+        self.datagrams.close()
+
+    async def _run_until_stopped(
+        self, signals: AsyncIterator[signal.Signals]
+    ) -> None:
         settings = self.settings
         metrics_port = settings.first_internal_port + METRICS_PORT_OFFSET
         async with anyio.create_task_group() as group:
+            group.start_soon(self.handle_signals, signals)
             for server, host, port in (
                 (self.caller_server, *settings.outbound_address),
                 (self.readiness_server, *settings.readiness_address),
@@ -289,7 +301,6 @@
                 self.watcher.run,
                 self.sampler.run,
                 self.rollouts.run,
-                self.wait_for_signals,
             ):
                 group.start_soon(task)
             group.start_soon(self.datagrams.run, self.gossip.receive)
@@ -304,19 +315,16 @@
             await self.drain()
             log.info("node stopped", node=settings.node)
             group.cancel_scope.cancel()
-        self.datagrams.close()
 
-    async def wait_for_signals(self) -> None:
+    async def handle_signals(
+        self, signals: AsyncIterator[signal.Signals]
+    ) -> None:
         """Stops the node on SIGTERM or SIGINT; reloads settings on SIGHUP."""
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for signal_number in signals:
-                if signal_number == signal.SIGHUP:
-                    self.reload()
-                    continue
+        async for signal_number in signals:
+            if signal_number == signal.SIGHUP:
+                self.reload()
+            else:
                 self.stop_requested.set()
-                return
 
     def reload(self) -> None:
         """Reloads the settings; listen addresses stay as they were at start."""
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -1,5 +1,6 @@
 """waxwingferry-node: the sidecar process of each target."""
 
+from collections.abc import AsyncIterator
 import json
 import random
 import signal
@@ -152,8 +153,19 @@
 
     async def run(self) -> None:
         """Runs until a stop is requested, then shuts down gracefully."""
+        # Without a receiver, a signal ends the process and all requests.
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            await self._run_until_stopped(signals)
+        self.datagrams.close()
+
+    async def _run_until_stopped(
+        self, signals: AsyncIterator[signal.Signals]
+    ) -> None:
         options = self.settings
         async with anyio.create_task_group() as group:
+            group.start_soon(self.handle_signals, signals)
             group.start_soon(
                 self.caller_server.serve, options.host, options.caller_port
             )
@@ -171,7 +183,6 @@
             )
             group.start_soon(self.claims.result_writer.run)
             group.start_soon(self.prober.run)
-            group.start_soon(self.wait_for_signal)
             group.start_soon(self.synchronizer.run_table_reader)
             for task in self.control_tasks:
                 group.start_soon(task)
@@ -180,16 +191,13 @@
             await self.stop_requested.wait()
             await self.stop()
             group.cancel_scope.cancel()
-        self.datagrams.close()
 
-    async def wait_for_signal(self) -> None:
-        """Requests a stop on SIGTERM or SIGINT."""
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                self.stop_requested.set()
-                return
+    async def handle_signals(
+        self, signals: AsyncIterator[signal.Signals]
+    ) -> None:
+        """Requests a stop; further signals change nothing."""
+        async for _ in signals:
+            self.stop_requested.set()
 
     async def stop(self) -> None:
         """Announces the leave, then waits for work in flight to end."""
--- a/src/waxwingferry/process/tests/test_node.py
+++ b/src/waxwingferry/process/tests/test_node.py
@@ -1,6 +1,8 @@
 """Tests that IDs differ between node processes."""
 
+import json
 import random
+import signal
 
 import pytest
 
@@ -8,6 +10,7 @@
 from waxwingferry.process import node
 from waxwingferry.process import settings
 from waxwingferry.process.tests import fakes
+from waxwingferry.process.tests import logged_process
 
 
 def make_node(port_allocator: ports.PortAllocator) -> node.Node:
@@ -39,3 +42,28 @@
     finally:
         first.datagrams.close()
         second.datagrams.close()
+
+
+# The handlers were removed with the first signal.
+@pytest.mark.anyio
+async def test_a_second_signal_does_not_end_a_stop(tmp_path) -> None:
+    """Guards against a stop that becomes abrupt with the next signal."""
+    free_ports = ports.PortAllocator()
+    options: dict[str, str | int] = {
+        "node": "n0",
+        "region": "r1",
+        "failure_domain": "d1",
+        "platform_url": "http://127.0.0.1:1",
+    }
+    for name in ("caller", "local", "peer", "admin"):
+        options[f"{name}_port"] = free_ports.allocate()
+    path = tmp_path / "settings.yaml"
+    path.write_text(json.dumps(options))
+    async with logged_process.run(
+        tmp_path, "waxwingferry.process.node", "--settings_file", str(path)
+    ) as process:
+        await process.wait_for("node started")
+        process.process.send_signal(signal.SIGTERM)
+        await process.wait_for("node stopping")
+        process.process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
