Let SIGHUP not end a node, and log signals

A node with the project's own interfaces had no handler for SIGHUP, so its default action ended the process and cut off all calls, at any time. Both kinds of node now receive the same signals in one module (process/signals.py) from before the first listener opens until the last request has ended, and log each one; a signal that came during a stop left no line before.

test_a_reload_does_not_end_a_node failed before (the process ended). A second new test sends a request that may not be repeated through a node that stops and then gets SIGHUP, or SIGTERM and SIGINT: on its connection ended without an answer (EndOfStreamError) in both cases.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -1,9 +1,7 @@
 """Node program for the users' platform: connects its parts and runs it."""
 
-from collections.abc import AsyncIterator
 import os
 import random
-import signal
 import sys
 import time
 
@@ -22,6 +20,7 @@
 from waxwingferry.process import core
 from waxwingferry.process import logs
 from waxwingferry.process import platform
+from waxwingferry.process import signals
 from waxwingferry.process import target
 from waxwingferry.process.choice import routing
 from waxwingferry.process.protection import registration
@@ -274,20 +273,20 @@
 
     async def run(self) -> None:
         """Runs until a stop is requested, then stops gracefully."""
-        # Without a receiver, a signal ends the process and all requests.
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            await self._run_until_stopped(signals)
+        with signals.receive_signals() as received:
+            await self._run_until_stopped(received)
         self.datagrams.close()
 
-    async def _run_until_stopped(
-        self, signals: AsyncIterator[signal.Signals]
-    ) -> None:
+    async def _run_until_stopped(self, received: signals.Signals) -> None:
         settings = self.settings
         metrics_port = settings.first_internal_port + METRICS_PORT_OFFSET
         async with anyio.create_task_group() as group:
-            group.start_soon(self.handle_signals, signals)
+            group.start_soon(
+                signals.handle_signals,
+                received,
+                self.stop_requested,
+                self.reload,
+            )
             for server, host, port in (
                 (self.caller_server, *settings.outbound_address),
                 (self.readiness_server, *settings.readiness_address),
@@ -316,16 +315,6 @@
             log.info("node stopped", node=settings.node)
             group.cancel_scope.cancel()
 
-    async def handle_signals(
-        self, signals: AsyncIterator[signal.Signals]
-    ) -> None:
-        """Stops the node on SIGTERM or SIGINT; reloads settings on SIGHUP."""
-        async for signal_number in signals:
-            if signal_number == signal.SIGHUP:
-                self.reload()
-            else:
-                self.stop_requested.set()
-
     def reload(self) -> None:
         """Reloads the settings; listen addresses stay as they were at start."""
         try:
--- a/src/waxwingferry/platform/tests/test_signals.py
+++ b/src/waxwingferry/platform/tests/test_signals.py
@@ -6,22 +6,37 @@
 import pathlib
 import signal
 
+import anyio
 import pytest
 
 from waxwingferry.bench import ports
+from waxwingferry.connection import exchange
+from waxwingferry.connection import http1
+from waxwingferry.connection import serve
 from waxwingferry.platform import settings_file
+from waxwingferry.platform.tests import fake_store
+from waxwingferry.platform.tests import test_operator_document
 from waxwingferry.platform.tests import test_settings_file
 from waxwingferry.process.tests import logged_process
 
+TIMEOUT_S = 20.0
+TARGET_ID = "i-1"
+
 pytestmark = pytest.mark.anyio
 
 
 def run_node(
-    directory: pathlib.Path,
+    directory: pathlib.Path, data: dict | None = None
 ) -> contextlib.AbstractAsyncContextManager[logged_process.LoggedProcess]:
-    """Runs a node process without a store while the context is active."""
+    """Runs a node process while the context is active.
+
+    Args:
+        directory: Directory for the settings and the log.
+        data: Settings; by default without a store and a target.
+    """
     path = directory / "settings.toml"
-    path.write_text(_format_settings(ports.PortAllocator()))
+    data = data or _make_settings(ports.PortAllocator())
+    path.write_text(_format_settings(data))
     return logged_process.run(
         directory,
         "waxwingferry.platform.main",
@@ -29,7 +44,7 @@
     )
 
 
-def _format_settings(free_ports: ports.PortAllocator) -> str:
+def _make_settings(free_ports: ports.PortAllocator) -> dict:
     data = copy.deepcopy(test_settings_file.DATA)
     first_port = free_ports.allocate()
     data["self"]["ip"] = ports.HOST
@@ -42,6 +57,10 @@
     data["provider"]["provider"]["address"] = (
         f"{ports.HOST}:{free_ports.allocate()}"
     )
+    return data
+
+
+def _format_settings(data: dict) -> str:
     lines: list[str] = []
     _format_table("", data, lines)
     return "\n".join(lines) + "\n"
@@ -86,3 +105,129 @@
             await node.wait_for("settings reloaded", number + 1)
         node.process.terminate()
         assert await node.wait() == 0
+
+
+class SlowTarget:
+    """A target that answers its requests once a test allows it.
+
+    Attributes:
+        started: Set once the target has a request.
+        answer_allowed: Set by the test.
+    """
+
+    def __init__(self):
+        self.server = serve.Server(self.handle)
+        self.started = anyio.Event()
+        self.answer_allowed = anyio.Event()
+
+    async def handle(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        """Answers health checks at once, and other requests when allowed."""
+        attempt_id = http1.find_header(
+            head.headers, "x-waxwingferry-attempt-id"
+        )
+        headers = [
+            ("x-waxwingferry-attempt-id", attempt_id),
+            ("x-waxwingferry-instance-id", TARGET_ID),
+            ("x-waxwingferry-server-load", "0,0,6,100"),
+        ]
+        if head.target != "/health":
+            self.started.set()
+            await self.answer_allowed.wait()
+        await connection.send_head(200, headers, b"whole")
+
+
+async def _request(
+    address: tuple[str, int], method: str, path: str, body: bytes = b""
+) -> exchange.Reply:
+    """Sends one request on a connection of its own."""
+    client = exchange.Client(*address)
+    client.authority = "a.example"
+    headers = [("x-waxwingferry-deadline-ms", "15000")]
+    return await client.request(method, path, TIMEOUT_S, body, headers)
+
+
+async def _wait_for_readiness(
+    settings: settings_file.Settings, status: int
+) -> None:
+    """Returns once the node says that it is, or isn't, ready."""
+    while True:
+        reply = await _request(settings.readiness_address, "GET", "/-/ready")
+        if reply.status == status:
+            return
+        await anyio.sleep(0.02)
+
+
+async def _announce_target(settings: settings_file.Settings) -> None:
+    """Sends the first heartbeat of the target."""
+    host, port = settings.target_address
+    heartbeat = {
+        "address": f"{host}:{port}",
+        "born": 1,
+        "info": {"service": "desk", "version": "v1", "zone": "a", "slots": 6},
+        "status": {"state": "ready", "sequence": 1},
+    }
+    reply = await _request(
+        settings.control_address,
+        "POST",
+        f"/-/instances/{TARGET_ID}/heartbeat",
+        json.dumps(heartbeat).encode(),
+    )
+    assert reply.status == 200
+
+
+# Callers of a stopping node lost their requests when the node got a signal.
+@pytest.mark.parametrize(
+    "further",
+    [(signal.SIGHUP,), (signal.SIGTERM, signal.SIGINT)],
+    ids=["reload", "stop-again"],
+)
+async def test_a_signal_during_a_stop_cuts_off_no_request(
+    tmp_path, further
+) -> None:
+    """Guards against requests lost because a stopping node gets a signal."""
+    target = SlowTarget()
+    fake = fake_store.FakeStore()
+    config = copy.deepcopy(test_operator_document.CONFIG)
+    for route in config["virtual-hosts"][0]["paths"]:
+        route["timeout"] = f"{TIMEOUT_S}s"
+    fake.put("op", "config", config)
+    store_server = fake.make_server(fake.access)
+    free_ports = ports.PortAllocator()
+    data = _make_settings(free_ports)
+    data["timing"]["bounds"]["grace"] = "60s"
+    replies: list[exchange.Reply] = []
+    async with anyio.create_task_group() as servers:
+        for server in (target.server, store_server):
+            servers.start_soon(server.serve, ports.HOST, 0)
+            await server.listening.wait()
+        data["self"]["app-addr"] = f"{ports.HOST}:{target.server.port}"
+        data["provider"]["provider"]["address"] = (
+            f"{ports.HOST}:{store_server.port}"
+        )
+        settings = settings_file.parse(data)
+        async with run_node(tmp_path, data) as node:
+            await node.wait_for("document in force")
+            await _wait_for_readiness(settings, 200)
+            await _announce_target(settings)
+
+            async def send() -> None:
+                replies.append(
+                    await _request(
+                        settings.outbound_address, "POST", "/a/x", b"order"
+                    )
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(send)
+                await target.started.wait()
+                node.process.terminate()
+                await node.wait_for("node stopping")
+                for number in further:
+                    node.process.send_signal(number)
+                await node.wait_for("signal received", 1 + len(further))
+                target.answer_allowed.set()
+            assert await node.wait() == 0
+        servers.cancel_scope.cancel()
+    assert [(item.status, item.body) for item in replies] == [(200, b"whole")]
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -1,9 +1,7 @@
 """waxwingferry-node: the sidecar process of each target."""
 
-from collections.abc import AsyncIterator
 import json
 import random
-import signal
 
 import anyio
 import msgspec
@@ -19,6 +17,7 @@
 from waxwingferry.process import platform
 from waxwingferry.process import program
 from waxwingferry.process import settings
+from waxwingferry.process import signals
 from waxwingferry.process import target
 from waxwingferry.process.choice import probe
 from waxwingferry.process.choice import routing
@@ -153,19 +152,19 @@
 
     async def run(self) -> None:
         """Runs until a stop is requested, then shuts down gracefully."""
-        # Without a receiver, a signal ends the process and all requests.
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            await self._run_until_stopped(signals)
+        with signals.receive_signals() as received:
+            await self._run_until_stopped(received)
         self.datagrams.close()
 
-    async def _run_until_stopped(
-        self, signals: AsyncIterator[signal.Signals]
-    ) -> None:
+    async def _run_until_stopped(self, received: signals.Signals) -> None:
         options = self.settings
         async with anyio.create_task_group() as group:
-            group.start_soon(self.handle_signals, signals)
+            group.start_soon(
+                signals.handle_signals,
+                received,
+                self.stop_requested,
+                signals.reject_reload,
+            )
             group.start_soon(
                 self.caller_server.serve, options.host, options.caller_port
             )
@@ -192,13 +191,6 @@
             await self.stop()
             group.cancel_scope.cancel()
 
-    async def handle_signals(
-        self, signals: AsyncIterator[signal.Signals]
-    ) -> None:
-        """Requests a stop; further signals change nothing."""
-        async for _ in signals:
-            self.stop_requested.set()
-
     async def stop(self) -> None:
         """Announces the leave, then waits for work in flight to end."""
         await self.leave()
--- /dev/null
+++ b/src/waxwingferry/process/signals.py
@@ -0,0 +1,51 @@
+"""Signals that stop a process or make it reload its settings."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import signal
+
+import anyio
+import structlog
+
+log = structlog.get_logger()
+
+Signals = AsyncIterator[signal.Signals]
+
+
+def receive_signals() -> contextlib.AbstractContextManager[Signals]:
+    """Receives signals to stop and to reload while the context is active.
+
+    It must stay active until the last request has ended: without a receiver, a
+    signal ends the process and all requests.
+    """
+    return anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    )
+
+
+async def handle_signals(
+    signals: Signals, stop_requested: anyio.Event, reload: Callable[[], None]
+) -> None:
+    """Handles signals until it is cancelled.
+
+    Args:
+        signals: The received signals.
+        stop_requested: Set on SIGTERM or SIGINT; further ones change nothing.
+        reload: Called on SIGHUP.
+    """
+    async for number in signals:
+        log.info(
+            "signal received",
+            signal=signal.Signals(number).name,
+            stopping=stop_requested.is_set(),
+        )
+        if number == signal.SIGHUP:
+            reload()
+        else:
+            stop_requested.set()
+
+
+def reject_reload() -> None:
+    """Logs that the process reads its settings only when it starts."""
+    log.warning("settings not reloaded; restart the process to apply them")
--- a/src/waxwingferry/process/tests/test_node.py
+++ b/src/waxwingferry/process/tests/test_node.py
@@ -1,5 +1,6 @@
 """Tests that IDs differ between node processes."""
 
+import contextlib
 import json
 import random
 import signal
@@ -44,10 +45,9 @@
         second.datagrams.close()
 
 
-# The handlers were removed with the first signal.
-@pytest.mark.anyio
-async def test_a_second_signal_does_not_end_a_stop(tmp_path) -> None:
-    """Guards against a stop that becomes abrupt with the next signal."""
+@contextlib.asynccontextmanager
+async def run_node_process(directory):
+    """Runs a node process without a platform until the context ends."""
     free_ports = ports.PortAllocator()
     options: dict[str, str | int] = {
         "node": "n0",
@@ -57,13 +57,34 @@
     }
     for name in ("caller", "local", "peer", "admin"):
         options[f"{name}_port"] = free_ports.allocate()
-    path = tmp_path / "settings.yaml"
+    path = directory / "settings.yaml"
     path.write_text(json.dumps(options))
     async with logged_process.run(
-        tmp_path, "waxwingferry.process.node", "--settings_file", str(path)
+        directory, "waxwingferry.process.node", "--settings_file", str(path)
     ) as process:
         await process.wait_for("node started")
+        yield process
+
+
+# The handlers were removed with the first signal.
+@pytest.mark.anyio
+async def test_a_second_signal_does_not_end_a_stop(tmp_path) -> None:
+    """Guards against a stop that becomes abrupt with the next signal."""
+    async with run_node_process(tmp_path) as process:
         process.process.send_signal(signal.SIGTERM)
         await process.wait_for("node stopping")
         process.process.send_signal(signal.SIGTERM)
         assert await process.wait() == 0
+
+
+# SIGHUP had its default action, which ends the process.
+@pytest.mark.anyio
+async def test_a_reload_does_not_end_a_node(tmp_path) -> None:
+    """Guards against requests lost because a node is told to reload."""
+    async with run_node_process(tmp_path) as process:
+        process.process.send_signal(signal.SIGHUP)
+        await process.wait_for(
+            "settings not reloaded; restart the process to apply them"
+        )
+        process.process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
