Send further signals to nodes and targets that stop

The emulated target lost its handlers with the first signal like the nodes. The soak and the experiment killed-stop now send SIGHUP and SIGTERM to a node again and again while it stops; nothing did before.

--- a/src/waxwingferry/bench/experiments/killed_stop.py
+++ b/src/waxwingferry/bench/experiments/killed_stop.py
@@ -1,14 +1,16 @@
 """Stops a node, kills it after a while, and checks that no call is cut off.
 
 Callers hold connections to one node open, and send a long call on one after
-the other until the process has ended. The node gets SIGTERM, and SIGKILL if it
-still runs when the time in its settings is over. Only a call that was sent
-early and still ran shortly before the kill may be cut off.
+the other until the process has ended. The node gets SIGTERM, then further
+signals to reload and to stop, and SIGKILL if it still runs when the time in its
+settings is over. Only a call that was sent early and still ran shortly before
+the kill may be cut off.
 """
 
 import contextlib
 import dataclasses
 import random
+import signal
 import subprocess
 import time
 
@@ -25,6 +27,7 @@
 GRACE_S = 6.0
 CONNECTION_COUNT = 30
 SEND_INTERVAL_S = 0.2
+SIGNAL_INTERVAL_S = 0.5
 # A connection that a request meets while it is being closed ends within this.
 CLOSE_TIME_S = 0.2
 DEADLINE_MS = 8000
@@ -115,8 +118,11 @@
     assert process is not None
     begin_s = time.monotonic()
     process.terminate()
-    with contextlib.suppress(subprocess.TimeoutExpired):
-        await anyio.to_thread.run_sync(process.wait, GRACE_S)
+    while process.poll() is None and time.monotonic() < begin_s + GRACE_S:
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            await anyio.to_thread.run_sync(process.wait, SIGNAL_INTERVAL_S)
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            process.send_signal(number)
     if process.poll() is None:
         process.kill()
         await anyio.to_thread.run_sync(process.wait)
--- a/src/waxwingferry/bench/faults.py
+++ b/src/waxwingferry/bench/faults.py
@@ -181,13 +181,25 @@
             self._end_fault(instance, fault)
 
     async def restart_node(self) -> None:
-        """Stops a node gracefully and restarts it."""
+        """Stops a node gracefully, with further signals, and restarts it."""
         if instance := self._reserve_instance():
             fault = self._start_fault("restart node", instance.name)
-            await self._signal_and_wait(instance.node, signal.SIGTERM)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._send_signals, instance.node)
+                await self._signal_and_wait(instance.node, signal.SIGTERM)
+                group.cancel_scope.cancel()
             self.running.start_node(instance)
             self._end_fault(instance, fault)
 
+    async def _send_signals(self, process: subprocess.Popen | None) -> None:
+        """Tells a node that stops to reload or to stop, until cancelled."""
+        assert process is not None
+        while True:
+            await self._sleep_random(0.1, 1.0)
+            process.send_signal(
+                self.rng.choice((signal.SIGHUP, signal.SIGTERM))
+            )
+
     async def kill_target(self) -> None:
         """Kills a target with SIGKILL and restarts it; it is cold then."""
         if instance := self._reserve_instance():
--- a/src/waxwingferry/emulator/target.py
+++ b/src/waxwingferry/emulator/target.py
@@ -16,7 +16,6 @@
 import json
 import pathlib
 import random
-import signal
 import time
 from typing import Annotated
 from typing import Any
@@ -30,6 +29,7 @@
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
 from waxwingferry.connection import serve
+from waxwingferry.process import signals
 from waxwingferry.process import target as target_interface
 from waxwingferry.request import calls
 from waxwingferry.request import outcome
@@ -442,18 +442,22 @@
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then drains."""
-        async with anyio.create_task_group() as group:
-            options = self.options
-            group.start_soon(self.server.serve, options.host, options.port)
-            if options.node_port:
-                group.start_soon(self._announce)
-            with anyio.open_signal_receiver(
-                signal.SIGTERM, signal.SIGINT
-            ) as signals:
-                async for _ in signals:
-                    break
-            await self.server.drain()
-            group.cancel_scope.cancel()
+        stop_requested = anyio.Event()
+        with signals.receive_signals() as received:
+            async with anyio.create_task_group() as group:
+                options = self.options
+                group.start_soon(
+                    signals.handle_signals,
+                    received,
+                    stop_requested,
+                    signals.reject_reload,
+                )
+                group.start_soon(self.server.serve, options.host, options.port)
+                if options.node_port:
+                    group.start_soon(self._announce)
+                await stop_requested.wait()
+                await self.server.drain()
+                group.cancel_scope.cancel()
 
     def make_announcement(self) -> dict[str, Any]:
         """Returns the announcement of the target's address and state."""
