Accept peers' connections until a stopping node has ended its attempts

Callers saw a response broken off in the middle, or 502 for a request that ran on, when the target of another node paused while that node stopped.

An entry that hears nothing for 0.4 s asks the target's node over a new connection whether it still runs the attempt. A draining node had closed its listener, so the connection was refused, and the entry took the process for ended and gave up the attempt. The peer server now listens until no request is in progress. New attempts are refused as not run, as before.

test_an_answer_that_pauses_outlives_the_drain_of_its_node failed before with "node process has stopped", over real sockets with the server of the node.

--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -71,6 +71,9 @@
         limits: Limits on one client.
         may_overlap: Tells whether a request may run beside others of its
             connection; by default each waits for the response before it.
+        listens_while_draining: Whether connections are accepted until all
+            requests have ended, for clients that would take a refused
+            connection for the end of the process.
 
     Attributes:
         active: Connections, or exchanges of one, with a request in progress.
@@ -88,9 +91,11 @@
         interim_interval_s: float | None = None,
         limits: message.Limits = message.DEFAULT_LIMITS,
         may_overlap: Callable[[http1.RequestHead], bool] | None = None,
+        listens_while_draining: bool = False,
     ):
         self.handler = handler
         self.may_overlap = may_overlap
+        self.listens_while_draining = listens_while_draining
         self.interim_interval_s = interim_interval_s
         self.limits = limits
         self.active: set[http1.ServerConnection] = set()
@@ -125,10 +130,16 @@
         for connection in self.active:
             connection.keep_alive = False
         await anyio.sleep(DRAIN_GRACE_S)
+        if self.listens_while_draining:
+            await self._end_connections()
         if self.listener is not None:
             self.listener.close()
         # Requests on newly accepted connections may still be on their way.
         await anyio.sleep(DRAIN_GRACE_S)
+        await self._end_connections()
+
+    async def _end_connections(self) -> None:
+        """Returns once no request is in progress and none can begin."""
         while self.idle or self.active:
             # Idle connections close while other requests run, since a request
             # that begins later may be cut off by the end of the process.
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -142,7 +142,7 @@
             self.entry.handle, may_overlap=self.entry.may_overlap
         )
         self.caller_server.on_unanswered = self.record_unanswered
-        self.peer_server = serve.Server(self.handle_peer, INTERIM_INTERVAL_S)
+        self.peer_server = make_peer_server(self.handle_peer)
 
     def _make_control_plane(self, client: peers.PeerClient) -> None:
         """Creates the components that distribute document and membership."""
@@ -338,6 +338,17 @@
             group.start_soon(self.peer_server.drain)
 
 
+def make_peer_server(handler: serve.Handler) -> serve.Server:
+    """Returns the server for other nodes.
+
+    While a node drains, the entries of its attempts ask over new connections
+    whether it still runs them.
+    """
+    return serve.Server(
+        handler, INTERIM_INTERVAL_S, listens_while_draining=True
+    )
+
+
 def make_caller_limits(caller_limits: revision.CallerLimits) -> message.Limits:
     """Returns the limits for connections from callers.
 
