Close a connection only after its last response has arrived

Callers that send requests before they have read the response lost the end of a large response: the connection was reset in the middle of it. It takes a response that is the last of its connection, as in a planned stop, or an idle connection that a stopping node closes.

The server closed the socket once the operating system had taken the response, if no data was unread at that moment. Data that arrives at a closed socket resets the connection, and the part of the response that the client's system has not acknowledged is discarded. The server now closes its sending side first, and the socket once everything is acknowledged or the client has closed; a client that has begun to send is read for up to 2 s, as before. That holds for connections that are closed while idle, and after a response that was cut, as well.

The tests use real sockets and a client that reads late. Both got a part of the response before: test_a_request_behind_a_closing_response_does_not_cut_it and test_a_request_that_meets_an_idle_close_cuts_no_response.

--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import enum
 import time
 
@@ -20,6 +21,7 @@
 CALL_CHECK_DELAY_S = 0.05
 CHECK_INTERVAL_S = 0.05
 LINGERING_CLOSE_S = 2.0
+LINGERING_CHECK_S = 0.02
 BODY_TOO_LARGE_STATUS = 413
 # Time allowed for a request that was sent before the drain began to arrive.
 DRAIN_GRACE_S = 0.2
@@ -153,7 +155,7 @@
             stream = connection.stream
             assert isinstance(stream, tcp.Stream)
             if stream.is_open_and_idle():
-                await anyio.aclose_forcefully(stream)
+                _cancel(connection)
         await anyio.sleep(CLOSE_INTERVAL_S)
 
     async def _wait_for_call(self) -> None:
@@ -165,22 +167,20 @@
         """Serves one connection until it ends."""
         connection = http1.ServerConnection(stream, self.limits)
         async with stream:
-            with anyio.CancelScope() as scope:
-                connection.scope = scope
-                try:
+            try:
+                with anyio.CancelScope() as connection.scope:
                     await self.serve_requests(connection)
-                    if connection.answer_started:
-                        await _lingering_close(connection)
-                except http1.HttpError as error:
-                    log.debug("connection ended", error=str(error))
-                except AssertionError:
-                    # After a violated invariant the state of the process
-                    # can't be trusted, so it stops. Peers see a new
-                    # incarnation after the restart.
-                    raise
-                except Exception:
-                    self.failures += 1
-                    log.exception("connection ended by an unexpected error")
+            except http1.HttpError as error:
+                log.debug("connection ended", error=str(error))
+            except AssertionError:
+                # After a violated invariant the state of the process
+                # can't be trusted, so it stops. Peers see a new
+                # incarnation after the restart.
+                raise
+            except Exception:
+                self.failures += 1
+                log.exception("connection ended by an unexpected error")
+            await _lingering_close(connection)
 
     async def serve_requests(self, connection: http1.ServerConnection) -> None:
         """Handles the requests of one connection until it has to close."""
@@ -373,21 +373,28 @@
 async def _lingering_close(connection: http1.ServerConnection) -> None:
     """Closes the sending side, then discards received data for a while.
 
-    Closing a socket with unread data resets the connection, and the client
-    may then lose the response.
+    Closing a socket with unread data resets the connection, and so does data
+    that arrives later. Of a response, what the client's system has not
+    acknowledged is lost then.
     """
     stream = connection.stream
     assert isinstance(stream, tcp.Stream)
+    if stream.is_closed_by_peer():
+        return
     request_complete = (
         connection.request_ended and not connection.reader.events.failed
     )
-    if request_complete and stream.is_open_and_idle():
+    may_end = request_complete and stream.is_open_and_idle()
+    if may_end and not stream.has_unacknowledged_data():
         return
     with anyio.move_on_after(LINGERING_CLOSE_S):
         try:
             await stream.send_eof()
-            while True:
-                await stream.receive()
+            while not may_end or stream.has_unacknowledged_data():
+                with contextlib.suppress(TimeoutError):
+                    await stream.receive(timeout_s=LINGERING_CHECK_S)
+                    # The client may still be sending.
+                    may_end = False
         except (
             anyio.EndOfStream,
             anyio.BrokenResourceError,
--- a/src/waxwingferry/connection/tcp.py
+++ b/src/waxwingferry/connection/tcp.py
@@ -13,8 +13,10 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import fcntl
 import select
 import socket
+import termios
 from typing import Any
 
 import anyio
@@ -40,6 +42,10 @@
     def is_closed_by_peer(self) -> bool:
         """Tells whether the peer has closed, even if data is unread."""
 
+    def has_unacknowledged_data(self) -> bool:
+        """Tells whether sent data may not have reached the peer's system."""
+        return False
+
 
 class TcpStream(asyncio.Protocol, Stream):
     """One TCP connection.
@@ -219,6 +225,14 @@
         """Tells whether the peer has closed, even if data is unread."""
         return self.ended or self.closed or self.poll(select.POLLRDHUP)
 
+    def has_unacknowledged_data(self) -> bool:
+        """See Stream."""
+        raw_socket = self.transport.get_extra_info("socket")
+        if self.closed or raw_socket.fileno() < 0:
+            return False
+        count = fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, bytes(4))
+        return any(count)
+
     def poll(self, events: int) -> bool:
         """Tells whether one of the select.poll events is set on the socket."""
         poller = select.poll()
--- /dev/null
+++ b/src/waxwingferry/connection/tests/test_closing.py
@@ -0,0 +1,104 @@
+"""The end of a connection takes no response along that was sent on it."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import socket
+
+import anyio
+import anyio.to_thread
+import pytest
+
+from waxwingferry.connection import http1
+from waxwingferry.connection import serve
+from waxwingferry.connection.tests import wire
+
+GET = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
+CLOSING_GET = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+# More than a client with a small receive buffer takes, and less than the
+# system buffers for the server.
+BODY = bytes(1_000_000)
+RECEIVE_BUFFER_BYTES = 65536
+TIMEOUT_S = 20.0
+
+pytestmark = pytest.mark.anyio
+
+
+class Recorder:
+    """A server, and the state of its handler."""
+
+    def __init__(self):
+        self.server = serve.Server(self.handle)
+        self.respond: Callable[[http1.ServerConnection], Awaitable[None]] = (
+            self._respond_with_body
+        )
+        self.answered = anyio.Event()
+
+    async def handle(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        """Answers a request."""
+        await self.respond(connection)
+        self.answered.set()
+
+    async def _respond_with_body(
+        self, connection: http1.ServerConnection
+    ) -> None:
+        await connection.send_head(200, [], BODY)
+
+
+async def connect_slow_reader(raw: socket.socket, port: int) -> None:
+    """Opens a connection with a small receive buffer."""
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    await anyio.to_thread.run_sync(raw.connect, (wire.HOST, port))
+
+
+def read_all(raw: socket.socket) -> bytes:
+    """Returns all bytes until the connection ends, by a reset as well."""
+    data = b""
+    with contextlib.suppress(ConnectionError):
+        while part := raw.recv(65536):
+            data += part
+    return data
+
+
+# The socket was closed as soon as the system had taken the response. Data that
+# arrives at a closed socket resets the connection, and what is not sent yet is
+# lost.
+async def test_a_request_behind_a_closing_response_does_not_cut_it() -> None:
+    """Guards against a response lost to a request sent before it was read."""
+    recorder = Recorder()
+    async with anyio.create_task_group() as group:
+        group.start_soon(recorder.server.serve, wire.HOST, 0)
+        await recorder.server.listening.wait()
+        with anyio.fail_after(TIMEOUT_S):
+            with socket.socket() as raw:
+                await connect_slow_reader(raw, recorder.server.port)
+                raw.sendall(CLOSING_GET)
+                await recorder.answered.wait()
+                await anyio.sleep(0.1)
+                raw.sendall(GET % 2)
+                await anyio.sleep(0.1)
+                data = await anyio.to_thread.run_sync(read_all, raw)
+        group.cancel_scope.cancel()
+    assert data.endswith(BODY)
+
+
+async def test_a_request_that_meets_an_idle_close_cuts_no_response() -> None:
+    """Guards against a response lost to a close of its idle connection."""
+    recorder = Recorder()
+    async with anyio.create_task_group() as group:
+        group.start_soon(recorder.server.serve, wire.HOST, 0)
+        await recorder.server.listening.wait()
+        with anyio.fail_after(TIMEOUT_S):
+            with socket.socket() as raw:
+                await connect_slow_reader(raw, recorder.server.port)
+                raw.sendall(GET % 1)
+                await recorder.answered.wait()
+                group.start_soon(recorder.server.drain)
+                await anyio.sleep(3 * serve.DRAIN_GRACE_S)
+                raw.sendall(GET % 2)
+                await anyio.sleep(0.1)
+                data = await anyio.to_thread.run_sync(read_all, raw)
+        group.cancel_scope.cancel()
+    assert data.endswith(BODY)
