Keep a cut response from taking requests behind it along

Callers that send requests before the first is answered lost all of them when one response could not be completed, although the targets of the others were sound and had been given their requests.

A response that was cut after its beginning had been sent can only end the connection, and everything started on it ends as well. Requests are now not started behind a response that has been sent in part; until it is complete they count as not read. A short response of unknown length is read completely before its head is sent, if requests behind it have been started.

test_a_request_behind_a_response_in_progress_is_not_started (the request was started) and test_a_cut_answer_with_requests_behind_it_is_reported (the connection was lost) failed before.

--- a/src/waxwingferry/connection/pipeline.py
+++ b/src/waxwingferry/connection/pipeline.py
@@ -51,8 +51,12 @@
         self.turn = anyio.Event()
         self.finished = False
 
+    def has_requests_behind(self) -> bool:
+        """Tells whether a later request of the connection was started."""
+        return self.pipeline.pending[-1] is not self
+
     def _add_connection_field(self, headers: message.Headers) -> None:
-        if self.pipeline.pending[-1] is not self:
+        if self.has_requests_behind():
             # The client would take the requests behind a closing response for
             # unread, although they have been started.
             return
@@ -146,6 +150,19 @@
         while len(self.pending) >= MAX_OVERLAPPING:
             await self._changed.wait()
 
+    async def wait_for_response_in_progress(self) -> None:
+        """Returns once no response has been sent in part.
+
+        If its rest is lost, the connection ends, and requests that were
+        started behind it get no response.
+        """
+        while (
+            self.pending
+            and self.pending[0].answer_started
+            and not self.pending[0].finished
+        ):
+            await self._changed.wait()
+
     async def wait_until_empty(self) -> None:
         """Returns once all responses have been sent."""
         while self.pending:
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -233,6 +233,7 @@
                 return
             if head is None:
                 return
+            await requests.wait_for_response_in_progress()
             if requests.closing or (self.stopping and requests.pending):
                 # The client sends a request again that was sent behind a
                 # closing response.
--- a/src/waxwingferry/connection/tests/test_pipeline.py
+++ b/src/waxwingferry/connection/tests/test_pipeline.py
@@ -265,3 +265,62 @@
     assert CLOSE not in first
     assert CLOSE in second
     assert client.started == ["/1", "/2"]
+
+
+# Requests at sound targets were lost with a response that an earlier one could
+# not complete.
+async def test_a_request_behind_a_response_in_progress_is_not_started() -> None:
+    """Guards against a started request that a cut response takes along."""
+    client = Client()
+    cut_allowed = anyio.Event()
+
+    async def respond(
+        connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        await connection.send_head(200, [("content-length", "9")])
+        client.changed.set()
+        await cut_allowed.wait()
+        raise http1.ConnectionLostError("answer truncated by the target")
+
+    client.respond = respond
+    await client.stream.sender.send(GET % 1)
+    async with anyio.create_task_group() as group:
+
+        async def serve_until_error() -> None:
+            with pytest.raises(http1.ConnectionLostError):
+                await client.serve()
+
+        group.start_soon(serve_until_error)
+        await client.wait_started(1)
+        await anyio.wait_all_tasks_blocked()
+        await client.stream.sender.send(GET % 2)
+        await anyio.wait_all_tasks_blocked()
+        cut_allowed.set()
+    assert client.started == ["/1"]
+
+
+async def test_a_request_behind_a_complete_response_is_started() -> None:
+    """Guards against requests that wait for a response without end."""
+    client = Client()
+    end_allowed = anyio.Event()
+
+    async def respond(
+        connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> None:
+        await connection.send_head(200, [("content-length", "2")])
+        if head.target == "/1":
+            await end_allowed.wait()
+        await connection.send_chunk(head.target.encode())
+
+    client.respond = respond
+    async with anyio.create_task_group() as group:
+        group.start_soon(client.serve)
+        await client.stream.sender.send(GET % 1)
+        await client.wait_started(1)
+        await anyio.wait_all_tasks_blocked()
+        await client.stream.sender.send(GET % 2 + POST % 3)
+        await anyio.wait_all_tasks_blocked()
+        end_allowed.set()
+        await client.wait_started(3)
+        client.stream.sender.close()
+    assert client.stream.bodies() == [b"/1", b"/2", b"/3"]
--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import pipeline
 from waxwingferry.request import call_context
 from waxwingferry.request import calls
 from waxwingferry.request import outcome
@@ -90,7 +91,9 @@
     A short body of known length is read completely, so that a truncated one
     can still be reported as an outcome. Of other bodies only the first part
     is read: a target may pause after it, and the caller must not wait for
-    the second part.
+    the second part. If it has sent further requests that were started, a
+    short body of unknown length is read completely as well, because a
+    truncated one would end the connection without their answers.
 
     Returns:
         The parts read, and whether they are the complete body.
@@ -99,7 +102,10 @@
     length = http1.find_header(answer.head.headers, "content-length")
     if not _can_stream(connection, answer.head.headers):
         max_bytes = MAX_COLLECTED_BYTES
-    elif length and int(length) <= calls.MAX_BUFFERED_BODY_BYTES:
+    elif length:
+        if int(length) <= calls.MAX_BUFFERED_BODY_BYTES:
+            max_bytes = calls.MAX_BUFFERED_BODY_BYTES
+    elif _has_requests_behind(connection):
         max_bytes = calls.MAX_BUFFERED_BODY_BYTES
     parts: list[bytes] = []
     size = 0
@@ -111,6 +117,13 @@
     return parts, True
 
 
+def _has_requests_behind(connection: http1.ServerConnection) -> bool:
+    return (
+        isinstance(connection, pipeline.Exchange)
+        and connection.has_requests_behind()
+    )
+
+
 def _can_stream(
     connection: http1.ServerConnection, headers: http1.Headers
 ) -> bool:
--- a/src/waxwingferry/request/tests/test_bodies.py
+++ b/src/waxwingferry/request/tests/test_bodies.py
@@ -7,6 +7,7 @@
 import pytest
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import pipeline
 from waxwingferry.connection import pool
 from waxwingferry.connection.tests import wire
 from waxwingferry.process import target
@@ -60,6 +61,22 @@
     return stream.sent, result
 
 
+@pytest.mark.anyio
+async def test_a_cut_answer_with_requests_behind_it_is_reported() -> None:
+    """Guards against an answer that takes started requests along."""
+    connection, stream = wire.make_server_connection()
+    requests = pipeline.Pipeline(connection)
+    first, _ = (
+        requests.add(http1.RequestHead("GET", f"/{number}", []))
+        for number in range(2)
+    )
+    source = ChunkSource([b"ab"], outcome.AnswerCutError("cut"))
+    answer = outcome.Answer(http1.ResponseHead(200, []), source.receive_chunk)
+    result = await answering.relay_answer(first, answer, "c.1")
+    assert result == outcome.Unknown(outcome.Reason.ANSWER_CUT)
+    assert stream.sent == b""
+
+
 LENGTH = ("content-length", "4")
 FRAMING_CASES = {
     "length kept": (GET, [b"ab", b"cd"], [LENGTH], b"\r\n\r\nabcd"),
