Replace a cut response that is still held

Callers that send requests before the first is answered lost an earlier request, which ran at a sound target, when a later response was cut short.

A response that was cut after its beginning had been passed on ended the connection, also if that beginning was only held until the response's turn. The held part is now discarded, and the request is tried again or refused like one whose response was cut in its head.

test_a_cut_answer_that_is_held_is_replaced failed before with a lost connection.

--- a/src/waxwingferry/connection/pipeline.py
+++ b/src/waxwingferry/connection/pipeline.py
@@ -33,6 +33,7 @@
     Attributes:
         request: Head of the request.
         held: Parts of the response that are held until its turn.
+        sending: Whether sending to the client has begun, or may begin.
         turn: Set once parts are sent to the client without being held.
         finished: Whether the handler has ended.
     """
@@ -48,6 +49,7 @@
         self.keep_alive = head.keep_alive
         self.scope = connection.scope
         self.held: list[bytes] = []
+        self.sending = False
         self.turn = anyio.Event()
         self.finished = False
 
@@ -74,8 +76,22 @@
             await self.turn.wait()
         await super()._write(data)
 
+    def discard_held(self) -> bool:
+        """Discards a response of which nothing has been sent yet.
+
+        Returns:
+            Whether another response may be sent in its place.
+        """
+        if self.sending:
+            return False
+        self.pipeline.held_bytes -= sum(map(len, self.held))
+        self.held = []
+        self.answer_started = False
+        return True
+
     async def take_turn(self) -> None:
         """Sends what is held; later parts are sent at once."""
+        self.sending = True
         while self.held:
             parts, self.held = self.held, []
             data = b"".join(parts)
@@ -118,6 +134,7 @@
         """Adds a request behind the pending ones."""
         exchange = Exchange(self, head)
         if not self.pending:
+            exchange.sending = True
             exchange.turn.set()
         self.pending.append(exchange)
         assert len(self.pending) <= MAX_OVERLAPPING
--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -76,6 +76,8 @@
         while (chunk := await answer.receive_chunk()) is not None:
             await connection.send_chunk(chunk)
     except outcome.AnswerCutError as error:
+        if _discard_held(connection):
+            return outcome.Unknown(outcome.Reason.ANSWER_CUT)
         raise http1.ConnectionLostError(
             "answer truncated by the target"
         ) from error
@@ -117,6 +119,12 @@
     return parts, True
 
 
+def _discard_held(connection: http1.ServerConnection) -> bool:
+    return (
+        isinstance(connection, pipeline.Exchange) and connection.discard_held()
+    )
+
+
 def _has_requests_behind(connection: http1.ServerConnection) -> bool:
     return (
         isinstance(connection, pipeline.Exchange)
--- a/src/waxwingferry/request/tests/test_bodies.py
+++ b/src/waxwingferry/request/tests/test_bodies.py
@@ -77,6 +77,30 @@
     assert stream.sent == b""
 
 
+@pytest.mark.anyio
+async def test_a_cut_answer_that_is_held_is_replaced() -> None:
+    """Guards against a cut answer that takes requests before it along."""
+    connection, stream = wire.make_server_connection()
+    requests = pipeline.Pipeline(connection)
+    first, second = (
+        requests.add(http1.RequestHead("GET", f"/{number}", []))
+        for number in range(2)
+    )
+    source = ChunkSource([b"ab"], outcome.AnswerCutError("cut"))
+    answer = outcome.Answer(http1.ResponseHead(200, []), source.receive_chunk)
+    result = await answering.relay_answer(second, answer, "c.1")
+    assert result == outcome.Unknown(outcome.Reason.ANSWER_CUT)
+    await answering.send_refusal(second, result)
+    await first.send_head(200, [], b"whole")
+    first.finished = second.finished = True
+    await requests.advance()
+    assert stream.sent.count(b"HTTP/1.1 ") == 2
+    assert b"whole" in stream.sent
+    assert stream.sent.index(b"HTTP/1.1 200") == 0
+    assert b"HTTP/1.1 502" in stream.sent
+    assert requests.held_bytes == 0
+
+
 LENGTH = ("content-length", "4")
 FRAMING_CASES = {
     "length kept": (GET, [b"ab", b"cd"], [LENGTH], b"\r\n\r\nabcd"),
