Log and count a restore of the store from a copy

The header Store-Era in the responses of the store rises by one each time that the store comes back from an older copy. Nothing read it, so the logs could not tell a restore from lost history. The fake store can be restored from a copy as well: versions go back and a feed read from one that it does not have gets 410.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -92,6 +92,7 @@
             header_fields.PlatformTargetProtocol(),
             self.make_limit,
         )
+        table.on_restored = self.handle_store_restored
         self.registration = registration.TargetRegistration(
             self.receiver,
             self.members,
@@ -212,6 +213,10 @@
         await self.lease.read_rows()
         await self.rollouts.load_decisions()
 
+    def handle_store_restored(self) -> None:
+        """Handles a restore of the store from an older copy."""
+        self.counters.events.inc({"event": "store_restored"})
+
     async def handle_readiness(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+from collections.abc import Callable
 from typing import Any
 import urllib.parse
 
@@ -12,12 +13,15 @@
 import structlog
 
 from waxwingferry.connection import exchange
+from waxwingferry.connection import http1
 from waxwingferry.process import platform
 
 REQUEST_TIMEOUT_S = 1.5
 # Added to the wait time of a long poll for its request timeout.
 FEED_TIMEOUT_MARGIN_S = 1.5
 FEED_WAIT_S = 25.0
+# Rises by one each time the store was restored from a copy.
+ERA_HEADER = "store-era"
 
 log = structlog.get_logger()
 
@@ -60,13 +64,25 @@
     Args:
         client: HTTP client of the store.
         timeout_s: Response timeout of all requests except long polls.
+        on_restored: Called when a response shows that the store was restored
+            from a copy since an earlier response.
+
+    Attributes:
+        era: Era of the newest response, or None before the first one.
+        newest_version: Newest version of the store in that era.
     """
 
     def __init__(
-        self, client: exchange.Client, timeout_s: float = REQUEST_TIMEOUT_S
+        self,
+        client: exchange.Client,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+        on_restored: Callable[[], None] = lambda: None,
     ):
         self.client = client
         self.timeout_s = timeout_s
+        self.on_restored = on_restored
+        self.era: int | None = None
+        self.newest_version = 0
 
     async def read(self, key: str) -> platform.Row | None:
         """See process.platform.Table."""
@@ -201,7 +217,7 @@
     ) -> exchange.Reply:
         headers = [("content-type", "application/json")] if body else []
         try:
-            return await self.client.request(
+            reply = await self.client.request(
                 method,
                 request_target,
                 timeout_s or self.timeout_s,
@@ -210,6 +226,29 @@
             )
         except exchange.ExchangeError as error:
             raise platform.PlatformError(str(error)) from error
+        self._record_era(reply)
+        return reply
+
+    def _record_era(self, reply: exchange.Reply) -> None:
+        """Records the era and the newest version that a response states."""
+        era = _parse_era(reply)
+        version = _decode_response(reply).ver
+        if era is None:
+            return
+        if self.era is not None and era > self.era:
+            log.warning(
+                "store restored from a copy",
+                old_era=self.era,
+                new_era=era,
+                old_version=self.newest_version,
+                new_version=version,
+            )
+            self.newest_version = 0
+            self.era = era
+            self.on_restored()
+        self.era = max(self.era or 0, era)
+        if era == self.era:
+            self.newest_version = max(self.newest_version, version)
 
 
 def _split_key(key: str) -> tuple[str, str]:
@@ -217,6 +256,16 @@
     return table, name
 
 
+def _parse_era(reply: exchange.Reply) -> int | None:
+    value = http1.find_header(reply.headers, ERA_HEADER)
+    if value is None:
+        return None
+    if not value.isdecimal():
+        log.warning("store era malformed", value=value[:40])
+        return None
+    return int(value)
+
+
 def _check_status(reply: exchange.Reply) -> None:
     if reply.status != 200:
         raise platform.PlatformError(
--- a/src/waxwingferry/platform/tests/fake_store.py
+++ b/src/waxwingferry/platform/tests/fake_store.py
@@ -38,12 +38,22 @@
     write_delay_s: float = 0.0
 
 
+@dataclasses.dataclass
+class StoreCopy:
+    """Copy of the rows, changes and newest version of a store."""
+
+    rows: dict[tuple[str, str, str], dict]
+    changes: list[dict]
+    version: int
+
+
 class FakeStore:
     """Rows in memory, served over HTTP.
 
     Attributes:
         access: Access of the single node in most tests.
         oldest_kept: Oldest version whose later changes are kept.
+        era: Number of restores from a copy.
     """
 
     def __init__(self):
@@ -53,6 +63,7 @@
         self.change_event = anyio.Event()
         self.access = StoreAccess()
         self.oldest_kept = 0
+        self.era = 0
         self.paths_called: list[str] = []
 
     def put(self, table: str, key: str, value: bytes | dict) -> int:
@@ -84,6 +95,19 @@
         self.rows[row_id] = row
         self.changes.append(row)
 
+    def copy(self) -> "StoreCopy":
+        """Returns a copy that the store can be restored from."""
+        return StoreCopy(dict(self.rows), list(self.changes), self.version)
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Replaces all rows by those of a copy; versions go back."""
+        self.rows = dict(copy.rows)
+        self.changes = list(copy.changes)
+        self.version = copy.version
+        self.era += 1
+        self.change_event.set()
+        self.change_event = anyio.Event()
+
     def make_server(self, access: StoreAccess) -> serve.Server:
         """Returns a server for a node with the given access."""
         return serve.Server(functools.partial(self.handle, access))
@@ -104,7 +128,8 @@
         if access.hangs:
             await anyio.sleep_forever()
         if access.status:
-            await connection.send_head(access.status, [], b"")
+            headers = [("Store-Era", str(self.era))]
+            await connection.send_head(access.status, headers, b"")
             return
         match url.path:
             case "/-/rows-tx":
@@ -120,7 +145,8 @@
         if access.drop_responses:
             await anyio.sleep_forever()
         data = {**data, "ver": self.version, "now": "1000ms"}
-        await connection.send_head(status, [], json.dumps(data).encode())
+        headers = [("Store-Era", str(self.era))]
+        await connection.send_head(status, headers, json.dumps(data).encode())
 
     def _transact(self, body: dict) -> tuple[int, dict]:
         row_ids = [_row_id(item) for item in body["expected-rev"]]
@@ -149,7 +175,7 @@
 
     async def _wait_for_changes(self, params: dict) -> tuple[int, dict]:
         after = int(params["after"])
-        if after < self.oldest_kept:
+        if after < self.oldest_kept or after > self.version:
             return 410, {}
         rows = self._find_changes(params["table"], after)
         with anyio.move_on_after(int(params["wait-ms"]) / 1000):
--- a/src/waxwingferry/platform/tests/test_store.py
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -2,6 +2,7 @@
 
 import anyio
 import pytest
+import structlog
 
 from waxwingferry.platform import store
 from waxwingferry.platform.tests import fake_store
@@ -134,3 +135,29 @@
         fake.oldest_kept = 5
         with pytest.raises(store.HistoryExpiredError):
             await table.read_changes("op", 1)
+
+
+async def test_a_restore_from_a_copy_is_reported_once():
+    """Guards against a restore that leaves no trace in logs and metrics."""
+    async with fake_store.run_store() as (fake, table):
+        restores = []
+        table.on_restored = lambda: restores.append(table.era)
+        copy = fake.copy()
+        fake.put("op", "config", {})
+        await table.read_table("op")
+        assert not restores
+        fake.restore(copy)
+        with structlog.testing.capture_logs() as logs:
+            await table.read_table("op")
+            await table.read_table("op")
+        assert restores == [1]
+        assert logs == [
+            {
+                "event": "store restored from a copy",
+                "log_level": "warning",
+                "old_era": 0,
+                "new_era": 1,
+                "old_version": 1,
+                "new_version": 0,
+            }
+        ]
