Don't let conditions from before a restore of the store hold

A conditional write names the version that its row must have. A store that was restored from a copy gives versions out again, so the condition could hold for another row: a node could write over a decision, or a row of another process, that it has never read.

A condition from an earlier era is not sent: it is a conflict, with the current row.

--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -105,6 +105,8 @@
 
     async def transact(self, writes: list[platform.Write]) -> list[int]:
         """See process.platform.Table."""
+        await self._check_eras(writes)
+        era = self.era
         expected_versions = []
         put_rows = []
         removed_keys = []
@@ -131,8 +133,28 @@
         if reply.status == 412:
             self._raise_conflict(writes, response)
         _check_status(reply)
+        is_conditional = any(write.if_version is not None for write in writes)
+        if is_conditional and era is not None and era != self.era:
+            # The conditions held for the rows of the copy, which may be others.
+            raise platform.PlatformError(
+                "the store was restored before the write"
+            )
         return [self._make_version(response.ver)] * len(writes)
 
+    async def _check_eras(self, writes: list[platform.Write]) -> None:
+        """Checks that no condition is from before the newest restore.
+
+        In the restored store its version may stand for another row.
+
+        Raises:
+            platform.ConflictError: A condition is from an earlier era.
+            platform.PlatformError: The current row could not be read.
+        """
+        for write in writes:
+            if write.if_version and self._is_from_other_era(write.if_version):
+                row = await self.read(write.key)
+                raise platform.ConflictError(write.key, row)
+
     def _raise_conflict(
         self, writes: list[platform.Write], response: RowsResponse
     ) -> None:
--- a/src/waxwingferry/platform/tests/fake_store.py
+++ b/src/waxwingferry/platform/tests/fake_store.py
@@ -1,6 +1,7 @@
 """In-memory fake of the metadata store, with its published HTTP protocol."""
 
 import base64
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import functools
@@ -30,12 +31,14 @@
         drop_responses: Whether requests are executed but not answered.
         write_delay_s: Delay before a write is executed, even if the client
             no longer waits for it.
+        before_write: Called before a write is executed.
     """
 
     status: int = 0
     hangs: bool = False
     drop_responses: bool = False
     write_delay_s: float = 0.0
+    before_write: Callable[[], None] = lambda: None
 
 
 @dataclasses.dataclass
@@ -137,6 +140,7 @@
             case "/-/rows-tx":
                 with anyio.CancelScope(shield=True):
                     await anyio.sleep(access.write_delay_s)
+                access.before_write()
                 status, data = self._transact(json.loads(body))
             case "/-/rows-get":
                 status, data = 200, self._read_page(params)
--- a/src/waxwingferry/platform/tests/test_store.py
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -210,3 +210,57 @@
         with pytest.raises(platform.PlatformError):
             await table.read("members/n1")
         assert table.era == 1
+
+
+async def test_a_condition_from_before_a_restore_does_not_hold():
+    """Guards against a write over a row that has the version of another one."""
+    async with fake_store.run_store() as (fake, table):
+        backup = fake.copy()
+        [version] = await table.transact(
+            [platform.Write("status/a", {"n": 1}, 0)]
+        )
+        fake.restore(backup)
+        fake.put("status", "a", {"n": 2})
+        await table.read("status/b")
+        for _ in range(2):
+            with pytest.raises(platform.ConflictError) as caught:
+                await table.transact(
+                    [platform.Write("status/a", {"n": 3}, version)]
+                )
+            assert caught.value.row is not None
+            assert caught.value.row.value == {"n": 2}
+        row = await table.read("status/a")
+        assert row is not None
+        assert row.value == {"n": 2}
+
+
+@pytest.mark.parametrize("existed", [False, True])
+async def test_a_write_that_a_restore_overtook_is_not_confirmed(existed):
+    """Guards against a condition that only held for the restored copy."""
+    async with fake_store.run_store() as (fake, table):
+        backup = fake.copy()
+        version = 0
+        if existed:
+            version = fake.put("status", "a", {"n": 1})
+        await table.read("status/a")
+
+        def restore() -> None:
+            fake.restore(backup)
+            if existed:
+                fake.put("status", "a", {"n": 2})
+
+        fake.access.before_write = restore
+        with pytest.raises(platform.PlatformError):
+            await table.transact(
+                [platform.Write("status/a", {"n": 3}, version)]
+            )
+
+
+async def test_a_write_without_condition_is_confirmed_over_a_restore():
+    """Guards against a needless second write after a restore."""
+    async with fake_store.run_store() as (fake, table):
+        backup = fake.copy()
+        await table.read("status/a")
+        fake.access.before_write = lambda: fake.restore(backup)
+        [version] = await table.transact([platform.Write("status/a", {})])
+        assert version == platform.make_version(1, 1)
