Write member rows again that a restore of the store lost

A store restored from a copy lacks the member rows written since the copy, and no one else writes them again: a leave that had been confirmed to a target was known to no process that started later, and nodes that had started meanwhile were missing in the table. A renewal that found the row of the node's earlier process in the copy ended the node, as if a later process had its name.

On a restore each node now checks its own row and writes it again where the copy has none or an older one, spread over 5 s; a leave is not delayed, and is confirmed only by a row of the restored store. The row of an earlier process (a lower generation) is overwritten. A process that starts with a store that was ever restored also asks three peers for their member rows, in 0.5 s, as theirs may be newer: among them is the row of its earlier process.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -58,7 +58,7 @@
 
     def __init__(self, settings: settings_file.Settings):
         self.settings = settings
-        table = store.StoreTable(
+        self.store = table = store.StoreTable(
             exchange.Client(
                 settings.store_address.host, settings.store_address.port
             )
@@ -182,6 +182,8 @@
     async def join(self) -> None:
         """See process.core.Core."""
         await self.synchronizer.load_initial_state()
+        if self.store.was_restored:
+            await self.synchronizer.complete_members()
         try:
             await self.rollouts.load_decisions()
         except platform.PlatformError as error:
@@ -217,6 +219,7 @@
         """Handles a restore of the store from an older copy."""
         self.counters.events.inc({"event": "store_restored"})
         self.document.interrupt_poll()
+        self.lease.handle_restore()
 
     async def handle_readiness(
         self, connection: http1.ServerConnection, head: http1.RequestHead
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -22,6 +22,7 @@
 FEED_WAIT_S = 25.0
 # Rises by one each time the store was restored from a copy.
 ERA_HEADER = "store-era"
+FIRST_ERA = 1
 
 log = structlog.get_logger()
 
@@ -84,6 +85,11 @@
         self.era: int | None = None
         self.newest_version = 0
 
+    @property
+    def was_restored(self) -> bool:
+        """Whether the store was ever restored, as far as responses show."""
+        return self.era is not None and self.era > FIRST_ERA
+
     async def read(self, key: str) -> platform.Row | None:
         """See process.platform.Table."""
         table, name = _split_key(key)
--- a/src/waxwingferry/process/spreading/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -4,7 +4,8 @@
 version that this process wrote last. If a renewal finds the row of another
 incarnation, a later process uses the node's name, because this process was
 paused or its VM was replaced. This process is then superseded and stops. A
-process overwrites the row of another one only when it starts.
+process overwrites the row of another one only when it starts, or when the table
+was restored from a copy that has the row of an earlier process.
 """
 
 from collections.abc import Callable
@@ -25,6 +26,9 @@
 # First writes are delayed by up to this time, so that 110 nodes that start
 # together cause only some tens of writes/s at the platform.
 STARTUP_WRITE_JITTER_S = 3.0
+# Rows are written again within this time after a restore of the table, so that
+# 660 nodes stay below the writes/s that the platform sustains.
+RESTORE_WRITE_JITTER_S = 5.0
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 15.0
 # Rate limit of the writes that a flapping target causes.
@@ -70,6 +74,8 @@
         self.version = 0
         self.confirmed = False
         self.superseded = False
+        # Whether the row may be lost since the newest restore of the table.
+        self.may_be_lost = False
         self.name_conflicts = 0
         self.written_row: members.MemberRow | None = None
         self.row_written = anyio.Event()
@@ -132,6 +138,30 @@
             wait_s = RENEW_INTERVAL_S * self.rng.uniform(1 - JITTER, 1)
             with anyio.move_on_after(wait_s):
                 await self.membership.own_changed.wait()
+            if self.may_be_lost:
+                await self._delay_write()
+
+    def handle_restore(self) -> None:
+        """Checks the row, as the table was restored from an older copy."""
+        self.may_be_lost = True
+        self.written_row = None
+        self.membership.own_changed.set()
+
+    async def _delay_write(self) -> None:
+        """Spreads the writes of all nodes; a leave is not delayed."""
+        own = self.membership.own
+        if own is None or own.state != "ready":
+            return
+        self.membership.own_changed = anyio.Event()
+        async with anyio.create_task_group() as group:
+
+            async def wait() -> None:
+                await self.sleep(self.rng.uniform(0, RESTORE_WRITE_JITTER_S))
+                group.cancel_scope.cancel()
+
+            group.start_soon(wait)
+            await self.membership.own_changed.wait()
+            group.cancel_scope.cancel()
 
     async def _write_until_done(self) -> None:
         delay_s = BACKOFF_MIN_S
@@ -182,6 +212,7 @@
             if not self._handle_write_conflict(error.row):
                 return
         self.confirmed = True
+        self.may_be_lost = False
         self.written_row = row
         # Measured from before the write, because the response may be late.
         self.renewed_s = started_s
@@ -231,11 +262,24 @@
             raise platform.PlatformError(
                 "the member row has an older change number"
             )
+        if self.confirmed and self._is_from_earlier_process(row):
+            # A restore of the table brought it back.
+            self.version = row.version
+            raise platform.PlatformError(
+                "the member row is of an earlier process"
+            )
         if self.confirmed:
             self._mark_superseded(str(row.value.get("incarnation")))
             return False
         raise platform.PlatformError("another process wrote the member row")
 
+    def _is_from_earlier_process(self, row: platform.Row) -> bool:
+        try:
+            found = members.parse_row(self.membership.node, row.value)
+        except members.RowError:
+            return False
+        return found.generation < self.generation
+
     def _incarnation(self) -> str:
         assert self.membership.own is not None
         return self.membership.own.incarnation
--- a/src/waxwingferry/process/spreading/synchronizer.py
+++ b/src/waxwingferry/process/spreading/synchronizer.py
@@ -25,6 +25,9 @@
 # A process that did not run for this long may have missed a document.
 PAUSE_LIMIT_S = 5.0
 CATCH_UP_TIMEOUT_S = 3.0
+# Peers whose rows complete a restored table at the start, and the time for it.
+RESTORE_PEERS = 3
+RESTORE_FETCH_TIMEOUT_S = 0.5
 
 log = structlog.get_logger()
 
@@ -118,6 +121,26 @@
                 log.info("peer request failed", error=str(error))
         return found and self.configured.number > 0
 
+    async def complete_members(self) -> None:
+        """Loads from peers the rows that a restore of the table may have lost.
+
+        Among them is the row of this node's earlier process.
+        """
+        addresses = self._find_peers()[-RESTORE_PEERS:]
+        with anyio.move_on_after(RESTORE_FETCH_TIMEOUT_S):
+            async with anyio.create_task_group() as group:
+                for address in addresses:
+                    group.start_soon(self._complete_members_from, address)
+
+    async def _complete_members_from(self, address: gossip.Address) -> None:
+        try:
+            rows = await self.client.fetch_members(address)
+        except peers.PeerError as error:
+            log.info("members not fetched", error=str(error))
+            return
+        self.membership.apply_all(rows)
+        self._raise_generation(rows)
+
     def _find_peers(self) -> list[gossip.Address]:
         """Returns all seeds, the newest contact and some known peers."""
         addresses = self.rng.sample(list(self.seeds), len(self.seeds))
--- a/src/waxwingferry/process/spreading/tests/test_lease.py
+++ b/src/waxwingferry/process/spreading/tests/test_lease.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import msgspec
 import pytest
 
 from waxwingferry.process import platform
@@ -256,3 +257,48 @@
     )
     # The platform sustains several hundred writes/s for everything.
     assert busiest <= 100
+
+
+async def test_writes_after_a_restore_of_the_table_are_spread_out():
+    """Guards against a burst of writes when all nodes notice a restore."""
+    timeline = fakes.VirtualClock()
+    table = fakes.Table()
+    processes = [
+        NodeProcess(table, timeline, 1000.0, f"i{number}", number)
+        for number in range(150)
+    ]
+    times_s: list[float] = []
+    async with anyio.create_task_group() as group:
+        for process in processes:
+            group.start_soon(process.lease.run)
+        await timeline.run(10)
+        table.on_write = lambda: times_s.append(timeline.now_s)
+        table.rows.clear()
+        for process in processes:
+            process.lease.handle_restore()
+        await timeline.run(20)
+        group.cancel_scope.cancel()
+    assert len(table.rows) == len(processes)
+    busiest = max(
+        sum(0 <= other_s - time_s < 1 for other_s in times_s)
+        for time_s in times_s
+    )
+    assert busiest <= 100
+
+
+async def test_a_leave_is_written_at_once_after_a_restore():
+    """Guards against a leave that waits for the spread of all writes."""
+    timeline = fakes.VirtualClock()
+    table = fakes.Table()
+    process = NodeProcess(table, timeline, 1000.0, "one")
+    async with anyio.create_task_group() as group:
+        group.start_soon(process.lease.run)
+        await timeline.run(10)
+        table.rows.clear()
+        process.lease.handle_restore()
+        process.members.announce(
+            msgspec.structs.replace(process.own, state="draining")
+        )
+        await timeline.run(1)
+        group.cancel_scope.cancel()
+    assert table.value("members/n1")["state"] == "draining"
--- a/src/waxwingferry/process/spreading/tests/test_synchronizer.py
+++ b/src/waxwingferry/process/spreading/tests/test_synchronizer.py
@@ -198,3 +198,36 @@
     assert received[1] == (b"digest", one.socket.getsockname())
     one.close()
     two.close()
+
+
+async def test_a_restored_table_is_completed_from_peers(synced):
+    """Guards against a restarted node whose target works after its leave.
+
+    The table was restored from a copy of before the leave; peers know of it.
+    """
+    leave = fakes.make_row(
+        0, generation=5_000_000, incarnation="old", state="draining"
+    )
+    table = synced.node_lease.table
+    table.rows["members/n0"] = platform.Row(
+        "members/n0",
+        members.format_row(fakes.make_row(0, generation=4_000_000)),
+        1,
+    )
+    synced.client.rows = {SEEDS[0]: [fakes.make_row(1), leave]}
+    await synced.node_lease.read_rows()
+    await synced.complete_members()
+    assert synced.membership.predecessor == leave
+    assert synced.node_lease.generation > leave.generation
+
+
+async def test_a_start_does_not_wait_for_silent_peers(synced, monkeypatch):
+    """Guards against a node that is late because a peer doesn't respond."""
+    monkeypatch.setattr(synchronizer, "RESTORE_FETCH_TIMEOUT_S", 0.01)
+
+    async def fetch_members(address):
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr(synced.client, "fetch_members", fetch_members)
+    with anyio.fail_after(5):
+        await synced.complete_members()
