Continue version rollouts and keep decisions over a restore of the store

After the store was restored from a copy, an order of a version rollout has another number, and decisions written since the copy are lost. An open rollout began anew, with fresh exposure and its whole time again: a good version was not completed in its time. A decided one opened again, so that a version that had been rolled back was given requests, and could be judged otherwise the second time.

An order with the same service, version and duration in a later era is the same order: its progress, counts and decision get the new number. Messages with the old number still count. Nodes write a decision again that the store lost, the first by rank at once and the others 0.5 s apart as fallback. Nothing is judged for 3 s after a restore, and then only after reading the decisions again, so that a node that knows a decision comes before a judge that doesn't; writes stay conditional. Stored decisions are read only once the document is from after the restore as well, because a copy may have the decision on an earlier order. A repeated order within one era is a new one.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -220,6 +220,7 @@
         self.counters.events.inc({"event": "store_restored"})
         self.document.interrupt_poll()
         self.lease.handle_restore()
+        self.rollouts.handle_restore()
 
     async def handle_readiness(
         self, connection: http1.ServerConnection, head: http1.RequestHead
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -5,6 +5,9 @@
 each target counts its responses by route. One node judges the new version
 against the old one over the same time and writes the decision conditionally, so
 that only one decision is made. A decision is final.
+
+The store may be restored from an older copy. An order then has a higher number
+but goes on, and the nodes write decisions again that the store lost.
 """
 
 from collections.abc import Callable
@@ -13,6 +16,7 @@
 from typing import Protocol
 
 import anyio
+import msgspec
 import structlog
 
 from waxwingferry.process import platform
@@ -58,6 +62,14 @@
 # Decisions are sent in datagrams, which a network partition or a restart loses.
 QUERY_INTERVAL_S = 1.0
 JUDGE_COUNT = 2
+# After a restore of the store nothing is judged for this time, in which nodes
+# that know a lost decision write it again.
+RESTORE_WAIT_S = 3.0
+# Time after which the node of the next rank writes lost decisions again. Nodes
+# of higher ranks than MAX_RESTORE_RANK follow, spread by their rank.
+RESTORE_RANK_DELAY_S = 0.5
+MAX_RESTORE_RANK = 10
+RESTORE_SPREAD_S = 5.0
 
 log = structlog.get_logger()
 
@@ -91,6 +103,7 @@
         exposed: Number of these calls that used the new version.
         stopped: Whether canary requests have been stopped.
         counts: Counts of the targets, by node.
+        earlier_numbers: Numbers of the order before restores of the store.
     """
 
     order: revision.RolloutOrder
@@ -102,6 +115,11 @@
     counts: dict[str, messages.TargetCounts] = dataclasses.field(
         default_factory=dict
     )
+    earlier_numbers: list[int] = dataclasses.field(default_factory=list)
+
+    def has_number(self, number: int) -> bool:
+        """Returns whether the order has or had a number."""
+        return number == self.order.number or number in self.earlier_numbers
 
 
 class RolloutController:
@@ -143,10 +161,18 @@
         self.clock = clock
         self.progress_by_service: dict[str, _RolloutProgress] = {}
         self.decisions: dict[str, messages.Decision] = {}
-        # Whether the decisions from before the start of this process are known.
+        # Whether the decisions from before the start of this process, or from
+        # before a restore of the store, are known.
         self.decisions_loaded = False
         self.row_versions: dict[str, int] = {}
+        self.stored_decisions: dict[str, messages.Decision] = {}
         self.own_counts: dict[str, messages.TargetCounts] = {}
+        # Sums of the counts that were pushed last.
+        self.pushed: dict[str, int] = {}
+        # Time of the newest restore of the store, and whether this node has
+        # not yet checked which decisions it lost.
+        self.restored_s: float | None = None
+        self.restore_pending = False
         self.query_count = 0
         # Number of the first revision that this process received.
         self.first_revision: int | None = None
@@ -223,6 +249,8 @@
         if order is None:
             return None
         progress = self.progress_by_service.get(service)
+        if progress is not None and _is_continued(progress.order, order):
+            self._carry_over(progress, order)
         if progress is None or progress.order.number != order.number:
             progress = _RolloutProgress(
                 order, self.clock(), self._find_slack(order)
@@ -238,6 +266,29 @@
             )
         return progress
 
+    def _carry_over(
+        self, progress: _RolloutProgress, order: revision.RolloutOrder
+    ) -> None:
+        """Continues a rollout whose order has a new number after a restore."""
+        decided = self._is_decided(progress)
+        progress.earlier_numbers.append(progress.order.number)
+        progress.order = order
+        service = order.service
+        if decided:
+            self.decisions[service] = msgspec.structs.replace(
+                self.decisions[service], number=order.number
+            )
+        if service in self.own_counts:
+            self.own_counts[service].number = order.number
+            self.pushed.pop(service, None)
+        log.info(
+            "version rollout continues after a restore",
+            service=service,
+            version=order.version,
+            number=order.number,
+            decided=decided,
+        )
+
     def _record_first_revision(self, in_force: revision.Revision) -> None:
         if self.first_revision is None:
             self.first_revision = in_force.number
@@ -307,19 +358,20 @@
             self.send(counts.node, decision)
             return
         progress = self._find_progress(counts.service)
-        if progress is not None and progress.order.number == counts.number:
+        if progress is not None and progress.has_number(counts.number):
             progress.counts[counts.node] = counts
 
     def receive_stop(self, stop: messages.Stop) -> None:
         """Stops canary requests of an open rollout."""
         progress = self._find_progress(stop.service)
-        if progress is not None and progress.order.number == stop.number:
+        if progress is not None and progress.has_number(stop.number):
             if not progress.stopped:
                 log.info("version rollout stopped", service=stop.service)
             progress.stopped = True
 
     def receive_decision(self, decision: messages.Decision) -> None:
         """Stores a decision, unless a newer one is known."""
+        decision = self._renumber(decision)
         known = self.decisions.get(decision.service)
         if known is not None and known.number >= decision.number:
             return
@@ -332,12 +384,122 @@
             state=decision.state.value,
         )
 
+    def _renumber(self, decision: messages.Decision) -> messages.Decision:
+        """Gives the order's number to a decision from before a restore."""
+        progress = self.progress_by_service.get(decision.service)
+        if progress is None or decision.version != progress.order.version:
+            return decision
+        era = platform.get_era(decision.number)
+        for number in progress.earlier_numbers:
+            if platform.get_era(number) == era and decision.number >= number:
+                return msgspec.structs.replace(
+                    decision, number=progress.order.number
+                )
+        return decision
+
     async def load_decisions(self) -> None:
         """Loads all decisions from the store; raises PlatformError."""
-        for decision, version in await self.decision_store.read_all():
-            self.row_versions[decision.service] = version
+        found = await self.decision_store.read_all()
+        self.row_versions = {item.service: version for item, version in found}
+        self.stored_decisions = {item.service: item for item, _ in found}
+        complete = not self._is_settling()
+        for decision, version in found:
+            if self._is_order_outdated(decision.service, version):
+                # It can't be told which of the two decisions is the newer one
+                # until the document is from after the restore as well.
+                complete = False
+                continue
             self.receive_decision(decision)
-        self.decisions_loaded = True
+        self.decisions_loaded = complete
+
+    def _is_order_outdated(self, service: str, version: int) -> bool:
+        """Returns whether the order known is from before a row's era."""
+        self._find_progress(service)
+        progress = self.progress_by_service.get(service)
+        in_force = self.get_revision()
+        if progress is None or (
+            in_force is not None and service not in in_force.rollouts
+        ):
+            return False
+        return platform.get_era(progress.order.number) < platform.get_era(
+            version
+        )
+
+    # Restores of the store
+
+    def handle_restore(self) -> None:
+        """Waits with judgements, as the store may have lost decisions."""
+        self.restored_s = self.clock()
+        self.restore_pending = True
+        self.decisions_loaded = False
+
+    def _is_settling(self) -> bool:
+        """Returns whether other nodes may still write decisions again."""
+        return (
+            self.restored_s is not None
+            and self.clock() - self.restored_s < RESTORE_WAIT_S
+        )
+
+    def _find_restore_delay_s(self) -> float:
+        ranked = self.judges()
+        rank = ranked.index(self.node) if self.node in ranked else len(ranked)
+        delay_s = min(rank, MAX_RESTORE_RANK) * RESTORE_RANK_DELAY_S
+        if rank > MAX_RESTORE_RANK:
+            delay_s += RESTORE_SPREAD_S * rank / len(ranked)
+        return delay_s
+
+    async def _restore_decisions(self) -> None:
+        """Writes decisions again that a restore of the store lost."""
+        if not self.decisions:
+            self.restore_pending = False
+        if not self.restore_pending or self.restored_s is None:
+            return
+        if self.clock() - self.restored_s < self._find_restore_delay_s():
+            return
+        try:
+            await self.load_decisions()
+            if self._has_outdated_order():
+                return
+            for decision in self._find_lost_decisions():
+                log.warning(
+                    "decision lost by a restore; writing it again",
+                    service=decision.service,
+                    version=decision.version,
+                    state=decision.state.value,
+                )
+                await self.decision_store.write(
+                    decision, self.row_versions.get(decision.service, 0)
+                )
+        except (platform.PlatformError, platform.ConflictError) as error:
+            # The next attempt reads again what the store has.
+            log.info("lost decisions not written", error=str(error))
+            return
+        self.restore_pending = False
+
+    def _has_outdated_order(self) -> bool:
+        """Returns whether the document is from before the restore."""
+        in_force = self.get_revision()
+        return in_force is None or any(
+            self._is_order_outdated(service, version)
+            for service, version in self.row_versions.items()
+        )
+
+    def _find_lost_decisions(self) -> list[messages.Decision]:
+        lost = []
+        for service, decision in self.decisions.items():
+            progress = self._find_progress(service)
+            stored = self.stored_decisions.get(service)
+            if progress is None:
+                is_lost = stored is None
+            elif self._is_decided(progress):
+                is_lost = (
+                    stored is None or stored.number < progress.order.number
+                )
+            else:
+                is_lost = False
+            if is_lost:
+                lost.append(decision)
+        return lost
 
     def receive_query(self, query: messages.DecisionQuery) -> None:
         """Replies to a node with the decision or stop of a rollout, if any."""
@@ -356,7 +518,6 @@
 
     async def run(self) -> None:
         """Pushes the counts of the local target and judges, until cancelled."""
-        pushed: dict[str, int] = {}
         last_push_s = -PUSH_INTERVAL_S
         last_query_s = self.clock()
         while True:
@@ -373,14 +534,15 @@
                 own_counts = self.own_counts.get(service)
                 if due and own_counts is not None:
                     total = sum(item.total for item in own_counts.routes)
-                    if pushed.get(service) != total:
-                        pushed[service] = total
+                    if self.pushed.get(service) != total:
+                        self.pushed[service] = total
                         self._push_counts(own_counts)
                 await self._judge(progress)
             if due:
                 last_push_s = self.clock()
             if self.clock() - last_query_s >= QUERY_INTERVAL_S:
                 last_query_s = self.clock()
+                await self._restore_decisions()
                 await self._send_queries(in_force)
 
     async def _send_queries(self, in_force: revision.Revision) -> None:
@@ -397,7 +559,8 @@
                     self.node, service, progress.order.number
                 ),
             )
-        if in_force.rollouts and not self.decisions_loaded:
+        waits = self.decisions_loaded or self._is_settling()
+        if in_force.rollouts and not waits:
             await self._try_load_decisions()
 
     def _push_counts(self, own_counts: messages.TargetCounts) -> None:
@@ -511,3 +674,17 @@
             await self.load_decisions()
         except platform.PlatformError as error:
             log.warning("decisions not read", error=str(error))
+
+
+def _is_continued(
+    old: revision.RolloutOrder, new: revision.RolloutOrder
+) -> bool:
+    """Returns whether an order is the old one, written again after a restore.
+
+    Within one era, an equal order with another number is a repeated one.
+    """
+    return (
+        old.version == new.version
+        and old.duration_s == new.duration_s
+        and platform.get_era(old.number) < platform.get_era(new.number)
+    )
