--- a/src/waxwingferry/platform/tests/test_restored_rollouts.py
+++ b/src/waxwingferry/platform/tests/test_restored_rollouts.py
@@ -427,3 +427,21 @@
         assert node.progress.counts == {"n1": counts}
         node.rollouts.receive_stop(messages.Stop("desk", number))
         assert node.progress.stopped
+
+
+async def test_reads_after_a_restore_are_spread_over_many_nodes(monkeypatch):
+    """Guards against all nodes reading the decisions at the same moment."""
+    async with run_nodes(1) as (_, _, [node]):
+        names = [f"n{number:03}" for number in range(660)]
+        monkeypatch.setattr(node.rollouts, "judges", lambda: names)
+        delays_s = []
+        for name in names:
+            node.rollouts.node = name
+            delays_s.append(node.rollouts._find_restore_delay_s())
+        assert delays_s == sorted(delays_s)
+        assert delays_s[0] == 0
+        busiest = max(
+            sum(0 <= other_s - delay_s < 1 for other_s in delays_s)
+            for delay_s in delays_s
+        )
+        assert busiest <= 150
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -441,11 +441,12 @@
         )
 
     def _find_restore_delay_s(self) -> float:
+        """Returns after which time this node writes lost decisions again."""
         ranked = self.judges()
         rank = ranked.index(self.node) if self.node in ranked else len(ranked)
         delay_s = min(rank, MAX_RESTORE_RANK) * RESTORE_RANK_DELAY_S
         if rank > MAX_RESTORE_RANK:
-            delay_s += RESTORE_SPREAD_S * rank / len(ranked)
+            delay_s += RESTORE_SPREAD_S * rank / max(len(ranked), 1)
         return delay_s
 
     async def _restore_decisions(self) -> None:
@@ -559,8 +560,8 @@
                     self.node, service, progress.order.number
                 ),
             )
-        waits = self.decisions_loaded or self._is_settling()
-        if in_force.rollouts and not waits:
+        must_load = not self.decisions_loaded and not self._is_settling()
+        if in_force.rollouts and must_load:
             await self._try_load_decisions()
 
     def _push_counts(self, own_counts: messages.TargetCounts) -> None:
