Ignore eras out of range, and decode each response of the store once

A header Store-Era with thousands of digits raised ValueError, which ended the task that read the store; one above 4,095 made versions that don't fit into the messages between nodes. Both are logged now and count as a response without an era. The test of it failed before in these two forms.

Recording the era decoded the body of every response a second time.

--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -6,6 +6,7 @@
 
 import base64
 from collections.abc import Callable
+import re
 from typing import Any
 import urllib.parse
 
@@ -23,6 +24,7 @@
 # Rises by one each time the store was restored from a copy.
 ERA_HEADER = "store-era"
 FIRST_ERA = 1
+_ERA = re.compile(r"[0-9]{1,9}")
 
 log = structlog.get_logger()
 
@@ -145,7 +147,7 @@
             raise platform.PlatformError(
                 "the store was restored before the write"
             )
-        return [self._make_version(response.ver)] * len(writes)
+        return [self._record_version(response)] * len(writes)
 
     async def _check_eras(self, writes: list[platform.Write]) -> None:
         """Checks that no condition is from before the newest restore.
@@ -193,7 +195,7 @@
                 # Pages from before and after a restore don't belong together.
                 rows, version, next_key = [], 0, start
                 continue
-            version = version or self._make_version(page.ver)
+            version = version or self._record_version(page)
             rows += self._convert_rows(page.rows)
             if not page.has_more or not page.rows:
                 return rows, version
@@ -241,9 +243,7 @@
             # are missing from the response.
             raise HistoryExpiredError("store was restored from a copy")
         response = _decode_response(reply)
-        return self._convert_rows(response.rows), self._make_version(
-            response.ver
-        )
+        return self._convert_rows(response.rows), self._record_version(response)
 
     async def _read_page(
         self, table: str, start: str, end: str | None
@@ -277,7 +277,7 @@
         return reply
 
     def _record_era(self, reply: exchange.Reply) -> None:
-        """Records the era and the newest version that a response states.
+        """Records the era that a response states.
 
         Raises:
             platform.PlatformError: The response is from before a restore that
@@ -286,7 +286,6 @@
         era = _parse_era(reply)
         if era is None:
             return
-        version = _decode_response(reply).ver
         if self.era is not None and era < self.era:
             log.warning(
                 "late response of an earlier era", era=era, current=self.era
@@ -300,17 +299,17 @@
                 old_era=self.era,
                 new_era=era,
                 old_version=self.newest_version,
-                new_version=version,
+                new_version=_decode_response(reply).ver,
             )
             self.newest_version = 0
             self.era = era
             self.on_restored()
         self.era = era
-        self.newest_version = max(self.newest_version, version)
 
-    def _make_version(self, number: int) -> int:
-        """Returns a version of the newest response's era."""
-        return platform.make_version(self.era or 0, number)
+    def _record_version(self, response: RowsResponse) -> int:
+        """Records and returns the store's version in the newest response."""
+        self.newest_version = max(self.newest_version, response.ver)
+        return platform.make_version(self.era or 0, response.ver)
 
     def _convert_rows(self, items: list[WireRow]) -> list[platform.Row]:
         """Converts the rows of the newest response that have no part."""
@@ -331,7 +330,7 @@
     value = http1.find_header(reply.headers, ERA_HEADER)
     if value is None:
         return None
-    if not value.isdecimal():
+    if not _ERA.fullmatch(value) or int(value) > platform.MAX_ERA:
         log.warning("store era malformed", value=value[:40])
         return None
     return int(value)
--- a/src/waxwingferry/platform/tests/test_store.py
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -264,3 +264,16 @@
         fake.access.before_write = lambda: fake.restore(backup)
         [version] = await table.transact([platform.Write("status/a", {})])
         assert version == platform.make_version(1, 1)
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "1.5", "4096", "9" * 5000])
+async def test_a_malformed_era_is_ignored(era):
+    """Guards against versions out of range and against a failed response."""
+    async with fake_store.run_store() as (fake, table):
+        version = fake.put("members", "n1", {})
+        await table.read("members/n1")
+        fake.era = era
+        row = await table.read("members/n1")
+        assert row is not None
+        assert row.version == version
+        assert table.era == 0
--- a/src/waxwingferry/process/platform.py
+++ b/src/waxwingferry/process/platform.py
@@ -11,6 +11,7 @@
 # Bits of a version below the era. Versions of 4,095 eras fit into 52 bits, so
 # that JSON parsers that use floating point keep them.
 ERA_SHIFT = 40
+MAX_ERA = 4095
 
 
 class PlatformError(Exception):
