Keep canary requests going while judges wait after a restore

Only judging has to wait. A node that knows its decisions since its start goes on sending canary requests, as before the restore.

The new test failed before.

--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -106,4 +106,4 @@
     node.store.on_restored()
     assert node.lease.may_be_lost
     assert node.rollouts.restore_pending
-    assert not node.rollouts.decisions_loaded
+    assert not node.rollouts.decisions_current
--- a/src/waxwingferry/platform/tests/test_restored_rollouts.py
+++ b/src/waxwingferry/platform/tests/test_restored_rollouts.py
@@ -445,3 +445,26 @@
             for delay_s in delays_s
         )
         assert busiest <= 150
+
+
+async def test_canary_requests_continue_while_judges_wait():
+    """Guards against a good version that lacks answers after a restore.
+
+    It was completed too late, because it got no requests for 3 s.
+    """
+    async with run_nodes(1) as (fake, clock, [node]):
+        await node.document.read()
+        node.rollouts._record_first_revision(node.document.revision)
+        backup = fake.copy()
+        fake.put("members", "n1", {})
+        fake.put("op", "rollout/desk", ORDER)
+        await node.start()
+        clock.now_s += 8
+        fake.restore(backup)
+        fake.put("op", "rollout/desk", ORDER)
+        await node.follow_restore()
+        exposed = 0
+        while node.rollouts._is_settling():
+            exposed += node.rollouts.select_canary("desk")
+            clock.now_s += 0.1
+        assert exposed > 0
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -161,9 +161,11 @@
         self.clock = clock
         self.progress_by_service: dict[str, _RolloutProgress] = {}
         self.decisions: dict[str, messages.Decision] = {}
-        # Whether the decisions from before the start of this process, or from
-        # before a restore of the store, are known.
+        # Whether the decisions from before the start of this process are known.
         self.decisions_loaded = False
+        # Whether the decisions were read after the newest restore of the store,
+        # when other nodes had the time to write lost ones again.
+        self.decisions_current = True
         self.row_versions: dict[str, int] = {}
         self.stored_decisions: dict[str, messages.Decision] = {}
         self.own_counts: dict[str, messages.TargetCounts] = {}
@@ -402,15 +404,17 @@
         found = await self.decision_store.read_all()
         self.row_versions = {item.service: version for item, version in found}
         self.stored_decisions = {item.service: item for item, _ in found}
-        complete = not self._is_settling()
+        is_outdated = False
         for decision, version in found:
             if self._is_order_outdated(decision.service, version):
                 # It can't be told which of the two decisions is the newer one
                 # until the document is from after the restore as well.
-                complete = False
+                is_outdated = True
                 continue
             self.receive_decision(decision)
-        self.decisions_loaded = complete
+        if not is_outdated:
+            self.decisions_loaded = True
+        self.decisions_current = not is_outdated and not self._is_settling()
 
     def _is_order_outdated(self, service: str, version: int) -> bool:
         """Returns whether the order known is from before a row's era."""
@@ -431,7 +435,11 @@
         """Waits with judgements, as the store may have lost decisions."""
         self.restored_s = self.clock()
         self.restore_pending = True
-        self.decisions_loaded = False
+        self.decisions_current = False
+
+    def _knows_decisions(self) -> bool:
+        """Returns whether no decision is missing that a judge must know."""
+        return self.decisions_loaded and self.decisions_current
 
     def _is_settling(self) -> bool:
         """Returns whether other nodes may still write decisions again."""
@@ -560,7 +568,7 @@
                     self.node, service, progress.order.number
                 ),
             )
-        must_load = not self.decisions_loaded and not self._is_settling()
+        must_load = not self._knows_decisions() and not self._is_settling()
         if in_force.rollouts and must_load:
             await self._try_load_decisions()
 
@@ -574,7 +582,7 @@
     async def _judge(self, progress: _RolloutProgress) -> None:
         ranked = self.judges()
         rank = ranked.index(self.node) if self.node in ranked else len(ranked)
-        if rank >= JUDGE_COUNT or not self.decisions_loaded:
+        if rank >= JUDGE_COUNT or not self._knows_decisions():
             return
         elapsed_s = (
             self.clock() - progress.started_s - rank * JUDGE_RANK_DELAY_S
