Let an odd row of the store cost only itself

Seen: a read of a table with one row whose value is JSON nested 5,000 deep raised RecursionError out of StoreTable.scan. No caller expects it, so the watcher, the lease and the start of a node ended, and with them the process; after the restart the row is read again. The same held for a response of the store. Each read of a row that is not JSON logged it again.

Cause: msgspec raises RecursionError for deep nesting, which is no subclass of its DecodeError. A value nested less deep is decoded, but comparing or encoding it deeper in the call stack can fail in the same way.

Evidence: test_an_odd_row_costs_only_itself and test_a_deeply_nested_response_is_a_platform_error raised RecursionError before; the other odd values of the first test failed only because the row did not tell that it is malformed. test_an_odd_row_is_reported_once_per_version failed as well.

The new module `decoding` is the one place that calls a decoder: every failure becomes its DecodingError, and untyped values have a maximum depth far below the limit of the call stack. A malformed row is marked as such, counted and logged once per version.

--- /dev/null
+++ b/src/waxwingferry/decoding.py
@@ -0,0 +1,64 @@
+"""Decodes bytes that come from outside the process.
+
+Decoders signal invalid bytes with errors of several classes. For example,
+`msgspec` raises a RecursionError on deeply nested data, even in fields that it
+skips. The functions here turn all of them into a DecodingError.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+# A value that can be decoded may still be nested too deep to be compared or
+# encoded, depending on the depth of the call stack.
+MAX_NESTING = 64
+
+_ValueType = TypeVar("_ValueType")
+
+
+class DecodingError(Exception):
+    """The bytes are not a valid encoding of a value of the expected type."""
+
+
+def decode(decoder: Callable[[bytes], _ValueType], data: bytes) -> _ValueType:
+    """Returns the value that a decoder of msgspec returns.
+
+    Raises:
+        DecodingError: The bytes are invalid.
+    """
+    try:
+        return decoder(data)
+    except (
+        msgspec.MsgspecError,
+        ArithmeticError,
+        RecursionError,
+        ValueError,
+    ) as error:
+        raise DecodingError(f"{type(error).__name__}: {error}") from error
+
+
+def decode_json(data: bytes) -> Any:
+    """Returns a JSON value of any type.
+
+    Raises:
+        DecodingError: The bytes are not JSON, or nested too deep.
+    """
+    value = decode(msgspec.json.decode, data)
+    level = [value]
+    for _ in range(MAX_NESTING):
+        level = [child for item in level for child in _get_children(item)]
+        if not level:
+            return value
+    raise DecodingError(f"nested deeper than {MAX_NESTING} levels")
+
+
+def _get_children(value: Any) -> list[Any]:
+    match value:
+        case dict():
+            return list(value.values())
+        case list():
+            return value
+        case _:
+            return []
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -93,6 +93,9 @@
             self.make_limit,
         )
         table.on_restored = self.handle_store_restored
+        table.on_malformed = lambda: self.counters.events.inc(
+            {"event": "row_malformed"}
+        )
         self.registration = registration.TargetRegistration(
             self.receiver,
             self.members,
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -13,6 +13,7 @@
 import msgspec
 import structlog
 
+from waxwingferry import decoding
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
 from waxwingferry.process import platform
@@ -25,6 +26,7 @@
 ERA_HEADER = "store-era"
 FIRST_ERA = 1
 _ERA = re.compile(r"[0-9]{1,9}")
+MAX_KNOWN_MALFORMED_ROWS = 1000
 
 log = structlog.get_logger()
 
@@ -73,6 +75,9 @@
     Attributes:
         era: Era of the newest response, or None before the first one.
         newest_version: Newest version of the store in that era.
+        on_malformed: Called once for each version of a row whose value is not
+            a JSON object.
+        malformed_versions: Versions of the known malformed rows, by key.
     """
 
     def __init__(
@@ -86,6 +91,8 @@
         self.on_restored = on_restored
         self.era: int | None = None
         self.newest_version = 0
+        self.on_malformed: Callable[[], None] = lambda: None
+        self.malformed_versions: dict[str, int] = {}
 
     @property
     def was_restored(self) -> bool:
@@ -245,6 +252,25 @@
         response = _decode_response(reply)
         return self._convert_rows(response.rows), self._record_version(response)
 
+    def _convert_row(self, item: WireRow) -> platform.Row:
+        key = f"{item.table}/{item.key}"
+        version = platform.make_version(self.era or 0, item.ver)
+        if item.deleted:
+            return platform.Row(key, None, version)
+        try:
+            return platform.Row(key, _decode_value(item.value), version)
+        except decoding.DecodingError as error:
+            self._report_malformed(key, version, str(error))
+            return platform.Row(key, None, version, malformed=True)
+
+    def _report_malformed(self, key: str, version: int, error: str) -> None:
+        if self.malformed_versions.pop(key, None) != version:
+            log.warning("row not decodable", key=key, error=error)
+            self.on_malformed()
+        self.malformed_versions[key] = version
+        while len(self.malformed_versions) > MAX_KNOWN_MALFORMED_ROWS:
+            del self.malformed_versions[next(iter(self.malformed_versions))]
+
     async def _read_page(
         self, table: str, start: str, end: str | None
     ) -> RowsResponse:
@@ -313,9 +339,7 @@
 
     def _convert_rows(self, items: list[WireRow]) -> list[platform.Row]:
         """Converts the rows of the newest response that have no part."""
-        return [
-            _convert_row(item, self.era or 0) for item in items if not item.part
-        ]
+        return [self._convert_row(item) for item in items if not item.part]
 
     def _is_from_other_era(self, version: int) -> bool:
         return platform.get_era(version) != (self.era or 0)
@@ -345,8 +369,8 @@
 
 def _decode_response(reply: exchange.Reply) -> RowsResponse:
     try:
-        return msgspec.json.decode(reply.body, type=RowsResponse)
-    except msgspec.DecodeError as error:
+        return decoding.decode(_RESPONSE_DECODER.decode, reply.body)
+    except decoding.DecodingError as error:
         if reply.status in (200, 412):
             raise platform.PlatformError(
                 f"store response not decodable: {error}"
@@ -354,14 +378,20 @@
         return RowsResponse()
 
 
-def _convert_row(item: WireRow, era: int) -> platform.Row:
-    """Converts a row; the value is None if it is not a JSON object."""
-    key = f"{item.table}/{item.key}"
-    value: dict[str, Any] | None = None
-    if not item.deleted:
-        try:
-            decoded = msgspec.json.decode(base64.b64decode(item.value))
-            value = decoded if isinstance(decoded, dict) else None
-        except (ValueError, msgspec.DecodeError) as error:
-            log.warning("row not decodable", key=key, error=str(error))
-    return platform.Row(key, value, platform.make_version(era, item.ver))
+_RESPONSE_DECODER = msgspec.json.Decoder(RowsResponse)
+
+
+def _decode_value(text: str) -> dict[str, Any]:
+    """Returns the value of a row.
+
+    Raises:
+        DecodingError: The text is not the base64 of a JSON object.
+    """
+    try:
+        data = base64.b64decode(text)
+    except ValueError as error:
+        raise decoding.DecodingError(str(error)) from error
+    value = decoding.decode_json(data)
+    if not isinstance(value, dict):
+        raise decoding.DecodingError("not a JSON object")
+    return value
--- a/src/waxwingferry/platform/tests/test_store.py
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -2,7 +2,7 @@
 
 import anyio
 import pytest
-import structlog
+import structlog.testing
 
 from waxwingferry.platform import store
 from waxwingferry.platform.tests import fake_store
@@ -50,6 +50,61 @@
         assert [row.value for row in rows] == [None, None]
 
 
+ODD_VALUES = {
+    "deep": b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}",
+    "deeper than its reader": b'{"x":' + b"[" * 900 + b"]" * 900 + b"}",
+    "long number": b'{"slots":' + b"9" * 5000 + b"}",
+    "infinite": b'{"slots":1e400}',
+    "not a number": b'{"slots":NaN}',
+    "invalid text": b'{"service":"\xff"}',
+    "half a pair": b'{"service":"\\ud800"}',
+    "empty": b"",
+    "huge": b"[" + b"1," * 20_000 + b"1]",
+}
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=list(ODD_VALUES))
+async def test_an_odd_row_costs_only_itself(value):
+    """Guards against one row that hides the others or ends their reader."""
+    async with fake_store.run_store() as (fake, table):
+        first_version = fake.put("members", "n1", {"slots": 6})
+        fake.put("members", "n2", value)
+        fake.put("members", "n3", {"slots": 7})
+        found = {row.key: row for row in await table.scan("members/")}
+        assert found["members/n1"].value == {"slots": 6}
+        assert found["members/n3"].value == {"slots": 7}
+        assert found["members/n2"].value is None
+        assert found["members/n2"].malformed
+        changes, version = await table.read_changes("members", first_version)
+        assert [row.key for row in changes] == ["members/n2", "members/n3"]
+        assert version == fake.version
+
+
+async def test_an_odd_row_is_reported_once_per_version():
+    """Guards against a log line and a count for each read of the row."""
+    async with fake_store.run_store() as (fake, table):
+        reports = []
+        table.on_malformed = lambda: reports.append(1)
+        fake.put("members", "n1", b"\xff")
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(3):
+                await table.scan("members/")
+            assert len(reports) == 1
+            fake.put("members", "n1", b"[1]")
+            await table.scan("members/")
+        assert len(reports) == 2
+        assert [line["key"] for line in lines] == ["members/n1"] * 2
+
+
+async def test_a_deeply_nested_response_is_a_platform_error(monkeypatch):
+    """Guards against a reader that ends on a response it can't decode."""
+    async with fake_store.run_store() as (_, table):
+        nested = b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}"
+        monkeypatch.setattr(fake_store.json, "dumps", lambda _: nested.decode())
+        with pytest.raises(platform.PlatformError):
+            await table.read_table("members")
+
+
 @pytest.mark.parametrize("status", [429, 503, 500])
 async def test_an_error_status_is_a_platform_error(status):
     """Guards against a refused request handled as a missing row."""
--- a/src/waxwingferry/process/platform.py
+++ b/src/waxwingferry/process/platform.py
@@ -56,14 +56,16 @@
 
     Attributes:
         key: Key of the row.
-        value: JSON object, or None for a deleted row.
+        value: JSON object, or None for a deleted or malformed row.
         version: Version of the last write; versions increase across all rows,
             also over a restore of the table from an older copy.
+        malformed: Whether the row has a value that is not a JSON object.
     """
 
     key: str
     value: dict[str, Any] | None
     version: int
+    malformed: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
