Replace an odd row that is written over the own member row

Seen: if another writer overwrites a node's member row with an object that is no member row, the node takes it for a later process of its name and stops. If the value is no JSON object, the node takes the row for deleted, and its conditional writes fail for ever; after three minutes the others no longer prefer its target.

Cause: a conflict looked only at the field `incarnation`, and a row without a value counted as deleted.

Only a row that parses can come from another process of this node. Any other one is replaced by the next write, which is conditional on its version. The table of the tests keeps malformed rows like the store.

--- a/src/waxwingferry/process/spreading/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -232,7 +232,7 @@
             self.initial_rows = None
         else:
             row = await self.table.read(self.key)
-        if row is None or row.value is None:
+        if row is None or _is_deleted(row):
             self.version = 0
             return
         self.version = row.version
@@ -249,12 +249,23 @@
         Returns:
             Whether this process wrote the row, in a write whose response was
             lost.
+
+        Raises:
+            platform.PlatformError: The row has to be written again.
         """
-        if row is None or row.value is None:
+        if row is None or _is_deleted(row):
             # The next write inserts the row again.
             self.version = 0
             raise platform.PlatformError("the member row was removed")
-        if row.value.get("incarnation") == self._incarnation():
+        try:
+            other = members.parse_row(self.membership.node, row.value)
+        except members.RowError as error:
+            # No process of this node wrote it, so the next write replaces it.
+            self.version = row.version
+            raise platform.PlatformError(
+                f"the member row was overwritten: {error}"
+            ) from error
+        if other.incarnation == self._incarnation():
             self.version = row.version
             own = self.membership.own
             if own is not None and row.value == members.format_row(own):
@@ -269,7 +280,7 @@
                 "the member row is of an earlier process"
             )
         if self.confirmed:
-            self._mark_superseded(str(row.value.get("incarnation")))
+            self._mark_superseded(other.incarnation)
             return False
         raise platform.PlatformError("another process wrote the member row")
 
@@ -325,3 +336,7 @@
             )
         except platform.ConflictError:
             log.info("expired member has returned", node=record.row.node)
+
+
+def _is_deleted(row: platform.Row) -> bool:
+    return row.value is None and not row.malformed
--- a/src/waxwingferry/process/spreading/tests/test_lease.py
+++ b/src/waxwingferry/process/spreading/tests/test_lease.py
@@ -73,6 +73,29 @@
     assert table.value("members/n1")["incarnation"] == "new"
 
 
+@pytest.mark.parametrize("confirmed", [False, True])
+@pytest.mark.parametrize("value", [None, {}, {"incarnation": 7}])
+async def test_an_odd_row_written_over_the_own_one_is_replaced(
+    value, confirmed
+):
+    """Guards against a node that ends, or that others lose, by such a row."""
+    table, clock = fakes.Table(), fakes.Clock()
+    process = NodeProcess(table, clock, 1000.0, "one")
+    if confirmed:
+        await process.lease.write_once()
+    else:
+        await process.lease.read_rows()
+    table.version += 1
+    table.rows["members/n1"] = platform.Row(
+        "members/n1", value, table.version, malformed=value is None
+    )
+    with pytest.raises(platform.PlatformError):
+        await process.lease.write_once()
+    await process.lease.write_once()
+    assert not process.superseded
+    assert table.value("members/n1")["incarnation"] == "one"
+
+
 async def test_confirmed_process_is_superseded_by_a_later_one():
     """Guards against two processes of one node that both keep running."""
     table, clock = fakes.Table(), fakes.Clock()
--- a/src/waxwingferry/process/tests/fakes.py
+++ b/src/waxwingferry/process/tests/fakes.py
@@ -109,7 +109,9 @@
         self.on_write()
         for write in writes:
             row = self.rows.get(write.key)
-            exists = row is not None and row.value is not None
+            exists = row is not None and (
+                row.value is not None or row.malformed
+            )
             version = row.version if row is not None and exists else 0
             if write.if_version not in (None, version):
                 raise platform.ConflictError(write.key, row)
