Drop deeply nested datagrams instead of ending

Seen: a load push or a message on a version rollout with 1,180 nested arrays, which fit in a datagram of 1,200 bytes, raised RecursionError out of Gossiper.receive. That ends the task that receives datagrams, and with it the process. Only JSON datagrams were guarded against it.

Cause: msgspec skips unknown trailing items recursively, and its RecursionError is no DecodeError.

All datagrams are decoded by `decoding.decode`. The first malformed one is logged with the reason, then at most one in 30 seconds; all are counted.

--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -18,6 +18,7 @@
 import msgspec
 import structlog
 
+from waxwingferry import decoding
 from waxwingferry.process.spreading import members
 
 MAX_DATAGRAM_BYTES = 1200
@@ -54,6 +55,7 @@
 # Digests differ temporarily while updates are in transit.
 MISMATCHES_BEFORE_SYNC = 3
 SYNC_INTERVAL_S = 30.0
+MALFORMED_LOG_INTERVAL_S = 30.0
 
 Address = tuple[str, int]
 
@@ -157,7 +159,7 @@
         on_load: Called with each load pushed by another node.
         handlers: Handlers for datagrams of other modules, by first byte. The
             byte must not begin JSON or a LoadPush. Handlers may raise
-            msgspec.DecodeError.
+            decoding.DecodingError.
         newer_from: A peer that has a newer document, and its revision.
         contact: Address that the newest datagram of another node came from,
             or None.
@@ -189,6 +191,7 @@
         self.sync_from: Address | None = None
         self.fetch_requested = anyio.Event()
         self.mismatches = 0
+        self.malformed_logged_s = clock() - MALFORMED_LOG_INTERVAL_S
         self.synced_s = clock() - SYNC_INTERVAL_S
         self.tokens = BURST_BYTES
         self.tokens_s = clock()
@@ -226,12 +229,12 @@
             return
         handler = self.handlers.get(data[:1])
         if handler is not None:
-            self._call_handler(handler, data[1:])
+            self._call_handler(handler, data[1:], address)
             return
         try:
-            datagram = self.decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-            self.counts.malformed += 1
+            datagram = decoding.decode(self.decoder.decode, data)
+        except decoding.DecodingError as error:
+            self._count_malformed(address, error)
             return
         if datagram.sender == self.membership.node:
             return
@@ -263,12 +266,27 @@
             self._transmit(record.row.address, data, urgent=True)
 
     def _call_handler(
-        self, handler: Callable[[bytes], None], data: bytes
+        self, handler: Callable[[bytes], None], data: bytes, address: Address
     ) -> None:
         try:
             handler(data)
-        except msgspec.DecodeError:
-            self.counts.malformed += 1
+        except decoding.DecodingError as error:
+            self._count_malformed(address, error)
+
+    def _count_malformed(
+        self, address: Address, error: decoding.DecodingError
+    ) -> None:
+        self.counts.malformed += 1
+        now_s = self.clock()
+        if now_s - self.malformed_logged_s < MALFORMED_LOG_INTERVAL_S:
+            return
+        self.malformed_logged_s = now_s
+        log.warning(
+            "malformed datagram dropped",
+            host=address[0],
+            error=str(error),
+            count=self.counts.malformed,
+        )
 
     def _record_contact(self, address: Address) -> None:
         self.contact = address
@@ -276,9 +294,9 @@
 
     def _receive_load(self, data: bytes, address: Address) -> None:
         try:
-            push = self.load_decoder.decode(data)
-        except msgspec.DecodeError:
-            self.counts.malformed += 1
+            push = decoding.decode(self.load_decoder.decode, data)
+        except decoding.DecodingError as error:
+            self._count_malformed(address, error)
             return
         self._record_contact(address)
         self.membership.clear_suspect(push.node)
--- a/src/waxwingferry/process/spreading/tests/test_gossip.py
+++ b/src/waxwingferry/process/spreading/tests/test_gossip.py
@@ -5,9 +5,11 @@
 
 import msgspec
 import pytest
+import structlog.testing
 
 from waxwingferry.process.spreading import configuration
 from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import version_rollouts
 from waxwingferry.process.tests import fakes
 
 CONTENT = {"services": [{"name": "desk", "routes": [{"path_prefix": "/"}]}]}
@@ -140,6 +142,41 @@
     assert node.gossip.counts.malformed == 1
 
 
+def _nest(prefix: bytes) -> bytes:
+    """Returns the longest datagram with MessagePack arrays in each other."""
+    depth = gossip.MAX_DATAGRAM_BYTES - len(prefix) - 1
+    return prefix + b"\x91" * depth + b"\x01"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        _nest(b"\x01\x97\xa1a\x01\x01\x01\x01\xc0"),
+        b"\x01\x95\xa1\xff\x01\x01\x01\x01",
+        b"\x01\x95\xa1a\xcf" + b"\xff" * 8 + b"\x01\x01\x01",
+        b"\x01\x95\xa1a\xcb\x7f\xf0" + bytes(6) + b"\x01\x01\x01",
+        _nest(b"\x02"),
+        _nest(b"\x03\x95\xa1a\xa1b\x01\xa9completed"),
+        _nest(b"\x04\x93\xa1a\x01"),
+        _nest(b"\x05\x94\xa1a\xa1b\x01"),
+        b'{"x":' + b"[" * 1190,
+    ],
+)
+def test_odd_datagrams_are_counted_and_logged_once(data):
+    """Guards against a datagram that ends the process."""
+    network = _make_network(1, fakes.Faults(), nodes=1)
+    node = network.nodes[("127.0.0.1", 10_000)]
+    for kind, type_byte in version_rollouts.TYPE_BYTES.items():
+        node.gossip.handlers[type_byte] = version_rollouts.make_handler(
+            kind, lambda item: None
+        )
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(3):
+            node.gossip.receive(data, ("127.0.0.1", 9))
+    assert node.gossip.counts.malformed == 3
+    assert [line["event"] for line in lines] == ["malformed datagram dropped"]
+
+
 def test_oversized_datagrams_are_counted_and_dropped():
     """Guards against decoding a datagram that was truncated at the limit."""
     network = _make_network(5, fakes.Faults(), 1)
--- a/src/waxwingferry/process/spreading/version_rollouts.py
+++ b/src/waxwingferry/process/spreading/version_rollouts.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from waxwingferry import decoding
 from waxwingferry.process.spreading import current_document
 from waxwingferry.process.spreading import gossip
 from waxwingferry.process.spreading import members
@@ -69,13 +70,14 @@
         messages.DecisionQuery: rollouts.receive_query,
     }
     for kind, handler in handlers.items():
-        gossiper.handlers[TYPE_BYTES[kind]] = _make_handler(kind, handler)
+        gossiper.handlers[TYPE_BYTES[kind]] = make_handler(kind, handler)
     receiver.on_answer = rollouts.count_result
     return rollouts
 
 
-def _make_handler(
+def make_handler(
     kind: type, handler: Callable[[Any], None]
 ) -> Callable[[bytes], None]:
+    """Returns a handler of datagrams that decodes a message for another one."""
     decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(kind)
-    return lambda data: handler(decoder.decode(data))
+    return lambda data: handler(decoding.decode(decoder.decode, data))
