Refuse heartbeats with numbers that fail or outrank all later ones

Seen: a heartbeat whose JSON is nested 5,000 deep, or whose address has the port "²" or one of 5,000 digits, ended its connection with an unexpected error instead of status 400, and neither its log line nor the count of malformed heartbeats told of it. One with a start time or a sequence of 30 digits was accepted, after which each heartbeat of the real target counted as outdated: its draining would not be seen. A warm-up of 400 digits was infinite.

Cause: isdigit() accepts characters that int() rejects, int() has a maximum number of digits, and the numbers had no upper bound.

Ports and durations have a bounded number of ASCII digits, for the settings file as well. Start times are bounded by the year 2286, sequence numbers by 2^53. A number within these bounds can still outrank the real ones.

--- a/src/waxwingferry/platform/heartbeats.py
+++ b/src/waxwingferry/platform/heartbeats.py
@@ -1,14 +1,19 @@
 """Decodes the heartbeats that targets of the platform send to their node."""
 
 import re
+from typing import Annotated
 from typing import Literal
 
 import msgspec
 
+from waxwingferry import decoding
 from waxwingferry.platform import parsing
 from waxwingferry.process import target
 from waxwingferry.process.protection import registration
 
+# A larger number would make all later heartbeats outdated.
+_MAX_BORN_MS = 10**13
+_MAX_SEQUENCE = 2**53
 _PATH = re.compile(r"/-/instances/([^/]+)/(heartbeat|deregister)")
 
 
@@ -32,7 +37,7 @@
     """
 
     state: Literal["ready", "draining"]
-    sequence: int
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=_MAX_SEQUENCE)]
     warmup_left: str = "0ms"
 
 
@@ -46,7 +51,10 @@
     address: str
     info: _Info
     status: _Status
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_BORN_MS)] = 0
+
+
+_DECODER = msgspec.json.Decoder(_Heartbeat)
 
 
 def parse_path(path: str) -> tuple[str, bool] | None:
@@ -62,7 +70,7 @@
         HeartbeatError: The heartbeat is malformed.
     """
     try:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
+        heartbeat = decoding.decode(_DECODER.decode, body)
         host, port = parsing.parse_address(heartbeat.address)
         warmup_left_s = parsing.parse_duration(heartbeat.status.warmup_left)
         # Target ids may be reused, so the incarnation contains the start time.
@@ -79,7 +87,11 @@
             },
             target.Announcement,
         )
-    except (msgspec.DecodeError, parsing.ValueFormatError) as error:
+    except (
+        decoding.DecodingError,
+        msgspec.ValidationError,
+        parsing.ValueFormatError,
+    ) as error:
         raise HeartbeatError(str(error)) from error
     return registration.Heartbeat(
         target_id,
--- a/src/waxwingferry/platform/parsing.py
+++ b/src/waxwingferry/platform/parsing.py
@@ -3,7 +3,9 @@
 import re
 from typing import Any
 
-_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+# Longer numbers may be infinite as a float, or too long for int().
+_DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]+)?)(ms|s)")
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 class ValueFormatError(Exception):
@@ -34,6 +36,6 @@
     host, _, port = (
         value.rpartition(":") if isinstance(value, str) else ("",) * 3
     )
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
         raise ValueFormatError(f"{value!r}: must be an IP address with a port")
     return host, int(port)
--- a/src/waxwingferry/platform/tests/test_target_messages.py
+++ b/src/waxwingferry/platform/tests/test_target_messages.py
@@ -1,6 +1,7 @@
 """Tests of heartbeats and header fields of targets."""
 
 import json
+from typing import Any
 
 import pytest
 import structlog.testing
@@ -13,7 +14,7 @@
 from waxwingferry.request import calls
 from waxwingferry.request import outcome
 
-HEARTBEAT = {
+HEARTBEAT: dict[str, Any] = {
     "address": "10.128.0.9:8080",
     "born": 1700000000000,
     "info": {"service": "huvo11a", "version": "v1", "zone": "a", "slots": 9},
@@ -46,6 +47,66 @@
         )
 
 
+STATUS = HEARTBEAT["status"]
+INFO = HEARTBEAT["info"]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.128.0.9:\u00b2"},
+        {"address": "10.128.0.9:" + "9" * 5000},
+        {"address": "10.128.0.9:65536"},
+        {"address": "10.128.0.9:1000000000"},
+        {"address": "10.128.0.9:-1"},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9"},
+        {"address": ["10.128.0.9:8080"]},
+        {"born": 10**30},
+        {"born": -1},
+        {"born": 10**400},
+        {"born": 1.5},
+        {"born": True},
+        {"info": {**INFO, "slots": 0}},
+        {"info": {**INFO, "slots": 2**70}},
+        {"info": {**INFO, "service": ["huvo11a"]}},
+        {"info": [INFO]},
+        {"status": {**STATUS, "sequence": 10**30}},
+        {"status": {**STATUS, "sequence": -1}},
+        {"status": {**STATUS, "sequence": "4"}},
+        {"status": {**STATUS, "warmup-left": "1e999s"}},
+        {"status": {**STATUS, "warmup-left": "-5s"}},
+        {"status": {**STATUS, "warmup-left": "9" * 400 + "s"}},
+        {"status": {**STATUS, "state": {}}},
+    ],
+)
+def test_odd_values_of_a_heartbeat_are_refused(change):
+    """Guards against numbers that fail, or outrank all later heartbeats."""
+    with pytest.raises(heartbeats.HeartbeatError):
+        heartbeats.parse_heartbeat(
+            "i-1", json.dumps({**HEARTBEAT, **change}).encode()
+        )
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        b'"x":' + b"[" * 5000 + b"]" * 5000,
+        b'"x":' + b'{"x":' * 5000 + b"1" + b"}" * 5000,
+        b'"born":1e400',
+        b'"born":' + b"9" * 5000,
+        b'"born":NaN',
+        b'"address":"\xff"',
+        b'"address":"\\ud800:1"',
+    ],
+)
+def test_odd_json_of_a_heartbeat_is_refused(field):
+    """Guards against a crash on JSON that can't be decoded."""
+    body = json.dumps(HEARTBEAT).encode()
+    with pytest.raises(heartbeats.HeartbeatError):
+        heartbeats.parse_heartbeat("i-1", body[:-1] + b"," + field + b"}")
+
+
 def test_undecodable_bytes_are_refused():
     """Guards against a crash on a body that is not JSON."""
     with pytest.raises(heartbeats.HeartbeatError):
