Ignore load reports of a target with figures that are no numbers

Seen: a target whose load report reads "²,0,8", or has a fourth figure of 400 digits, ends the process of its node: ValueError and OverflowError left the sampler, which is a task of the node.

Cause: isdigit() accepts characters that int() rejects, and figures had no maximum length.

Evidence: 4 of 7 cases of test_an_odd_load_report_is_ignored failed before, three of them with such an error.

A figure has at most nine ASCII digits; any other report counts as none and is logged at the level debug, like a malformed rate, because targets are sampled many times per second.

--- a/src/waxwingferry/platform/header_fields.py
+++ b/src/waxwingferry/platform/header_fields.py
@@ -26,6 +26,7 @@
 # Set by the node itself; values sent by a caller are removed.
 _NODE_SET_HEADERS = frozenset({CALLER_SERVICE, EXPECTED_TARGET, DEADLINE_MS})
 _MILLISECONDS = re.compile(r"[0-9]{1,9}")
+_LOAD_FIGURE = re.compile(r"[0-9]{1,9}")
 _HEALTH_FIELDS = frozenset(
     {
         REQUEST_ID,
@@ -184,8 +185,11 @@
 
 def _parse_load(headers: http1.Headers) -> target.TargetLoad | None:
     """Parses running, waiting, slots and, optionally, slowness in percent."""
-    items = http1.find_header(headers, LOAD).split(",")
-    if len(items) < 3 or not all(item.strip().isdigit() for item in items):
+    text = http1.find_header(headers, LOAD)
+    items = [item.strip() for item in text.split(",")]
+    if len(items) < 3 or not all(map(_LOAD_FIGURE.fullmatch, items)):
+        if text:
+            log.debug("load report ignored: malformed", value=text)
         return None
     numbers = [int(item) for item in items]
     slowness = numbers[3] / 100 if len(numbers) > 3 else 1.0
--- a/src/waxwingferry/platform/tests/test_target_messages.py
+++ b/src/waxwingferry/platform/tests/test_target_messages.py
@@ -187,6 +187,27 @@
     assert header_fields.PlatformTargetProtocol().find_refusal(head) is reason
 
 
+# The error ended the task that samples the target, and so the process.
+@pytest.mark.parametrize(
+    "text",
+    [
+        "\u00b2,0,8",
+        "3,1,8," + "9" * 400,
+        "9" * 5000 + ",1,8",
+        "3,1," + "9" * 30,
+        "3,1,-8",
+        "3,1,8,1e999",
+        "3,1,8,NaN",
+    ],
+)
+def test_an_odd_load_report_is_ignored(text):
+    """Guards against a process that ends by a field of its target."""
+    reply = exchange.Reply(200, [(header_fields.LOAD, text)], b"")
+    found = header_fields.parse_health(reply, "i-1")
+    assert found is not None
+    assert found.slots == 0
+
+
 @pytest.mark.parametrize(
     ("text", "expected"),
     [
