Reject member rows without a usable address

Seen: a member row with the host "a..b" was accepted. Connecting to it raises UnicodeError, which is no OSError, so the check of suspects ended, and with it the process. A name such as "n1.example" is resolved with each datagram, which blocks the event loop.

Cause: the host of a row was any name, while nodes announce IP addresses. The error classes of sockets for invalid addresses were not expected: UnicodeError, ValueError, OverflowError, TypeError.

The host of a row must be an IP address. Beneath that, connect_tcp turns each failure of an address into its ConnectError, and a datagram to such an address is counted and logged as not sent.

--- a/src/waxwingferry/connection/pool.py
+++ b/src/waxwingferry/connection/pool.py
@@ -28,13 +28,21 @@
     """Opens a TCP connection with Nagle's algorithm disabled.
 
     Raises:
-        ConnectError: The connection was refused or timed out.
+        ConnectError: The connection was refused or timed out, or the address
+            is invalid.
     """
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             return await tcp.connect(host, port)
-    except (OSError, TimeoutError) as error:
-        raise ConnectError(f"cannot connect to {host}:{port}") from error
+    except (
+        OSError,
+        OverflowError,
+        TimeoutError,
+        ValueError,
+    ) as error:
+        raise ConnectError(
+            f"cannot connect to {host}:{port}: {error!r}"
+        ) from error
 
 
 class Pool:
--- a/src/waxwingferry/connection/tests/test_pool.py
+++ b/src/waxwingferry/connection/tests/test_pool.py
@@ -162,3 +162,13 @@
                 await stream.send(b"x")
                 sent += 1
         assert sent < 1000
+
+
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [("a..b", 80), ("a\x00b", 80), ("127.0.0.1", 70_000), ("127.0.0.1", -1)],
+)
+async def test_an_invalid_address_is_a_connect_error(host, port):
+    """Guards against a background task that ends by an address it was told."""
+    with pytest.raises(pool.ConnectError):
+        await pool.connect_tcp(host, port)
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -45,6 +45,15 @@
 
 # The lengths are limited so that any row fits in a datagram.
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][\w.:-]{0,62}\Z")]
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+# Resolving a host name would block the event loop with each datagram.
+Host = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^(?:(?:{_OCTET}\.){{3}}{_OCTET}"
+        r"|[0-9A-Fa-f]{1,4}:[0-9A-Fa-f:.]{1,40})\Z"
+    ),
+]
 Counter = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
@@ -57,6 +66,7 @@
     Attributes:
         generation: Orders the processes of one node.
         change: Orders the rows of one process.
+        host: IP address of the node's peer listener.
         target: Incarnation of the target.
     """
 
@@ -65,7 +75,7 @@
     version: Name
     region: Name
     failure_domain: Name
-    host: Name
+    host: Host
     peer_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
     incarnation: Name
     state: Literal["ready", "draining", "leaving"]
--- a/src/waxwingferry/process/spreading/peers.py
+++ b/src/waxwingferry/process/spreading/peers.py
@@ -136,8 +136,10 @@
         """Sends a datagram; failures are counted, not raised."""
         try:
             self.socket.sendto(data, address)
-        except OSError:
+        except (OSError, OverflowError, TypeError, ValueError) as error:
+            # All but OSError mean that the address is invalid.
             self.send_failures += 1
+            log.debug("datagram not sent", host=address[0], error=repr(error))
 
     async def run(
         self, receive: Callable[[bytes, gossip.Address], None]
--- a/src/waxwingferry/process/spreading/tests/test_members.py
+++ b/src/waxwingferry/process/spreading/tests/test_members.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from waxwingferry.process.choice import routing
 from waxwingferry.process.spreading import members
 from waxwingferry.process.tests import fakes
@@ -44,3 +46,36 @@
     )
     chosen = router.choose(membership.by_service["desk"], frozenset(), set())
     assert chosen is membership.candidates["n1"]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"host": "a..b"},
+        {"host": "n1.example"},
+        {"host": "10.0.0.256"},
+        {"host": "10.0.0"},
+        {"host": "10.0.0.1."},
+        {"host": "10.0.0.1\n"},
+        {"host": ""},
+        {"host": None},
+        {"peer_port": 0},
+        {"peer_port": -1},
+        {"peer_port": 65536},
+        {"peer_port": 10**9},
+        {"peer_port": 10**400},
+        {"peer_port": "80"},
+    ],
+)
+def test_a_row_without_a_usable_address_is_rejected(change):
+    """Guards against addresses that sockets refuse or have to resolve."""
+    value = {**members.format_row(fakes.make_row(1)), **change}
+    with pytest.raises(members.RowError):
+        members.parse_row("n1", value)
+
+
+@pytest.mark.parametrize("host", ["10.0.0.1", "255.255.255.255", "fe80::1"])
+def test_ip_addresses_are_accepted(host):
+    """Guards against sound rows that are rejected."""
+    value = {**members.format_row(fakes.make_row(1)), "host": host}
+    assert members.parse_row("n1", value).host == host
