Reject member rows with an odd incarnation

Seen: a member row whose target or incarnation has a line break or letters beyond Latin-1 was accepted. Entries send both in header fields, which can't be encoded then (read from the code, not run). A node whose own row has the target "a:²", or a start time of 5,000 digits, raised ValueError when it restores its target, which ends it at each start.

Cause: the target could be any text of at most 64 characters, "\w" matches letters and digits of all scripts, and isdigit() accepts characters that int() rejects.

Incarnations consist of ASCII characters, in rows and in announcements, and a start time has at most 16 ASCII digits.

--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -45,6 +45,12 @@
 
 # The lengths are limited so that any row fits in a datagram.
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][\w.:-]{0,62}\Z")]
+# Incarnations are sent in header fields.
+_INCARNATION = r"[A-Za-z0-9][A-Za-z0-9_.:-]{0,62}"
+Incarnation = Annotated[str, msgspec.Meta(pattern=rf"^{_INCARNATION}\Z")]
+OptionalIncarnation = Annotated[
+    str, msgspec.Meta(pattern=rf"^(?:{_INCARNATION})?\Z")
+]
 _OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 # Resolving a host name would block the event loop with each datagram.
 Host = Annotated[
@@ -67,7 +73,7 @@
         generation: Orders the processes of one node.
         change: Orders the rows of one process.
         host: IP address of the node's peer listener.
-        target: Incarnation of the target.
+        target: Incarnation of the target, or empty.
     """
 
     node: Name
@@ -77,12 +83,12 @@
     failure_domain: Name
     host: Host
     peer_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
-    incarnation: Name
+    incarnation: Incarnation
     state: Literal["ready", "draining", "leaving"]
     slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
     generation: Counter = 0
     change: Counter = 0
-    target: Annotated[str, msgspec.Meta(max_length=64)] = ""
+    target: OptionalIncarnation = ""
 
     @property
     def order(self) -> tuple[int, int, str]:
--- a/src/waxwingferry/process/spreading/tests/test_members.py
+++ b/src/waxwingferry/process/spreading/tests/test_members.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from waxwingferry.process import target
 from waxwingferry.process.choice import routing
 from waxwingferry.process.spreading import members
 from waxwingferry.process.tests import fakes
@@ -79,3 +80,28 @@
     """Guards against sound rows that are rejected."""
     value = {**members.format_row(fakes.make_row(1)), "host": host}
     assert members.parse_row("n1", value).host == host
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["a:\u00b2", "x\u6f22", "a\r\nb: c", "a\x00", "a" * 64, 7, ["a"], None],
+)
+@pytest.mark.parametrize("field", ["incarnation", "target"])
+def test_a_row_with_an_odd_incarnation_is_rejected(field, name):
+    """Guards against requests that fail because a header field is invalid."""
+    value = {**members.format_row(fakes.make_row(1)), field: name}
+    with pytest.raises(members.RowError):
+        members.parse_row("n1", value)
+
+
+def test_a_row_without_a_target_is_accepted():
+    """Guards against sound rows that are rejected."""
+    value = members.format_row(fakes.make_row(1, target=""))
+    assert members.parse_row("n1", value).target == ""
+
+
+# The start of a node reads the time from its own row.
+@pytest.mark.parametrize("started", ["\u00b2", "9" * 5000, "-1", ""])
+def test_an_odd_start_time_in_an_incarnation_counts_as_unknown(started):
+    """Guards against a node that ends at each start by its own row."""
+    assert target.split_incarnation(f"i-1:{started}") == ("i-1", 0)
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -49,7 +49,13 @@
 
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
+_STARTED_MS = re.compile(r"[0-9]{1,16}")
+
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][\w.:-]{0,62}\Z")]
+# Incarnations are sent in header fields.
+Incarnation = Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.:-]{0,62}\Z")
+]
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -73,7 +79,7 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
     host: str
     port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
-    incarnation: Name
+    incarnation: Incarnation
     state: Literal["ready", "draining"] = "ready"
     echoes_attempts: bool = True
 
@@ -86,7 +92,7 @@
 def split_incarnation(incarnation: str) -> tuple[str, int]:
     """Returns the target ID and start time; see format_incarnation."""
     target_id, _, started = incarnation.rpartition(":")
-    return target_id, int(started) if started.isdigit() else 0
+    return target_id, int(started) if _STARTED_MS.fullmatch(started) else 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
