Bound the generations of member rows

Seen: a row with the generation 2^53 under a node's name makes the next process of the node write 2^53 + 1, which every node rejects as out of range. No other node knows that process, until its row is removed by hand.

Cause: a process raises its generation above that of any valid row, so the greatest valid one leads to an invalid row.

Evidence: test_others_accept_the_row_after_one_with_a_huge_generation[2^53] failed before: the reader had no record of the node.

Generations are wall-clock milliseconds, so rows with one beyond the year 2286 are malformed and replaced, and a process never raises its own beyond that bound.

--- a/src/waxwingferry/process/spreading/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -99,7 +99,8 @@
         """Raises the own generation above that of another row."""
         if generation < self.generation:
             return
-        self.generation = generation + 1
+        # The other nodes reject a row with a higher generation.
+        self.generation = min(generation + 1, members.MAX_GENERATION)
         own = self.membership.own
         if own is not None:
             self.membership.announce(
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -61,6 +61,9 @@
     ),
 ]
 Counter = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# Above each wall clock in milliseconds until the year 2286.
+MAX_GENERATION = 10**13
+Generation = Annotated[int, msgspec.Meta(ge=0, le=MAX_GENERATION)]
 
 
 class MemberRow(msgspec.Struct, frozen=True, array_like=True):
@@ -86,7 +89,7 @@
     incarnation: Incarnation
     state: Literal["ready", "draining", "leaving"]
     slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
-    generation: Counter = 0
+    generation: Generation = 0
     change: Counter = 0
     target: OptionalIncarnation = ""
 
--- a/src/waxwingferry/process/spreading/tests/test_lease.py
+++ b/src/waxwingferry/process/spreading/tests/test_lease.py
@@ -117,6 +117,24 @@
     assert new.own.order > dead.order
 
 
+@pytest.mark.parametrize("generation", [members.MAX_GENERATION, 2**53, 10**400])
+async def test_others_accept_the_row_after_one_with_a_huge_generation(
+    generation,
+):
+    """Guards against a node that no other node knows after such a row."""
+    table, clock = fakes.Table(), fakes.Clock()
+    old = members.format_row(fakes.make_row(1, incarnation="old"))
+    old["generation"] = generation
+    table.version += 1
+    table.rows["members/n1"] = platform.Row("members/n1", old, table.version)
+    process = NodeProcess(table, clock, 1000.0, "new")
+    await process.lease.read_rows()
+    await process.lease.write_once()
+    reader = NodeProcess(table, clock, 1000.0, "reader", 2)
+    await reader.lease.read_rows()
+    assert reader.members.records["n1"].row.incarnation == "new"
+
+
 async def test_name_conflicts_without_the_table_are_bounded():
     """Guards against endless updates from two live processes of one node."""
     table, clock = fakes.Table(), fakes.Clock()
