Let an odd rollout order cost only itself

Seen: a rollout order whose service is a list made the node reject the whole document, so that routes, evacuations and other orders that came later were not in force. One whose version is a list, or whose service is empty, was accepted. (An order of infinite duration was refused since durations have a bounded number of digits.)

Cause: only missing keys and bad durations were expected, and the service is the key of a dictionary.

Service and version of an order must be texts. An invalid order is logged and left out, as before.

--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -188,9 +188,9 @@
     value = row["value"]
     try:
         return revision.RolloutOrder(
-            value["service"],
+            parsing.parse_text(value["service"]),
             # In rollout orders, "target" is the new version.
-            value["target"],
+            parsing.parse_text(value["target"]),
             parsing.parse_duration(value["duration"]),
             row["version"],
         )
--- a/src/waxwingferry/platform/parsing.py
+++ b/src/waxwingferry/platform/parsing.py
@@ -12,6 +12,17 @@
     """A value does not match the format that the platform documents."""
 
 
+def parse_text(value: Any) -> str:
+    """Returns a text that isn't empty.
+
+    Raises:
+        ValueFormatError: The value is something else.
+    """
+    if not isinstance(value, str) or not value:
+        raise ValueFormatError(f"{value!r}: must be a non-empty string")
+    return value
+
+
 def parse_duration(value: Any) -> float:
     """Returns a duration such as "1500ms" or "2.5s" in seconds.
 
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -361,3 +361,35 @@
         fake.put("op", "config", make_config("r2"))
         await document.watch()
         assert document.revision.rollouts["desk"].number > before
+
+
+ORDER = {"service": "registry", "target": "v2", "duration": "12s"}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": ["registry"]},
+        {"service": {}},
+        {"service": ""},
+        {"target": []},
+        {"target": 7},
+        {"duration": "9" * 400 + "s"},
+        {"duration": "1e999s"},
+        {"duration": "-5s"},
+        {"duration": 12},
+    ],
+)
+async def test_an_odd_rollout_order_costs_only_itself(change):
+    """Guards against an order that hides the configuration and the others."""
+    async with fake_store.run_store() as (fake, table):
+        fake.put("op", "config", CONFIG)
+        fake.put("op", "rollout/desk", {**ORDER, "service": "desk"})
+        fake.put("op", "rollout/registry", {**ORDER, **change})
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        await document.read()
+        assert document.revision is not None
+        assert list(document.revision.rollouts) == ["desk"]
+        fake.put("op", "evacuate/a", {})
+        await document.watch()
+        assert document.revision.domains_out == {"a"}
