Reject configurations of odd types and numbers instead of ending

Seen: a configuration that is null or a list, whose limits are a list, or with a rate of 400 digits, raised AttributeError or OverflowError. No caller expects them, so the watcher or the fetcher ended, and with it the process. The store accepts only valid configurations; peers send what they have.

Cause: the conversion of the document expected three classes of errors, but values of other types raise further ones.

Every failure of the conversion is a DocumentError. The last valid document stays in force and the reason is logged, as before.

--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -134,7 +134,14 @@
     def _parse(self, number: int, content: Any) -> revision.Revision:
         try:
             return _make_revision(number, content, self.bounds)
-        except (KeyError, TypeError, ValueError) as error:
+        except (
+            ArithmeticError,
+            AttributeError,
+            LookupError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ) as error:
             raise revision.DocumentError(repr(error)) from error
         except parsing.ValueFormatError as error:
             raise revision.DocumentError(str(error)) from error
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -393,3 +393,26 @@
         fake.put("op", "evacuate/a", {})
         await document.watch()
         assert document.revision.domains_out == {"a"}
+
+
+@pytest.mark.parametrize(
+    "config",
+    [
+        None,
+        [],
+        {**CONFIG, "limits": [1]},
+        {**CONFIG, "services": [{"name": "desk", "warmup-per-s": 10**400}]},
+        {**CONFIG, "services": [{"name": ["desk"]}]},
+        {**CONFIG, "services": [{"name": "desk", "warmup": "9" * 400 + "s"}]},
+        {**CONFIG, "services": [{"name": "desk", "max-connections": 1e400}]},
+        {**CONFIG, "virtual-hosts": [{"authority": 7, "paths": [{}]}]},
+    ],
+)
+def test_an_odd_configuration_of_a_peer_is_rejected(config):
+    """Guards against a process that ends by a document it can't convert."""
+    document = operator_document.OperatorDocument(
+        store.StoreTable(exchange.Client("127.0.0.1", 1)), BOUNDS
+    )
+    content = {"op/config": {"value": config, "version": 3}}
+    assert not document.apply_if_newer(3, content)
+    assert document.rejected == 3
