Let an odd status row cost only itself, and log it once

Seen: a status row of a rollout whose version is a list or a number was taken for a decision, so that each message about it was malformed for the other nodes. Any other row there was logged again at each read.

Cause: the type of the version was not checked.

The version must be a text, and each version of a row is logged once. The store logs undecodable rows itself.

--- a/src/waxwingferry/platform/decisions.py
+++ b/src/waxwingferry/platform/decisions.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from waxwingferry.platform import parsing
 from waxwingferry.platform import store
 from waxwingferry.process import platform
 from waxwingferry.version import messages
@@ -17,10 +18,14 @@
 
     Args:
         table: Client of the platform's store.
+
+    Attributes:
+        malformed_versions: Versions of the rows that were reported, by key.
     """
 
     def __init__(self, table: store.StoreTable):
         self.table = table
+        self.malformed_versions: dict[str, int] = {}
 
     async def read_all(self) -> list[tuple[messages.Decision, int]]:
         """See version.rollout.DecisionStore."""
@@ -31,20 +36,27 @@
                 decision = messages.Decision(
                     row.key.removeprefix(PREFIX),
                     # In status rows, "target" is the new version.
-                    value["target"],
+                    parsing.parse_text(value["target"]),
                     row.version,
                     messages.State(value["state"]),
                 )
-            except (KeyError, ValueError) as error:
-                log.warning(
-                    "status row is not a decision",
-                    key=row.key,
-                    error=str(error),
-                )
+            except (
+                KeyError,
+                ValueError,
+                parsing.ValueFormatError,
+            ) as error:
+                self._report_malformed(row, repr(error))
                 continue
             decisions.append((decision, row.version))
         return decisions
 
+    def _report_malformed(self, row: platform.Row, error: str) -> None:
+        """Logs each version of a row once; the table logs undecodable ones."""
+        if row.malformed or self.malformed_versions.get(row.key) == row.version:
+            return
+        self.malformed_versions[row.key] = row.version
+        log.warning("status row is not a decision", key=row.key, error=error)
+
     async def write(self, decision: messages.Decision, if_version: int) -> None:
         """See version.rollout.DecisionStore."""
         value = {
--- a/src/waxwingferry/platform/tests/test_decisions.py
+++ b/src/waxwingferry/platform/tests/test_decisions.py
@@ -4,6 +4,7 @@
 
 import anyio
 import pytest
+import structlog.testing
 
 from waxwingferry.platform import decisions
 from waxwingferry.platform.tests import fake_store
@@ -63,6 +64,29 @@
         assert await decisions.StatusDecisionStore(table).read_all() == []
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        {"state": "completed", "target": ["v2"]},
+        {"state": "completed", "target": 7},
+        {"state": ["completed"], "target": "v2"},
+        {"target": "v2"},
+        b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}",
+    ],
+)
+async def test_an_odd_decision_costs_only_itself_and_is_logged_once(value):
+    """Guards against a rollout to a version that no target can have."""
+    async with fake_store.run_store() as (fake, table):
+        decision_store = decisions.StatusDecisionStore(table)
+        await decision_store.write(COMPLETED, 0)
+        fake.put("status", "rollout/registry", value)
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(3):
+                [(found, _)] = await decision_store.read_all()
+        assert found.service == "desk"
+        assert len(lines) == 1
+
+
 async def test_a_late_write_of_the_own_member_row_is_recognized():
     """Guards against a node that stops because of its own late write.
 
