Judge rollouts with more than a thousand responses

Seen while odd counts were tried: a rollout whose new version has two bad responses among more than 1,029, or 200 bad ones among 1,000, raised OverflowError in the judgement. That ends the task of the rollouts, and with it the process of the judge; the next judge gets the same counts.

Cause: binomial coefficients of that size exceed the range of a float, and so do likelihood ratios to the power of the number of bad responses.

Evidence: 11 of 16 cases of test_many_responses_are_judged failed before: 10 with an OverflowError, one ran for more than 60 s.

Both are computed with logarithms. The sum of the binomial tail stops where further terms no longer change it, and no tail is computed if there are no more bad responses than expected.

--- a/src/waxwingferry/version/judgement.py
+++ b/src/waxwingferry/version/judgement.py
@@ -17,6 +17,9 @@
 # Prior probability that a new version is bad.
 PRIOR_BAD_PROBABILITY = 0.5
 FIRST_BUCKET_S = 0.002
+TAIL_PRECISION = 1e-16
+# exp() of a larger negation would exceed the range of a float.
+MIN_LOG_ODDS = -700.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -108,18 +111,13 @@
     if not new:
         return PRIOR_BAD_PROBABILITY
     samples = _compare(old, new)
-    likelihood_all = likelihood_one = 0.0
+    log_likelihoods = []
     for excess in EXCESS_FAILURE_RATES:
-        ratios = [_likelihood_ratio(item, excess) for item in samples]
-        likelihood_all += math.prod(ratios) / len(EXCESS_FAILURE_RATES)
-        likelihood_one += sum(ratios) / len(ratios) / len(EXCESS_FAILURE_RATES)
-    odds = (
-        PRIOR_BAD_PROBABILITY
-        / (1 - PRIOR_BAD_PROBABILITY)
-        * (likelihood_all + likelihood_one)
-        / 2
-    )
-    return odds / (1 + odds)
+        log_ratios = [_log_likelihood_ratio(item, excess) for item in samples]
+        log_likelihoods += [sum(log_ratios), _log_mean_exp(log_ratios)]
+    prior_odds = PRIOR_BAD_PROBABILITY / (1 - PRIOR_BAD_PROBABILITY)
+    log_odds = math.log(prior_odds) + _log_mean_exp(log_likelihoods)
+    return 1 / (1 + math.exp(-max(log_odds, MIN_LOG_ODDS)))
 
 
 def _compare(
@@ -142,19 +140,28 @@
     return samples
 
 
-def _likelihood_ratio(item: _Sample, excess: float) -> float:
-    """Returns the likelihood ratio of an excess failure rate to none."""
+def _log_likelihood_ratio(item: _Sample, excess: float) -> float:
+    """Returns the log likelihood ratio of an excess failure rate to none."""
     baseline = item.baseline_failure_rate
     bad_rate = baseline + (1 - baseline) * excess
     good = item.total - item.bad
-    return (bad_rate / baseline) ** item.bad * (
+    return item.bad * math.log(bad_rate / baseline) + good * math.log(
         (1 - bad_rate) / (1 - baseline)
-    ) ** good
+    )
+
+
+def _log_mean_exp(values: list[float]) -> float:
+    """Returns the logarithm of the mean of exp(value), without overflow."""
+    largest = max(values)
+    total = sum(math.exp(value - largest) for value in values)
+    return largest + math.log(total / len(values))
 
 
 def _is_worse(item: _Sample, p_value: float) -> bool:
     if item.bad < MIN_BAD_RESPONSES:
         return False
+    if item.bad <= item.total * item.baseline_failure_rate:
+        return False
     return (
         _binomial_tail(item.bad, item.total, item.baseline_failure_rate)
         < p_value
@@ -162,11 +169,25 @@
 
 
 def _binomial_tail(least: int, total: int, share: float) -> float:
-    """Returns the probability of at least `least` events out of total."""
-    return sum(
-        math.comb(total, n) * share**n * (1 - share) ** (total - n)
-        for n in range(least, total + 1)
-    )
+    """Returns the probability of at least `least` events out of total.
+
+    The terms are computed as logarithms, because the binomial coefficients
+    of more than 1029 events exceed the range of a float.
+    """
+    tail = 0.0
+    for n in range(least, total + 1):
+        term = math.exp(
+            math.lgamma(total + 1)
+            - math.lgamma(n + 1)
+            - math.lgamma(total - n + 1)
+            + n * math.log(share)
+            + (total - n) * math.log1p(-share)
+        )
+        tail += term
+        # Beyond the mean the terms decrease.
+        if n > total * share and term <= tail * TAIL_PRECISION:
+            break
+    return tail
 
 
 def _median_bucket(item: RouteCount) -> int:
--- a/src/waxwingferry/version/tests/test_judgement.py
+++ b/src/waxwingferry/version/tests/test_judgement.py
@@ -1,5 +1,6 @@
 """Error rates of the final judgement of a version."""
 
+import math
 import random
 
 import pytest
@@ -58,3 +59,39 @@
         judgement.estimate_bad_probability({}, {})
         == judgement.PRIOR_BAD_PROBABILITY
     )
+
+
+def _make_counts(failed: int, good: int) -> dict[str, judgement.RouteCount]:
+    """Returns the counts of one route, all good ones in one bucket."""
+    item = judgement.RouteCount("r1", failed)
+    item.steps[6] = good
+    return {"r1": item}
+
+
+# The OverflowError ended the judging process, and then the next judge.
+@pytest.mark.parametrize("total", [1029, 1100, 20_000, 10_000_000])
+@pytest.mark.parametrize("bad_share", [0.0, 0.01, 0.2, 1.0])
+def test_many_responses_are_judged(total, bad_share):
+    """Guards against a process that ends by a rollout with many responses."""
+    old = _make_counts(total // 100, total - total // 100)
+    failed = round(total * bad_share)
+    new = _make_counts(failed, total - failed)
+    bad = bad_share > 0.1
+    assert bool(judgement.find_regression(old, new, 0.01)) is bad
+    probability = judgement.estimate_bad_probability(old, new)
+    assert (probability > 0.99) is bad
+    assert (probability < 0.01) is not bad
+
+
+@pytest.mark.parametrize(
+    ("least", "total", "share"),
+    [(2, 10, 0.1), (7, 40, 0.05), (100, 1000, 0.08), (3, 3, 0.5)],
+)
+def test_the_binomial_tail_is_exact(least, total, share):
+    """Guards against another verdict by the computation with logarithms."""
+    expected = sum(
+        math.comb(total, n) * share**n * (1 - share) ** (total - n)
+        for n in range(least, total + 1)
+    )
+    found = judgement._binomial_tail(least, total, share)
+    assert found == pytest.approx(expected, rel=1e-9)
