Reject odd counts and numbers in messages on rollouts

Seen: counts of another node whose histogram has another number of buckets than ours, or with negative figures, were stored. Summing them up raises ValueError in the judgement, which ends the task of the rollouts, and with it the process.

Cause: the messages declared lists and numbers of any size.

Evidence: the 5 cases of test_odd_counts_of_a_rollout_are_malformed failed before.

The length of the histogram, and the range of all figures and numbers, are part of the types that the decoder checks.

--- a/src/waxwingferry/process/spreading/tests/test_gossip.py
+++ b/src/waxwingferry/process/spreading/tests/test_gossip.py
@@ -7,10 +7,13 @@
 import pytest
 import structlog.testing
 
+from waxwingferry import decoding
 from waxwingferry.process.spreading import configuration
 from waxwingferry.process.spreading import gossip
 from waxwingferry.process.spreading import version_rollouts
 from waxwingferry.process.tests import fakes
+from waxwingferry.version import judgement
+from waxwingferry.version import messages
 
 CONTENT = {"services": [{"name": "desk", "routes": [{"path_prefix": "/"}]}]}
 NODES = 24
@@ -177,6 +180,27 @@
     assert [line["event"] for line in lines] == ["malformed datagram dropped"]
 
 
+@pytest.mark.parametrize(
+    ("failed", "steps"),
+    [
+        (0, [1]),
+        (0, [0] * (judgement.BUCKET_COUNT + 1)),
+        (-5, [0] * judgement.BUCKET_COUNT),
+        (0, [-1] * judgement.BUCKET_COUNT),
+        (2**63, [0] * judgement.BUCKET_COUNT),
+    ],
+)
+def test_odd_counts_of_a_rollout_are_malformed(failed, steps):
+    """Guards against a judge that ends by the counts of another node."""
+    routes = [judgement.RouteCount("r1", failed, steps)]
+    counts = messages.TargetCounts("n2", "desk", "v2", 7, routes)
+    found: list[messages.TargetCounts] = []
+    handler = version_rollouts.make_handler(messages.TargetCounts, found.append)
+    with pytest.raises(decoding.DecodingError):
+        handler(msgspec.msgpack.encode(counts))
+    assert not found
+
+
 def test_oversized_datagrams_are_counted_and_dropped():
     """Guards against decoding a datagram that was truncated at the limit."""
     network = _make_network(5, fakes.Faults(), 1)
--- a/src/waxwingferry/version/judgement.py
+++ b/src/waxwingferry/version/judgement.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -21,6 +22,8 @@
 # exp() of a larger negation would exceed the range of a float.
 MIN_LOG_ODDS = -700.0
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=10**7)]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Sample:
@@ -51,8 +54,11 @@
     """
 
     route: str
-    failed: int = 0
-    steps: list[int] = msgspec.field(default_factory=lambda: [0] * BUCKET_COUNT)
+    failed: Count = 0
+    steps: Annotated[
+        list[Count],
+        msgspec.Meta(min_length=BUCKET_COUNT, max_length=BUCKET_COUNT),
+    ] = msgspec.field(default_factory=lambda: [0] * BUCKET_COUNT)
 
     @property
     def total(self) -> int:
--- a/src/waxwingferry/version/messages.py
+++ b/src/waxwingferry/version/messages.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Iterable
 import enum
+from typing import Annotated
 
 import msgspec
 
 from waxwingferry.version import judgement
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
 
 class State(enum.Enum):
     """Final state of a rollout."""
@@ -19,7 +22,7 @@
     """Stops canary traffic to a bad version before the decision is written."""
 
     service: str
-    number: int
+    number: Number
 
 
 class DecisionQuery(msgspec.Struct, frozen=True, array_like=True):
@@ -32,7 +35,7 @@
 
     node: str
     service: str
-    number: int
+    number: Number
 
 
 class Decision(msgspec.Struct, frozen=True, array_like=True):
@@ -44,7 +47,7 @@
 
     service: str
     version: str
-    number: int
+    number: Number
     state: State
 
 
@@ -54,7 +57,7 @@
     node: str
     service: str
     version: str
-    number: int
+    number: Number
     routes: list[judgement.RouteCount]
 
 
