Take an odd response of a peer for a failed request

Seen: a document or member list of a peer that is nested 5,000 deep raised RecursionError out of the peer client, which ends the fetcher, and with it the process. A document with the number 10^400 was accepted, after which no later one would have been followed.

Cause: json.loads raises RecursionError for deep nesting and accepts NaN and infinite numbers; the number of the document had no upper bound.

Responses are decoded by `decoding.decode_json`, and the number of a document has the same bound as in datagrams.

--- a/src/waxwingferry/process/spreading/peers.py
+++ b/src/waxwingferry/process/spreading/peers.py
@@ -13,6 +13,7 @@
 import msgspec
 import structlog
 
+from waxwingferry import decoding
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
@@ -24,6 +25,8 @@
 MEMBERS_PATH = "/_peer/members"
 FETCH_TIMEOUT_S = 2.0
 MAX_DATAGRAMS_PER_WAKEUP = 64
+# The largest number that datagrams announce; no later one could be followed.
+MAX_REVISION = 2**53
 
 log = structlog.get_logger()
 
@@ -49,9 +52,14 @@
             PeerError: The peer sent no valid response.
         """
         data = await self._get(address, DOCUMENT_PATH)
-        if type(data.get("revision")) is not int or "document" not in data:
+        number = data.get("revision")
+        if (
+            type(number) is not int
+            or not 0 < number <= MAX_REVISION
+            or "document" not in data
+        ):
             raise PeerError(f"{address[0]}:{address[1]}: invalid document")
-        return data["revision"], data["document"]
+        return number, data["document"]
 
     async def fetch_members(
         self, address: gossip.Address
@@ -71,8 +79,10 @@
         client = exchange.Client(*address, self.connect)
         try:
             reply = await client.request("GET", path, FETCH_TIMEOUT_S)
-            data = json.loads(reply.body) if reply.status == 200 else None
-        except (exchange.ExchangeError, ValueError) as error:
+            data = None
+            if reply.status == 200:
+                data = decoding.decode_json(reply.body)
+        except (exchange.ExchangeError, decoding.DecodingError) as error:
             raise PeerError(f"{client.authority}{path}: {error!r}") from error
         finally:
             await client.close()
