Ignore load reports of nodes with figures that are no numbers

Seen: the load field of another node with a figure of 400 digits was accepted; adding it to the statistics of the target would raise OverflowError while a response is passed on (read from the code, not run). Clock readings were checked with isdigit(), which accepts "²".

Cause: figures had no maximum length, and int() accepts more forms of numbers than nodes send.

`decoding.parse_count` is the one parser of such numbers between nodes.

--- a/src/waxwingferry/decoding.py
+++ b/src/waxwingferry/decoding.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import re
 from typing import Any
 from typing import TypeVar
 
@@ -15,6 +16,9 @@
 # encoded, depending on the depth of the call stack.
 MAX_NESTING = 64
 
+# Further digits would not be exact as a float.
+_COUNT = re.compile(r"[0-9]{1,15}")
+
 _ValueType = TypeVar("_ValueType")
 
 
@@ -54,6 +58,14 @@
     raise DecodingError(f"nested deeper than {MAX_NESTING} levels")
 
 
+def parse_count(text: str) -> int | None:
+    """Returns a number of up to 15 decimal digits, or None.
+
+    str.isdigit() accepts characters that int() rejects.
+    """
+    return int(text) if _COUNT.fullmatch(text) else None
+
+
 def _get_children(value: Any) -> list[Any]:
     match value:
         case dict():
--- a/src/waxwingferry/process/choice/load_stats.py
+++ b/src/waxwingferry/process/choice/load_stats.py
@@ -3,6 +3,8 @@
 import dataclasses
 import math
 
+from waxwingferry import decoding
+
 LATENCY_EWMA_WEIGHT = 0.2
 MIN_SERVICE_EWMA_WEIGHT = 0.02
 SERVICE_HALF_LIFE_S = 0.5
@@ -46,15 +48,23 @@
     """Parses an x-waxwing-load field, or returns None if it is malformed."""
     try:
         parts = dict(item.split("=", 1) for item in text.split(","))
-        in_flight = int(parts["in_flight"])
-        queue = int(parts["queue"])
-        limit = int(parts["limit"])
-        slowness = int(parts.get("slow", "100")) / 100
-        wait_s = int(parts["wait"]) / 1000 if "wait" in parts else -math.inf
-    except (ValueError, KeyError, OverflowError):
+    except ValueError:
         return None
-    if min(in_flight, queue, limit) < 0:
+    in_flight = decoding.parse_count(parts.get("in_flight", ""))
+    queue = decoding.parse_count(parts.get("queue", ""))
+    limit = decoding.parse_count(parts.get("limit", ""))
+    slow_percent = decoding.parse_count(parts.get("slow", "100"))
+    wait_ms = decoding.parse_count(parts.get("wait", "0"))
+    if (
+        in_flight is None
+        or queue is None
+        or limit is None
+        or slow_percent is None
+        or wait_ms is None
+    ):
         return None
+    slowness = slow_percent / 100
+    wait_s = wait_ms / 1000 if "wait" in parts else -math.inf
     return LoadReport(
         in_flight,
         queue,
--- a/src/waxwingferry/process/choice/probe.py
+++ b/src/waxwingferry/process/choice/probe.py
@@ -15,6 +15,7 @@
 
 import anyio
 
+from waxwingferry import decoding
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
 from waxwingferry.process import metrics
@@ -288,8 +289,8 @@
 def decode_load(body: bytes, now_s: float) -> load_stats.LoadReport | None:
     """Returns the report in a response body, or None if it is malformed."""
     try:
-        data = json.loads(body)
+        data = decoding.decode_json(body)
         text = ",".join(f"{name}={value}" for name, value in data.items())
-    except (ValueError, AttributeError):
+    except (decoding.DecodingError, AttributeError):
         return None
     return load_stats.parse_load(text, now_s)
--- a/src/waxwingferry/process/choice/tests/test_routing.py
+++ b/src/waxwingferry/process/choice/tests/test_routing.py
@@ -232,6 +232,10 @@
         "a,b,c",
         f"in_flight=1,queue=0,limit=6,slow={'9' * 400}",
         f"in_flight=1,queue=0,limit=6,wait={'9' * 400}",
+        f"in_flight={'9' * 400},queue=0,limit=6",
+        f"in_flight=1,queue=0,limit={'9' * 5000}",
+        "in_flight=\u00b2,queue=0,limit=6",
+        "in_flight=1_0,queue=0,limit=6",
     ],
 )
 def test_malformed_report_is_no_report(text: str) -> None:
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from waxwingferry import decoding
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
 from waxwingferry.process import attempts
@@ -179,9 +180,10 @@
     ) -> NodeTime | None:
         value = http1.find_header(head.headers, calls.NODE_TIME_HEADER)
         name = http1.find_header(head.headers, calls.INCARNATION_HEADER)
-        if not value.isdigit():
+        node_time_ms = decoding.parse_count(value)
+        if node_time_ms is None:
             return None
-        node_time = NodeTime(name, int(value), time.monotonic())
+        node_time = NodeTime(name, node_time_ms, time.monotonic())
         self.node_times[(candidate.host, candidate.peer_port)] = node_time
         return node_time
 
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from waxwingferry import decoding
 from waxwingferry.connection import http1
 from waxwingferry.process import attempts
 from waxwingferry.process.choice import probe
@@ -107,8 +108,7 @@
         attempt_id = head.target.removeprefix(resolve.ATTEMPTS_PATH)
         is_resolve = head.method == "POST" and attempt_id.endswith("/resolve")
         attempt_id = attempt_id.removesuffix("/resolve")
-        node_time = http1.find_header(head.headers, calls.NODE_TIME_HEADER)
-        node_time_ms = int(node_time) if node_time.isdigit() else -1
+        node_time_ms = _parse_node_time(head)
         if not is_resolve:
             resolution = self.records.get_resolution(attempt_id, node_time_ms)
         else:
@@ -123,7 +123,7 @@
     ) -> None:
         """Waits for a running attempt to end, up to the requested time."""
         text = http1.find_header(head.headers, resolve.WAIT_HEADER)
-        wait_s = int(text) / 1000 if text.isdigit() else 0.0
+        wait_s = (decoding.parse_count(text) or 0) / 1000
         record = self.records.records.get(attempt_id)
         if record is None or record.state is not attempts.State.RUNNING:
             return
@@ -187,11 +187,17 @@
         await self.connection.send_end()
 
 
+def _parse_node_time(head: http1.RequestHead) -> int:
+    """Returns the time of this node that the request is based on, or -1."""
+    text = http1.find_header(head.headers, calls.NODE_TIME_HEADER)
+    node_time_ms = decoding.parse_count(text)
+    return -1 if node_time_ms is None else node_time_ms
+
+
 async def _make_attempt(
     connection: http1.ServerConnection, head: http1.RequestHead
 ) -> calls.Attempt:
     find = http1.find_header
-    node_time = find(head.headers, calls.NODE_TIME_HEADER)
     context = call_context.parse_context(head.headers)
     if context.deadline_ms is None:
         raise http1.HttpError(f"{calls.DEADLINE_HEADER} is missing")
@@ -215,7 +221,7 @@
         incarnation=find(head.headers, calls.INCARNATION_HEADER),
         is_retry=context.is_retry,
         keyed=find(head.headers, calls.KEEP_HEADER) == "1",
-        node_time_ms=int(node_time) if node_time.isdigit() else -1,
+        node_time_ms=_parse_node_time(head),
         reroutable=find(head.headers, calls.REROUTABLE_HEADER) == "1",
         target_incarnation=find(head.headers, calls.TARGET_HEADER),
         urgency=calls.parse_urgency(find(head.headers, calls.URGENCY_HEADER)),
--- /dev/null
+++ b/src/waxwingferry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of modules that all packages use."""
