Keep reading the table if the document's row is no document

Seen: a row of the current document without its number or its content raised KeyError out of the read of the table, which ends its reader and with it the process.

Cause: the fields of the row were taken for granted.

Evidence: the 4 cases of test_a_row_that_is_no_document_leaves_the_last_one failed before.

--- a/src/waxwingferry/process/spreading/configuration.py
+++ b/src/waxwingferry/process/spreading/configuration.py
@@ -114,7 +114,8 @@
         row = await self.table.read(document.DOCUMENT_KEY)
         if row is None or row.value is None:
             return False
-        return self.apply_if_newer(row.value["revision"], row.value["document"])
+        number = _revision_of(row)
+        return self.apply_if_newer(number, row.value.get("document"))
 
     async def accept(self, change: Change) -> Result:
         """Writes a change and its history row, or returns why it did not.
@@ -222,6 +223,14 @@
 
 
 def _revision_of(row: platform.Row | None) -> int:
+    """Returns the number of the document in a row.
+
+    Raises:
+        platform.PlatformError: The row is no document.
+    """
     if row is None or row.value is None:
         return 0
-    return row.value["revision"]
+    number = row.value.get("revision")
+    if type(number) is not int:
+        raise platform.PlatformError(f"{row.key}: not a document")
+    return number
--- a/src/waxwingferry/process/spreading/tests/test_configuration.py
+++ b/src/waxwingferry/process/spreading/tests/test_configuration.py
@@ -1,5 +1,6 @@
 """Writing documents: concurrent changes, lost responses and outages."""
 
+import contextlib
 import random
 
 import anyio
@@ -147,3 +148,19 @@
     assert not node.apply_if_newer(4, content.model_dump(mode="json"))
     with pytest.raises(current_document.OlderRevisionError):
         node._activate(document.make_revision(5, content))
+
+
+@pytest.mark.parametrize(
+    "value", [{}, {"revision": "9"}, {"revision": 9}, {"revision": [9]}]
+)
+async def test_a_row_that_is_no_document_leaves_the_last_one(value):
+    """Guards against a reader of the table that ends by such a row."""
+    table = fakes.Table()
+    configured = configuration.Configuration(table, sleep=_sleep)
+    await configured.accept(_make_change(0, random.Random(1)))
+    table.rows[document.DOCUMENT_KEY] = platform.Row(
+        document.DOCUMENT_KEY, value, 99
+    )
+    with contextlib.suppress(platform.PlatformError):
+        await configured.read()
+    assert configured.number == 1
