Answer a deeply nested announcement with status 400

The local announcement was decoded with msgspec's own error classes, so that JSON nested thousands deep ended the connection with an unexpected error. It is decoded like all other bytes from outside the process. Found by reading; test_decoding covers the decoder.

--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -8,6 +8,7 @@
 import structlog
 import uvloop
 
+from waxwingferry import decoding
 from waxwingferry.connection import http1
 from waxwingferry.connection import serve
 from waxwingferry.process import admin
@@ -27,6 +28,8 @@
 from waxwingferry.request import call_context
 from waxwingferry.request import claim
 
+_ANNOUNCEMENT = msgspec.json.Decoder(target.Announcement)
+
 log = structlog.get_logger()
 
 
@@ -139,8 +142,8 @@
             return
         body = (await answering.read_body(connection)).buffered
         try:
-            announcement = msgspec.json.decode(body, type=target.Announcement)
-        except msgspec.DecodeError as error:
+            announcement = decoding.decode(_ANNOUNCEMENT.decode, body)
+        except decoding.DecodingError as error:
             await connection.send_head(400, [], f"{error}\n".encode())
             return
         if self.receiver.apply_announcement(announcement):
