Treat a key with an odd claim row as held

Seen: a row under the key of a claim that is no claim raised KeyError, TypeError or binascii.Error in the call, or AssertionError, after which the server ends the process. The writer of results ended on such a row, or read it again without a pause for ever.

Cause: the fields of a claim row were taken for granted.

Rows are checked before their fields are used, and logged otherwise. Nobody can tell whether a call with such a key was run, so the outcome is unknown, as for a key that another node holds. Results are not written over the row.

--- a/src/waxwingferry/request/claim.py
+++ b/src/waxwingferry/request/claim.py
@@ -235,6 +235,10 @@
         row = await self._write_claim(claim, 0)
         delay_s = MIN_POLL_INTERVAL_S
         while row is not None:
+            if not claim_results.is_claim(row):
+                # Nobody can tell whether a call with the key was run.
+                claim.held_by_other = True
+                return outcome.Unknown(outcome.Reason.CLAIM_HELD, 504)
             found = _evaluate_row(claim, row)
             if found is not None:
                 return found
@@ -303,7 +307,7 @@
 
 
 def _is_own(claim: claim_results.Claim, row: platform.Row | None) -> bool:
-    if row is None or row.value is None:
+    if row is None or row.value is None or not claim_results.is_claim(row):
         return False
     return row.value["claim_id"] == claim.claim_id
 
--- a/src/waxwingferry/request/claim_results.py
+++ b/src/waxwingferry/request/claim_results.py
@@ -1,10 +1,15 @@
 """Writes the results of claimed calls to the platform's table."""
 
+import base64
 import dataclasses
 import time
+from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import anyio
+import msgspec
+import structlog
 
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
@@ -18,6 +23,25 @@
 MAX_DEFERRED = 1000
 RETRY_DELAY_S = 0.5
 
+log = structlog.get_logger()
+
+
+class _Answer(msgspec.Struct):
+    """Stored answer of a call; the body is None if it was not kept."""
+
+    status: Annotated[int, msgspec.Meta(ge=100, le=599)]
+    headers: list[tuple[str, str]]
+    body: str | None
+
+
+class _ClaimRow(msgspec.Struct):
+    """Value of a row with a claim."""
+
+    claim_id: str
+    digest: str
+    state: Literal["claimed", "released", "done"]
+    answer: _Answer | None = None
+
 
 @dataclasses.dataclass(slots=True)
 class Claim:
@@ -53,6 +77,20 @@
         }
 
 
+def is_claim(row: platform.Row) -> bool:
+    """Returns whether a row has a valid claim; logs why it has none."""
+    try:
+        content = msgspec.convert(row.value, _ClaimRow)
+        if content.state == DONE:
+            if content.answer is None:
+                raise ValueError("the answer is missing")
+            base64.b64decode(content.answer.body or "")
+    except (msgspec.ValidationError, ValueError) as error:
+        log.warning("row is no claim", key=row.key, error=str(error))
+        return False
+    return True
+
+
 class ResultWriter:
     """Writes results of claims, and retries while the platform is down.
 
@@ -135,8 +173,10 @@
     A claim whose write got no response may still take effect later. Replacing
     the row that this write is conditional on with "released" prevents that.
     """
-    if row is None or row.value is None:
+    if row is None or (row.value is None and not row.malformed):
         return 0
+    if row.value is None or not is_claim(row):
+        return None
     if row.value["claim_id"] == claim.claim_id:
         return row.version if row.value["state"] == CLAIMED else None
     is_release = value["state"] == RELEASED
