Reserve the ports of the test with odd entries for its run

Seen: 3 of 20 runs of this test before failed with "address already in use", beside test runs of other processes.

Cause: the allocator, whose locks reserve the ports, ended before the node; the port for metrics is the one after the first internal port, which was not always reserved; and runs that share no folder of lock files begin with the same ports (there were no such lock files of the other runs).

The test keeps its allocator, takes two adjacent ports and begins elsewhere.

--- a/src/waxwingferry/platform/tests/test_odd_entries.py
+++ b/src/waxwingferry/platform/tests/test_odd_entries.py
@@ -20,6 +20,8 @@
 
 pytestmark = pytest.mark.anyio
 
+# Runs that do not share a folder of lock files start at the lowest port.
+FIRST_PORT = 26_000
 DEEP = b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}"
 ROW = members.format_row(fakes.make_row(1))
 ODD_ROWS: dict[str, Any] = {
@@ -38,14 +40,17 @@
 }
 
 
-def make_node(store_port: int) -> main.PlatformNode:
+def make_node(
+    store_port: int, free_ports: ports.PortAllocator
+) -> main.PlatformNode:
     """Returns a node on loopback."""
-    free_ports = ports.PortAllocator()
     data = copy.deepcopy(test_settings_file.DATA)
     data["self"]["ip"] = ports.HOST
-    # The second port is for metrics.
-    internal_ports = [free_ports.allocate(), free_ports.allocate()]
-    data["network"]["internal-ports"] = internal_ports
+    # The port after the first internal one is for metrics.
+    first_port = free_ports.allocate()
+    while (next_port := free_ports.allocate()) != first_port + 1:
+        first_port = next_port
+    data["network"]["internal-ports"] = [first_port, next_port]
     data["network"]["seeds"] = []
     for purpose in data["network"]["listen"]:
         address = f"{ports.HOST}:{free_ports.allocate()}"
@@ -85,10 +90,11 @@
     fake.put("members", "n1", ROW)
     fake.put("op", "config", test_operator_document.CONFIG)
     server = fake.make_server(fake.access)
+    free_ports = ports.PortAllocator(FIRST_PORT)
     async with anyio.create_task_group() as group:
         group.start_soon(server.serve, ports.HOST, 0)
         await server.listening.wait()
-        node = make_node(server.port)
+        node = make_node(server.port, free_ports)
         group.start_soon(node.run)
         await wait_until(lambda: node.ready)
         assert list(node.members.records) == ["n1"]
