Refuse heartbeats with a service that nobody names

Seen by reading: a heartbeat of another writer with the address of the local target and an unnamed service replaced the announcement of the target, so that no request reached the target until its next heartbeat.

Cause: only the address of a heartbeat was compared with the settings.

Evidence: test_only_heartbeats_of_the_local_target_are_used covers the new check; there was no check of the service before.

The service must be that of the settings, or one of the document in force, since settings may change without a signal. Other heartbeats get status 400, a log line and a count, like those with a foreign address.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -259,16 +259,14 @@
                 await connection.send_head(400, [], b"")
                 return
             announcement = heartbeat.announcement
-            if (
-                announcement.host,
-                announcement.port,
-            ) != self.settings.target_address:
+            if not self.is_local_target(announcement):
                 self.counters.events.inc({"event": "report_foreign"})
                 log.warning(
-                    "heartbeat with a foreign address",
+                    "heartbeat with a foreign address or service",
                     target=target_id,
                     host=announcement.host,
                     port=announcement.port,
+                    service=announcement.service,
                 )
                 await connection.send_head(400, [], b"")
                 return
@@ -276,6 +274,19 @@
         headers = [("content-type", "application/json")]
         await connection.send_head(200 if confirmed else 503, headers, b"{}")
 
+    def is_local_target(self, announcement: target.Announcement) -> bool:
+        """Returns whether an announcement has the local address.
+
+        The service must be that of the settings or one of the document.
+        """
+        address = (announcement.host, announcement.port)
+        document = self.configured.revision
+        services = document.services if document else {}
+        return address == self.settings.target_address and (
+            announcement.service == self.settings.service
+            or announcement.service in services
+        )
+
     async def handle_metrics(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -66,6 +66,27 @@
     return reply.status
 
 
+@pytest.mark.parametrize(
+    ("service", "port_offset", "expected"),
+    [
+        ("desk", 0, True),
+        ("huvo11a", 0, True),
+        ("unnamed", 0, False),
+        ("desk", 1, False),
+    ],
+)
+async def test_only_heartbeats_of_the_local_target_are_used(
+    node, service, port_offset, expected
+):
+    """Guards against another writer's heartbeat that replaces the target."""
+    apply_document(node, 6.9)
+    host, port = node.settings.target_address
+    announcement = target.Announcement(
+        service, "v1", 6, host, port + port_offset, "i-2:9"
+    )
+    assert node.is_local_target(announcement) is expected
+
+
 async def test_a_node_without_a_document_is_not_ready(node):
     """Guards against callers directed to a node without routes."""
     node.ready = True
