Count malformed member rows

A member row that is left out was logged once per version, but no metric showed it. Found while odd entries were reviewed; test_a_malformed_member_row_is_counted_once covers the new count.

--- a/src/waxwingferry/process/spreading/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -52,6 +52,9 @@
         wall_clock: Seconds since the epoch, for the generation.
         sleep: Waits for a number of seconds.
         on_superseded: Called when a later process uses the node's name.
+
+    Attributes:
+        malformed_rows: Number of malformed member rows read.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         self.tokens = float(WRITE_BURST)
         self.tokens_s = clock()
         self.writes = 0
+        self.malformed_rows = 0
 
     @property
     def key(self) -> str:
@@ -318,6 +322,7 @@
             node = row.key.removeprefix(members.PREFIX)
             parsed = members.parse_row(node, row.value)
         except members.RowError as error:
+            self.malformed_rows += 1
             log.error("member row malformed", key=row.key, error=str(error))
             return
         self.membership.apply_renewed(parsed, row.version)
--- a/src/waxwingferry/process/spreading/synchronizer.py
+++ b/src/waxwingferry/process/spreading/synchronizer.py
@@ -258,6 +258,9 @@
         counts = dataclasses.asdict(self.gossiper.counts)
         for name, value in counts.items():
             self.counters.events.set({"event": f"datagrams_{name}"}, value)
+        self.counters.events.set(
+            {"event": "member_rows_malformed"}, self.node_lease.malformed_rows
+        )
 
     async def _catch_up(self) -> None:
         """Reads changes from the table or else from peers after a pause."""
--- a/src/waxwingferry/process/spreading/tests/test_lease.py
+++ b/src/waxwingferry/process/spreading/tests/test_lease.py
@@ -135,6 +135,18 @@
     assert reader.members.records["n1"].row.incarnation == "new"
 
 
+async def test_a_malformed_member_row_is_counted_once():
+    """Guards against rows that are left out without a trace."""
+    table = fakes.Table()
+    table.version += 1
+    table.rows["members/n2"] = platform.Row("members/n2", {}, table.version)
+    process = NodeProcess(table, fakes.Clock(), 1000.0, "one")
+    for _ in range(3):
+        await process.lease.read_rows()
+    assert process.lease.malformed_rows == 1
+    assert list(process.members.records) == ["n1"]
+
+
 async def test_name_conflicts_without_the_table_are_bounded():
     """Guards against endless updates from two live processes of one node."""
     table, clock = fakes.Table(), fakes.Clock()
