Keep a node running when it reloads settings that fail to convert

Callers of a node lost all requests in flight when the node was told to reload and its settings file had deeply nested values, or a number that can't be converted.

Loading raised RecursionError, OverflowError or ValueError in these cases. Reloading handles only SettingsError, so the error ended the task that handles signals, its task group, and the process. Loading now reports them as SettingsError; the node logs it and keeps its settings, as it does for a missing or half-written file.

--- a/src/waxwingferry/platform/settings_file.py
+++ b/src/waxwingferry/platform/settings_file.py
@@ -100,7 +100,7 @@
         data = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
-    except ValueError as error:
+    except (RecursionError, ValueError) as error:
         raise SettingsError(f"{path}: not valid TOML: {error}") from error
     return parse(data)
 
@@ -111,6 +111,14 @@
     Raises:
         SettingsError: Names the key, its value and what is allowed.
     """
+    try:
+        return _make_settings(data)
+    except (ArithmeticError, ValueError) as error:
+        # Some numbers are too long to convert, or to be shown in a message.
+        raise SettingsError(f"a value can't be converted: {error}") from error
+
+
+def _make_settings(data: dict[str, Any]) -> Settings:
     identity = _Section(data, "self")
     network = _Section(data, "network")
     listen = _Section(network.values, "listen", "network.")
--- a/src/waxwingferry/platform/tests/test_settings_file.py
+++ b/src/waxwingferry/platform/tests/test_settings_file.py
@@ -95,6 +95,41 @@
     assert str(caught.value) == message
 
 
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("self", "app-addr"), "10.1.0.38:\u00b2"),
+        (("self", "app-addr"), "10.1.0.38:" + "9" * 5000),
+        (("network", "seeds"), ["10.1.0.38:\u00b2"]),
+        (("network", "internal-ports"), [16**5000, 1]),
+        (("timing", "bounds", "cold-over"), 10**400),
+    ],
+    ids=["digit", "long-port", "seed", "long-number", "infinite"],
+)
+def test_a_value_that_fails_to_convert_is_a_settings_error(path, value):
+    """Guards against an error that ends a node when it reloads."""
+    data = copy.deepcopy(DATA)
+    parent: Any = data
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = value
+    with pytest.raises(settings_file.SettingsError):
+        settings_file.parse(data)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [b"", b"[self", b"\xff", b"x = " + b"[" * 5000 + b"]" * 5000],
+    ids=["empty", "half", "bytes", "nested"],
+)
+def test_a_file_that_fails_to_decode_is_a_settings_error(tmp_path, content):
+    """Guards against an error that ends a node when it reloads."""
+    path = tmp_path / "boot.toml"
+    path.write_bytes(content)
+    with pytest.raises(settings_file.SettingsError):
+        settings_file.load(str(path))
+
+
 def test_missing_bounds_have_defaults():
     """Guards against a failed start because of an optional bound."""
     data = copy.deepcopy(DATA)
--- a/src/waxwingferry/platform/tests/test_signals.py
+++ b/src/waxwingferry/platform/tests/test_signals.py
@@ -118,6 +118,35 @@
         assert await node.wait() == 0
 
 
+# Errors that were not expected ended the process with all requests in flight.
+async def test_settings_that_fail_to_load_do_not_end_the_process(
+    tmp_path,
+) -> None:
+    """Guards against requests lost because a reload finds odd settings."""
+    data = _make_settings(ports.PortAllocator())
+    content = _format_settings(data)
+    async with run_node(tmp_path, data) as node:
+        await node.wait_for("node started")
+        path = tmp_path / "settings.toml"
+        data["timing"]["bounds"]["cold-over"] = 10**400
+        for number, odd in enumerate(
+            (
+                "x = " + "[" * 5000 + "]" * 5000,
+                _format_settings(data),
+                content[: len(content) // 2],
+                "",
+            )
+        ):
+            path.write_text(odd)
+            node.process.send_signal(signal.SIGHUP)
+            await node.wait_for("settings not reloaded", number + 1)
+        path.write_text(content)
+        node.process.send_signal(signal.SIGHUP)
+        await node.wait_for("settings reloaded")
+        node.process.terminate()
+        assert await node.wait() == 0
+
+
 class SlowTarget:
     """A target that answers its requests once a test allows it.
 
