Write deferred results of claims before a node stops

Callers that sent a call with an idempotency key again got 504 (claim_held) until the row of the key was removed, although the call had been refused as not run, or had been answered, by a node that stopped as planned.

Results that could not be written are deferred until the table service is back. A stopping node waited for its calls, but not for these results: the task that writes them was cancelled with the last call. Their keys stayed claimed, and a claim is never taken over. The node now also waits for the deferred results, as long as for its calls, and logs how many it could not write.

test_a_stop_waits_for_deferred_results_of_claims failed before: the row was still 'claimed' after the stop, with the table service back.

--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -201,6 +201,7 @@
         # Drained after the others: work in flight may still make nested calls.
         await self.local_server.drain()
         await self.tasks.drain(core.TASK_DRAIN_TIMEOUT_S)
+        await self.claims.result_writer.drain(core.TASK_DRAIN_TIMEOUT_S)
         self.stopped.set()
         log.info("node stopped", node=self.options.node)
 
--- a/src/waxwingferry/process/tests/test_node.py
+++ b/src/waxwingferry/process/tests/test_node.py
@@ -5,13 +5,16 @@
 import random
 import signal
 
+import anyio
 import pytest
 
 from waxwingferry.bench import ports
 from waxwingferry.process import node
+from waxwingferry.process import platform
 from waxwingferry.process import settings
 from waxwingferry.process.tests import fakes
 from waxwingferry.process.tests import logged_process
+from waxwingferry.request import claim_results
 
 
 def make_node(port_allocator: ports.PortAllocator) -> node.Node:
@@ -45,6 +48,39 @@
         second.datagrams.close()
 
 
+# Results that were still deferred were dropped, and their keys stayed claimed.
+@pytest.mark.anyio
+async def test_a_stop_waits_for_deferred_results_of_claims(
+    monkeypatch,
+) -> None:
+    """Guards against keys that no one releases after a planned stop."""
+    stopped = make_node(ports.PortAllocator())
+    table = stopped.table
+    assert isinstance(table, fakes.Table)
+    claim = claim_results.Claim("claims/k", "c1", "digest")
+    claimed = claim.make_row_value(claim_results.CLAIMED)
+    await table.transact([platform.Write("claims/k", claimed, 0)])
+    writer = stopped.claims.result_writer
+    table.down = True
+    await writer.write_or_defer(
+        claim, claim.make_row_value(claim_results.RELEASED)
+    )
+
+    async def restore_table(_: float) -> None:
+        table.down = False
+
+    # The platform is back when the calls have ended.
+    monkeypatch.setattr(stopped.tasks, "drain", restore_table)
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(writer.run)
+            await stopped.stop()
+            group.cancel_scope.cancel()
+    finally:
+        stopped.datagrams.close()
+    assert table.value("claims/k")["state"] == claim_results.RELEASED
+
+
 @contextlib.asynccontextmanager
 async def run_node_process(directory):
     """Runs a node process without a platform until the context ends."""
--- a/src/waxwingferry/request/claim_results.py
+++ b/src/waxwingferry/request/claim_results.py
@@ -104,6 +104,7 @@
         self.counters = counters
         self.deferred: dict[str, tuple[Claim, dict[str, Any]]] = {}
         self.deferred_added = anyio.Event()
+        self.all_written = anyio.Event()
 
     async def write_or_defer(self, claim: Claim, value: dict[str, Any]) -> None:
         """Writes the result of a claim; defers it if the platform fails."""
@@ -130,6 +131,19 @@
             while self.deferred:
                 await anyio.sleep(RETRY_DELAY_S)
                 await self.flush()
+            self.all_written.set()
+            self.all_written = anyio.Event()
+
+    async def drain(self, timeout_s: float) -> None:
+        """Waits until no result is deferred, for at most timeout_s."""
+        with anyio.move_on_after(timeout_s):
+            while self.deferred:
+                await self.all_written.wait()
+        if self.deferred:
+            log.warning(
+                "results of claims not written; their keys stay claimed",
+                count=len(self.deferred),
+            )
 
     async def flush(self) -> None:
         """Tries to write all deferred results once, oldest first."""
