Let a stopped node exit with its own exit code

A node that had stopped as planned looked like one that had crashed when a signal came while its process exited: the supervisor saw that SIGHUP or SIGTERM had ended it. No request was lost, since the last one had ended.

Closing the receiver restores the default action of the signals. They are now blocked just before that, and stay blocked until the process has exited.

--- a/src/waxwingferry/platform/tests/test_signals.py
+++ b/src/waxwingferry/platform/tests/test_signals.py
@@ -118,6 +118,22 @@
         assert await node.wait() == 0
 
 
+async def test_a_signal_to_a_stopped_node_leaves_its_exit_code(
+    tmp_path,
+) -> None:
+    """Guards against a complete stop that looks like a crash."""
+    async with run_node(tmp_path) as node:
+        await node.wait_for("node started")
+        node.process.terminate()
+        await node.wait_for("node stopped")
+        with anyio.fail_after(TIMEOUT_S):
+            while node.process.poll() is None:
+                node.process.send_signal(signal.SIGHUP)
+                node.process.send_signal(signal.SIGTERM)
+                await anyio.sleep(0.001)
+        assert await node.wait() == 0
+
+
 # Errors that were not expected ended the process with all requests in flight.
 async def test_settings_that_fail_to_load_do_not_end_the_process(
     tmp_path,
--- a/src/waxwingferry/process/signals.py
+++ b/src/waxwingferry/process/signals.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import signal
 
@@ -10,18 +11,24 @@
 
 log = structlog.get_logger()
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 Signals = AsyncIterator[signal.Signals]
 
 
-def receive_signals() -> contextlib.AbstractContextManager[Signals]:
+@contextlib.contextmanager
+def receive_signals() -> Iterator[Signals]:
     """Receives signals to stop and to reload while the context is active.
 
     It must stay active until the last request has ended: without a receiver, a
-    signal ends the process and all requests.
+    signal ends the process and all requests. Afterwards signals stay blocked,
+    so that a process that has stopped exits with its own exit code.
     """
-    return anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    )
+    with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+        try:
+            yield signals
+        finally:
+            signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 async def handle_signals(
