Hold a reload back until a starting node can handle it

A node that was told to reload while it started ended, and its callers were refused until it had been started again: SIGHUP has its default action until the receiver is open, and loading the modules takes most of the start.

The node program now blocks SIGHUP before it loads anything, in an entry module of its own, and unblocks it when the receiver is open. The signal is then delivered, so that a change of the settings during the start is not missed either.

The interpreter's own start remains unprotected, and so does waxwingferry-node, which has no settings to reload.

--- a/src/waxwingferry/platform/tests/test_settings_file.py
+++ b/src/waxwingferry/platform/tests/test_settings_file.py
@@ -153,7 +153,7 @@
     path.write_text("[self]\n")
     environment = {**os.environ, settings_file.PATH_VARIABLE: str(path)}
     completed = subprocess.run(
-        [sys.executable, "-m", "waxwingferry.platform.main"],
+        [sys.executable, "-m", "waxwingferry.platform"],
         env=environment,
         capture_output=True,
         text=True,
--- a/src/waxwingferry/platform/tests/test_signals.py
+++ b/src/waxwingferry/platform/tests/test_signals.py
@@ -4,6 +4,7 @@
 import contextlib
 import copy
 import json
+import os
 import pathlib
 import signal
 
@@ -42,7 +43,7 @@
     path.write_text(_format_settings(data or _make_settings(free_ports)))
     async with logged_process.run(
         directory,
-        "waxwingferry.platform.main",
+        "waxwingferry.platform",
         **{settings_file.PATH_VARIABLE: str(path)},
     ) as process:
         yield process
@@ -56,6 +57,25 @@
     return [first_port, last_port]
 
 
+# Makes a process get SIGHUP when it begins to load the libraries that it uses.
+SIGNAL_ON_IMPORT = """\
+import importlib.abc
+import os
+import signal
+import sys
+
+
+class SignalOnImport(importlib.abc.MetaPathFinder):
+    def find_spec(self, name, path, target=None):
+        if name == "anyio":
+            sys.meta_path.remove(self)
+            os.kill(os.getpid(), signal.SIGHUP)
+
+
+sys.meta_path.insert(0, SignalOnImport())
+"""
+
+
 def _make_settings(free_ports: ports.PortAllocator) -> dict:
     data = copy.deepcopy(test_settings_file.DATA)
     data["self"]["ip"] = ports.HOST
@@ -118,6 +138,21 @@
         assert await node.wait() == 0
 
 
+async def test_a_reload_while_a_process_starts_does_not_end_it(
+    tmp_path, monkeypatch
+) -> None:
+    """Guards against a node that ends because it is told to reload early."""
+    (tmp_path / "sitecustomize.py").write_text(SIGNAL_ON_IMPORT)
+    monkeypatch.setenv(
+        "PYTHONPATH",
+        os.pathsep.join([str(tmp_path), os.environ.get("PYTHONPATH", "")]),
+    )
+    async with run_node(tmp_path) as node:
+        await node.wait_for("settings reloaded")
+        node.process.terminate()
+        assert await node.wait() == 0
+
+
 async def test_a_signal_to_a_stopped_node_leaves_its_exit_code(
     tmp_path,
 ) -> None:
--- a/src/waxwingferry/process/signals.py
+++ b/src/waxwingferry/process/signals.py
@@ -25,6 +25,8 @@
     so that a process that has stopped exits with its own exit code.
     """
     with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+        # A program may have blocked signals to start undisturbed.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         try:
             yield signals
         finally:
