Stop within the time of the reloaded settings

Callers of a node whose time to stop had been shortened by a reload could lose requests that it still ran when it was killed.

The node read the time from SIGTERM to SIGKILL only when it started. Calls of a stop were given the earlier, longer time. A reload now applies it to the next stop.

test_a_stop_keeps_to_a_reloaded_time failed before: calls were given 5.4 s of a stop that takes 3 s.

--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -1,6 +1,7 @@
 """Tests of readiness and of the rate limit during warm-up."""
 
 import copy
+import dataclasses
 
 import anyio
 import pytest
@@ -108,6 +109,18 @@
     assert await request_readiness(node) == 503
 
 
+async def test_a_stop_keeps_to_a_reloaded_time(node, tmp_path, monkeypatch):
+    """Guards against calls cut off by a kill that is earlier than expected."""
+    settings = dataclasses.replace(node.settings, stop_grace_s=3.0)
+    assert node.settings.stop_grace_s == 6.0
+    monkeypatch.setenv(settings_file.PATH_VARIABLE, "settings.toml")
+    monkeypatch.setattr(settings_file, "load", lambda _: settings)
+    node.reload()
+    await node.leave()
+    assert node.entry.stop_deadline is not None
+    assert node.entry.stop_deadline.remaining_s() < 3.0
+
+
 async def test_the_warmup_rate_stays_below_the_bound_of_the_platform(node):
     """Guards against a rate that leaves no margin for bunched requests."""
     apply_document(node, 6.9)
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -61,7 +61,7 @@
         choice: Load-balancing policy.
         leave_delay_s: Time for the news of the leave to reach other nodes.
         stop_grace_s: Time from the request to stop until the process is
-            killed, or None if it is given any time.
+            killed, or None if it is given any time. A reload may change it.
     """
 
     node: str
@@ -102,6 +102,7 @@
         make_limit: Callable[[int], limit.Limit] = limit.Limit,
     ):
         self.options = options
+        self.stop_grace_s = options.stop_grace_s
         self.table = table
         self.rng = rng
         # IDs never depend on the configured seed: two processes with the same
@@ -320,9 +321,9 @@
     async def leave(self) -> None:
         """Announces the leave and gives other nodes time to receive it."""
         log.info("node stopping", node=self.options.node)
-        if self.options.stop_grace_s is not None:
+        if self.stop_grace_s is not None:
             self.entry.stop_deadline = calls.make_deadline(
-                self.options.stop_grace_s - STOP_RESERVE_S
+                self.stop_grace_s - STOP_RESERVE_S
             )
         self.receiver.leaving = True
         if not self.lease.superseded:
