Let a stopping node finish the requests of operators

An operator whose request to the administration API was in progress when a waxwingferry-node had stopped got an empty response with status 500, and could not know whether a change had been made. The node then ended with a traceback and exit code 1.

The server of the API was told to stop, and cancelled in the next step, so that its own graceful shutdown never ran. The node now waits for it, at most for the time that this shutdown allows. 'node stopped' is logged after that.

test_a_stop_cuts_off_no_request_of_an_operator failed before with the InvalidStateError of the cancelled server.

--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -62,6 +62,7 @@
             target.TargetProtocol(),
         )
         self.stopped = anyio.Event()
+        self.admin_ended = anyio.Event()
         self.entry.claims = claim.Claims(
             table,
             self.tasks,
@@ -177,12 +178,7 @@
             group.start_soon(
                 self.peer_server.serve, options.host, options.peer_port
             )
-            group.start_soon(
-                self.admin.serve,
-                options.host,
-                options.admin_port,
-                self.stopped.wait,
-            )
+            group.start_soon(self._serve_admin)
             group.start_soon(self.claims.result_writer.run)
             group.start_soon(self.prober.run)
             group.start_soon(self.synchronizer.run_table_reader)
@@ -192,8 +188,20 @@
             log.info("node started", node=options.node)
             await self.stop_requested.wait()
             await self.stop()
+            await self.admin_ended.wait()
+            log.info("node stopped", node=options.node)
             group.cancel_scope.cancel()
 
+    async def _serve_admin(self) -> None:
+        options = self.settings
+        try:
+            await self.admin.serve(
+                options.host, options.admin_port, self.stopped.wait
+            )
+        finally:
+            # Its requests may also have been cancelled, after a while.
+            self.admin_ended.set()
+
     async def stop(self) -> None:
         """Announces the leave, then waits for work in flight to end."""
         await self.leave()
@@ -203,7 +211,6 @@
         await self.tasks.drain(core.TASK_DRAIN_TIMEOUT_S)
         await self.claims.result_writer.drain(core.TASK_DRAIN_TIMEOUT_S)
         self.stopped.set()
-        log.info("node stopped", node=self.options.node)
 
 
 def _make_options(options: settings.NodeSettings) -> core.NodeOptions:
--- a/src/waxwingferry/process/tests/test_node.py
+++ b/src/waxwingferry/process/tests/test_node.py
@@ -1,23 +1,53 @@
 """Tests that IDs differ between node processes."""
 
+from collections.abc import AsyncIterator
 import contextlib
 import json
 import random
 import signal
 
 import anyio
+import pydantic
 import pytest
 
 from waxwingferry.bench import ports
+from waxwingferry.connection import exchange
 from waxwingferry.process import node
 from waxwingferry.process import platform
 from waxwingferry.process import settings
+from waxwingferry.process import signals
+from waxwingferry.process.spreading import peers
 from waxwingferry.process.tests import fakes
 from waxwingferry.process.tests import logged_process
 from waxwingferry.request import claim_results
 
+ADMIN_TOKEN = "t" * 16
+TIMEOUT_S = 20.0
 
-def make_node(port_allocator: ports.PortAllocator) -> node.Node:
+
+class HeldTable(fakes.Table):
+    """A table whose responses to document reads a test holds back.
+
+    Attributes:
+        read_started: Set once a response is held.
+        allowed: Set by the test to let all of them go.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.read_started = anyio.Event()
+        self.allowed = anyio.Event()
+
+    async def read(self, key):
+        """See platform.Table."""
+        self.read_started.set()
+        await self.allowed.wait()
+        return await super().read(key)
+
+
+def make_node(
+    port_allocator: ports.PortAllocator, table: fakes.Table | None = None
+) -> node.Node:
     """Returns a node with a fixed random seed."""
     options = settings.NodeSettings(
         node="n0",
@@ -28,8 +58,14 @@
         region="r1",
         failure_domain="d1",
         platform_url="http://127.0.0.1:1",
+        admin_tokens={"operator": pydantic.SecretStr(ADMIN_TOKEN)},
+    )
+    return node.Node(
+        options,
+        table or fakes.Table(),
+        random.Random(1),
+        None,  # type: ignore[arg-type]
     )
-    return node.Node(options, fakes.Table(), random.Random(1), None)  # type: ignore[arg-type]
 
 
 @pytest.mark.anyio
@@ -48,6 +84,48 @@
         second.datagrams.close()
 
 
+async def receive_no_signals() -> AsyncIterator[signal.Signals]:
+    """Waits until it is cancelled."""
+    await anyio.sleep_forever()
+    yield signal.SIGTERM
+
+
+# The administration server was cancelled as soon as the last call had ended.
+@pytest.mark.anyio
+async def test_a_stop_cuts_off_no_request_of_an_operator(monkeypatch) -> None:
+    """Guards against operators who can't know if a change was made."""
+    monkeypatch.setattr(
+        signals,
+        "receive_signals",
+        lambda: contextlib.nullcontext(receive_no_signals()),
+    )
+    table = HeldTable()
+    stopped = make_node(ports.PortAllocator(), table)
+    replies = []
+
+    async def get_history() -> None:
+        client = exchange.Client(ports.HOST, stopped.settings.admin_port)
+        headers = [("authorization", f"Bearer {ADMIN_TOKEN}")]
+        replies.append(
+            await client.request("GET", "/history", TIMEOUT_S, headers=headers)
+        )
+
+    with anyio.fail_after(TIMEOUT_S):
+        async with anyio.create_task_group() as group:
+            group.start_soon(stopped.run)
+            address = (ports.HOST, stopped.settings.admin_port)
+            while not await peers.is_alive(address):  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+            await table.read_started.wait()
+            table.read_started = anyio.Event()
+            group.start_soon(get_history)
+            await table.read_started.wait()
+            stopped.stop_requested.set()
+            await stopped.stopped.wait()
+            table.allowed.set()
+    assert [item.status for item in replies] == [200]
+
+
 # Results that were still deferred were dropped, and their keys stayed claimed.
 @pytest.mark.anyio
 async def test_a_stop_waits_for_deferred_results_of_claims(
