Restore the signal mask after each test

A node that has stopped leaves its signals blocked until its process ends. Where a test runs a node in the process of the tests, later tests and the processes that they start would inherit that, and some could not be stopped with SIGTERM. Found by reading; no test failed from it.

--- a/src/conftest.py
+++ b/src/conftest.py
@@ -1,6 +1,8 @@
 """Pytest fixtures and hooks for all tests."""
 
+from collections.abc import Iterator
 import pathlib
+import signal
 
 import pytest
 
@@ -16,6 +18,17 @@
     return "asyncio"
 
 
+@pytest.fixture(autouse=True)
+def restored_signal_mask() -> Iterator[None]:
+    """Restores the signal mask, which a node that has stopped leaves blocked.
+
+    Processes that later tests start would inherit it.
+    """
+    mask = signal.pthread_sigmask(signal.SIG_BLOCK, [])
+    yield
+    signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+
+
 def _read_known_failures() -> set[str]:
     lines = _KNOWN_FAILURES_FILE.read_text(encoding="utf-8").splitlines()
     return {
