Keep the versions of a store that was never restored as they are

Nodes of an earlier build know nothing of eras and compare the numbers that nodes exchange. The first era is 1 on the users' platform, so that all numbers of new nodes were higher by 2^40: in an upgrade, an old node that had fetched a document from a new one would have taken no later change from the store. The era of versions is now the number of restores. The fake store begins with the first era like the platform's.

test_versions_of_the_first_era_are_those_of_the_store failed before.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -185,7 +185,7 @@
     async def join(self) -> None:
         """See process.core.Core."""
         await self.synchronizer.load_initial_state()
-        if self.store.was_restored:
+        if self.store.restores:
             await self.synchronizer.complete_members()
         try:
             await self.rollouts.load_decisions()
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -95,9 +95,13 @@
         self.malformed_versions: dict[str, int] = {}
 
     @property
-    def was_restored(self) -> bool:
-        """Whether the store was ever restored, as far as responses show."""
-        return self.era is not None and self.era > FIRST_ERA
+    def restores(self) -> int:
+        """Number of restores of the store, as far as responses show.
+
+        It is the era of versions, so that the versions of a store that was
+        never restored are the store's own.
+        """
+        return max((self.era or 0) - FIRST_ERA, 0)
 
     async def read(self, key: str) -> platform.Row | None:
         """See process.platform.Table."""
@@ -254,7 +258,7 @@
 
     def _convert_row(self, item: WireRow) -> platform.Row:
         key = f"{item.table}/{item.key}"
-        version = platform.make_version(self.era or 0, item.ver)
+        version = platform.make_version(self.restores, item.ver)
         if item.deleted:
             return platform.Row(key, None, version)
         try:
@@ -335,14 +339,14 @@
     def _record_version(self, response: RowsResponse) -> int:
         """Records and returns the store's version in the newest response."""
         self.newest_version = max(self.newest_version, response.ver)
-        return platform.make_version(self.era or 0, response.ver)
+        return platform.make_version(self.restores, response.ver)
 
     def _convert_rows(self, items: list[WireRow]) -> list[platform.Row]:
         """Converts the rows of the newest response that have no part."""
         return [self._convert_row(item) for item in items if not item.part]
 
     def _is_from_other_era(self, version: int) -> bool:
-        return platform.get_era(version) != (self.era or 0)
+        return platform.get_era(version) != (self.restores)
 
 
 def _split_key(key: str) -> tuple[str, str]:
--- a/src/waxwingferry/platform/tests/fake_store.py
+++ b/src/waxwingferry/platform/tests/fake_store.py
@@ -56,7 +56,7 @@
     Attributes:
         access: Access of the single node in most tests.
         oldest_kept: Oldest version whose later changes are kept.
-        era: Number of restores from a copy.
+        era: One more than the number of restores from a copy.
         polled: Set once a poll waits for changes.
     """
 
@@ -67,7 +67,7 @@
         self.change_event = anyio.Event()
         self.access = StoreAccess()
         self.oldest_kept = 0
-        self.era = 0
+        self.era = store.FIRST_ERA
         self.polled = anyio.Event()
         self.paths_called: list[str] = []
 
--- a/src/waxwingferry/platform/tests/test_restored_rollouts.py
+++ b/src/waxwingferry/platform/tests/test_restored_rollouts.py
@@ -124,7 +124,6 @@
 async def run_nodes(count: int):
     """Runs a store; yields it, the clock and nodes that read the same order."""
     async with fake_store.run_store() as (fake, _):
-        fake.era = 1
         clock = fakes.Clock()
         fake.put("op", "config", test_operator_document.CONFIG)
         async with anyio.create_task_group() as group:
@@ -181,7 +180,7 @@
         fake.put("op", "rollout/desk", ORDER)
         await node.follow_restore()
         assert node.progress.order.number == platform.make_version(
-            fake.era, fake.version
+            fake.era - store.FIRST_ERA, fake.version
         )
         assert node.progress.started_s == started_s
         assert (node.progress.exposed, node.progress.slack) == (7, slack)
--- a/src/waxwingferry/platform/tests/test_store.py
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -205,19 +205,31 @@
         with structlog.testing.capture_logs() as logs:
             await table.read_table("op")
             await table.read_table("op")
-        assert restores == [1]
+        assert restores == [2]
         assert logs == [
             {
                 "event": "store restored from a copy",
                 "log_level": "warning",
-                "old_era": 0,
-                "new_era": 1,
+                "old_era": 1,
+                "new_era": 2,
                 "old_version": 1,
                 "new_version": 0,
             }
         ]
 
 
+async def test_versions_of_the_first_era_are_those_of_the_store():
+    """Guards against nodes of an earlier build that fall behind in an upgrade.
+
+    They know nothing of eras and compare the numbers that nodes exchange.
+    """
+    async with fake_store.run_store() as (fake, table):
+        version = fake.put("members", "n1", {"slots": 6})
+        row = await table.read("members/n1")
+        assert row is not None
+        assert row.version == version
+
+
 async def test_versions_grow_over_a_restore():
     """Guards against rows from after a restore that are taken for older."""
     async with fake_store.run_store() as (fake, table):
@@ -245,7 +257,7 @@
 
         async def read_and_restore(*args):
             page = await read_page(*args)
-            if fake.era == 0:
+            if fake.era == store.FIRST_ERA:
                 fake.restore(backup)
             return page
 
@@ -261,10 +273,10 @@
     async with fake_store.run_store() as (fake, table):
         fake.restore(fake.copy())
         await table.read("members/n1")
-        fake.era = 0
+        fake.era = store.FIRST_ERA
         with pytest.raises(platform.PlatformError):
             await table.read("members/n1")
-        assert table.era == 1
+        assert table.era == 2
 
 
 async def test_a_condition_from_before_a_restore_does_not_hold():
@@ -331,4 +343,4 @@
         row = await table.read("members/n1")
         assert row is not None
         assert row.version == version
-        assert table.era == 0
+        assert table.era == store.FIRST_ERA
