Log the end of a target with the requests in flight

Callers saw 502 and 503 while one target after another ended, and nothing showed which request was at all of these ends: the loss of a connection, the end of the target and the requests in flight were not logged together, and a request that is sent again has another ID.

The node beside a target now logs and counts its end with the fingerprints of the requests in flight. After a lost connection it tries one more to tell an end from a closed connection; attempts that are lost together share that try. No decision depends on it yet.

--- a/src/waxwingferry/connection/pool.py
+++ b/src/waxwingferry/connection/pool.py
@@ -21,6 +21,15 @@
     """A connection could not be opened, so no request was sent."""
 
 
+def is_refused(error: BaseException | None) -> bool:
+    """Returns whether nothing listens at the address of a failed connect."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
+
+
 Connect = Callable[[str, int], Awaitable[anyio.abc.ByteStream]]
 
 
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -21,9 +21,11 @@
 import dataclasses
 import re
 import sys
+import time
 from typing import Annotated
 from typing import Literal
 
+import anyio
 import msgspec
 import structlog
 
@@ -44,6 +46,11 @@
 # Counted for the head of each skipped response.
 SKIPPED_HEAD_BYTES = 1024
 MAX_UNDECLARED_BODY_BYTES = 64 * 1024 * 1024
+# Limits the delay of an attempt whose connection was lost.
+END_CHECK_TIMEOUT_S = 0.2
+# A new incarnation within this time after lost connections shows that the
+# earlier one ended then.
+RESTART_WINDOW_S = 5.0
 
 log = structlog.get_logger()
 
@@ -201,6 +208,24 @@
         )
 
 
+OnEnd = Callable[[list[calls.Attempt]], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _EndCheck:
+    """A check whether the target ended when it closed a connection.
+
+    Attributes:
+        in_flight: Attempts in flight when the connection was lost.
+        started_s: Monotonic time of the loss.
+        done: Set when the check is over.
+    """
+
+    in_flight: list[calls.Attempt]
+    started_s: float
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
 class TargetClient:
     """Sends attempts to the node's local target.
 
@@ -211,6 +236,13 @@
         on_statement: Called with the incarnation of the target and what it
             states in each response.
         connect: Opens a connection.
+        on_end: Called once with the attempts in flight when the target ended
+            without having announced it. Without it, ends are not checked for.
+        clock: Returns the monotonic time in seconds.
+
+    Attributes:
+        in_flight: Attempts at the target, by ID.
+        ended: Whether the target ended while attempts were in flight.
     """
 
     def __init__(
@@ -220,11 +252,18 @@
         on_load: Callable[[TargetLoad], None] = lambda load: None,
         on_statement: Callable[[str, Statement], None] = lambda *_: None,
         connect: pool.Connect = pool.connect_tcp,
+        on_end: OnEnd | None = None,
+        clock: Callable[[], float] = time.monotonic,
     ):
         self.announcement = announcement
         self.protocol = protocol or TargetProtocol()
         self.on_load = on_load
         self.on_statement = on_statement
+        self.on_end = on_end
+        self.clock = clock
+        self.in_flight: dict[str, calls.Attempt] = {}
+        self.ended = False
+        self.end_check: _EndCheck | None = None
         self.pool = pool.Pool(announcement.host, announcement.port, connect)
 
     @contextlib.asynccontextmanager
@@ -237,11 +276,65 @@
         except pool.ConnectError:
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
+        self.in_flight[attempt.attempt_id] = attempt
         try:
             yield await self._exchange(connection, attempt)
         finally:
+            self.in_flight.pop(attempt.attempt_id, None)
             await self.pool.release(connection)
 
+    async def check_end(self) -> bool:
+        """Returns whether the target has ended, after a lost connection.
+
+        A target that still listens has only closed the connection. All
+        attempts that lose their connections at once share one check.
+        """
+        if self.on_end is None:
+            return False
+        if self.ended or self._ends_as_planned():
+            return self.ended
+        check = self.end_check
+        if check is not None and not check.done.is_set():
+            await check.done.wait()
+            return self.ended
+        check = _EndCheck(list(self.in_flight.values()), self.clock())
+        self.end_check = check
+        try:
+            with anyio.move_on_after(END_CHECK_TIMEOUT_S, shield=True):
+                if await self._refuses_connections():
+                    self._record_end(check)
+        finally:
+            check.done.set()
+        return self.ended
+
+    async def _refuses_connections(self) -> bool:
+        try:
+            stream = await self.pool.connect(self.pool.host, self.pool.port)
+        except pool.ConnectError as error:
+            return pool.is_refused(error)
+        await stream.aclose()
+        return False
+
+    def record_successor(self) -> None:
+        """Called when another incarnation listens at the target's address.
+
+        A target that is started again at once accepts connections when the
+        end of the earlier one is checked.
+        """
+        check = self.end_check
+        if self.ended or check is None or self._ends_as_planned():
+            return
+        if self.clock() - check.started_s <= RESTART_WINDOW_S:
+            self._record_end(check)
+
+    def _ends_as_planned(self) -> bool:
+        return self.announcement.state == "draining"
+
+    def _record_end(self, check: _EndCheck) -> None:
+        self.ended = True
+        if self.on_end is not None and check.in_flight:
+            self.on_end(check.in_flight)
+
     async def _exchange(
         self, connection: http1.ClientConnection, attempt: calls.Attempt
     ) -> outcome.Outcome:
@@ -267,8 +360,10 @@
         except (TimeoutError, http1.ReceiveTimeoutError):
             connection.reusable = False
             return outcome.Unknown(outcome.Reason.TIMEOUT, 504)
-        except http1.HttpError:
+        except http1.HttpError as error:
             connection.reusable = False
+            if isinstance(error, http1.ConnectionLostError):
+                await self.check_end()
             return outcome.Unknown(outcome.Reason.CONNECTION_LOST)
         return self._classify_response(connection, attempt, head)
 
@@ -342,7 +437,9 @@
         max_bytes = MAX_UNDECLARED_BODY_BYTES
         if http1.find_header(head.headers, "content-length"):
             max_bytes = sys.maxsize
-        reader = _make_body_reader(connection, attempt, max_bytes)
+        reader = _make_body_reader(
+            connection, attempt, max_bytes, self.check_end
+        )
         return outcome.Answer(head, reader)
 
     def _record_state(self, head: http1.ResponseHead) -> None:
@@ -364,7 +461,10 @@
 
 
 def _make_body_reader(
-    connection: http1.ClientConnection, attempt: calls.Attempt, max_bytes: int
+    connection: http1.ClientConnection,
+    attempt: calls.Attempt,
+    max_bytes: int,
+    check_end: Callable[[], Awaitable[bool]],
 ) -> Callable[[], Awaitable[bytes | None]]:
     received_bytes = 0
 
@@ -375,6 +475,8 @@
             part = await connection.receive_chunk(wait_s)
         except http1.HttpError as error:
             connection.reusable = False
+            if isinstance(error, http1.ConnectionLostError):
+                await check_end()
             raise outcome.AnswerCutError(str(error)) from error
         received_bytes += len(part or b"")
         if received_bytes > max_bytes:
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import functools
 import math
 
 import msgspec
@@ -16,6 +17,7 @@
 from waxwingferry.process.protection import limit as limits
 from waxwingferry.process.protection import stated_limit
 from waxwingferry.request import calls
+from waxwingferry.request import fingerprint
 from waxwingferry.request import outcome
 from waxwingferry.version import revision as revisions
 
@@ -96,6 +98,7 @@
             self.admission = self._make_admission(announcement.slots)
             return True
         if _target_identity(old) != _target_identity(announcement):
+            self.link.record_successor()
             self.replaced_links.append(self.link)
             self.link = self._make_link(announcement)
             self.sample = None
@@ -112,7 +115,28 @@
             self.target_protocol,
             self.record_sample,
             self.record_statement,
+            on_end=functools.partial(
+                self._record_end, announcement.incarnation
+            ),
+        )
+
+    def _record_end(
+        self, incarnation: str, in_flight: list[calls.Attempt]
+    ) -> None:
+        """Records that the target ended, and under which requests."""
+        protocol = self.target_protocol or target.TargetProtocol()
+        log.warning(
+            "target ended under requests",
+            target=incarnation,
+            requests=[protocol.get_correlation_id(item) for item in in_flight],
+            fingerprints=[
+                fingerprint.format_fingerprint(
+                    fingerprint.compute_fingerprint(item)
+                )
+                for item in in_flight
+            ],
         )
+        self.counters.events.inc({"event": "target_ended"})
 
     def record_statement(
         self, incarnation: str, statement: target.Statement
--- a/src/waxwingferry/request/resolve.py
+++ b/src/waxwingferry/request/resolve.py
@@ -157,7 +157,7 @@
         except http1.HttpError:
             return None
         except pool.ConnectError as error:
-            if _is_refused(error):
+            if pool.is_refused(error):
                 raise NodeStoppedError from error
         finally:
             self.query_slots.release()
@@ -223,11 +223,3 @@
     dropped = (RESOLUTION_HEADER, SENT_BYTES_HEADER, calls.INCARNATION_HEADER)
     head.headers = [item for item in head.headers if item[0] not in dropped]
     return outcome.make_answer(head, body)
-
-
-def _is_refused(error: BaseException | None) -> bool:
-    while error is not None:
-        if isinstance(error, ConnectionRefusedError):
-            return True
-        error = error.__cause__
-    return False
