Quarantine requests under which targets end

Callers saw a whole service go down for seconds: a request that ends its target was retried by its entry at another target, and sent again by its callers through other nodes, which knew nothing of the earlier ends.

The target's node sees which requests are in flight when its target ends. It now reports their fingerprints to the other nodes. A request that is blamed for two ends, or was in flight at three, without a complete answer since, is refused as not run (crashes_targets) by entries and by targets' nodes, the latter also just before it is sent. Retry-After is the time for which the refusal lasts. A request that alone is blamed is not retried by its entry.

--- a/src/waxwingferry/cli/explain.py
+++ b/src/waxwingferry/cli/explain.py
@@ -36,6 +36,9 @@
     outcome.Reason.TIMEOUT: "the time ran out while the request ran",
     outcome.Reason.ANSWER_CUT: "the target's answer ended early",
     outcome.Reason.TARGET_REFUSED: "the target itself refused",
+    outcome.Reason.TARGET_ENDED: "the target ended under several requests",
+    outcome.Reason.ENDED_TARGET: "the target ended, likely by this request",
+    outcome.Reason.CRASHES_TARGETS: "targets had ended while they ran the same",
 }
 
 
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -22,7 +22,9 @@
 from waxwingferry.process.choice import known_target
 from waxwingferry.process.choice import load_stats
 from waxwingferry.process.choice import routing
+from waxwingferry.process.protection import crash_suspects
 from waxwingferry.process.protection import limit
+from waxwingferry.process.spreading import crash_reports
 from waxwingferry.process.spreading import current_document
 from waxwingferry.process.spreading import gossip
 from waxwingferry.process.spreading import lease
@@ -121,6 +123,7 @@
             self.counters,
             target_protocol,
             make_limit,
+            self.suspects,
         )
         self.receiver.on_leaving = self.announce
         self.tasks = background.Background()
@@ -137,6 +140,7 @@
             self.counters,
             self.id_rng,
             protocol,
+            suspects=self.suspects,
         )
         self.peer = peer.PeerHandler(self.receiver, self.runner)
         self.caller_server = serve.Server(
@@ -163,6 +167,10 @@
             self.rng,
             on_superseded=lambda: self.stop_requested.set(),
         )
+        self.suspects = crash_suspects.CrashSuspects()
+        self.crash_reports = crash_reports.CrashReports(
+            self.suspects, self.gossip
+        )
         self.members.on_newer_row = self.gossip.add_row
         self.members.on_name_conflict = self.lease.resolve_name_conflict
         self.configured.on_change = self.apply_document
@@ -316,6 +324,7 @@
             self.synchronizer.run_pause_detection,
             self.gossip.run_digests,
             self.gossip.run_dissemination,
+            self.crash_reports.run,
         )
 
     async def leave(self) -> None:
--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -265,6 +265,11 @@
         if record is not None:
             self._transmit(record.row.address, data, urgent=True)
 
+    def send_to_random(self, data: bytes, count: int) -> None:
+        """Sends another module's datagram to random peers."""
+        for address in self.choose_peers(count):
+            self._transmit(address, data)
+
     def _call_handler(
         self, handler: Callable[[bytes], None], data: bytes, address: Address
     ) -> None:
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -208,7 +208,13 @@
         )
 
 
-OnEnd = Callable[[list[calls.Attempt]], None]
+OnEnd = Callable[[list[calls.Attempt]], set[str]]
+FindRefusal = Callable[[calls.Attempt], outcome.Reason | None]
+
+
+def never_refuse(attempt: calls.Attempt) -> outcome.Reason | None:
+    """Default for TargetClient.find_refusal: refuses nothing."""
+    return None
 
 
 @dataclasses.dataclass(slots=True)
@@ -237,12 +243,16 @@
             states in each response.
         connect: Opens a connection.
         on_end: Called once with the attempts in flight when the target ended
-            without having announced it. Without it, ends are not checked for.
+            without having announced it; returns the IDs of those that are
+            the likely cause. Without it, ends are not checked for.
+        find_refusal: Returns why an attempt must not be sent, or None. Called
+            just before it is sent.
         clock: Returns the monotonic time in seconds.
 
     Attributes:
         in_flight: Attempts at the target, by ID.
         ended: Whether the target ended while attempts were in flight.
+        end_causes: IDs of the attempts that are the likely cause of that.
     """
 
     def __init__(
@@ -253,6 +263,7 @@
         on_statement: Callable[[str, Statement], None] = lambda *_: None,
         connect: pool.Connect = pool.connect_tcp,
         on_end: OnEnd | None = None,
+        find_refusal: FindRefusal = never_refuse,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.announcement = announcement
@@ -263,6 +274,8 @@
         self.clock = clock
         self.in_flight: dict[str, calls.Attempt] = {}
         self.ended = False
+        self.end_causes: set[str] = set()
+        self.find_refusal = find_refusal
         self.end_check: _EndCheck | None = None
         self.pool = pool.Pool(announcement.host, announcement.port, connect)
 
@@ -333,7 +346,7 @@
     def _record_end(self, check: _EndCheck) -> None:
         self.ended = True
         if self.on_end is not None and check.in_flight:
-            self.on_end(check.in_flight)
+            self.end_causes = self.on_end(check.in_flight)
 
     async def _exchange(
         self, connection: http1.ClientConnection, attempt: calls.Attempt
@@ -342,6 +355,9 @@
         # The process may have been suspended since the attempt was admitted.
         if deadline.remaining_s() <= 0:
             return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+        refusal = self.find_refusal(attempt)
+        if refusal is not None:
+            return outcome.NotRun(refusal)
         if attempt.on_dispatch is not None and not attempt.on_dispatch():
             return outcome.NotRun(outcome.Reason.FENCED)
         connection.accepts_close_delimited = (
@@ -362,9 +378,15 @@
             return outcome.Unknown(outcome.Reason.TIMEOUT, 504)
         except http1.HttpError as error:
             connection.reusable = False
-            if isinstance(error, http1.ConnectionLostError):
-                await self.check_end()
-            return outcome.Unknown(outcome.Reason.CONNECTION_LOST)
+            reason = outcome.Reason.CONNECTION_LOST
+            if (
+                isinstance(error, http1.ConnectionLostError)
+                and await self.check_end()
+            ):
+                reason = outcome.Reason.TARGET_ENDED
+                if attempt.attempt_id in self.end_causes:
+                    reason = outcome.Reason.ENDED_TARGET
+            return outcome.Unknown(reason)
         return self._classify_response(connection, attempt, head)
 
     async def _receive_head(
--- a/src/waxwingferry/process/tests/test_target_ends.py
+++ b/src/waxwingferry/process/tests/test_target_ends.py
@@ -52,12 +52,15 @@
         self.client = target.TargetClient(
             ANNOUNCEMENT,
             connect=self.connect,  # type: ignore[arg-type]
-            on_end=lambda items: self.ends.append(
-                sorted(item.attempt_id for item in items)
-            ),
+            on_end=self.record_end,
             clock=lambda: self.time_s,
         )
 
+    def record_end(self, in_flight: list[calls.Attempt]) -> set[str]:
+        """Records an end; no attempt is its likely cause."""
+        self.ends.append(sorted(item.attempt_id for item in in_flight))
+        return set()
+
     async def connect(self, host: str, port: int) -> SilentStream:
         """Opens a connection."""
         await anyio.lowlevel.checkpoint()
--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -4,6 +4,7 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.connection import pipeline
+from waxwingferry.process.protection import crash_suspects
 from waxwingferry.request import call_context
 from waxwingferry.request import calls
 from waxwingferry.request import outcome
@@ -148,7 +149,10 @@
     """Sends a refusal with its outcome and reason."""
     headers = outcome.refusal_headers(refusal) + (extra or [])
     if refusal.status == 503:
-        headers.append(("retry-after", f"{RETRY_AFTER_S}"))
+        retry_after_s = RETRY_AFTER_S
+        if refusal.reason is outcome.Reason.CRASHES_TARGETS:
+            retry_after_s = crash_suspects.SUSPECT_LIFETIME_S
+        headers.append(("retry-after", f"{retry_after_s}"))
     body = f"{refusal.reason.value}\n".encode()
     await connection.send_head(refusal.status, headers, body)
 
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -12,6 +12,7 @@
 from waxwingferry.process import metrics
 from waxwingferry.process.choice import known_target
 from waxwingferry.process.choice import routing
+from waxwingferry.process.protection import crash_suspects
 from waxwingferry.process.spreading import members
 from waxwingferry.request import answering
 from waxwingferry.request import attempt_history
@@ -19,6 +20,7 @@
 from waxwingferry.request import call_context
 from waxwingferry.request import calls
 from waxwingferry.request import claim
+from waxwingferry.request import fingerprint
 from waxwingferry.request import forward
 from waxwingferry.request import outcome
 from waxwingferry.request import retry
@@ -34,6 +36,7 @@
 
 
 _WRONG_INCARNATION = outcome.NotRun(outcome.Reason.WRONG_INCARNATION)
+_QUARANTINED = outcome.NotRun(outcome.Reason.CRASHES_TARGETS)
 
 log = structlog.get_logger()
 
@@ -52,6 +55,7 @@
         rng: Source of call identifiers.
         protocol: Header fields exchanged with callers.
         max_in_flight: Limit of concurrent calls; more are refused.
+        suspects: The requests that are suspected of ending targets.
 
     Attributes:
         claims: Claims of idempotency keys, or None if keys are not supported.
@@ -76,7 +80,9 @@
         rng: random.Random,
         protocol: call_context.CallerProtocol = call_context.DEFAULT_PROTOCOL,
         max_in_flight: int = MAX_IN_FLIGHT,
+        suspects: crash_suspects.CrashSuspects | None = None,
     ):
+        self.suspects = suspects or crash_suspects.CrashSuspects()
         self.node = node
         self.revision = revision
         self.membership = membership
@@ -166,6 +172,9 @@
             refusal = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
             await self._refuse(connection, refusal)
             return
+        if self._is_quarantined(call):
+            await self._refuse(connection, _QUARANTINED, call)
+            return
         if call.key and self.claims is not None:
             await self.claims.run(
                 connection, call, self._run_attempts, self._refuse
@@ -250,6 +259,11 @@
             return
         history = attempt_history.AttemptHistory()
         while True:
+            if self._is_quarantined(call):
+                history.call_outcome = outcome.combine(
+                    history.call_outcome, _QUARANTINED
+                )
+                break
             candidate = self._choose(call, history)
             if history.latest_result and not self._spend_retry(
                 call, history, candidate
@@ -281,6 +295,12 @@
                 break
         await self._refuse(connection, history.call_outcome, call)
 
+    def _is_quarantined(self, call: calls.Call) -> bool:
+        # Most of the time there are no suspects, and nothing is hashed.
+        return bool(self.suspects.suspects) and self.suspects.is_quarantined(
+            fingerprint.compute_fingerprint(call)
+        )
+
     async def _relay(
         self,
         connection: http1.ServerConnection,
--- a/src/waxwingferry/request/fingerprint.py
+++ b/src/waxwingferry/request/fingerprint.py
@@ -28,3 +28,8 @@
 def format_fingerprint(fingerprint: int) -> str:
     """Returns a fingerprint as it appears in logs."""
     return f"{fingerprint:016x}"
+
+
+def hash_incarnation(host: str, port: int, incarnation: str) -> int:
+    """Returns a 64-bit hash of an incarnation of the target at an address."""
+    return xxhash.xxh3_64_intdigest(f"{host}:{port}:{incarnation}".encode())
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -44,6 +44,12 @@
     NODE_SILENT = "node_silent"
     TIMEOUT = "timeout"
     ANSWER_CUT = "answer_cut"
+    # The target ended while it ran the request and others.
+    TARGET_ENDED = "target_ended"
+    # The target ended, most likely because of the request.
+    ENDED_TARGET = "ended_target"
+    # Too many targets have ended while they ran the same request.
+    CRASHES_TARGETS = "crashes_targets"
     ANSWER_MISMATCH = "answer_mismatch"
 
 
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -14,6 +14,7 @@
 from waxwingferry.process import target
 from waxwingferry.process.choice import routing
 from waxwingferry.process.protection import admission
+from waxwingferry.process.protection import crash_suspects
 from waxwingferry.process.protection import limit as limits
 from waxwingferry.process.protection import stated_limit
 from waxwingferry.request import calls
@@ -40,6 +41,7 @@
         counters: Metrics of the node.
         target_protocol: Protocol between the node and its target.
         make_limit: Returns the limit of a target with the given slots.
+        suspects: The requests that are suspected of ending targets.
 
     Attributes:
         sample: The newest load report of the target, or None.
@@ -63,7 +65,9 @@
         counters: metrics.Metrics,
         target_protocol: target.TargetProtocol | None = None,
         make_limit: Callable[[int], limits.Limit] | None = None,
+        suspects: crash_suspects.CrashSuspects | None = None,
     ):
+        self.suspects = suspects or crash_suspects.CrashSuspects()
         self.target_protocol = target_protocol
         self.make_limit = make_limit
         self.sample: target.TargetLoad | None = None
@@ -115,28 +119,59 @@
             self.target_protocol,
             self.record_sample,
             self.record_statement,
-            on_end=functools.partial(
-                self._record_end, announcement.incarnation
-            ),
+            on_end=functools.partial(self._record_end, announcement),
+            find_refusal=self._find_quarantine_reason,
         )
 
+    def _find_quarantine_reason(
+        self, attempt: calls.Attempt
+    ) -> outcome.Reason | None:
+        # Most of the time there are no suspects, and nothing is hashed.
+        if self.suspects.suspects and self.suspects.is_quarantined(
+            fingerprint.compute_fingerprint(attempt)
+        ):
+            return outcome.Reason.CRASHES_TARGETS
+        return None
+
     def _record_end(
-        self, incarnation: str, in_flight: list[calls.Attempt]
-    ) -> None:
-        """Records that the target ended, and under which requests."""
+        self,
+        announcement: target.Announcement,
+        in_flight: list[calls.Attempt],
+    ) -> set[str]:
+        """Records that the target ended, and under which requests.
+
+        Returns:
+            The IDs of the attempts that are the likely cause; none if it
+            could be any of several requests.
+        """
         protocol = self.target_protocol or target.TargetProtocol()
+        fingerprints = {
+            item.attempt_id: fingerprint.compute_fingerprint(item)
+            for item in in_flight
+        }
+        blamed = self.suspects.record_end(
+            fingerprint.hash_incarnation(
+                announcement.host, announcement.port, announcement.incarnation
+            ),
+            fingerprints.values(),
+        )
         log.warning(
             "target ended under requests",
-            target=incarnation,
+            target=announcement.incarnation,
             requests=[protocol.get_correlation_id(item) for item in in_flight],
             fingerprints=[
-                fingerprint.format_fingerprint(
-                    fingerprint.compute_fingerprint(item)
-                )
-                for item in in_flight
+                fingerprint.format_fingerprint(value)
+                for value in fingerprints.values()
+            ],
+            blamed=[
+                fingerprint.format_fingerprint(value)
+                for value in sorted(blamed)
             ],
         )
         self.counters.events.inc({"event": "target_ended"})
+        if len(blamed) > 1:
+            return set()
+        return {name for name, value in fingerprints.items() if value in blamed}
 
     def record_statement(
         self, incarnation: str, statement: target.Statement
@@ -228,7 +263,8 @@
             return outcome.NotRun(outcome.Reason.WRONG_TARGET)
         if attempt.deadline.remaining_s() <= 0:
             return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
-        return None
+        reason = self._find_quarantine_reason(attempt)
+        return outcome.NotRun(reason) if reason is not None else None
 
     @contextlib.asynccontextmanager
     async def execute(
@@ -252,13 +288,22 @@
         ending = admission.Ending.ABANDONED
         initial_slowness = self.slowness()
         try:
-            async with self.link.execute(attempt) as result:
+            link = self.link
+            async with link.execute(attempt) as result:
                 self._count_refusal(result)
                 permit.record_head(self.admission.clock())
                 ending = _classify_ending(result, finished=False)
                 self._count_answer(attempt, permit, result, initial_slowness)
                 yield result
                 ending = _classify_ending(result, finished=True)
+            if (
+                isinstance(result, outcome.Answer)
+                and self.suspects.suspects
+                and not link.ended
+            ):
+                self.suspects.record_completion(
+                    fingerprint.compute_fingerprint(attempt)
+                )
         finally:
             self.admission.release(permit, ending)
 
@@ -447,6 +492,10 @@
             return admission.Ending.SHED
         case outcome.NotRun():
             return admission.Ending.REFUSED
-        case outcome.Unknown(outcome.Reason.CONNECTION_LOST):
+        case outcome.Unknown(
+            outcome.Reason.CONNECTION_LOST
+            | outcome.Reason.TARGET_ENDED
+            | outcome.Reason.ENDED_TARGET
+        ):
             return admission.Ending.LOST
     return admission.Ending.ABANDONED
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -96,6 +96,8 @@
 
 def classify(last: outcome.NotRun | outcome.Unknown) -> RefusalKind:
     """Returns the kind of a refusal."""
+    if last.reason is _Reason.ENDED_TARGET:
+        return RefusalKind.FINAL
     if isinstance(last, outcome.Unknown):
         return RefusalKind.UNKNOWN
     if last.reason in _UNAVAILABLE or last.reason in _CONNECTION_FAILED:
@@ -124,6 +126,8 @@
         return routing.Result.FAILED if failed else routing.Result.ANSWERED
     if result.reason in _NOT_COUNTED:
         return routing.Result.ABANDONED
+    if result.reason is _Reason.ENDED_TARGET:
+        return routing.Result.FAILED
     if result.reason is _Reason.QUEUE_FULL:
         return routing.Result.OVERLOADED
     match classify(result):
--- a/src/waxwingferry/request/tests/simulation.py
+++ b/src/waxwingferry/request/tests/simulation.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import json
 import random
@@ -409,7 +410,7 @@
         assert run in cluster.ledger
 
 
-def run_clusters(clusters: list[SimulatedCluster], body) -> None:
+def run_clusters(clusters: Sequence[SimulatedCluster], body) -> None:
     """Runs a coroutine function with each cluster, concurrently."""
 
     async def run_one(cluster: SimulatedCluster) -> None:
