Keep requests that are blamed for the same end apart

Callers whose requests were in flight beside a deadly one were refused for minutes: retries took the innocent and the deadly requests of one end to the same further target, which ended as well, so that all of them were blamed for two ends and quarantined.

A target's node now lets requests that are blamed for the same end run one at a time: others are sent elsewhere as busy if their entry allows that, or wait up to 0.3 s. At a further end only one of them is in flight, and the others are not blamed again. Without suspects nothing changes.

Evidence: test_requests_of_one_end_do_not_run_together fails before: two of them are sent together.

--- a/src/waxwingferry/process/protection/crash_suspects.py
+++ b/src/waxwingferry/process/protection/crash_suspects.py
@@ -17,6 +17,7 @@
 import dataclasses
 import time
 
+import anyio
 import structlog
 
 # Ends of targets after which a request is passed on to no further one: ends
@@ -206,5 +207,39 @@
             del self.suspects[fingerprint]
 
 
+class Separator:
+    """Keeps requests that are blamed for the same end apart at a target.
+
+    At a further end, the one of them that is in flight is then the cause, and
+    the others are not suspected again.
+
+    Attributes:
+        ends: Ends that requests admitted here are blamed for.
+        changed: Set when a request leaves.
+    """
+
+    def __init__(self):
+        self.ends: set[int] = set()
+        self.changed = anyio.Event()
+
+    def try_enter(self, ends: set[int]) -> bool:
+        """Admits a request unless it must wait.
+
+        Args:
+            ends: Ends that the request is blamed for.
+        """
+        if not self.ends.isdisjoint(ends):
+            return False
+        self.ends |= ends
+        return True
+
+    def leave(self, ends: set[int]) -> None:
+        """Ends the stay of an admitted request."""
+        if ends:
+            self.ends -= ends
+            self.changed.set()
+            self.changed = anyio.Event()
+
+
 def _find_latest_s(ends: dict[int, End]) -> float:
     return max(end.at_s for end in ends.values())
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -6,6 +6,7 @@
 import functools
 import math
 
+import anyio
 import msgspec
 import structlog
 
@@ -24,6 +25,10 @@
 
 log = structlog.get_logger()
 
+# Limits the wait for requests that are blamed for the same end. Few of them are
+# the cause, and a request must not wait for one that waits for its answer.
+MAX_SEPARATION_S = 0.3
+
 OnAnswer = Callable[[str, str, str, bool, float], None]
 
 
@@ -68,6 +73,7 @@
         suspects: crash_suspects.CrashSuspects | None = None,
     ):
         self.suspects = suspects or crash_suspects.CrashSuspects()
+        self.separator = crash_suspects.Separator()
         self.target_protocol = target_protocol
         self.make_limit = make_limit
         self.sample: target.TargetLoad | None = None
@@ -273,11 +279,50 @@
         """Runs one attempt; the answer can be read inside the context."""
         while self.replaced_links:
             await self.replaced_links.pop().pool.close()
-        permit: admission.Permit | outcome.NotRun
         refusal = self.check(attempt)
         if refusal is None and attempt.reroutable and self.is_congested():
             refusal = outcome.NotRun(outcome.Reason.BUSY)
-        permit = refusal or await self._admit(attempt)
+        blamed_ends = refusal or await self._separate(attempt)
+        if isinstance(blamed_ends, outcome.NotRun):
+            self._log_refusal(attempt, blamed_ends)
+            self._count_refusal(blamed_ends)
+            yield blamed_ends
+            return
+        try:
+            async with self._execute_separated(attempt) as result:
+                yield result
+        finally:
+            self.separator.leave(blamed_ends)
+
+    async def _separate(
+        self, attempt: calls.Attempt
+    ) -> set[int] | outcome.NotRun:
+        """Waits for other requests that are blamed for the same end.
+
+        Returns:
+            The ends that the request is blamed for, or a refusal.
+        """
+        waits_until_s = anyio.current_time() + MAX_SEPARATION_S
+        while self.suspects.suspects:
+            ends = self.suspects.find_blamed_ends(
+                fingerprint.compute_fingerprint(attempt)
+            )
+            if self.separator.try_enter(ends):
+                return ends
+            if attempt.reroutable:
+                return outcome.NotRun(outcome.Reason.BUSY)
+            left_s = waits_until_s - anyio.current_time()
+            if left_s <= 0:
+                return set()
+            with anyio.move_on_after(left_s):
+                await self.separator.changed.wait()
+        return set()
+
+    @contextlib.asynccontextmanager
+    async def _execute_separated(
+        self, attempt: calls.Attempt
+    ) -> AsyncIterator[outcome.Outcome]:
+        permit = await self._admit(attempt)
         if isinstance(permit, outcome.NotRun):
             self._log_refusal(attempt, permit)
             self._count_refusal(permit)
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import anyio
+import anyio.lowlevel
 import msgspec
 import pytest
 
@@ -10,6 +11,7 @@
 from waxwingferry.process import metrics
 from waxwingferry.process import target
 from waxwingferry.request import calls
+from waxwingferry.request import fingerprint
 from waxwingferry.request import outcome
 from waxwingferry.request import receive
 from waxwingferry.version import document
@@ -176,6 +178,61 @@
     assert results["c"] == results["d"] == "answered"
 
 
+@pytest.mark.anyio
+async def test_requests_of_one_end_do_not_run_together() -> None:
+    """Guards against innocent requests at each end of a deadly one.
+
+    Retries would take all requests of the first end to the same target.
+    """
+    fixture = ReceiverFixture()
+    assert fixture.receiver.admission is not None
+    fixture.receiver.admission.limit.value = 2
+    attempts = {
+        name: calls.Attempt(
+            name,
+            "s",
+            "GET",
+            f"/{name}",
+            [],
+            calls.Body(b""),
+            calls.make_deadline(60),
+            "m",
+            1,
+            "n1",
+        )
+        for name in ("a", "b", "other", "c")
+    }
+    attempts["c"].reroutable = True
+    results: dict[str, str] = {}
+
+    async def run(name: str) -> None:
+        async with fixture.receiver.execute(attempts[name]) as result:
+            results[name] = getattr(result, "reason", "answered")
+
+    suspects = fixture.receiver.suspects
+    fingerprints = {
+        name: fingerprint.compute_fingerprint(attempt)
+        for name, attempt in attempts.items()
+    }
+    suspects.record_end(1, [fingerprints[name] for name in "abc"])
+    async with anyio.create_task_group() as group:
+        for name in attempts:
+            group.start_soon(run, name)
+        with anyio.fail_after(5):
+            while len(fixture.sent) < 2:
+                await anyio.lowlevel.checkpoint()
+        await anyio.sleep(0.01)
+        assert sorted(fixture.sent) == ["a", "other"]
+        fixture.release.set()
+    assert results == {
+        "a": "answered",
+        "b": "answered",
+        "c": outcome.Reason.BUSY,
+        "other": "answered",
+    }
+    assert not suspects.find_blamed_ends(fingerprints["b"])
+
+
 @pytest.mark.anyio
 async def test_smaller_slots_bound_the_limit_at_once() -> None:
     """Guards against a limit above a reduced number of slots."""
