Report the most suspected requests first

A target may run many requests when it ends, and datagrams about suspects stay within the byte budget of gossip. Reports were in no useful order, and only the latest twelve suspects were repeated: a deadly request could be among those that nodes started later, or missed a datagram, did not learn.

Suspects with more ends now go first in both. test_the_most_suspected_requests_are_reported_first guards it.

--- a/src/waxwingferry/process/protection/crash_suspects.py
+++ b/src/waxwingferry/process/protection/crash_suspects.py
@@ -99,7 +99,10 @@
             The requests that are blamed for it.
         """
         self._expire()
-        in_flight = sorted(set(fingerprints))
+        # If datagrams are lost or too many, the first matter most.
+        in_flight = sorted(
+            set(fingerprints), key=self._count_open_ends, reverse=True
+        )
         earlier = {item for item in in_flight if self.find_blamed_ends(item)}
         blamed = earlier or set(in_flight)
         now_s = self.clock()
@@ -139,10 +142,19 @@
         blamed = sum(end.blamed for end in open_ends)
         return blamed >= MAX_BLAMED_ENDS or len(open_ends) >= MAX_WITNESSED_ENDS
 
-    def list_latest(self, count: int) -> list[Report]:
-        """Returns the suspects that changed last, at most count."""
+    def list_most_suspected(self, count: int) -> list[Report]:
+        """Returns the suspects with most ends, the latest changed first."""
         self._expire()
-        return self._make_reports(list(self.suspects)[-count:])
+        latest_first = reversed(self.suspects)
+        # Sorting keeps the order of suspects with as many ends.
+        return self._make_reports(
+            sorted(latest_first, key=self._count_open_ends, reverse=True)[
+                :count
+            ]
+        )
+
+    def _count_open_ends(self, fingerprint: int) -> int:
+        return len(self._list_open_ends(fingerprint))
 
     def _list_open_ends(self, fingerprint: int) -> list[End]:
         ends = self.suspects.get(fingerprint)
--- a/src/waxwingferry/process/protection/tests/test_crash_suspects.py
+++ b/src/waxwingferry/process/protection/tests/test_crash_suspects.py
@@ -38,7 +38,7 @@
     table, other = Table(), Table()
     other.record_end(1, [DEADLY])
     for _ in range(3):
-        table.merge(other.list_latest(9))
+        table.merge(other.list_most_suspected(9))
         table.record_end(1, [DEADLY])
     assert not table.is_quarantined(DEADLY)
 
@@ -66,16 +66,29 @@
     assert table.is_quarantined(DEADLY)
 
 
+def test_the_most_suspected_requests_are_reported_first() -> None:
+    """Guards against a deadly request hidden among many of its neighbours."""
+    table = Table()
+    sent: list[crash_suspects.Report] = []
+    table.on_change = sent.extend
+    table.record_end(1, [DEADLY, 1])
+    table.record_end(2, range(100))
+    table.record_end(3, [*range(500, 600), DEADLY])
+    assert table.list_most_suspected(1)[0].fingerprint == DEADLY
+    in_flight = [report for report in sent if report.ends[-1].target == 3]
+    assert in_flight[0].fingerprint == DEADLY
+
+
 def test_suspects_are_forgotten() -> None:
     """Guards against a quarantine that nothing ever ends."""
     table = Table()
     table.record_end(1, [DEADLY])
     table.record_end(2, [DEADLY])
-    stale = table.list_latest(9)
+    stale = table.list_most_suspected(9)
     table.time_s += crash_suspects.SUSPECT_LIFETIME_S + 1
     assert not table.is_quarantined(DEADLY)
     table.merge(stale)
-    assert not table.list_latest(9)
+    assert not table.list_most_suspected(9)
 
 
 def test_the_table_is_bounded() -> None:
@@ -148,7 +161,7 @@
     assert not mail
     for table in tables:
         for other in tables:
-            table.merge(other.list_latest(100))
+            table.merge(other.list_most_suspected(100))
     assert all(table.is_quarantined(DEADLY) for table in tables)
 
 
@@ -168,7 +181,7 @@
         table.record_end(DEADLY - number, requests)
         table.time_s += 9
     table.record_completion(requests[0])
-    data = sender.encode(table.list_latest(crash_reports.MAX_REPORTS))
+    data = sender.encode(table.list_most_suspected(crash_reports.MAX_REPORTS))
     assert data[:1] == crash_reports.TYPE_BYTE
     other.time_s = 5.0
     receiver.receive(data[1:])
--- a/src/waxwingferry/process/spreading/crash_reports.py
+++ b/src/waxwingferry/process/spreading/crash_reports.py
@@ -1,7 +1,7 @@
 """Exchanges the suspects of ended targets between nodes.
 
 A change is sent to several random peers at once, and these forward what is new
-to them. While there are suspects, each node also sends the latest ones to a
+to them. While there are suspects, each node also sends the most suspected to a
 random peer every second, which reaches nodes that were started later or missed
 a datagram. All datagrams are within the byte budget of gossip.
 """
@@ -118,9 +118,9 @@
         return data
 
     async def run(self) -> None:
-        """Repeats the latest suspects until cancelled."""
+        """Repeats the most suspected requests until cancelled."""
         while True:
             await anyio.sleep(REPEAT_INTERVAL_S)
-            latest = self.suspects.list_latest(MAX_REPORTS)
-            if latest:
-                self.gossiper.send_to_random(self.encode(latest), 1)
+            reports = self.suspects.list_most_suspected(MAX_REPORTS)
+            if reports:
+                self.gossiper.send_to_random(self.encode(reports), 1)
