Send Retry-After of a quarantine in whole seconds

The quarantine lasts 300 s and was sent as "300.0", which clients that read RFC 9110 strictly ignore. The simulation of deadly requests checks the field now, and that each refusal of a deadly request is true.

--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -152,7 +152,7 @@
         retry_after_s = RETRY_AFTER_S
         if refusal.reason is outcome.Reason.CRASHES_TARGETS:
             retry_after_s = crash_suspects.SUSPECT_LIFETIME_S
-        headers.append(("retry-after", f"{retry_after_s}"))
+        headers.append(("retry-after", f"{retry_after_s:g}"))
     body = f"{refusal.reason.value}\n".encode()
     await connection.send_head(refusal.status, headers, body)
 
--- a/src/waxwingferry/request/tests/test_deadly_requests.py
+++ b/src/waxwingferry/request/tests/test_deadly_requests.py
@@ -39,6 +39,8 @@
             return
         cluster = self.deadly_cluster
         cluster.deadly_sends.append(len(cluster.ended_targets))
+        request = http1.find_header(head.headers, "x-request-id")
+        cluster.ledger.append({"request": request, "key": ""})
         await anyio.sleep(RUN_BEFORE_END_S)
         await cluster.end_target(self.name)
         raise http1.ConnectionLostError("the target ended")
@@ -142,6 +144,7 @@
 async def _repeat_deadly_request(cluster: DeadlyCluster) -> None:
     """Has callers repeat the deadly request beside others."""
     innocent: dict[int, list[simulation.Reply]] = {}
+    deadly: list[simulation.Reply] = []
 
     async def send_innocent(number: int) -> None:
         await anyio.sleep(cluster.rng.uniform(0, 3))
@@ -150,7 +153,7 @@
 
     async def send_deadly(number: int) -> None:
         await anyio.sleep(number * 0.4)
-        await cluster.call(f"deadly{number}", DEADLY_PATH)
+        deadly.extend(await cluster.call(f"deadly{number}", DEADLY_PATH))
 
     async with anyio.create_task_group() as group:
         for number in range(INNOCENTS):
@@ -166,9 +169,15 @@
         if replies[-1].outcome != "answered"
     ]
     assert len(unanswered) <= 4, f"innocent requests failed: {unanswered}"
-    simulation.check_outcomes(
-        cluster, [reply for replies in innocent.values() for reply in replies]
-    )
+    replies = [reply for replies in innocent.values() for reply in replies]
+    simulation.check_outcomes(cluster, replies + deadly)
+    refused = [
+        reply
+        for reply in deadly
+        if reply.field("x-waxwing-reason") == "crashes_targets"
+    ]
+    assert refused
+    assert {reply.field("retry-after") for reply in refused} == {"300"}
 
 
 def test_a_request_that_ends_targets_is_not_sent_to_more_than_three() -> None:
