Drop malformed crash reports instead of ending

A node that got a malformed or deeply nested datagram with crash reports ended: its handler raised the error of the decoder, while gossip handles the error that all decoding of bytes from outside raises.

Three cases of test_odd_datagrams_are_counted_and_logged_once failed before.

--- a/src/waxwingferry/process/spreading/crash_reports.py
+++ b/src/waxwingferry/process/spreading/crash_reports.py
@@ -13,6 +13,7 @@
 import anyio
 import msgspec
 
+from waxwingferry import decoding
 from waxwingferry.process.protection import crash_suspects
 from waxwingferry.process.spreading import gossip
 
@@ -79,9 +80,10 @@
         """Merges a datagram.
 
         Raises:
-            msgspec.DecodeError: The datagram is malformed.
+            decoding.DecodingError: The datagram is malformed.
         """
         now_s = self.clock()
+        entries = decoding.decode(self.decoder.decode, data)
         self.suspects.merge(
             crash_suspects.Report(
                 entry.fingerprint,
@@ -92,7 +94,7 @@
                     for end, age_ms, blamed, closed in entry.ends
                 ),
             )
-            for entry in self.decoder.decode(data)
+            for entry in entries
         )
 
     def encode(self, reports: list[crash_suspects.Report]) -> bytes:
--- a/src/waxwingferry/process/spreading/tests/test_gossip.py
+++ b/src/waxwingferry/process/spreading/tests/test_gossip.py
@@ -8,7 +8,9 @@
 import structlog.testing
 
 from waxwingferry import decoding
+from waxwingferry.process.protection import crash_suspects
 from waxwingferry.process.spreading import configuration
+from waxwingferry.process.spreading import crash_reports
 from waxwingferry.process.spreading import gossip
 from waxwingferry.process.spreading import version_rollouts
 from waxwingferry.process.tests import fakes
@@ -162,6 +164,9 @@
         _nest(b"\x03\x95\xa1a\xa1b\x01\xa9completed"),
         _nest(b"\x04\x93\xa1a\x01"),
         _nest(b"\x05\x94\xa1a\xa1b\x01"),
+        _nest(b"\x06\x91\x92\x01"),
+        b"\x06\x91",
+        b"\x06\x91\x92\x01\x91\x94\x01\xd3" + b"\xff" * 8 + b"\xc2\xc2",
         b'{"x":' + b"[" * 1190,
     ],
 )
@@ -173,6 +178,7 @@
         node.gossip.handlers[type_byte] = version_rollouts.make_handler(
             kind, lambda item: None
         )
+    crash_reports.CrashReports(crash_suspects.CrashSuspects(), node.gossip)
     with structlog.testing.capture_logs() as lines:
         for _ in range(3):
             node.gossip.receive(data, ("127.0.0.1", 9))
