Leave out member rows that fit in no datagram

Callers of all nodes that read the member table could lose their requests: the nodes ended one after the other on a row of another writer.

Names in a row have up to 63 characters, which may be letters of any script, so that a row may have more bytes than a datagram. Forwarding such a row violated the assertion that at least one row fits, in a task of the node's task group, which ended the process with all requests. The row is now logged and not forwarded; the others are.

test_a_row_that_fits_in_no_datagram_costs_only_itself failed before with the AssertionError of send_pending.

--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -403,7 +403,11 @@
             if self.tokens_left() < FANOUT * MAX_DATAGRAM_BYTES:
                 return
             data, count = self._encode("news", rows)
-            assert count > 0
+            if not count:
+                # Names of another writer may take several bytes per character.
+                log.warning("member row not forwarded", node=rows[0].node)
+                del self.pending[rows.pop(0).node]
+                continue
             for address in self._choose_receivers(rows[:count]):
                 self._transmit(address, data)
             if passes is None:
--- a/src/waxwingferry/process/spreading/tests/test_gossip.py
+++ b/src/waxwingferry/process/spreading/tests/test_gossip.py
@@ -12,6 +12,7 @@
 from waxwingferry.process.spreading import configuration
 from waxwingferry.process.spreading import crash_reports
 from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import members
 from waxwingferry.process.spreading import version_rollouts
 from waxwingferry.process.tests import fakes
 from waxwingferry.version import judgement
@@ -244,6 +245,42 @@
     ]
 
 
+# The assertion that some row fits ended the process with all requests.
+def test_a_row_that_fits_in_no_datagram_costs_only_itself():
+    """Guards against nodes that end by names of another writer."""
+    membership = members.Membership("n0")
+    sent: list[bytes] = []
+    gossiper = gossip.Gossiper(
+        membership,
+        lambda: 1,
+        lambda address, data: sent.append(data),
+        random.Random(1),
+    )
+    membership.on_newer_row = gossiper.add_row
+    name = "a" + "\U00020000" * 62
+    row = {
+        "service": "desk",
+        "version": "v1",
+        "region": "r1",
+        "failure_domain": "d1",
+        "host": "10.0.0.1",
+        "peer_port": 7380,
+        "incarnation": "i1",
+        "state": "ready",
+        "slots": 6,
+    }
+    odd = {"service": name, "version": name, "region": name}
+    odd["failure_domain"] = name
+    membership.apply(members.parse_row(name, {**row, **odd}))
+    membership.apply(members.parse_row("n2", row))
+    with structlog.testing.capture_logs() as lines:
+        gossiper.send_pending()
+    assert [line["node"] for line in lines] == [name]
+    assert any(b'"n2"' in data for data in sent)
+    assert not any(name.encode() in data for data in sent)
+    assert name not in gossiper.pending
+
+
 def test_simultaneous_start_stays_within_the_byte_budget():
     """Guards against excessive gossip when 60 nodes start together."""
     network = _make_network(7, fakes.Faults(), 60)
