Suspect requests that were cleared often before

The table keeps four ends of a request and took no further one, open or not. Requests that many callers send collect such ends at a service whose targets crash by themselves.

test_a_request_that_was_cleared_often_is_quarantined_later failed without the replacement: not quarantined after two further ends.

A closed end now makes room for a later one. Open ends are kept, and only a clearly later end replaces one, so that nodes agree on which they keep and fall silent.

--- a/src/waxwingferry/process/protection/crash_suspects.py
+++ b/src/waxwingferry/process/protection/crash_suspects.py
@@ -33,6 +33,10 @@
 # Bounds of the memory.
 MAX_SUSPECTS = 2048
 MAX_ENDS = 4
+# Among too many ends, a closed one makes room for one that is at least this
+# much later. Nodes whose times of an end differ by the delay of a datagram then
+# keep the same ones.
+REPLACEMENT_AGE_S = 5.0
 
 log = structlog.get_logger()
 
@@ -188,9 +192,11 @@
             known = ends.get(end.target)
             if known is not None and end.closed:
                 ends[end.target] = dataclasses.replace(known, closed=True)
-            # Further ends are not needed: the request is quarantined, or was
-            # answered after each of the ends known.
-            elif known is None and len(ends) < MAX_ENDS and end.at_s > oldest_s:
+            elif (
+                known is None
+                and end.at_s > oldest_s
+                and _make_room(ends, end.at_s)
+            ):
                 ends[end.target] = end
         if ends == old:
             return False
@@ -253,5 +259,20 @@
             self.changed = anyio.Event()
 
 
+def _make_room(ends: dict[int, End], at_s: float) -> bool:
+    """Removes a closed end if there are too many; returns if there is room.
+
+    Open ends are kept: as many as the maximum quarantine the request.
+    """
+    if len(ends) < MAX_ENDS:
+        return True
+    closed = [end for end in ends.values() if end.closed]
+    oldest = min(closed, key=lambda end: end.at_s, default=None)
+    if oldest is None or at_s - oldest.at_s < REPLACEMENT_AGE_S:
+        return False
+    del ends[oldest.target]
+    return True
+
+
 def _find_latest_s(ends: dict[int, End]) -> float:
     return max(end.at_s for end in ends.values())
--- a/src/waxwingferry/process/protection/tests/test_crash_suspects.py
+++ b/src/waxwingferry/process/protection/tests/test_crash_suspects.py
@@ -56,6 +56,75 @@
     assert not table.find_blamed_ends(5)
 
 
+def test_a_request_that_was_cleared_often_is_quarantined_later() -> None:
+    """Guards against ends without limit under a request answered before.
+
+    Requests that many callers send are in flight at many ends. One of them can
+    become deadly with the data that it asks for.
+    """
+    table = Table()
+    for end in range(crash_suspects.MAX_ENDS):
+        table.record_end(end, [DEADLY])
+        table.record_completion(DEADLY)
+        table.time_s += 1
+    table.time_s += crash_suspects.REPLACEMENT_AGE_S
+    for end in range(crash_suspects.MAX_BLAMED_ENDS):
+        assert not table.is_quarantined(DEADLY)
+        table.record_end(100 + end, [DEADLY])
+    assert table.is_quarantined(DEADLY)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_many_closed_ends_do_not_keep_nodes_talking(seed: int) -> None:
+    """Guards against ends that nodes remind each other of without end.
+
+    Each datagram shifts the time of an end by its delay.
+    """
+    rng = random.Random(seed)
+    tables = [Table() for _ in range(4)]
+    mail: list[tuple[Table, list[crash_suspects.Report]]] = []
+
+    def connect(table: Table) -> None:
+        def send(reports: list[crash_suspects.Report]) -> None:
+            mail.extend(
+                (other, reports)
+                for other in tables
+                if reports and other is not table and rng.random() < 0.8
+            )
+
+        table.on_change = send
+
+    def deliver() -> None:
+        table, reports = mail.pop(rng.randrange(len(mail)))
+        delay_s = rng.uniform(0, 0.1)
+        table.merge(
+            crash_suspects.Report(
+                report.fingerprint,
+                tuple(
+                    dataclasses.replace(end, at_s=end.at_s + delay_s)
+                    for end in report.ends
+                ),
+            )
+            for report in reports
+        )
+
+    for table in tables:
+        connect(table)
+    for end in range(40):
+        for table in tables:
+            table.time_s += 2
+        rng.choice(tables).record_end(end, [DEADLY])
+        for _ in range(min(rng.randrange(12), len(mail))):
+            deliver()
+        rng.choice(tables).record_completion(DEADLY)
+    for _ in range(20_000):
+        if mail:
+            deliver()
+    assert not mail
+    for table in tables:
+        assert len(table.suspects[DEADLY]) <= crash_suspects.MAX_ENDS
+
+
 def test_a_request_hidden_behind_suspects_is_quarantined_after_three() -> None:
     """Guards against ends that are always blamed on other requests."""
     table = Table()
