Leave time to run to requests that wait for another suspect

A request that is blamed for the same end as one that runs waited up to 0.3 s at the target's node, whatever time it had left. Callers with less than that got no answer in time: the request was refused after its deadline, although its target had room for it.

test_requests_of_one_end_are_not_held_until_their_deadline failed before: only the first request reached the target.

A request now waits for at most half of its remaining time, and then runs beside the other.

--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -302,7 +302,9 @@
         Returns:
             The ends that the request is blamed for, or a refusal.
         """
-        waits_until_s = anyio.current_time() + MAX_SEPARATION_S
+        # The request still needs time to run.
+        wait_s = min(MAX_SEPARATION_S, attempt.deadline.remaining_s() / 2)
+        waits_until_s = anyio.current_time() + wait_s
         while self.suspects.suspects:
             ends = self.suspects.find_blamed_ends(
                 fingerprint.compute_fingerprint(attempt)
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -233,6 +233,47 @@
     assert not suspects.find_blamed_ends(fingerprints["b"])
 
 
+@pytest.mark.anyio
+async def test_requests_of_one_end_are_not_held_until_their_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a target that gets a request too late to answer it."""
+    fixture = ReceiverFixture()
+    assert fixture.receiver.admission is not None
+    fixture.receiver.admission.limit.value = 2
+    monkeypatch.setattr(receive, "MAX_SEPARATION_S", 2.0)
+    deadline_s = 1.0
+    attempts = [
+        calls.Attempt(
+            name,
+            "s",
+            "GET",
+            f"/{name}",
+            [],
+            calls.Body(b""),
+            calls.make_deadline(left_s),
+            "m",
+            1,
+            "n1",
+        )
+        for name, left_s in (("a", 60), ("b", deadline_s))
+    ]
+    fixture.receiver.suspects.record_end(
+        1, [fingerprint.compute_fingerprint(attempt) for attempt in attempts]
+    )
+
+    async def run(attempt: calls.Attempt) -> None:
+        async with fixture.receiver.execute(attempt):
+            pass
+
+    async with anyio.create_task_group() as group:
+        for attempt in attempts:
+            group.start_soon(run, attempt)
+        await anyio.sleep(deadline_s)
+        assert fixture.sent == ["a", "b"]
+        fixture.release.set()
+
+
 @pytest.mark.anyio
 async def test_smaller_slots_bound_the_limit_at_once() -> None:
     """Guards against a limit above a reduced number of slots."""
