Clear suspects only by answers that were read completely

A request whose answer broke off before its start was sent to the caller counted as answered completely, unless its target had been found to have ended. That is not found if the target is started again at once and listens when it is checked: what the request was blamed for was forgotten at each further end, so that callers saw target after target go down. An answer that an entry gives up, because it is too large for its caller's connection, cleared as well.

test_an_answer_cut_short_does_not_clear_a_request failed before: nothing was left that the request was blamed for.

The request is cleared when the end of the body is read. The stand-in target of the test of separated requests had answers that nobody read; it now reads them, as all callers do.

--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -341,18 +341,30 @@
                 permit.record_head(self.admission.clock())
                 ending = _classify_ending(result, finished=False)
                 self._count_answer(attempt, permit, result, initial_slowness)
+                if isinstance(result, outcome.Answer):
+                    result = self._record_end_of_answer(attempt, link, result)
                 yield result
                 ending = _classify_ending(result, finished=True)
-            if (
-                isinstance(result, outcome.Answer)
-                and self.suspects.suspects
-                and not link.ended
-            ):
+        finally:
+            self.admission.release(permit, ending)
+
+    def _record_end_of_answer(
+        self,
+        attempt: calls.Attempt,
+        link: target.TargetClient,
+        answer: outcome.Answer,
+    ) -> outcome.Answer:
+        """Returns an answer that clears its request once read completely."""
+
+        async def receive_chunk() -> bytes | None:
+            chunk = await answer.receive_chunk()
+            if chunk is None and self.suspects.suspects and not link.ended:
                 self.suspects.record_completion(
                     fingerprint.compute_fingerprint(attempt)
                 )
-        finally:
-            self.admission.release(permit, ending)
+            return chunk
+
+        return outcome.Answer(answer.head, receive_chunk)
 
     def _log_refusal(
         self, attempt: calls.Attempt, refusal: outcome.NotRun
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -208,6 +208,8 @@
     async def run(name: str) -> None:
         async with fixture.receiver.execute(attempts[name]) as result:
             results[name] = getattr(result, "reason", "answered")
+            if isinstance(result, outcome.Answer):
+                assert await result.receive_chunk() is None
 
     suspects = fixture.receiver.suspects
     fingerprints = {
@@ -274,6 +276,45 @@
         fixture.release.set()
 
 
+@pytest.mark.anyio
+async def test_an_answer_cut_short_does_not_clear_a_request() -> None:
+    """Guards against a deadly request cleared by what it began to answer.
+
+    A target that is started again at once has not been found to have ended
+    when its answer is cut.
+    """
+    fixture = ReceiverFixture()
+    attempt = calls.Attempt(
+        "a",
+        "s",
+        "GET",
+        "/",
+        [],
+        calls.Body(b""),
+        calls.make_deadline(60),
+        "m",
+        1,
+        "n1",
+    )
+    deadly = fingerprint.compute_fingerprint(attempt)
+    fixture.receiver.suspects.record_end(1, [deadly])
+
+    async def cut_short() -> bytes | None:
+        raise outcome.AnswerCutError("connection lost")
+
+    @contextlib.asynccontextmanager
+    async def send(attempt: calls.Attempt):
+        yield outcome.Answer(http1.ResponseHead(200, []), cut_short)
+
+    assert fixture.receiver.link is not None
+    fixture.receiver.link.execute = send  # type: ignore
+    async with fixture.receiver.execute(attempt) as result:
+        assert isinstance(result, outcome.Answer)
+        with pytest.raises(outcome.AnswerCutError):
+            await result.receive_chunk()
+    assert fixture.receiver.suspects.find_blamed_ends(deadly) == {1}
+
+
 @pytest.mark.anyio
 async def test_smaller_slots_bound_the_limit_at_once() -> None:
     """Guards against a limit above a reduced number of slots."""
