Don't retry a request whose target ended while it answered

A request that alone was in flight at the end of its target was not sent to another one if the target ended before its answer, but it was if the target ended within the answer: the reason was answer_cut then, whatever had been found out about the end. One request of a caller took two targets down.

test_a_request_that_alone_was_at_an_end_is_not_retried failed before for such targets: the request was sent to a second target after the first had ended.

The error that cuts an answer now carries the reason that is known at the target, and the refusal takes it if no part of the answer was forwarded.

--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -378,17 +378,22 @@
             return outcome.Unknown(outcome.Reason.TIMEOUT, 504)
         except http1.HttpError as error:
             connection.reusable = False
-            reason = outcome.Reason.CONNECTION_LOST
-            if (
-                isinstance(error, http1.ConnectionLostError)
-                and await self.check_end()
-            ):
-                reason = outcome.Reason.TARGET_ENDED
-                if attempt.attempt_id in self.end_causes:
-                    reason = outcome.Reason.ENDED_TARGET
-            return outcome.Unknown(reason)
+            reason = await self._find_end_reason(attempt, error)
+            return outcome.Unknown(reason or outcome.Reason.CONNECTION_LOST)
         return self._classify_response(connection, attempt, head)
 
+    async def _find_end_reason(
+        self, attempt: calls.Attempt, error: http1.HttpError
+    ) -> outcome.Reason | None:
+        """Returns how the target's end concerns an attempt, or None."""
+        if not isinstance(error, http1.ConnectionLostError):
+            return None
+        if not await self.check_end():
+            return None
+        if attempt.attempt_id in self.end_causes:
+            return outcome.Reason.ENDED_TARGET
+        return outcome.Reason.TARGET_ENDED
+
     async def _receive_head(
         self, connection: http1.ClientConnection, attempt: calls.Attempt
     ) -> http1.ResponseHead:
@@ -460,7 +465,7 @@
         if http1.find_header(head.headers, "content-length"):
             max_bytes = sys.maxsize
         reader = _make_body_reader(
-            connection, attempt, max_bytes, self.check_end
+            connection, attempt, max_bytes, self._find_end_reason
         )
         return outcome.Answer(head, reader)
 
@@ -486,7 +491,9 @@
     connection: http1.ClientConnection,
     attempt: calls.Attempt,
     max_bytes: int,
-    check_end: Callable[[], Awaitable[bool]],
+    find_end_reason: Callable[
+        [calls.Attempt, http1.HttpError], Awaitable[outcome.Reason | None]
+    ],
 ) -> Callable[[], Awaitable[bytes | None]]:
     received_bytes = 0
 
@@ -497,9 +504,10 @@
             part = await connection.receive_chunk(wait_s)
         except http1.HttpError as error:
             connection.reusable = False
-            if isinstance(error, http1.ConnectionLostError):
-                await check_end()
-            raise outcome.AnswerCutError(str(error)) from error
+            reason = await find_end_reason(attempt, error)
+            raise outcome.AnswerCutError(
+                str(error), reason or outcome.Reason.ANSWER_CUT
+            ) from error
         received_bytes += len(part or b"")
         if received_bytes > max_bytes:
             connection.reusable = False
--- a/src/waxwingferry/process/tests/test_target_ends.py
+++ b/src/waxwingferry/process/tests/test_target_ends.py
@@ -41,6 +41,22 @@
         """Closes the stream."""
 
 
+class BrokenOffStream(SilentStream):
+    """A stream that brings the start of an answer until its target ends."""
+
+    def __init__(self, closed: anyio.Event):
+        super().__init__(closed)
+        self.data = (
+            b"HTTP/1.1 200 OK\r\nx-waxwing-attempt: a\r\n"
+            b"content-length: 9\r\n\r\nstart"
+        )
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        """Returns the start of the answer, then waits for the end."""
+        data, self.data = self.data, b""
+        return data or await super().receive(max_bytes)
+
+
 class FakeTarget:
     """A target that answers nothing, with a client that records its end."""
 
@@ -116,6 +132,31 @@
     assert all(isinstance(result, outcome.Unknown) for result in results)
 
 
+async def test_the_cause_of_an_end_is_known_when_it_cuts_an_answer() -> None:
+    """Guards against retries of a request that ends targets as they answer."""
+    closed = anyio.Event()
+    closed.set()
+    streams = [BrokenOffStream(closed)]
+
+    async def connect(host: str, port: int) -> SilentStream:
+        await anyio.lowlevel.checkpoint()
+        if not streams:
+            raise pool.ConnectError from ConnectionRefusedError()
+        return streams.pop()
+
+    client = target.TargetClient(
+        ANNOUNCEMENT,
+        connect=connect,  # type: ignore[arg-type]
+        on_end=lambda in_flight: {item.attempt_id for item in in_flight},
+    )
+    async with client.execute(_make_attempt("a")) as result:
+        assert isinstance(result, outcome.Answer)
+        assert await result.receive_chunk() == b"start"
+        with pytest.raises(outcome.AnswerCutError) as error:
+            await result.receive_chunk()
+    assert error.value.reason is outcome.Reason.ENDED_TARGET
+
+
 async def test_a_target_that_still_listens_has_not_ended() -> None:
     """Guards against suspicion after a target has closed a connection."""
     fake = FakeTarget()
--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -60,8 +60,8 @@
     ]
     try:
         parts, complete = await _read_start(connection, answer)
-    except outcome.AnswerCutError:
-        return outcome.Unknown(outcome.Reason.ANSWER_CUT)
+    except outcome.AnswerCutError as error:
+        return outcome.Unknown(error.reason)
     if not complete and not _can_stream(connection, headers):
         return outcome.Unknown(outcome.Reason.ANSWER_CUT)
     if connection.is_head_request():
@@ -78,7 +78,7 @@
             await connection.send_chunk(chunk)
     except outcome.AnswerCutError as error:
         if _discard_held(connection):
-            return outcome.Unknown(outcome.Reason.ANSWER_CUT)
+            return outcome.Unknown(error.reason)
         raise http1.ConnectionLostError(
             "answer truncated by the target"
         ) from error
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -54,7 +54,15 @@
 
 
 class AnswerCutError(Exception):
-    """The body of an answer ended early; the data received is incomplete."""
+    """The body of an answer ended early; the data received is incomplete.
+
+    Attributes:
+        reason: Why the outcome is unknown if no part of it was forwarded.
+    """
+
+    def __init__(self, message: str, reason: Reason = Reason.ANSWER_CUT):
+        super().__init__(message)
+        self.reason = reason
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/waxwingferry/request/tests/test_deadly_requests.py
+++ b/src/waxwingferry/request/tests/test_deadly_requests.py
@@ -4,11 +4,13 @@
 
 import anyio
 import msgspec
+import pytest
 
 from waxwingferry.connection import http1
 from waxwingferry.connection import serve
 from waxwingferry.process.spreading import crash_reports
 from waxwingferry.process.spreading import gossip
+from waxwingferry.request import calls
 from waxwingferry.request.tests import network
 from waxwingferry.request.tests import simulation
 
@@ -42,6 +44,11 @@
         request = http1.find_header(head.headers, "x-request-id")
         cluster.ledger.append({"request": request, "key": ""})
         await anyio.sleep(RUN_BEFORE_END_S)
+        if cluster.starts_answers:
+            attempt = http1.find_header(head.headers, calls.ATTEMPT_HEADER)
+            headers = [(calls.ATTEMPT_HEADER, attempt), ("content-length", "9")]
+            await connection.send_head(200, headers)
+            await connection.send_chunk(b"start")
         await cluster.end_target(self.name)
         raise http1.ConnectionLostError("the target ended")
 
@@ -53,6 +60,7 @@
         ended_targets: Names of the targets that have ended, in order.
         deadly_sends: For each deadly request that reached a target, the
             number of targets that had ended before.
+        starts_answers: Whether targets end while they answer it.
     """
 
     def __init__(self, seed: int):
@@ -60,6 +68,7 @@
         self.service_times_s = (0.02, 0.1)
         self.ended_targets: list[str] = []
         self.deadly_sends: list[int] = []
+        self.starts_answers = False
         self.streams: dict[str, list[network.Stream]] = {}
         self.gossipers: dict[str, gossip.Gossiper] = {}
         self.group: anyio.abc.TaskGroup
@@ -188,3 +197,28 @@
     clusters = [DeadlyCluster(seed) for seed in SEEDS]
     simulation.run_clusters(clusters, _repeat_deadly_request)
     assert any(cluster.ended_targets for cluster in clusters)
+
+
+async def _send_deadly_request_once(cluster: DeadlyCluster) -> None:
+    node = cluster.nodes[0].name
+    # These calls add to the retry budget.
+    for number in range(INNOCENTS):
+        path = f"/prices/{number}"
+        await cluster.send(node, f"read-{number}", method="GET", path=path)
+    reply = await cluster.send(node, "deadly", method="GET", path=DEADLY_PATH)
+    assert reply.outcome != "answered"
+    assert cluster.deadly_sends == [0]
+
+
+@pytest.mark.parametrize("starts_answers", [False, True])
+def test_a_request_that_alone_was_at_an_end_is_not_retried(
+    starts_answers: bool,
+) -> None:
+    """Guards against retries of a request that is known to end targets.
+
+    A target may end before or while it answers.
+    """
+    clusters = [DeadlyCluster(seed) for seed in SEEDS]
+    for cluster in clusters:
+        cluster.starts_answers = starts_answers
+    simulation.run_clusters(clusters, _send_deadly_request_once)
