Look for the kept answer of a key before a quarantine

A caller that repeated a call with an idempotency key was told that it has not run, while it had run and its answer was kept, if another call with the same content had ended targets meanwhile: the entry refused requests in quarantine before it looked at the claim of the key. The caller could then send the call again with another key.

test_a_kept_answer_is_sent_although_its_request_is_quarantined failed before: the repeat got not-run, crashes_targets.

The check before the claim is gone. The one before each attempt covers all calls, since a claimed call is refused there as well.

--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -172,9 +172,6 @@
             refusal = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
             await self._refuse(connection, refusal)
             return
-        if self._is_quarantined(call):
-            await self._refuse(connection, _QUARANTINED, call)
-            return
         if call.key and self.claims is not None:
             await self.claims.run(
                 connection, call, self._run_attempts, self._refuse
--- a/src/waxwingferry/request/tests/test_deadly_requests.py
+++ b/src/waxwingferry/request/tests/test_deadly_requests.py
@@ -8,9 +8,11 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.connection import serve
+from waxwingferry.process.protection import crash_suspects
 from waxwingferry.process.spreading import crash_reports
 from waxwingferry.process.spreading import gossip
 from waxwingferry.request import calls
+from waxwingferry.request import fingerprint
 from waxwingferry.request.tests import network
 from waxwingferry.request.tests import simulation
 
@@ -222,3 +224,37 @@
     for cluster in clusters:
         cluster.starts_answers = starts_answers
     simulation.run_clusters(clusters, _send_deadly_request_once)
+
+
+async def _repeat_quarantined_call(cluster: DeadlyCluster) -> None:
+    node = cluster.nodes[0]
+    first = await cluster.send(node.name, "a-1", key="a")
+    assert first.outcome == "answered"
+    # Others with the same content and other keys end targets.
+    same = calls.Attempt(
+        "b",
+        "registry",
+        "POST",
+        "/transfers",
+        [],
+        calls.Body(b"{}"),
+        calls.make_deadline(1),
+        "",
+        1,
+        "",
+    )
+    for end in range(crash_suspects.MAX_BLAMED_ENDS):
+        node.receiver.suspects.record_end(
+            end, [fingerprint.compute_fingerprint(same)]
+        )
+    other = await cluster.send(node.name, "c-1", key="c")
+    assert other.field("x-waxwing-reason") == "crashes_targets"
+    repeat = await cluster.send(node.name, "a-2", key="a")
+    assert repeat.outcome == "answered"
+    assert repeat.body == first.body
+    assert len(cluster.ledger) == 1
+
+
+def test_a_kept_answer_is_sent_although_its_request_is_quarantined() -> None:
+    """Guards against "not run" for a call with a key that has run."""
+    simulation.run_clusters([DeadlyCluster(1)], _repeat_quarantined_call)
