Count targets that end at the same moment as one end

Callers of a path that many ask for were refused for 300 s after all targets of its service had ended together, as in a loss of power: the path was in flight at each end, and no target was left whose answer could clear it. Ends within 10 ms of each other have a cause in common and are recorded as one, and a suspect is forgotten after 60 s instead of 300 s.

test_targets_that_end_together_count_as_one_end failed before.

--- a/src/waxwingferry/process/protection/crash_suspects.py
+++ b/src/waxwingferry/process/protection/crash_suspects.py
@@ -25,11 +25,14 @@
 # may have had another cause than the requests in flight.
 MAX_BLAMED_ENDS = 2
 MAX_WITNESSED_ENDS = 3
+# Targets that end within this time of each other have a cause in common, such
+# as a failure domain that loses power. Only one of their ends is recorded.
+SIMULTANEOUS_S = 0.01
 # Time after its latest end at which a suspect is forgotten.
-SUSPECT_LIFETIME_S = 300.0
+SUSPECT_LIFETIME_S = 60.0
 # Older ends are not taken from other nodes, so that two nodes whose times of an
 # end differ by the delay of a datagram don't remind each other for ever.
-REPORT_LIFETIME_S = 270.0
+REPORT_LIFETIME_S = 50.0
 # Bounds of the memory.
 MAX_SUSPECTS = 2048
 MAX_ENDS = 4
@@ -189,14 +192,14 @@
         ends = dict(old)
         oldest_s = self.clock() - REPORT_LIFETIME_S
         for end in report.ends:
-            known = ends.get(end.target)
-            if known is not None and end.closed:
-                ends[end.target] = dataclasses.replace(known, closed=True)
-            elif (
-                known is None
-                and end.at_s > oldest_s
-                and _make_room(ends, end.at_s)
-            ):
+            known = ends.get(end.target) or _find_simultaneous(ends, end.at_s)
+            if known is not None:
+                ends[known.target] = dataclasses.replace(
+                    known,
+                    blamed=known.blamed or end.blamed,
+                    closed=known.closed or end.closed,
+                )
+            elif end.at_s > oldest_s and _make_room(ends, end.at_s):
                 ends[end.target] = end
         if ends == old:
             return False
@@ -259,6 +262,13 @@
             self.changed = anyio.Event()
 
 
+def _find_simultaneous(ends: dict[int, End], at_s: float) -> End | None:
+    for end in ends.values():
+        if abs(end.at_s - at_s) <= SIMULTANEOUS_S:
+            return end
+    return None
+
+
 def _make_room(ends: dict[int, End], at_s: float) -> bool:
     """Removes a closed end if there are too many; returns if there is room.
 
--- a/src/waxwingferry/process/protection/tests/test_crash_suspects.py
+++ b/src/waxwingferry/process/protection/tests/test_crash_suspects.py
@@ -34,6 +34,19 @@
     assert not any(table.is_quarantined(number) for number in (5, 6, 7, 8))
 
 
+def test_targets_that_end_together_count_as_one_end() -> None:
+    """Guards against refusing what many callers send after a loss of power.
+
+    Such a request is in flight at all targets of its service. No target is
+    left that could clear it with an answer.
+    """
+    table = Table()
+    for end in range(crash_suspects.MAX_ENDS):
+        table.record_end(end, [5])
+        table.time_s += crash_suspects.SIMULTANEOUS_S / 8
+    assert not table.is_quarantined(5)
+
+
 def test_one_end_is_counted_once() -> None:
     """Guards against two reports of one end counting as two ends."""
     table, other = Table(), Table()
@@ -71,6 +84,7 @@
     for end in range(crash_suspects.MAX_BLAMED_ENDS):
         assert not table.is_quarantined(DEADLY)
         table.record_end(100 + end, [DEADLY])
+        table.time_s += 1
     assert table.is_quarantined(DEADLY)
 
 
@@ -142,7 +156,9 @@
     sent: list[crash_suspects.Report] = []
     table.on_change = sent.extend
     table.record_end(1, [DEADLY, 1])
+    table.time_s += 1
     table.record_end(2, range(100))
+    table.time_s += 1
     table.record_end(3, [*range(500, 600), DEADLY])
     assert table.list_most_suspected(1)[0].fingerprint == DEADLY
     in_flight = [report for report in sent if report.ends[-1].target == 3]
@@ -167,6 +183,7 @@
     for number in range(crash_suspects.MAX_SUSPECTS + 50):
         table.record_end(number, [number])
     for end in range(100):
+        table.time_s += 0.1
         table.record_end(end, [DEADLY])
     assert len(table.suspects) <= crash_suspects.MAX_SUSPECTS
     assert len(table.suspects[DEADLY]) <= crash_suspects.MAX_ENDS
