Ask without waiting after expired history if the table can't be read

A change could stay out of force at a node for the 25 s of a poll: the store answered a poll with 410, could not be read then, and came back from a copy before the next poll.

The poll after a failed one does not wait, because the known version may have been given out again. The read that follows expired history was not counted as part of the failed poll, so the next poll waited in the restored store for a change after a version that it has, and learned nothing of the restore. The mark is now set before that read and cleared by its success.

test_the_poll_after_expired_history_and_a_failed_read_does_not_wait failed before with a TimeoutError in the poll.

--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -107,6 +107,8 @@
             log.warning(
                 "history expired; reading the whole table", error=str(error)
             )
+            # Until the table was read, the store may be away and be restored.
+            self.poll_failed = True
             await self.read()
             self.poll_failed = False
             if self.version == known_version:
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -288,6 +288,37 @@
         assert get_config_version(document) == "r2"
 
 
+async def test_the_poll_after_expired_history_and_a_failed_read_does_not_wait(
+    monkeypatch,
+):
+    """Guards against changes that are not in force until a poll times out.
+
+    The store was restored between the failed read and the poll, and nothing
+    changes after the version that the poll starts from.
+    """
+
+    async def fail_to_read(table: str) -> None:
+        raise platform.PlatformError(f"no response on {table}")
+
+    async with fake_store.run_store() as (fake, table):
+        fake.put("op", "config", make_config("r1"))
+        backup = fake.copy()
+        fake.put("op", "config", make_config("r2"))
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        await document.read()
+        fake.oldest_kept = fake.version + 1
+        with monkeypatch.context() as patch:
+            patch.setattr(table, "read_table", fail_to_read)
+            with pytest.raises(platform.PlatformError):
+                await document.watch()
+        fake.oldest_kept = 0
+        fake.restore(backup)
+        fake.put("op", "config", make_config("r3"))
+        with anyio.fail_after(5):
+            await document.watch()
+        assert get_config_version(document) == "r3"
+
+
 def test_a_document_is_made_before_the_event_loop_runs():
     """Guards against a node that ends as it starts."""
     table = store.StoreTable(exchange.Client("127.0.0.1", 1))
