Keep the config in force if a restored store has an older one

A confirmed change could be undone: a node that read the restored table before the operator's rows were written again put the config of the copy in force, and passed it on to nodes that had not read the table.

Any version of a new era is greater than all versions before it, whatever was written under it, so the number of a document does not say that its config is the newer one. The operator's own `version` in the config does: it only increases and does not go back with the store. A document of a later era whose config has a smaller one than the config in force is now rejected, from the store as well as from a peer; the next change of the table is checked again. Within an era, and for configs without such a number, the order of the store holds as before.

test_a_config_of_the_copy_does_not_replace_a_newer_one failed before in both cases: r9 was in force after r10.

--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -4,6 +4,7 @@
 versions of rows, and its number is the version of the newest change.
 """
 
+import re
 from typing import Any
 
 import anyio
@@ -25,6 +26,7 @@
 # Share of the allowed retries that is used, because the nodes and the platform
 # count requests in different windows.
 RETRY_BUDGET_SHARE = 0.7
+_CONFIG_VERSION = re.compile(r"r([0-9]{1,18})")
 
 log = structlog.get_logger()
 
@@ -135,7 +137,7 @@
 
     def _parse(self, number: int, content: Any) -> revision.Revision:
         try:
-            return _make_revision(number, content, self.bounds)
+            parsed = _make_revision(number, content, self.bounds)
         except (
             ArithmeticError,
             AttributeError,
@@ -147,6 +149,41 @@
             raise revision.DocumentError(repr(error)) from error
         except parsing.ValueFormatError as error:
             raise revision.DocumentError(str(error)) from error
+        self._check_config_version(parsed)
+        return parsed
+
+    def _check_config_version(self, parsed: revision.Revision) -> None:
+        """Checks that a restore of the store does not bring back a config.
+
+        The copy may have an older one until the operator's rows are written
+        again. Within an era the order of the store holds.
+
+        Raises:
+            revision.DocumentError: The config in force is newer.
+        """
+        current = self.revision
+        if current is None or platform.get_era(
+            current.number
+        ) >= platform.get_era(parsed.number):
+            return
+        current_version = _parse_config_version(current)
+        version = _parse_config_version(parsed)
+        if version is None or current_version is None:
+            return
+        if version < current_version:
+            raise revision.DocumentError(
+                f"config r{version} of the restored store is older than "
+                f"r{current_version} in force"
+            )
+
+
+def _parse_config_version(document: revision.Revision) -> int | None:
+    """Returns the operator's number of a config, or None if it has none."""
+    version = document.content[CONFIG_KEY]["value"].get("version")
+    if not isinstance(version, str):
+        return None
+    found = _CONFIG_VERSION.fullmatch(version)
+    return int(found[1]) if found else None
 
 
 def _make_content(row: platform.Row) -> dict[str, Any]:
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -319,6 +319,64 @@
         assert get_config_version(document) == "r3"
 
 
+@pytest.mark.parametrize("source", ["store", "peer"])
+async def test_a_config_of_the_copy_does_not_replace_a_newer_one(source):
+    """Guards against a confirmed change that is undone by a restored store.
+
+    The copy has an older config until the operator's rows are written again.
+    """
+    async with fake_store.run_store() as (fake, table):
+        fake.put("op", "config", make_config("r9"))
+        backup = fake.copy()
+        fake.put("op", "config", make_config("r10"))
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        await document.read()
+        fake.restore(backup)
+        if source == "store":
+            await document.watch()
+        else:
+            content = {"op/config": {"value": make_config("r9"), "version": 1}}
+            number = platform.make_version(1, 1)
+            assert not document.apply_if_newer(number, content)
+        assert get_config_version(document) == "r10"
+        fake.put("op", "evacuate/a", {})
+        await document.watch()
+        assert get_config_version(document) == "r10"
+        fake.put("op", "config", make_config("r10"))
+        await document.watch()
+        assert document.revision is not None
+        assert platform.get_era(document.number) == 1
+        assert document.revision.domains_out == {"a"}
+        fake.put("op", "config", make_config("r12"))
+        await document.watch()
+        assert get_config_version(document) == "r12"
+
+
+@pytest.mark.parametrize("version", [None, 7, "seven", "r" + "9" * 400])
+async def test_a_config_without_a_number_is_taken_from_the_copy(version):
+    """Guards against a node that keeps its document for ever."""
+    async with fake_store.run_store() as (fake, table):
+        backup = fake.copy()
+        fake.put("op", "config", make_config("r2"))
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        await document.read()
+        fake.restore(backup)
+        fake.put("op", "config", {**make_config("r1"), "version": version})
+        await document.read()
+        assert get_config_version(document) == version
+
+
+async def test_an_older_config_is_taken_within_an_era():
+    """Guards against an operator's order that a node doesn't follow."""
+    async with fake_store.run_store() as (fake, table):
+        fake.put("op", "config", make_config("r2"))
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        await document.read()
+        fake.put("op", "config", make_config("r1"))
+        await document.watch()
+        assert get_config_version(document) == "r1"
+
+
 def test_a_document_is_made_before_the_event_loop_runs():
     """Guards against a node that ends as it starts."""
     table = store.StoreTable(exchange.Client("127.0.0.1", 1))
