Read the decisions before one is written

The operator could read two contradictory decisions on one order: a version that was rolled back, then completed, or the reverse.

A judge that does not know a decision waits after a restore of the store until nodes that know it have written it again. It learns of the restore from a response, and that could be the response to its own decision. The write requires that there is no row, which holds again in the restored store, so the decision was made although the client reported the write as overtaken; the nodes that knew the first decision then took the second one.

The judge now reads the decisions directly before it writes one, and writes none if that read shows a restore, another number of the order, or a decision. A restore between that read and the write still can't be excluded, as the store has no condition on the era.

test_a_judge_that_has_not_noticed_a_restore_makes_no_decision failed before: the store had "completed" where "rolled_back" was lost. Each decision costs one more read.

--- a/src/waxwingferry/platform/tests/test_restored_rollouts.py
+++ b/src/waxwingferry/platform/tests/test_restored_rollouts.py
@@ -288,6 +288,31 @@
         assert await read_state(judge) == "rolled_back"
 
 
+async def test_a_judge_that_has_not_noticed_a_restore_makes_no_decision():
+    """Guards against two contradictory decisions on one order.
+
+    The judge's write was its first request to the restored store.
+    """
+    async with run_nodes(2) as (fake, clock, [judge, other]):
+        fake.put("op", "rollout/desk", ORDER)
+        await judge.start()
+        await other.start()
+        judge.count_good()
+        backup = fake.copy()
+        await decide([other], ROLLED_BACK)
+        fake.restore(backup)
+        clock.now_s += 17
+        await judge.judge()
+        assert await read_state(judge) is None
+        for _ in range(3):
+            await other.follow_restore()
+            await judge.follow_restore()
+            await judge.judge()
+            clock.now_s += 3
+        assert await read_state(judge) == "rolled_back"
+        assert judge.allowed_versions() == {"v1"}
+
+
 async def test_a_late_writer_does_not_undo_a_decision(monkeypatch):
     """Guards against a decision that replaces another one after a restore."""
     async with run_nodes(2) as (fake, _, nodes):
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -653,8 +653,20 @@
         return available > 0 and available >= needed * MIN_SLOT_RATIO
 
     async def _write(self, decision: messages.Decision) -> None:
-        expected = self.row_versions.get(decision.service, 0)
         try:
+            # Shows a restore that this node hasn't noticed. The condition of
+            # the write could hold again where another decision was lost.
+            await self.load_decisions()
+            progress = self._find_progress(decision.service)
+            if (
+                not self._knows_decisions()
+                or progress is None
+                or progress.order.number != decision.number
+                or self._is_decided(progress)
+            ):
+                log.info("decision withdrawn", service=decision.service)
+                return
+            expected = self.row_versions.get(decision.service, 0)
             await self.decision_store.write(decision, expected)
         except platform.ConflictError as error:
             log.info("another decision came first", error=str(error))
