Answer queries with the stop of an order that was renumbered

A node without the store could go on sending requests to a bad version after a restore: it asks with the number that the order had before, and a node that knows the stop under the new number did not answer.

The query was compared with the order's present number only, while counts and stops are taken under all numbers that the order had. The answer carries the number of the query, so the asking node knows the order.

test_a_query_with_the_old_number_is_answered_with_the_stop failed before, as nothing was sent.

--- a/src/waxwingferry/platform/tests/test_restored_rollouts.py
+++ b/src/waxwingferry/platform/tests/test_restored_rollouts.py
@@ -453,6 +453,29 @@
         assert node.progress.stopped
 
 
+async def test_a_query_with_the_old_number_is_answered_with_the_stop():
+    """Guards against a node without the store that uses a bad version."""
+    async with run_nodes(2) as (fake, _, [node, cut_off]):
+        backup = fake.copy()
+        fake.put("op", "rollout/desk", ORDER)
+        await node.start()
+        await cut_off.start()
+        number = cut_off.progress.order.number
+        node.rollouts.receive_stop(messages.Stop("desk", number))
+        fake.restore(backup)
+        fake.put("op", "rollout/desk", ORDER)
+        await node.document.read()
+        assert node.progress.order.number != number
+        node.rollouts.receive_query(
+            messages.DecisionQuery("n1", "desk", number)
+        )
+        [(name, stop)] = node.sent
+        assert name == "n1"
+        assert isinstance(stop, messages.Stop)
+        cut_off.rollouts.receive_stop(stop)
+        assert cut_off.progress.stopped
+
+
 async def test_reads_after_a_restore_are_spread_over_many_nodes(monkeypatch):
     """Guards against all nodes reading the decisions at the same moment."""
     async with run_nodes(1) as (_, _, [node]):
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -517,7 +517,7 @@
             self.send(query.node, decision)
             return
         progress = self.progress_by_service.get(query.service)
-        if progress is None or progress.order.number != query.number:
+        if progress is None or not progress.has_number(query.number):
             return
         if progress.stopped:
             stop = messages.Stop(query.service, query.number)
