Keep the spread of member writes over a second restore

After two restores of the store within five seconds, all nodes that had noticed the first checked their member rows as soon as they noticed the second, without the spread that keeps 660 nodes below the store's calls per second.

A restore wakes the lease by the event of a changed row, which also ends the delay of a check that is due, because a leave must not wait. While a check is due, a further restore now only takes back the knowledge of the written row; the check that follows the delay covers both.

test_a_second_restore_does_not_end_the_spread_of_writes failed before: the node had made one more write than at the second restore.

--- a/src/waxwingferry/platform/tests/test_restore.py
+++ b/src/waxwingferry/platform/tests/test_restore.py
@@ -155,6 +155,40 @@
         assert not later.superseded
 
 
+async def test_a_second_restore_does_not_end_the_spread_of_writes(monkeypatch):
+    """Guards against all nodes writing at once after two restores."""
+    async with fake_store.run_store() as (fake, table):
+        node_lease = make_lease(table)
+        delayed = anyio.Event()
+        resumed = anyio.Event()
+
+        async def sleep(delay_s: float) -> None:
+            delayed.set()
+            await resumed.wait()
+
+        async with run_lease(node_lease, table):
+            await wait_written(node_lease)
+            backup = fake.copy()
+            change_state(node_lease, "ready")
+            await wait_written(node_lease)
+            monkeypatch.setattr(node_lease, "sleep", sleep)
+            fake.restore(backup)
+            await table.read("members/n1")
+            with anyio.fail_after(5):
+                await delayed.wait()
+            writes = node_lease.writes
+            fake.restore(backup)
+            await table.read("members/n1")
+            await anyio.sleep(0.1)
+            assert node_lease.writes == writes
+            assert node_lease.may_be_lost
+            resumed.set()
+            await wait_written(node_lease)
+            row = await table.read("members/n1")
+            assert row is not None
+            assert row.value == members.format_row(get_own(node_lease))
+
+
 @pytest.mark.parametrize("seed", range(5))
 async def test_rows_are_right_after_restores_at_any_moment(seed):
     """Guards against rows that stay behind when restores follow each other."""
--- a/src/waxwingferry/process/spreading/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -148,8 +148,11 @@
 
     def handle_restore(self) -> None:
         """Checks the row, as the table was restored from an older copy."""
-        self.may_be_lost = True
         self.written_row = None
+        if self.may_be_lost:
+            # The check after an earlier restore is still due, and spread.
+            return
+        self.may_be_lost = True
         self.membership.own_changed.set()
 
     async def _delay_write(self) -> None:
