Don't take the status of an attempt for its answer

A caller could get an empty 200 for a request that had not run. While an entry waits for an answer it asks the target's node over another connection for the status of the attempt. That response names the attempt like the answer, and nothing else was compared, so a status that came on the attempt's own connection was passed on. Both header fields of a status now make a response one that is not the answer, and nodes remove them from what targets send.

--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -8,6 +8,7 @@
 from waxwingferry.request import call_context
 from waxwingferry.request import calls
 from waxwingferry.request import outcome
+from waxwingferry.request import resolve
 
 MAX_COLLECTED_BYTES = 1024 * 1024
 
@@ -22,6 +23,9 @@
         calls.LOAD_HEADER,
         calls.NODE_TIME_HEADER,
         outcome.OUTCOME_HEADER,
+        resolve.RESOLUTION_HEADER,
+        resolve.SEEN_HEADER,
+        resolve.SENT_BYTES_HEADER,
     }
 )
 
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -218,7 +218,7 @@
         head: http1.ResponseHead,
     ) -> "outcome.Outcome | _AnswerLost":
         echoed = http1.find_header(head.headers, calls.ATTEMPT_HEADER)
-        if echoed != attempt.attempt_id:
+        if echoed != attempt.attempt_id or resolve.is_status(head):
             # A late, duplicated or misdirected answer; that of this attempt
             # may still arrive or be retained by the node.
             return _AnswerLost(outcome.Unknown(outcome.Reason.ANSWER_MISMATCH))
--- a/src/waxwingferry/request/resolve.py
+++ b/src/waxwingferry/request/resolve.py
@@ -176,6 +176,16 @@
                 await connection.close()
 
 
+def is_status(head: http1.ResponseHead) -> bool:
+    """Returns whether a response tells the status of an attempt.
+
+    It names the attempt like the answer, but is not the answer.
+    """
+    return any(
+        name in (SEEN_HEADER, RESOLUTION_HEADER) for name, _ in head.headers
+    )
+
+
 async def _exchange(
     connection: http1.ClientConnection,
     candidate: known_target.Candidate,
