Parse a conflicting member row once

Two changes that met each parsed the row. The second parse, with its own handling of a malformed row, could never fail. Behaviour is the same; the tests of the lease pass.

--- a/src/waxwingferry/process/spreading/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -281,7 +281,7 @@
             raise platform.PlatformError(
                 "the member row has an older change number"
             )
-        if self.confirmed and self._is_from_earlier_process(row):
+        if self.confirmed and other.generation < self.generation:
             # A restore of the table brought it back.
             self.version = row.version
             raise platform.PlatformError(
@@ -292,13 +292,6 @@
             return False
         raise platform.PlatformError("another process wrote the member row")
 
-    def _is_from_earlier_process(self, row: platform.Row) -> bool:
-        try:
-            found = members.parse_row(self.membership.node, row.value)
-        except members.RowError:
-            return False
-        return found.generation < self.generation
-
     def _incarnation(self) -> str:
         assert self.membership.own is not None
         return self.membership.own.incarnation
