Bound the memory of reported status rows

Odd rows of the store and odd status rows were remembered by two copies of the same logic, and that of status rows had no bound: another writer's rows could grow it. One class now serves both. test_reported_rows_are_bounded shows the bound, which status rows lacked.

--- a/src/waxwingferry/platform/decisions.py
+++ b/src/waxwingferry/platform/decisions.py
@@ -20,12 +20,12 @@
         table: Client of the platform's store.
 
     Attributes:
-        malformed_versions: Versions of the rows that were reported, by key.
+        malformed_rows: Rows that were reported as no decision.
     """
 
     def __init__(self, table: store.StoreTable):
         self.table = table
-        self.malformed_versions: dict[str, int] = {}
+        self.malformed_rows = store.ReportedRows()
 
     async def read_all(self) -> list[tuple[messages.Decision, int]]:
         """See version.rollout.DecisionStore."""
@@ -52,10 +52,10 @@
 
     def _report_malformed(self, row: platform.Row, error: str) -> None:
         """Logs each version of a row once; the table logs undecodable ones."""
-        if row.malformed or self.malformed_versions.get(row.key) == row.version:
-            return
-        self.malformed_versions[row.key] = row.version
-        log.warning("status row is not a decision", key=row.key, error=error)
+        if not row.malformed and self.malformed_rows.add(row.key, row.version):
+            log.warning(
+                "status row is not a decision", key=row.key, error=error
+            )
 
     async def write(self, decision: messages.Decision, if_version: int) -> None:
         """See version.rollout.DecisionStore."""
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -26,7 +26,7 @@
 ERA_HEADER = "store-era"
 FIRST_ERA = 1
 _ERA = re.compile(r"[0-9]{1,9}")
-MAX_KNOWN_MALFORMED_ROWS = 1000
+MAX_REPORTED_ROWS = 1000
 
 log = structlog.get_logger()
 
@@ -63,6 +63,27 @@
     has_more: bool = False
 
 
+class ReportedRows:
+    """Rows that were reported, so that each version is reported once.
+
+    Only the latest MAX_REPORTED_ROWS are remembered.
+
+    Attributes:
+        versions: Reported versions by key, the latest last.
+    """
+
+    def __init__(self):
+        self.versions: dict[str, int] = {}
+
+    def add(self, key: str, version: int) -> bool:
+        """Adds a row; returns whether this version was not reported yet."""
+        is_new = self.versions.pop(key, None) != version
+        self.versions[key] = version
+        while len(self.versions) > MAX_REPORTED_ROWS:
+            del self.versions[next(iter(self.versions))]
+        return is_new
+
+
 class StoreTable:
     """See process.platform.Table.
 
@@ -77,7 +98,7 @@
         newest_version: Newest version of the store in that era.
         on_malformed: Called once for each version of a row whose value is not
             a JSON object.
-        malformed_versions: Versions of the known malformed rows, by key.
+        malformed_rows: Malformed rows that were reported.
     """
 
     def __init__(
@@ -92,7 +113,7 @@
         self.era: int | None = None
         self.newest_version = 0
         self.on_malformed: Callable[[], None] = lambda: None
-        self.malformed_versions: dict[str, int] = {}
+        self.malformed_rows = ReportedRows()
 
     @property
     def restores(self) -> int:
@@ -268,12 +289,9 @@
             return platform.Row(key, None, version, malformed=True)
 
     def _report_malformed(self, key: str, version: int, error: str) -> None:
-        if self.malformed_versions.pop(key, None) != version:
+        if self.malformed_rows.add(key, version):
             log.warning("row not decodable", key=key, error=error)
             self.on_malformed()
-        self.malformed_versions[key] = version
-        while len(self.malformed_versions) > MAX_KNOWN_MALFORMED_ROWS:
-            del self.malformed_versions[next(iter(self.malformed_versions))]
 
     async def _read_page(
         self, table: str, start: str, end: str | None
@@ -346,7 +364,7 @@
         return [self._convert_row(item) for item in items if not item.part]
 
     def _is_from_other_era(self, version: int) -> bool:
-        return platform.get_era(version) != (self.restores)
+        return platform.get_era(version) != self.restores
 
 
 def _split_key(key: str) -> tuple[str, str]:
--- a/src/waxwingferry/platform/tests/test_store.py
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -344,3 +344,13 @@
         assert row is not None
         assert row.version == version
         assert table.era == store.FIRST_ERA
+
+
+def test_reported_rows_are_bounded() -> None:
+    """Guards against memory that grows with the number of odd rows."""
+    reported = store.ReportedRows()
+    for number in range(store.MAX_REPORTED_ROWS + 5):
+        assert reported.add(f"members/n{number}", 1)
+    assert len(reported.versions) == store.MAX_REPORTED_ROWS
+    assert not reported.add(f"members/n{store.MAX_REPORTED_ROWS}", 1)
+    assert reported.add(f"members/n{store.MAX_REPORTED_ROWS}", 2)
