--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -81,6 +81,7 @@
         active: Connections, or exchanges of one, with a request in progress.
         connections: All open connections.
         idle: Connections that wait for a request.
+        changed: Set when a request or a connection has ended.
         listening: Set once the server accepts connections.
         port: Port that the server listens on.
         failures: Number of connections ended by an unexpected error.
