Check idle connections only when a limit is due

Cause: each of a node's five servers woke up 20 times a second to check its connections, also without any.

Change: the checks run every 50 ms while a request is in progress, otherwise when the idle limit of a connection is due, at the latest after 1 s; a server without connections sleeps.

Result: the new test fails on the code before (no such delay); the tests of connection/ pass.

--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -20,6 +20,8 @@
 
 CALL_CHECK_DELAY_S = 0.05
 CHECK_INTERVAL_S = 0.05
+# Longest time between checks of idle connections, whose limit may change.
+MAX_CHECK_INTERVAL_S = 1.0
 LINGERING_CLOSE_S = 2.0
 LINGERING_CHECK_S = 0.02
 BODY_TOO_LARGE_STATUS = 413
@@ -81,6 +83,7 @@
         active: Connections, or exchanges of one, with a request in progress.
         connections: All open connections.
         idle: Connections that wait for a request.
+        began: Set when a connection or a request has begun.
         changed: Set when a request or a connection has ended.
         listening: Set once the server accepts connections.
         port: Port that the server listens on.
@@ -106,6 +109,7 @@
         self.connections: set[http1.ServerConnection] = set()
         self.idle: set[http1.ServerConnection] = set()
         self.stopping = False
+        self.began = anyio.Event()
         self.changed = anyio.Event()
         self.listening = anyio.Event()
         self.listener: tcp.Listener | None = None
@@ -164,6 +168,7 @@
         """Serves one connection until it ends."""
         connection = http1.ServerConnection(stream, self.limits)
         self.connections.add(connection)
+        self.began.set()
         try:
             async with stream:
                 await self._serve_until_end(connection)
@@ -289,8 +294,7 @@
 
     async def _send_due_responses(self, requests: pipeline.Pipeline) -> None:
         connection = requests.connection
-        connection.call_started_s = time.monotonic()
-        self.active.add(connection)
+        self._begin(connection)
         try:
             await requests.advance()
         finally:
@@ -303,8 +307,7 @@
     async def _serve_call(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
-        connection.call_started_s = time.monotonic()
-        self.active.add(connection)
+        self._begin(connection)
         try:
             await self.handler(connection, head)
         except http1.HttpError as error:
@@ -317,16 +320,49 @@
             self.active.discard(connection)
             self.changed.set()
 
+    def _begin(self, connection: http1.ServerConnection) -> None:
+        connection.call_started_s = time.monotonic()
+        self.active.add(connection)
+        self.began.set()
+
+    def compute_check_delay(self, now_s: float) -> float | None:
+        """Returns the time until the next check; None if none is due.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        if self.active:
+            return CHECK_INTERVAL_S
+        if not self.connections:
+            return None
+        oldest_s = min(
+            (item.idle_since_s or now_s for item in self.idle), default=now_s
+        )
+        # A connection that becomes idle later is due after the whole limit.
+        due_s = min(oldest_s + self.limits.idle_s - now_s, MAX_CHECK_INTERVAL_S)
+        return max(due_s, CHECK_INTERVAL_S)
+
+    async def _wait_for_check(self) -> None:
+        """Waits until a check is due."""
+        if not self.active:
+            self.began = anyio.Event()
+            delay_s = self.compute_check_delay(time.monotonic())
+            with anyio.move_on_after(delay_s):
+                await self.began.wait()
+        if self.active:
+            await anyio.sleep(CHECK_INTERVAL_S)
+
     async def run_periodic_checks(
         self, task_group: anyio.abc.TaskGroup
     ) -> None:
         """Enforces idle and send timeouts and sends 102 responses.
 
-        Calls whose client has disconnected are cancelled, too.
+        Calls whose client has disconnected are cancelled, too. A server
+        without connections does no work.
         """
         last_interim_s = time.monotonic()
         while True:
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await self._wait_for_check()
             now_s = time.monotonic()
             self._cancel_disconnected_or_stalled(now_s)
             for connection in list(self.idle):
--- a/src/waxwingferry/connection/tests/test_serve.py
+++ b/src/waxwingferry/connection/tests/test_serve.py
@@ -7,6 +7,8 @@
 import pytest
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import message
+from waxwingferry.connection import serve
 from waxwingferry.connection.tests import wire
 
 GET = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -288,3 +290,21 @@
     async with wire.run_server(fail) as port:
         assert await wire.exchange(port, GET % 1) == b""
         assert b"200 OK" in await wire.exchange(port, CLOSING_GET)
+
+
+def test_idle_servers_are_checked_only_when_a_limit_is_due() -> None:
+    """Guards against control work that grows with time instead of requests.
+
+    A node has five servers. Each used to wake up 20 times per second.
+    """
+    server = serve.Server(echo, limits=message.Limits(idle_s=30.0))
+    assert server.compute_check_delay(100.0) is None
+    idle, _ = wire.make_server_connection(b"")
+    idle.idle_since_s = 99.0
+    server.connections.add(idle)
+    server.idle.add(idle)
+    assert server.compute_check_delay(100.0) == serve.MAX_CHECK_INTERVAL_S
+    assert server.compute_check_delay(128.5) == pytest.approx(0.5)
+    assert server.compute_check_delay(200.0) == serve.CHECK_INTERVAL_S
+    server.active.add(idle)
+    assert server.compute_check_delay(100.0) == serve.CHECK_INTERVAL_S
