Parse only the routes that changed

Change: a route is kept while its settings are equal; the check of the nesting descends into lists and objects only.

Result: the new test fails on the code before (routes parsed 4 times instead of 3).

--- a/src/waxwingferry/decoding.py
+++ b/src/waxwingferry/decoding.py
@@ -50,11 +50,11 @@
         DecodingError: The bytes are not JSON, or nested too deep.
     """
     value = decode(msgspec.json.decode, data)
-    level = [value]
+    level = _find_containers([value])
     for _ in range(MAX_NESTING):
-        level = [child for item in level for child in _get_children(item)]
         if not level:
             return value
+        level = [child for item in level for child in _find_containers(item)]
     raise DecodingError(f"nested deeper than {MAX_NESTING} levels")
 
 
@@ -66,11 +66,7 @@
     return int(text) if _COUNT.fullmatch(text) else None
 
 
-def _get_children(value: Any) -> list[Any]:
-    match value:
-        case dict():
-            return list(value.values())
-        case list():
-            return value
-        case _:
-            return []
+def _find_containers(value: list[Any] | dict[str, Any]) -> list[Any]:
+    """Returns the lists and objects directly in a list or object."""
+    children = value.values() if isinstance(value, dict) else value
+    return [child for child in children if isinstance(child, (dict, list))]
--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -44,6 +44,7 @@
         self.table = table
         self.bounds = bounds
         self.rows: dict[str, Any] = {}
+        self.routes = RouteCache()
         # Newest version of the store that was read, None before the first read.
         self.version: int | None = None
         # Whether a poll failed since the last successful one.
@@ -137,7 +138,7 @@
 
     def _parse(self, number: int, content: Any) -> revision.Revision:
         try:
-            parsed = _make_revision(number, content, self.bounds)
+            parsed = _make_revision(number, content, self.bounds, self.routes)
         except (
             ArithmeticError,
             AttributeError,
@@ -190,8 +191,41 @@
     return {"value": row.value, "version": row.version}
 
 
+class RouteCache:
+    """Routes of the newest config, reused while their settings are the same.
+
+    A change of one route then costs the parsing of that route only.
+    """
+
+    def __init__(self):
+        # By host, name and prefix: the settings of a route, and the route.
+        self.routes: dict[
+            tuple[str, str, str], tuple[dict[str, Any], revision.Route]
+        ] = {}
+
+    def make_routes(self, config: dict[str, Any]) -> list[revision.Route]:
+        """Returns the routes of a config and keeps them for the next one."""
+        kept: dict[
+            tuple[str, str, str], tuple[dict[str, Any], revision.Route]
+        ] = {}
+        for virtual_host in config["virtual-hosts"]:
+            host = virtual_host["authority"]
+            for path in virtual_host["paths"]:
+                key = (host, path["name"], path["prefix"])
+                known = self.routes.get(key)
+                if known is None or known[0] != path:
+                    known = (path, _make_route(host, path))
+                # Of equal prefixes the first one matches.
+                kept.setdefault(key, known)
+        self.routes = kept
+        return [route for _, route in kept.values()]
+
+
 def _make_revision(
-    number: int, content: dict[str, Any], bounds: settings_file.Bounds
+    number: int,
+    content: dict[str, Any],
+    bounds: settings_file.Bounds,
+    routes: RouteCache,
 ) -> revision.Revision:
     config = content[CONFIG_KEY]["value"]
     rollouts = {}
@@ -207,11 +241,7 @@
     return revision.Revision(
         number,
         content,
-        [
-            _make_route(virtual_host["authority"], path)
-            for virtual_host in config["virtual-hosts"]
-            for path in virtual_host["paths"]
-        ],
+        routes.make_routes(config),
         {item["name"]: _make_service(item) for item in config["services"]},
         frozenset(evacuated_domains),
         rollouts,
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -505,3 +505,37 @@
     content = {"op/config": {"value": config, "version": 3}}
     assert not document.apply_if_newer(3, content)
     assert document.rejected == 3
+
+
+async def test_an_unchanged_route_is_not_parsed_again(monkeypatch):
+    """Guards against changes that cost as much as the whole document.
+
+    A change of one of 1,468 routes took 20 ms of processor time at each node.
+    """
+    parsed: list[str] = []
+    make_route = operator_document._make_route
+
+    def count_route(host, path):
+        parsed.append(path["name"])
+        return make_route(host, path)
+
+    monkeypatch.setattr(operator_document, "_make_route", count_route)
+    config = copy.deepcopy(CONFIG)
+    async with fake_store.run_store() as (fake, table):
+        fake.put("op", "config", config)
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        await document.read()
+        assert sorted(parsed) == ["r1", "r2"]
+        config["virtual-hosts"][0]["paths"][1]["timeout"] = "1.5s"
+        fake.put("op", "config", config)
+        await document.read()
+        assert sorted(parsed) == ["r1", "r2", "r2"]
+        assert document.revision is not None
+        changed = document.revision.match_route("GET", "/a/b/", "a.example")
+        assert changed is not None
+        assert changed.deadline_s == 1.5
+        del config["virtual-hosts"][0]["paths"][0]
+        fake.put("op", "config", config)
+        await document.read()
+        assert len(parsed) == 3
+        assert document.revision.match_route("GET", "/a/x", "a.example") is None
