Log a malformed era of the store once

Cause: a store that was never restored sends an empty era, and each response wrote a warning, which costs processor time and hides other lines.

Change: an empty field is an absent one; another malformed value is logged when it changes.

Result: the new test fails on the code before (3 lines instead of 0 and 1).

--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -99,6 +99,7 @@
         on_malformed: Called once for each version of a row whose value is not
             a JSON object.
         malformed_rows: Malformed rows that were reported.
+        malformed_era: The malformed era that was reported last.
     """
 
     def __init__(
@@ -114,6 +115,7 @@
         self.newest_version = 0
         self.on_malformed: Callable[[], None] = lambda: None
         self.malformed_rows = ReportedRows()
+        self.malformed_era = ""
 
     @property
     def restores(self) -> int:
@@ -331,7 +333,7 @@
             platform.PlatformError: The response is from before a restore that
                 a later response showed.
         """
-        era = _parse_era(reply)
+        era = self._parse_era(reply)
         if era is None:
             return
         if self.era is not None and era < self.era:
@@ -354,6 +356,19 @@
             self.on_restored()
         self.era = era
 
+    def _parse_era(self, reply: exchange.Reply) -> int | None:
+        """Returns the era that a response states, or None."""
+        value = http1.find_header(reply.headers, ERA_HEADER)
+        # A store that was never restored may send an empty field.
+        if not value:
+            return None
+        if _ERA.fullmatch(value) and int(value) <= platform.MAX_ERA:
+            return int(value)
+        if value != self.malformed_era:
+            self.malformed_era = value
+            log.warning("store era malformed", value=value[:40])
+        return None
+
     def _record_version(self, response: RowsResponse) -> int:
         """Records and returns the store's version in the newest response."""
         self.newest_version = max(self.newest_version, response.ver)
@@ -372,16 +387,6 @@
     return table, name
 
 
-def _parse_era(reply: exchange.Reply) -> int | None:
-    value = http1.find_header(reply.headers, ERA_HEADER)
-    if value is None:
-        return None
-    if not _ERA.fullmatch(value) or int(value) > platform.MAX_ERA:
-        log.warning("store era malformed", value=value[:40])
-        return None
-    return int(value)
-
-
 def _check_status(reply: exchange.Reply) -> None:
     if reply.status != 200:
         raise platform.PlatformError(
--- a/src/waxwingferry/platform/tests/test_store.py
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -346,6 +346,18 @@
         assert table.era == store.FIRST_ERA
 
 
+@pytest.mark.parametrize(("era", "count"), [("", 0), ("x", 1)])
+async def test_a_malformed_era_is_logged_once(era, count):
+    """Guards against a log line for each response of the store."""
+    async with fake_store.run_store() as (fake, table):
+        fake.era = era
+        with structlog.testing.capture_logs() as logs:
+            for _ in range(3):
+                await table.read("members/n1")
+        events = [line["event"] for line in logs]
+        assert events.count("store era malformed") == count
+
+
 def test_reported_rows_are_bounded() -> None:
     """Guards against memory that grows with the number of odd rows."""
     reported = store.ReportedRows()
