Give the table a head start before peers, and read it less at start

Change: a node that the table notifies fetches a document from a peer only after 1 s; decisions are read when an order is in force; rows are read again only if no peer had the same fingerprint within 2 s. The document for peers is encoded by msgspec.

Result: tests of each, with and without notifications.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -118,11 +118,12 @@
         )
         self.watcher = watch.Watcher(
             self.document.watch,
-            self.lease.read_rows,
+            self.synchronizer.read_missing_rows,
             self.resync,
             self.counters,
             self.rng,
         )
+        self.synchronizer.follows_table = lambda: not self.watcher.disconnected
         self.target_client = exchange.Client(
             *settings.target_address, max_body_bytes=MAX_HEALTH_BODY_BYTES
         )
@@ -188,7 +189,7 @@
         if self.store.restores:
             await self.synchronizer.complete_members()
         try:
-            await self.rollouts.load_decisions()
+            await self.rollouts.load_ordered_decisions()
         except platform.PlatformError as error:
             # The watcher reads them when the platform is available again.
             log.warning("decisions not read", error=str(error))
@@ -216,7 +217,7 @@
             platform.PlatformError: The store gave no usable response.
         """
         await self.lease.read_rows()
-        await self.rollouts.load_decisions()
+        await self.rollouts.load_ordered_decisions()
 
     def handle_store_restored(self) -> None:
         """Handles a restore of the store from an older copy."""
--- a/src/waxwingferry/process/spreading/current_document.py
+++ b/src/waxwingferry/process/spreading/current_document.py
@@ -24,6 +24,9 @@
         parse: Parses a revision, given its number and its content as JSON
             data. Raises revision.DocumentError.
         on_change: Called after a newer revision was activated.
+
+    Attributes:
+        changed: Set when the next revision is activated, then replaced.
     """
 
     def __init__(
@@ -35,6 +38,7 @@
         self.highest = 0
         self.rejected = 0
         self.loaded = anyio.Event()
+        self.changed = anyio.Event()
 
     @property
     def number(self) -> int:
@@ -83,5 +87,7 @@
         self.highest = newer.number
         self.revision = newer
         self.loaded.set()
+        self.changed.set()
+        self.changed = anyio.Event()
         log.info("document in force", revision=newer.number)
         self.on_change()
--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 import time
 from typing import Annotated
@@ -55,6 +56,7 @@
 # Digests differ temporarily while updates are in transit.
 MISMATCHES_BEFORE_SYNC = 3
 SYNC_INTERVAL_S = 30.0
+IN_STEP_S = 2.0
 MALFORMED_LOG_INTERVAL_S = 30.0
 
 Address = tuple[str, int]
@@ -165,6 +167,8 @@
             or None.
         contacted: Set once there is a contact.
         sync_from: A peer whose member rows have differed for several digests.
+        matched_s: Monotonic time of the latest digest of a peer with the same
+            member rows.
     """
 
     def __init__(
@@ -191,6 +195,7 @@
         self.sync_from: Address | None = None
         self.fetch_requested = anyio.Event()
         self.mismatches = 0
+        self.matched_s = -math.inf
         self.malformed_logged_s = clock() - MALFORMED_LOG_INTERVAL_S
         self.synced_s = clock() - SYNC_INTERVAL_S
         self.tokens = BURST_BYTES
@@ -312,9 +317,14 @@
             self.newer_from = (address, revision)
         self.fetch_requested.set()
 
+    def is_in_step(self) -> bool:
+        """Returns whether a peer recently had the same member rows."""
+        return self.clock() - self.matched_s < IN_STEP_S
+
     def _track_mismatch(self, same: bool, address: Address) -> None:
         if same:
             self.mismatches = 0
+            self.matched_s = self.clock()
             return
         self.mismatches += 1
         due = self.clock() - self.synced_s >= SYNC_INTERVAL_S
--- a/src/waxwingferry/process/spreading/peers.py
+++ b/src/waxwingferry/process/spreading/peers.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-import json
 import socket
 from typing import Any
 
@@ -112,7 +111,7 @@
         revision = configured.revision
         data = {"revision": revision.number, "document": revision.content}
     headers = [("content-type", "application/json")]
-    await connection.send_head(200, headers, json.dumps(data).encode())
+    await connection.send_head(200, headers, msgspec.json.encode(data))
 
 
 async def is_alive(
--- a/src/waxwingferry/process/spreading/synchronizer.py
+++ b/src/waxwingferry/process/spreading/synchronizer.py
@@ -19,6 +19,8 @@
 INITIAL_LOAD_RETRY_S = 0.5
 INITIAL_LOAD_RETRY_MAX_S = 5.0
 FETCH_RETRY_S = 0.3
+# Time that the table's own notification of a document is waited for.
+FEED_HEAD_START_S = 1.0
 SUSPECT_CHECK_INTERVAL_S = 0.5
 MAX_CONCURRENT_CHECKS = 32
 PAUSE_CHECK_INTERVAL_S = 0.5
@@ -45,6 +47,10 @@
         rng: Source of jitter.
         seeds: Peers to load the state from while the platform does not respond.
         clock: Time in seconds that includes suspension of the VM.
+
+    Attributes:
+        follows_table: Tells whether the table notifies this node of changes.
+            It then fetches a document from a peer only if the table is late.
     """
 
     def __init__(
@@ -71,6 +77,7 @@
         self.last_tick_s = clock()
         self.stale = False
         self.reads = 0
+        self.follows_table: Callable[[], bool] = lambda: False
 
     def is_stale(self) -> bool:
         """Returns whether the process was paused and has not caught up.
@@ -189,12 +196,36 @@
             await self.gossiper.fetch_requested.wait()
             self.gossiper.fetch_requested = anyio.Event()
             announced, self.gossiper.newer_from = self.gossiper.newer_from, None
-            if announced is not None and self._should_fetch(announced[1]):
-                await self._fetch_newer(announced[0])
+            if announced is not None:
+                await self._wait_for_table(announced[1])
+                if self._should_fetch(announced[1]):
+                    await self._fetch_newer(announced[0])
             source, self.gossiper.sync_from = self.gossiper.sync_from, None
             if source is not None:
                 await self._sync_members(source)
 
+    async def _wait_for_table(self, revision: int) -> None:
+        """Waits for the notification of a document that a peer announced.
+
+        Gossip and the table's notification arrive at about the same time. If
+        each node fetched the document twice, a change of a large one would
+        fill the links of all nodes.
+        """
+        if not self.follows_table():
+            return
+        with anyio.move_on_after(FEED_HEAD_START_S):
+            while self._should_fetch(revision):
+                await self.configured.changed.wait()
+
+    async def read_missing_rows(self) -> None:
+        """Reads the rows of the table unless gossip has delivered them.
+
+        Raises:
+            platform.PlatformError: The table could not be read.
+        """
+        if not self.gossiper.is_in_step():
+            await self.node_lease.read_rows()
+
     def _should_fetch(self, revision: int) -> bool:
         """Returns whether a revision is newer and was not rejected before.
 
--- a/src/waxwingferry/process/spreading/tests/test_synchronizer.py
+++ b/src/waxwingferry/process/spreading/tests/test_synchronizer.py
@@ -231,3 +231,62 @@
     monkeypatch.setattr(synced.client, "fetch_members", fetch_members)
     with anyio.fail_after(5):
         await synced.complete_members()
+
+
+async def _announce_document(synced) -> None:
+    """Runs the fetcher while a peer announces a document for a moment."""
+    synced.client.documents = {SEEDS[0]: 4}
+    synced.gossiper.receive(
+        msgspec.json.encode(gossip.Datagram("n1", "digest", 4, 0)), SEEDS[0]
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(synced.run_fetcher)
+        await anyio.wait_all_tasks_blocked()
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("follows_table", "number"),
+    [(False, 4), (True, 0)],
+    ids=["without notifications", "with notifications"],
+)
+async def test_the_table_has_a_head_start_before_peers(
+    synced, follows_table, number
+):
+    """Guards against documents that each node loads twice.
+
+    Load pattern: a document of 1,468 routes changes while 195 nodes wait for
+    notifications of the table. Gossip of the new number arrives at the same
+    moment, and 303 MB went between failure domains.
+    """
+    synced.follows_table = lambda: follows_table
+    await _announce_document(synced)
+    assert synced.configured.number == number
+
+
+async def test_a_document_that_the_table_does_not_tell_is_fetched(
+    synced, monkeypatch
+):
+    """Guards against nodes that wait for a table that went silent."""
+    monkeypatch.setattr(synchronizer, "FEED_HEAD_START_S", 0.0)
+    synced.follows_table = lambda: True
+    await _announce_document(synced)
+    assert synced.configured.number == 4
+
+
+async def test_rows_are_read_again_only_if_gossip_did_not_deliver_them(synced):
+    """Guards against a read of all rows by each node of a fleet that starts.
+
+    Each call to the table has a price, and 195 nodes start at once.
+    """
+    await synced.read_missing_rows()
+    assert synced.node_lease.table.reads == 1
+    own = synced.membership.fingerprint
+    synced.gossiper.receive(
+        msgspec.json.encode(gossip.Datagram("n1", "digest", 0, own)), SEEDS[0]
+    )
+    await synced.read_missing_rows()
+    assert synced.node_lease.table.reads == 1
+    synced.gossiper.clock.now_s += gossip.IN_STEP_S
+    await synced.read_missing_rows()
+    assert synced.node_lease.table.reads == 2
--- a/src/waxwingferry/process/spreading/watch.py
+++ b/src/waxwingferry/process/spreading/watch.py
@@ -25,7 +25,7 @@
         wait: Waits for the next change and activates it. Raises
             platform.PlatformError.
         read_members: Reads the rows of nodes that started together with this
-            one. Raises platform.PlatformError.
+            one, if they are still missing. Raises platform.PlatformError.
         resync: Reads data that is not covered by change notifications, such
             as members. Raises platform.PlatformError.
         counters: Metrics of the node.
--- a/src/waxwingferry/process/tests/fakes.py
+++ b/src/waxwingferry/process/tests/fakes.py
@@ -73,6 +73,7 @@
         self.rows: dict[str, platform.Row] = {}
         self.version = 0
         self.writes = 0
+        self.reads = 0
         self.down = False
         self.lose_share = 0.0
         self.on_write = lambda: None
@@ -95,6 +96,7 @@
 
     async def scan(self, prefix, after_version=0):
         """See platform.Table."""
+        self.reads += 1
         await self._begin_request()
         return [
             row
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -399,6 +399,15 @@
                 )
         return decision
 
+    async def load_ordered_decisions(self) -> None:
+        """Loads the decisions if there are orders; raises PlatformError.
+
+        The node reads them when the first order comes.
+        """
+        in_force = self.get_revision()
+        if in_force is not None and in_force.rollouts:
+            await self.load_decisions()
+
     async def load_decisions(self) -> None:
         """Loads all decisions from the store; raises PlatformError."""
         found = await self.decision_store.read_all()
--- a/src/waxwingferry/version/tests/test_rollout.py
+++ b/src/waxwingferry/version/tests/test_rollout.py
@@ -329,3 +329,23 @@
     harness.count("v2", 40 - bad, bad)
     await harness.judge(15.5)
     assert harness.decision_store.written[0].state is messages.State.ROLLED_BACK
+
+
+@pytest.mark.parametrize(("order", "reads"), [(None, 0), (ORDER, 1)])
+async def test_decisions_are_read_at_the_start_only_with_an_order(order, reads):
+    """Guards against a read by each node of a fleet that starts.
+
+    Each call to the table has a price.
+    """
+    harness = Harness(order)
+    count = 0
+    read_all = harness.decision_store.read_all
+
+    async def count_read():
+        nonlocal count
+        count += 1
+        return await read_all()
+
+    harness.decision_store.read_all = count_read  # type: ignore[method-assign]
+    await harness.rollouts.load_ordered_decisions()
+    assert count == reads
