Ask a few nodes for their load before a choice in large clusters

Cause: a change of load is pushed to 16 peers, which are all others in the deployments of ordinary size but one entry in twelve with 195 nodes. Choices went by reports from before the slow phase, over all 142 targets, and 6 of 7 requests went to another failure domain.

Change: where pushes don't reach all nodes, an entry samples 4 targets of its failure domain, asks their nodes (one datagram each way, 20 ms at most, with a budget of its own) and chooses among those that answer; 4 of other domains are asked if none of them is free. The random generator no longer makes a system call for each number.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -26,6 +26,7 @@
 from waxwingferry.process.protection import registration
 from waxwingferry.process.protection import sampler
 from waxwingferry.process.protection import stated_limit
+from waxwingferry.process.spreading import load_queries
 from waxwingferry.process.spreading import peers
 from waxwingferry.process.spreading import version_rollouts
 from waxwingferry.process.spreading import watch
@@ -86,7 +87,7 @@
             ),
             table,
             self.document,
-            random.SystemRandom(),
+            random.Random(),
             peers.PeerClient(),
             header_fields.PlatformCallerProtocol(settings.service),
             header_fields.PlatformTargetProtocol(),
@@ -116,6 +117,10 @@
         self.sampler = sampler.Sampler(
             self.receiver, self.gossip, self.sample_load, self.counters
         )
+        self.load_queries = load_queries.LoadQueries(
+            self.gossip, self.sampler.update, self.sampler.make_push
+        )
+        self.entry.load_queries = self.load_queries
         self.watcher = watch.Watcher(
             self.document.watch,
             self.synchronizer.read_missing_rows,
@@ -324,6 +329,7 @@
                 *self.control_tasks,
                 self.watcher.run,
                 self.sampler.run,
+                self.load_queries.run,
                 self.rollouts.run,
             ):
                 group.start_soon(task)
--- a/src/waxwingferry/process/choice/cost.py
+++ b/src/waxwingferry/process/choice/cost.py
@@ -25,6 +25,8 @@
 # Machines slow down above this share of slots taken.
 CROWDING_THRESHOLD = 0.75
 CROWDING_COST = 2.0
+# A request that has to wait for a slot waits for about one service time.
+BUSY_COST = 1.0
 
 # A target that states a rate limit gets requests once the others have few free
 # slots. What its rate allows is then left for the time when they are slow.
@@ -109,6 +111,8 @@
     remote_load = stats.remote_load * weight
     utilisation = (stats.in_flight + remote_load + NEXT_REQUEST_WORK) / limit
     queueing = max(utilisation - 1.0, 0.0)
+    if stats.load.busy:
+        queueing = max(queueing, BUSY_COST * weight)
     crowding = CROWDING_COST * max(utilisation - CROWDING_THRESHOLD, 0.0)
     error_rate = stats.current_error_rate(now_s)
     penalty = 1.0 + ERROR_WEIGHT * error_rate + stats.current_overload(now_s)
--- a/src/waxwingferry/process/choice/load_stats.py
+++ b/src/waxwingferry/process/choice/load_stats.py
@@ -25,6 +25,8 @@
             allows another request; minus infinity if it states none.
         leaving_target: Incarnation of the target if it states that it leaves,
             otherwise empty.
+        busy: Whether the target's node would refuse a request that may go
+            elsewhere.
     """
 
     in_flight: int = 0
@@ -34,6 +36,7 @@
     slowness: float = 1.0
     ready_at_s: float = -math.inf
     leaving_target: str = ""
+    busy: bool = False
 
     def is_rate_limited(self) -> bool:
         """Returns whether the target states a rate limit."""
--- a/src/waxwingferry/process/choice/routing.py
+++ b/src/waxwingferry/process/choice/routing.py
@@ -33,6 +33,11 @@
 # for long; targets first seen later are taken for cold.
 STARTUP_GRACE_S = 5.0
 
+# Targets sampled in the own failure domain and in others, where the nodes are
+# asked for their load before each choice.
+NEAR_SAMPLE_SIZE = 4
+FAR_SAMPLE_SIZE = 4
+
 # Candidates sampled besides the local target. If every entry compared all
 # candidates, all entries would choose the same one by the same stale reports.
 SAMPLE_SIZE = 3
@@ -94,6 +99,19 @@
     report_age_ms: int | None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sample:
+    """Random usable targets of a service.
+
+    Attributes:
+        near: Targets of the own failure domain, with the local one if usable.
+        far: Targets of other failure domains.
+    """
+
+    near: list[known_target.Candidate]
+    far: list[known_target.Candidate]
+
+
 class Router:
     """Chooses the target of each attempt and learns from its result.
 
@@ -143,21 +161,90 @@
             excluded: Nodes that this call has already tried.
         """
         now_s = self.clock()
+        pool = self._find_pool(candidates, domains_out, excluded, now_s)
+        if not pool:
+            return None
+        chosen = self._pick(pool, now_s)
+        assert not _exclusion_reason(chosen, domains_out, excluded)
+        return chosen
+
+    def _find_pool(
+        self,
+        candidates: list[known_target.Candidate],
+        domains_out: frozenset[str],
+        excluded: set[str],
+        now_s: float,
+    ) -> list[known_target.Candidate]:
         self._register_new(candidates, now_s)
         usable = [
             item
             for item in candidates
             if not _exclusion_reason(item, domains_out, excluded)
         ]
-        if not usable:
-            return None
         # Targets that are ejected or refused work recently are a last resort.
-        pool = [
+        return [
             item for item in usable if not _avoidance_reason(item, now_s)
         ] or usable
-        chosen = self._pick(pool, now_s)
-        assert not _exclusion_reason(chosen, domains_out, excluded)
-        return chosen
+
+    def sample(
+        self,
+        candidates: list[known_target.Candidate],
+        domains_out: frozenset[str],
+        excluded: set[str],
+    ) -> Sample:
+        """Returns random targets to ask for their load; see choose."""
+        local: list[known_target.Candidate] = []
+        near: list[known_target.Candidate] = []
+        far: list[known_target.Candidate] = []
+        for item in candidates:
+            if item.node == self.location.node:
+                local.append(item)
+            elif item.failure_domain == self.location.failure_domain:
+                near.append(item)
+            else:
+                far.append(item)
+        now_s = self.clock()
+        sizes = ((local, 1), (near, NEAR_SAMPLE_SIZE), (far, FAR_SAMPLE_SIZE))
+        local, near, far = (
+            self._draw(group, size, domains_out, excluded, now_s)
+            for group, size in sizes
+        )
+        for item in local:
+            self._refresh_report(item, now_s)
+        return Sample(local + near, far)
+
+    def _draw(
+        self,
+        group: list[known_target.Candidate],
+        size: int,
+        domains_out: frozenset[str],
+        excluded: set[str],
+        now_s: float,
+    ) -> list[known_target.Candidate]:
+        """Returns up to size random usable targets of a group."""
+        # Most targets are usable, so that not all have to be looked at.
+        drawn = self._find_pool(
+            self._sample(group, 2 * size), domains_out, excluded, now_s
+        )
+        if len(drawn) < size < len(group):
+            pool = self._find_pool(group, domains_out, excluded, now_s)
+            drawn = self._sample(pool, size)
+        return drawn[:size]
+
+    def is_free(self, candidate: known_target.Candidate) -> bool:
+        """Returns whether a target has room and runs at its usual speed."""
+        now_s = self.clock()
+        load = candidate.stats.load
+        service = self.service_stats(candidate.service)
+        estimate = cost.compute_stated_cost(
+            candidate, service, self.location, now_s
+        )
+        return (
+            not load.busy
+            and not is_slow(candidate, now_s)
+            and not must_wait(candidate, now_s)
+            and estimate.utilisation < cost.CROWDING_THRESHOLD
+        )
 
     def _register_new(
         self, candidates: list[known_target.Candidate], now_s: float
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -223,7 +223,10 @@
                 now_s + push.wait_ms / 1000
                 if push.wait_ms is not None
                 else -math.inf,
+                busy=push.busy,
             )
+            if self.entry.load_queries is not None:
+                self.entry.load_queries.record_report()
 
     def record_unanswered(
         self, head: http1.RequestHead, reason: serve.Unanswered
--- a/src/waxwingferry/process/protection/sampler.py
+++ b/src/waxwingferry/process/protection/sampler.py
@@ -21,6 +21,9 @@
 # A third of the sampling rate that the platform allows, because each sample
 # also costs processor time on the target's VM.
 ACTIVE_INTERVAL_S = 0.05
+# Interval where other nodes ask for the load instead of getting it pushed, so
+# that samples serve the local queue only.
+QUERIED_INTERVAL_S = 0.2
 IDLE_INTERVAL_S = 0.5
 # Requests come in bursts; a node stays active this long after a request.
 ACTIVE_PERIOD_S = 2.0
@@ -62,6 +65,8 @@
         self.pushed_slowness = 1.0
         self.pushed_rate_limited = False
         self.last_push_s = -MIN_PUSH_INTERVAL_S
+        self.states_load = False
+        self.sampling = anyio.Lock()
         receiver.on_sample = self.push_changes
 
     def record_activity(self) -> None:
@@ -75,18 +80,41 @@
             admission = self.receiver.admission
             if admission is not None and admission.in_flight:
                 self.record_activity()
-            states_load = False
-            if link is not None:
-                states_load = await self._sample(link.announcement)
-            active = self.clock() - self.last_active_s < ACTIVE_PERIOD_S
-            often = active and states_load
-            await anyio.sleep(ACTIVE_INTERVAL_S if often else IDLE_INTERVAL_S)
+            if link is None:
+                self.states_load = False
+            else:
+                async with self.sampling:
+                    self.states_load = await self._sample(link.announcement)
+            await anyio.sleep(self.find_interval_s())
+
+    def find_interval_s(self) -> float:
+        """Returns the time until the next sample."""
+        active = self.clock() - self.last_active_s < ACTIVE_PERIOD_S
+        # On a target that does not report its load, sampling may take a slot
+        # from a request.
+        if not active or not self.states_load:
+            return IDLE_INTERVAL_S
+        admission = self.receiver.admission
+        waiting = admission is not None and bool(admission.queue)
+        if waiting or self.gossiper.pushes_reach_all():
+            return ACTIVE_INTERVAL_S
+        return QUERIED_INTERVAL_S
+
+    async def update(self) -> None:
+        """Takes a sample, unless the newest one is recent enough."""
+        if not self.states_load or not self._is_sample_old():
+            return
+        async with self.sampling:
+            link = self.receiver.link
+            # Another task may have taken one meanwhile.
+            if link is not None and self._is_sample_old():
+                await self._sample(link.announcement)
 
-    async def _sample(self, announcement: target.Announcement) -> bool:
-        """Takes one sample; returns whether the target reports its load.
+    def _is_sample_old(self) -> bool:
+        return self.clock() - self.receiver.sampled_s >= ACTIVE_INTERVAL_S
 
-        On a target that does not, sampling may take a slot from a request.
-        """
+    async def _sample(self, announcement: target.Announcement) -> bool:
+        """Takes one sample; returns whether the target reports its load."""
         sample = None
         with anyio.move_on_after(SAMPLE_TIMEOUT_S):
             sample = await self.fetch(announcement)
@@ -102,7 +130,7 @@
     def push_changes(self) -> None:
         """Pushes the load if it would change the choice of other nodes."""
         admission = self.receiver.admission
-        if admission is None:
+        if admission is None or not self.gossiper.pushes_reach_all():
             return
         now_s = self.clock()
         slowness = self.receiver.slowness()
@@ -118,13 +146,21 @@
         self.last_push_s = now_s
         self.pushed_slowness = slowness
         self.pushed_rate_limited = rate_limited
-        self.gossiper.push_load(
-            gossip.LoadPush(
-                self.gossiper.membership.node,
-                admission.in_flight,
-                len(admission.queue),
-                admission.limit.value,
-                round(slowness * 100),
-                self.receiver.find_rate_limit_wait_ms(),
-            )
+        push = self.make_push()
+        if push is not None:
+            self.gossiper.push_load(push)
+
+    def make_push(self) -> gossip.LoadPush | None:
+        """Returns the load of the target; None if the node takes no work."""
+        admission = self.receiver.admission
+        if admission is None or self.receiver.find_closed_reason() is not None:
+            return None
+        return gossip.LoadPush(
+            self.gossiper.membership.node,
+            admission.in_flight,
+            len(admission.queue),
+            admission.limit.value,
+            round(self.receiver.slowness() * 100),
+            self.receiver.find_rate_limit_wait_ms(),
+            self.receiver.is_congested(),
         )
--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -107,6 +107,7 @@
         slow_percent: Service time in percent; 100 is the normal one.
         wait_ms: Time until the rate that the target states allows a request;
             None if it states none.
+        busy: Whether the node would refuse a request that may go elsewhere.
     """
 
     node: members.Name
@@ -115,12 +116,18 @@
     limit: members.Counter
     slow_percent: members.Counter
     wait_ms: members.Counter | None = None
+    busy: bool = False
 
 
 # First byte of a datagram with a LoadPush; JSON never begins with it.
 LOAD_TYPE_BYTE = b"\x01"
 
 
+def encode_load(push: LoadPush) -> bytes:
+    """Returns the datagram with a load."""
+    return LOAD_TYPE_BYTE + msgspec.msgpack.encode(push)
+
+
 @dataclasses.dataclass(slots=True)
 class _PendingItem:
     """An update that is being forwarded.
@@ -258,9 +265,13 @@
         if datagram.kind == "digest" and behind:
             self.send_digest(address, "reply")
 
+    def pushes_reach_all(self) -> bool:
+        """Returns whether a pushed load reaches all other nodes."""
+        return len(self.membership.records) <= LOAD_FANOUT + 1
+
     def push_load(self, push: LoadPush) -> None:
         """Sends the load of the local target to random peers."""
-        data = LOAD_TYPE_BYTE + msgspec.msgpack.encode(push)
+        data = encode_load(push)
         for address in self.choose_peers(LOAD_FANOUT):
             self._transmit(address, data, urgent=True)
 
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -13,6 +13,7 @@
 from waxwingferry.process.choice import known_target
 from waxwingferry.process.choice import routing
 from waxwingferry.process.protection import crash_suspects
+from waxwingferry.process.spreading import load_queries
 from waxwingferry.process.spreading import members
 from waxwingferry.request import answering
 from waxwingferry.request import attempt_history
@@ -62,6 +63,8 @@
         traffic_splitter: Chooses a service for each call of a route with
             several.
         rollouts: Version rollouts, or None if they are not supported.
+        load_queries: Asks nodes for their load before a choice, or None if
+            loads are learned in other ways.
         stop_deadline: Time by which calls must end because the process is
             killed soon after, or None.
         draining: Whether calls that could last longer than the process are
@@ -95,6 +98,7 @@
         self.protocol = protocol
         self.traffic_splitter = traffic_split.TrafficSplitter(rng)
         self.rollouts: rollout.RolloutController | None = None
+        self.load_queries: load_queries.LoadQueries | None = None
         self.stop_deadline: calls.Deadline | None = None
         self.draining = False
         self.max_in_flight = max_in_flight
@@ -261,7 +265,11 @@
                     history.call_outcome, _QUARANTINED
                 )
                 break
-            candidate = self._choose(call, history)
+            candidate = await self._choose_reporting(call, history)
+            if candidate is None:
+                candidate = self._choose(
+                    call, history, self._list_allowed(call, history)
+                )
             if history.latest_result and not self._spend_retry(
                 call, history, candidate
             ):
@@ -311,21 +319,58 @@
             self.counters.calls.inc({"outcome": "answered"})
         return cut
 
-    def _choose(
+    def _list_allowed(
+        self, call: calls.Call, history: attempt_history.AttemptHistory
+    ) -> list[known_target.Candidate]:
+        """Returns the targets that a version rollout allows for a call."""
+        targets = self.membership.by_service.get(call.service, [])
+        if self.rollouts is None:
+            return targets
+        canary = call.canary and not history.attempts_made
+        return self.rollouts.filter_targets(call.service, targets, canary)
+
+    async def _choose_reporting(
         self, call: calls.Call, history: attempt_history.AttemptHistory
     ) -> known_target.Candidate | None:
+        """Returns the cheapest of a few targets that report their load.
+
+        Targets of the own failure domain are preferred while one of them has
+        a free slot and runs at its usual speed.
+
+        Returns:
+            None if none reports, or nodes need not be asked.
+        """
+        queries = self.load_queries
+        revision = self.revision()
+        if queries is None or revision is None or not queries.is_needed():
+            return None
+        sample = self.router.sample(
+            self._list_allowed(call, history),
+            revision.domains_out,
+            history.tried | history.busy,
+        )
+        reporting = await queries.find_reporting(sample.near)
+        if not any(self.router.is_free(item) for item in reporting):
+            reporting += await queries.find_reporting(sample.far)
+        # Meanwhile a target may have gone, or may not be allowed any more.
+        allowed = self._list_allowed(call, history)
+        known = {id(item) for item in reporting}
+        return self._choose(
+            call, history, [item for item in allowed if id(item) in known]
+        )
+
+    def _choose(
+        self,
+        call: calls.Call,
+        history: attempt_history.AttemptHistory,
+        allowed: list[known_target.Candidate],
+    ) -> known_target.Candidate | None:
+        """Returns the cheapest of the allowed targets, or None."""
         revision = self.revision()
         if revision is None:
             # The process was suspended; its document and targets may be
             # outdated.
             return None
-        targets = self.membership.by_service.get(call.service, [])
-        allowed = targets
-        if self.rollouts is not None:
-            canary = call.canary and not history.attempts_made
-            allowed = self.rollouts.filter_targets(
-                call.service, targets, canary
-            )
         while True:
             excluded = history.tried | history.busy
             chosen = self.router.choose(allowed, revision.domains_out, excluded)
