Read the operator's table once at the start

Change: one of the two reads, the other waits for it.

Result: the new test fails on the code before (two reads).

--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -45,6 +45,7 @@
         self.bounds = bounds
         self.rows: dict[str, Any] = {}
         self.routes = RouteCache()
+        self.reading = anyio.Lock()
         # Newest version of the store that was read, None before the first read.
         self.version: int | None = None
         # Whether a poll failed since the last successful one.
@@ -54,6 +55,10 @@
 
     async def read(self) -> bool:
         """See process.current_document.CurrentDocument."""
+        async with self.reading:
+            return await self._read()
+
+    async def _read(self) -> bool:
         rows, version = await self.table.read_table(TABLE)
         return self._replace_rows(rows, version)
 
@@ -89,7 +94,10 @@
             platform.PlatformError: The store gave no usable response.
         """
         if self.version is None:
-            await self.read()
+            async with self.reading:
+                # At the start another task may have read the table meanwhile.
+                if self.version is None:
+                    await self._read()
             return
         known_version = self.version
         # After a failed poll the store may be a copy that has given the known
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -539,3 +539,18 @@
         await document.read()
         assert len(parsed) == 3
         assert document.revision.match_route("GET", "/a/x", "a.example") is None
+
+
+async def test_the_table_is_read_once_at_the_start():
+    """Guards against a second read by each node of a fleet that starts.
+
+    The start and the watch both read the table if no version is known.
+    """
+    async with fake_store.run_store() as (fake, table):
+        fake.put("op", "config", CONFIG)
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        async with anyio.create_task_group() as group:
+            group.start_soon(document.read)
+            group.start_soon(document.watch)
+        assert document.revision is not None
+        assert fake.paths_called == ["/-/rows-get"]
