Don't ask for refusals as busy where no sampled target is free

Cause: after a loss of all power every target is cold and runs at half its speed.

Change: if none of the sampled targets is free, near or far, the attempt may queue at the cheapest; reports name their process, and those of another process than the known row's are ignored.

--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -12,6 +12,8 @@
 from waxwingferry.platform import settings_file
 from waxwingferry.platform.tests import test_settings_file
 from waxwingferry.process import target
+from waxwingferry.process.spreading import gossip
+from waxwingferry.process.tests import fakes
 from waxwingferry.version import revision
 
 pytestmark = pytest.mark.anyio
@@ -141,3 +143,21 @@
     assert node.lease.may_be_lost
     assert node.rollouts.restore_pending
     assert not node.rollouts.decisions_current
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "slowness"),
+    [("", 3.0), (fakes.make_row(1).incarnation, 3.0), ("another", 1.0)],
+)
+async def test_loads_of_another_process_are_ignored(
+    node, incarnation, slowness
+):
+    """Guards against requests to a process that has been replaced.
+
+    Load pattern: all nodes restart after a loss of power, and reply before
+    their new rows are known. Each request was refused by several of them.
+    """
+    node.members.apply(fakes.make_row(1))
+    push = gossip.LoadPush("n1", 0, 0, 6, 300, incarnation=incarnation)
+    node.record_load_push(push)
+    assert node.members.candidates["n1"].load.slowness == slowness
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -212,7 +212,12 @@
     def record_load_push(self, push: gossip.LoadPush) -> None:
         """Records the load that another node pushed."""
         candidate = self.members.candidates.get(push.node)
-        if candidate is not None:
+        # An attempt at a process that was replaced would be refused.
+        replaced = candidate is not None and push.incarnation not in (
+            "",
+            candidate.incarnation,
+        )
+        if candidate is not None and not replaced:
             now_s = self.entry.router.clock()
             candidate.load = load_stats.LoadReport(
                 push.in_flight,
--- a/src/waxwingferry/process/protection/sampler.py
+++ b/src/waxwingferry/process/protection/sampler.py
@@ -163,4 +163,5 @@
             round(self.receiver.slowness() * 100),
             self.receiver.find_rate_limit_wait_ms(),
             self.receiver.is_congested(),
+            self.receiver.incarnation,
         )
--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -108,6 +108,7 @@
         wait_ms: Time until the rate that the target states allows a request;
             None if it states none.
         busy: Whether the node would refuse a request that may go elsewhere.
+        incarnation: The process that pushes; empty if it doesn't state it.
     """
 
     node: members.Name
@@ -117,6 +118,7 @@
     slow_percent: members.Counter
     wait_ms: members.Counter | None = None
     busy: bool = False
+    incarnation: members.OptionalIncarnation = ""
 
 
 # First byte of a datagram with a LoadPush; JSON never begins with it.
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -350,8 +350,11 @@
             history.tried | history.busy,
         )
         reporting = await queries.find_reporting(sample.near)
-        if not any(self.router.is_free(item) for item in reporting):
+        if not any(map(self.router.is_free, reporting)):
             reporting += await queries.find_reporting(sample.far)
+            if reporting and not any(map(self.router.is_free, reporting)):
+                # Each refusal as busy would only cost another round trip.
+                history.accept_busy()
         # Meanwhile a target may have gone, or may not be allowed any more.
         allowed = self._list_allowed(call, history)
         known = {id(item) for item in reporting}
