Don't forward the rows of a long read of the table

Cause: a node that read all rows, at its start and 4 s after it, told four others of each of them, though they had read them as well.

Change: rows of a read are forwarded if there are at most 8 newer ones; otherwise only the own row, which nodes that were just found may not know.

--- a/src/waxwingferry/process/spreading/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -31,6 +31,9 @@
 RESTORE_WRITE_JITTER_S = 5.0
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 15.0
+# Rows of one read that other nodes are told of. Nodes that start together, or
+# that the table comes back for, read many rows each and need not be told.
+MAX_FORWARDED_ROWS = 8
 # Rate limit of the writes that a flapping target causes.
 WRITE_BURST = 5
 WRITES_PER_S = 0.2
@@ -306,14 +309,18 @@
         expired = self.membership.age_leases()
         if not self.confirmed:
             self.initial_rows = {row.key: row for row in rows}
+        forward = len(rows) <= MAX_FORWARDED_ROWS
         for row in rows:
             self.scanned_version = max(self.scanned_version, row.version)
             if row.value is not None:
-                self._apply_row(row)
+                self._apply_row(row, forward)
+        if not forward and self.membership.own is not None:
+            # The nodes that were just found may not know this one.
+            self.membership.on_newer_row(self.membership.own)
         for record in expired:
             await self._remove_expired(record)
 
-    def _apply_row(self, row: platform.Row) -> None:
+    def _apply_row(self, row: platform.Row, forward: bool) -> None:
         try:
             node = row.key.removeprefix(members.PREFIX)
             parsed = members.parse_row(node, row.value)
@@ -321,7 +328,7 @@
             self.malformed_rows += 1
             log.error("member row malformed", key=row.key, error=str(error))
             return
-        self.membership.apply_renewed(parsed, row.version)
+        self.membership.apply_renewed(parsed, row.version, forward)
 
     async def _remove_expired(self, record: members.Record) -> None:
         """Removes the expired row of a VM that is gone.
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -229,8 +229,13 @@
         self.own_changed.set()
         self.on_newer_row(row)
 
-    def apply(self, row: MemberRow) -> bool:
-        """Stores a row if it is newer; returns whether it was."""
+    def apply(self, row: MemberRow, forward: bool = True) -> bool:
+        """Stores a row if it is newer; returns whether it was.
+
+        Args:
+            row: A row of any node.
+            forward: Whether other nodes are told of a newer row.
+        """
         if row.node == self.node:
             self._check_name_conflict(row)
             return False
@@ -243,7 +248,8 @@
             log.error("member list is full", node=row.node)
             return False
         self._store(row)
-        self.on_newer_row(row)
+        if forward:
+            self.on_newer_row(row)
         return True
 
     def _check_name_conflict(self, row: MemberRow) -> None:
@@ -301,11 +307,13 @@
         values = {name: getattr(row, name) for name in _CANDIDATE_FIELDS}
         self.candidates[row.node] = known_target.Candidate(**values)
 
-    def apply_renewed(self, row: MemberRow, version: int) -> None:
+    def apply_renewed(
+        self, row: MemberRow, version: int, forward: bool = True
+    ) -> None:
         """Stores a row whose node just wrote or renewed it in the table."""
         if row.order <= self.removed_orders.get(row.node, _MIN_ORDER):
             del self.removed_orders[row.node]
-        self.apply(row)
+        self.apply(row, forward)
         record = self.records.get(row.node)
         if record is not None and record.row.incarnation == row.incarnation:
             record.version = version
--- a/src/waxwingferry/process/spreading/tests/test_lease.py
+++ b/src/waxwingferry/process/spreading/tests/test_lease.py
@@ -355,3 +355,31 @@
         await timeline.run(1)
         group.cancel_scope.cancel()
     assert table.value("members/n1")["state"] == "draining"
+
+
+@pytest.mark.parametrize(
+    ("others", "told"), [(3, ["n0", "n2", "n3"]), (195, ["n1"])]
+)
+async def test_rows_of_a_long_read_are_not_forwarded(others, told):
+    """Guards against nodes that start together and tell each other all rows.
+
+    Load pattern: 195 nodes read the rows of all at the same moment. Each
+    forwarded all of them to four others, which had read them as well.
+    """
+    table, clock = fakes.Table(), fakes.Clock()
+    node = NodeProcess(table, clock, 1000.0, "own")
+    for number in range(others + 1):
+        if number != 1:
+            row = fakes.make_row(number)
+            await table.transact(
+                [
+                    platform.Write(
+                        members.PREFIX + row.node, members.format_row(row)
+                    )
+                ]
+            )
+    news: list[str] = []
+    node.members.on_newer_row = lambda row: news.append(row.node)
+    await node.lease.read_rows()
+    assert len(node.members.records) == others + 1
+    assert sorted(news) == told
