Count load queries, unanswered and suppressed ones

Cause: an operator could not see whether choices wait for nodes that don't reply, or go by old reports because the budget of queries is used up.

Change: the events load_query_sent, load_query_unanswered and load_query_suppressed.

Result: the test of the budget reads the counter.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -118,7 +118,10 @@
             self.receiver, self.gossip, self.sample_load, self.counters
         )
         self.load_queries = load_queries.LoadQueries(
-            self.gossip, self.sampler.update, self.sampler.make_push
+            self.gossip,
+            self.sampler.update,
+            self.sampler.make_push,
+            self.counters,
         )
         self.entry.load_queries = self.load_queries
         self.watcher = watch.Watcher(
--- a/src/waxwingferry/process/spreading/load_queries.py
+++ b/src/waxwingferry/process/spreading/load_queries.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from waxwingferry import decoding
+from waxwingferry.process import metrics
 from waxwingferry.process.choice import known_target
 from waxwingferry.process.spreading import gossip
 from waxwingferry.process.spreading import members
@@ -58,13 +59,13 @@
             of now.
         make_push: Returns the load of the local target, or None if it takes
             no work.
+        counters: Metrics of the node.
         clock: Monotonic time in seconds, that of the load reports.
 
     Attributes:
         asking: Nodes that wait for a reply of this one.
         asked: Set when a query arrives.
         reported: Set when a report arrives, then replaced.
-        suppressed: Number of queries not sent for want of budget.
     """
 
     def __init__(
@@ -72,18 +73,19 @@
         gossiper: gossip.Gossiper,
         update_load: Callable[[], Awaitable[None]],
         make_push: Callable[[], gossip.LoadPush | None],
+        counters: metrics.Metrics,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.gossiper = gossiper
         self.update_load = update_load
         self.make_push = make_push
+        self.counters = counters
         self.clock = clock
         self.asking: dict[str, None] = {}
         self.asked = anyio.Event()
         self.reported = anyio.Event()
         self.tokens = QUERY_BURST
         self.tokens_s = clock()
-        self.suppressed = 0
         self.decoder = msgspec.msgpack.Decoder(Query)
         gossiper.handlers[TYPE_BYTE] = self.receive
 
@@ -115,6 +117,9 @@
         with anyio.move_on_after(REPLY_TIMEOUT_S):
             while any(item.load.at_s < asked_s for item in waiting):
                 await self.reported.wait()
+        for item in waiting:
+            if item.load.at_s < asked_s:
+                self.counters.events.inc({"event": "load_query_unanswered"})
         return [item for item in candidates if self._is_fresh(item, asked_s)]
 
     def _is_fresh(self, item: known_target.Candidate, now_s: float) -> bool:
@@ -129,9 +134,10 @@
         self.tokens = min(self.tokens + gained, QUERY_BURST)
         self.tokens_s = now_s
         if self.tokens < 1:
-            self.suppressed += 1
+            self.counters.events.inc({"event": "load_query_suppressed"})
             return False
         self.tokens -= 1
+        self.counters.events.inc({"event": "load_query_sent"})
         query = Query(self.gossiper.membership.node)
         self.gossiper.send_to(node, TYPE_BYTE + msgspec.msgpack.encode(query))
         return True
--- a/src/waxwingferry/process/spreading/tests/test_load_queries.py
+++ b/src/waxwingferry/process/spreading/tests/test_load_queries.py
@@ -7,6 +7,7 @@
 import pytest
 
 from waxwingferry import decoding
+from waxwingferry.process import metrics
 from waxwingferry.process.choice import cost
 from waxwingferry.process.choice import load_stats
 from waxwingferry.process.choice import routing
@@ -56,8 +57,13 @@
             clock=self.clock,
         )
         self.gossip.on_load = self.record_load
+        self.counters = metrics.Metrics()
         self.queries = load_queries.LoadQueries(
-            self.gossip, self.update_load, lambda: None, self.clock
+            self.gossip,
+            self.update_load,
+            lambda: None,
+            self.counters,
+            self.clock,
         )
         self.router = routing.Router(
             self.rng,
@@ -193,7 +199,8 @@
         await cluster.queries.find_reporting(cluster.candidates[:8])
     allowed = load_queries.QUERY_BURST + load_queries.QUERIES_PER_S
     assert len(cluster.queried) <= allowed
-    assert cluster.queries.suppressed > 0
+    content, _ = cluster.counters.render()
+    assert b'event="load_query_suppressed"' in content
 
 
 async def test_fresh_reports_are_used_without_a_query():
@@ -236,7 +243,9 @@
         events.append("read")
         return push
 
-    queries = load_queries.LoadQueries(gossiper, update_load, make_push, clock)
+    queries = load_queries.LoadQueries(
+        gossiper, update_load, make_push, metrics.Metrics(), clock
+    )
     query = load_queries.TYPE_BYTE + msgspec.msgpack.encode(["n1"])
     gossiper.receive(query, ("127.0.0.1", 9))
     gossiper.receive(query, ("127.0.0.1", 9))
