Forward a newer row among many renewals of a read

Whether rows are forwarded was decided by the length of the read, which has all rows that were renewed; with the project's own table service a read every 30 s has hundreds, so that a newer row among them was not told, and each node told its own row again.

Change: the newer rows of a read are counted.

Result: the new test fails on the code before (no news instead of n7).

--- a/src/waxwingferry/process/spreading/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -31,8 +31,8 @@
 RESTORE_WRITE_JITTER_S = 5.0
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 15.0
-# Rows of one read that other nodes are told of. Nodes that start together, or
-# that the table comes back for, read many rows each and need not be told.
+# Newer rows of one read that other nodes are told of. Nodes that start
+# together, or that the table comes back for, read many and need not be told.
 MAX_FORWARDED_ROWS = 8
 # Rate limit of the writes that a flapping target causes.
 WRITE_BURST = 5
@@ -309,26 +309,40 @@
         expired = self.membership.age_leases()
         if not self.confirmed:
             self.initial_rows = {row.key: row for row in rows}
-        forward = len(rows) <= MAX_FORWARDED_ROWS
+        self._apply_rows(rows)
+        for record in expired:
+            await self._remove_expired(record)
+
+    def _apply_rows(self, rows: list[platform.Row]) -> None:
+        """Applies rows of the table; other nodes are told of a few newer ones.
+
+        If there are many, the other nodes read them as well. They are told of
+        this node only, which those that were just found may not know.
+        """
+        parsed_rows = []
         for row in rows:
             self.scanned_version = max(self.scanned_version, row.version)
-            if row.value is not None:
-                self._apply_row(row, forward)
+            parsed = self._parse_row(row)
+            if parsed is not None:
+                parsed_rows.append((parsed, row.version))
+        newer = [row for row, _ in parsed_rows if self.membership.is_newer(row)]
+        forward = len(newer) <= MAX_FORWARDED_ROWS
+        for parsed, version in parsed_rows:
+            self.membership.apply_renewed(parsed, version, forward)
         if not forward and self.membership.own is not None:
-            # The nodes that were just found may not know this one.
             self.membership.on_newer_row(self.membership.own)
-        for record in expired:
-            await self._remove_expired(record)
 
-    def _apply_row(self, row: platform.Row, forward: bool) -> None:
+    def _parse_row(self, row: platform.Row) -> members.MemberRow | None:
+        """Returns the member row in a row of the table, or None."""
+        if row.value is None:
+            return None
         try:
             node = row.key.removeprefix(members.PREFIX)
-            parsed = members.parse_row(node, row.value)
+            return members.parse_row(node, row.value)
         except members.RowError as error:
             self.malformed_rows += 1
             log.error("member row malformed", key=row.key, error=str(error))
-            return
-        self.membership.apply_renewed(parsed, row.version, forward)
+            return None
 
     async def _remove_expired(self, record: members.Record) -> None:
         """Removes the expired row of a VM that is gone.
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -239,12 +239,9 @@
         if row.node == self.node:
             self._check_name_conflict(row)
             return False
-        old = self.records.get(row.node)
-        if old is not None and row.order <= old.row.order:
-            return False
-        if row.order <= self.removed_orders.get(row.node, _MIN_ORDER):
+        if not self.is_newer(row):
             return False
-        if old is None and len(self.records) >= MAX_MEMBERS:
+        if row.node not in self.records and len(self.records) >= MAX_MEMBERS:
             log.error("member list is full", node=row.node)
             return False
         self._store(row)
@@ -252,6 +249,13 @@
             self.on_newer_row(row)
         return True
 
+    def is_newer(self, row: MemberRow) -> bool:
+        """Returns whether a row is newer than the one known of its node."""
+        known = self.records.get(row.node)
+        if known is not None and row.order <= known.row.order:
+            return False
+        return row.order > self.removed_orders.get(row.node, _MIN_ORDER)
+
     def _check_name_conflict(self, row: MemberRow) -> None:
         previous = self.predecessor
         from_other_process = (
--- a/src/waxwingferry/process/spreading/tests/test_lease.py
+++ b/src/waxwingferry/process/spreading/tests/test_lease.py
@@ -383,3 +383,28 @@
     await node.lease.read_rows()
     assert len(node.members.records) == others + 1
     assert sorted(news) == told
+
+
+async def test_renewals_do_not_keep_a_newer_row_from_being_forwarded():
+    """Guards against news of a read that consists mostly of renewals.
+
+    Nodes renew their rows every minute, and a read returns all of them.
+    """
+    table, clock = fakes.Table(), fakes.Clock()
+    node = NodeProcess(table, clock, 1000.0, "own")
+
+    async def write(row: members.MemberRow) -> None:
+        key = members.PREFIX + row.node
+        await table.transact([platform.Write(key, members.format_row(row))])
+
+    rows = [fakes.make_row(number) for number in range(2, 50)]
+    for row in rows:
+        await write(row)
+    await node.lease.read_rows()
+    news: list[str] = []
+    node.members.on_newer_row = lambda row: news.append(row.node)
+    for row in rows:
+        await write(row)
+    await write(fakes.make_row(7, change=2))
+    await node.lease.read_rows()
+    assert news == ["n7"]
