--- a/src/waxwingferry/process/protection/sampler.py
+++ b/src/waxwingferry/process/protection/sampler.py
@@ -2,7 +2,8 @@
 
 A VM may become several times slower, or recover, within milliseconds. The
 target's node pushes a sample to all entries only if it would change their
-choice, so that a steady load costs few messages.
+choice, so that a steady load costs few messages. In a cluster where a push does
+not reach all nodes it pushes nothing, and takes samples when others ask.
 """
 
 from collections.abc import Awaitable
--- a/src/waxwingferry/process/spreading/load_queries.py
+++ b/src/waxwingferry/process/spreading/load_queries.py
@@ -36,7 +36,8 @@
 REPLY_TIMEOUT_S = 0.02
 QUERIES_PER_S = 100.0
 QUERY_BURST = 200.0
-# Nodes that wait for the same reply; more are answered by the next one.
+# Nodes that wait for the same reply. The queries of more are dropped, and those
+# nodes choose among other targets.
 MAX_ASKING = 256
 
 
@@ -149,9 +150,11 @@
             decoding.DecodingError: The datagram is malformed.
         """
         query = decoding.decode(self.decoder.decode, data)
-        if len(self.asking) < MAX_ASKING:
-            self.asking[query.node] = None
-            self.asked.set()
+        if len(self.asking) >= MAX_ASKING:
+            self.counters.events.inc({"event": "load_query_dropped"})
+            return
+        self.asking[query.node] = None
+        self.asked.set()
 
     async def run(self) -> None:
         """Answers queries until cancelled."""
--- a/src/waxwingferry/process/spreading/tests/test_load_queries.py
+++ b/src/waxwingferry/process/spreading/tests/test_load_queries.py
@@ -269,3 +269,5 @@
     for number in range(2 * load_queries.MAX_ASKING):
         cluster.queries.receive(msgspec.msgpack.encode([f"x{number}"]))
     assert len(cluster.queries.asking) == load_queries.MAX_ASKING
+    content, _ = cluster.counters.render()
+    assert b'event="load_query_dropped"' in content
