Review case 2: a confirmed leave is lost with its node while the store is down

A leave is confirmed after 1.2 s although it isn't stored. The next process of the node reads its earlier row from the store, takes the leaving target for ready and announces it.

The store is silent for 4.5 s, a target deregisters, and its node is killed for 3 s.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -423,6 +423,10 @@
             return False
         return 200 <= answer[0] < 300
 
+    async def deregister(self):
+        """Deregisters once; returns whether it is confirmed."""
+        return await self._call("deregister")
+
     async def _send_heartbeats(self):
         while True:
             await self.beat()
@@ -444,7 +448,7 @@
             confirmed = (
                 await self.beat()
                 if reports_draining
-                else await self._call("deregister")
+                else await self.deregister()
             )
             if confirmed:
                 self.acked_s = self.world.record.now_s()
