--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -459,6 +459,61 @@
             await asyncio.sleep(0.2)
 
 
+class Proxy:
+    """Forwards connections to one address.
+
+    Connections that are silenced stay open and deliver nothing more.
+
+    Attributes:
+        connections: Number of connections so far.
+    """
+
+    def __init__(self, host, port):
+        self.address = (host, port)
+        self.server = None
+        self.silent = set()
+        self.open = set()
+        self.connections = 0
+
+    async def listen(self, host, port):
+        """Starts listening."""
+        self.server = await asyncio.start_server(self._serve, host, port)
+
+    async def _serve(self, reader, writer):
+        number = self.connections = self.connections + 1
+        other_reader, other_writer = await asyncio.open_connection(
+            *self.address
+        )
+        writers = (writer, other_writer)
+        self.open.add(writers)
+        await asyncio.gather(
+            self._forward(number, reader, other_writer),
+            self._forward(number, other_reader, writer),
+        )
+        self.open.discard(writers)
+
+    async def _forward(self, number, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                if number not in self.silent:
+                    writer.write(data)
+                    await writer.drain()
+        if number not in self.silent:
+            writer.close()
+
+    def silence(self):
+        """Silences all open connections; new ones work."""
+        self.silent.update(range(1, self.connections + 1))
+
+    def close(self):
+        """Stops listening and closes all connections."""
+        if self.server is not None:
+            self.server.close()
+        for writers in list(self.open):
+            for writer in writers:
+                writer.transport.abort()
+
+
 async def exchange(address, method, target, headers, body=b"", chunks=None):
     """Sends one request on a new connection.
 
@@ -719,6 +774,7 @@
         self.prefix = self._find_prefix()
         self.store_ip = f"{self.prefix}.250"
         self.store = Store(self.record)
+        self.store_proxy = Proxy(self.store_ip, STORE_PORT + 1)
         self.machines = []
         self.backends = []
 
@@ -737,7 +793,8 @@
 
     async def start_store(self, config):
         """Starts the store with a config."""
-        await self.store.listen(self.store_ip, STORE_PORT)
+        await self.store.listen(self.store_ip, STORE_PORT + 1)
+        await self.store_proxy.listen(self.store_ip, STORE_PORT)
         self.store.put("op", "config", config)
 
     async def add_machine(self, service, zone="zone-a", start=True):
@@ -769,6 +826,7 @@
                 await process.wait()
         for backend in self.backends:
             backend.stop()
+        self.store_proxy.close()
         self.store.close()
         if os.environ.get("KEEP"):
             print(self.folder)
