--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,65 +1,90 @@
-"""A machine whose service has changed states the earlier one in its calls."""
+"""A confirmed leave is forgotten: store down, then the node is killed."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from common import standins
 
-REUSE_DELAY_S = 2.0
-# Time after the reload by which calls must state the new service.
-ALLOWED_S = 4.0
+STORE_DOWN_S = 4.5
+KILLED_FOR_S = 3.0
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+# How long the backend serves after the confirmation of its leave.
+SERVES_S = 14.0
+
+
+async def send_traffic(world, entry, end_s):
+    """Sends forty requests a second."""
+    tasks = []
+    while world.record.now_s() < end_s:
+        tasks.append(
+            asyncio.create_task(entry.request("GET", f"/a/{len(tasks)}"))
+        )
+        await asyncio.sleep(0.025)
+    await asyncio.gather(*tasks)
 
 
 async def case(world, trouble):
-    """Gives the address of a backend to one of another service."""
+    """Lets a backend leave while the store is down, then kills its node."""
     await world.start_store(
         standins.make_config(
             1,
-            [{"prefix": "/stock/", "service": "stock", "route-type": "safe"}],
-            ["registry", "desk", "stock"],
+            [{"prefix": "/a/", "service": "files", "route-type": "safe"}],
+            ["files", "front"],
         )
     )
-    machine = await world.add_machine("registry")
-    other = await world.add_machine("registry")
-    stock = await world.add_machine("stock")
-    for item in (machine, other, stock):
-        await item.wait_ready()
-    first = await world.add_backend(machine, "registry", "i-registry1")
-    await world.add_backend(other, "registry", "i-registry2")
-    target = await world.add_backend(stock, "stock", "i-stock")
+    entry = await world.add_machine("front")
+    nodes = [await world.add_machine("files") for _ in range(3)]
+    for machine in (entry, *nodes):
+        await machine.wait_ready()
+    await world.add_backend(entry, "front", "i-front")
+    backends = [
+        await world.add_backend(
+            machine, "files", f"i-files{number}", work_s=0.2
+        )
+        for number, machine in enumerate(nodes)
+    ]
     # Traffic starts 10 s after the machines do.
     await asyncio.sleep(10)
-    service = "registry"
-    for number in range(20):
-        await machine.request("GET", f"/stock/before-{number}")
-        await asyncio.sleep(0.05)
+    leaving, node = backends[0], nodes[0]
+    down_s = world.record.now_s()
+    traffic = asyncio.create_task(
+        send_traffic(world, entry, down_s + 4 + SERVES_S)
+    )
+    world.store.silent = trouble
+    world.record.write("store", silent=trouble)
+    await asyncio.sleep(0.2)
+    await leaving.leave(reports_draining=False)
+    await asyncio.sleep(max(down_s + 2.0 - world.record.now_s(), 0))
+    if trouble:
+        await node.kill()
+    await asyncio.sleep(max(down_s + STORE_DOWN_S - world.record.now_s(), 0))
+    world.store.silent = False
+    back_s = world.record.now_s()
+    world.record.write("store", silent=False)
     if trouble:
-        await first.leave()
-        await asyncio.sleep(2.5)
-        await first.deregister()
-        first.stop()
-        world.record.write("backend ends", backend=first.instance)
-        await asyncio.sleep(REUSE_DELAY_S + 0.5)
-        service = machine.service = "desk"
-        machine.write_settings()
-        world.record.write("settings", node=machine.name, service=service)
-        machine.send_signal(signal.SIGHUP)
-        await world.add_backend(machine, "desk", "i-desk")
-    await asyncio.sleep(ALLOWED_S)
-    judged_s = world.record.now_s()
-    for number in range(60):
-        # A call that the backend on this machine makes.
-        await machine.request("GET", f"/stock/after-{number}")
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(
+            max(down_s + 2.0 + KILLED_FOR_S - world.record.now_s(), 0)
+        )
+        await node.start(bootstrap=False)
+    await asyncio.sleep(leaving.acked_s + SERVES_S - world.record.now_s())
+    leaving.stop()
+    world.record.write("backend ends", backend=leaving.instance)
+    await traffic
+    # From here on both nodes, and the store, were undisturbed for `contact`.
+    judged_s = leaving.acked_s + DRAIN_S
+    if trouble:
+        judged_s = max(
+            judged_s, back_s + CONTACT_S, node.starts[-1] + CONTACT_S
+        )
+    late = [run for run in leaving.runs if run["at_s"] > judged_s]
     return [
-        f"UNASKED: {run['attempt']} was run with the caller service"
-        f" {run['caller']}; that of its machine is {service}"
-        for run in target.runs
-        if run["at_s"] > judged_s and run["caller"] != service
+        f"DRAIN: {run['attempt']} reached {leaving.instance}"
+        f" {run['at_s'] - leaving.acked_s:.1f} s after its leave was confirmed"
+        for run in late
     ]
 
 
