--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -116,6 +116,11 @@
                 if response is None:
                     # No answer; the connection stays open.
                     await asyncio.sleep(3600)
+                if isinstance(response, tuple):
+                    # An answer that is broken off.
+                    writer.write(response[0])
+                    await writer.drain()
+                    return
                 writer.write(response)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
