--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -675,6 +675,8 @@
 
     async def start(self, bootstrap=True):
         """Starts the node with the command of the deploy file."""
+        if self.world.stopped:
+            return
         settings = self.write_settings(bootstrap)
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = deploy["roles"]["node"]["run"].split(" ")
@@ -782,6 +784,7 @@
         self.store_proxy = Proxy(self.store_ip, STORE_PORT + 1)
         self.machines = []
         self.backends = []
+        self.stopped = False
 
     def _find_prefix(self):
         """Returns a loopback network whose ports are free."""
@@ -824,6 +827,7 @@
 
     async def stop(self):
         """Ends all processes."""
+        self.stopped = True
         for machine in self.machines:
             process = machine.process
             if process is not None and process.returncode is None:
