Keep a confirmed leave although its node ends before it is stored

Change: while the table is unavailable, a leave is confirmed only once another node has the row (GET /_peer/members/NODE). A new process asks three peers for its own row besides the table, beside its read of the decisions and for 0.3 s at most. Each node remembers the incarnations of targets that were announced as draining, as it did for those that state it in responses, so a later row of the node does not undo it, at the entry and in the registration. Related paths: a deregistration that comes before the target is known is confirmed only if the node has loaded its state and no earlier process had the target; a late row of an earlier process is applied.

The test of a confirmation without the table now has a peer that knows the row; a second one without such a peer is new.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -102,8 +102,11 @@
             self.members,
             self.lease,
             self.announce,
+            self.synchronizer.is_row_known,
             time.monotonic,
         )
+        self.registration.is_loaded = lambda: self.ready
+        self.members.on_predecessor = self.registration.apply_predecessor
         self.rollouts = version_rollouts.make_rollouts(
             self.members,
             self.configured,
@@ -204,15 +207,21 @@
         await self.synchronizer.load_initial_state()
         if self.store.restores:
             await self.synchronizer.complete_members()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.synchronizer.load_own_row)
+            group.start_soon(self.load_decisions)
+        self.registration.apply_predecessor()
+        self.ready = True
+        self.announce()
+        await self.restore_target()
+
+    async def load_decisions(self) -> None:
+        """Loads the decisions on version rollouts, if the platform answers."""
         try:
             await self.rollouts.load_ordered_decisions()
         except platform.PlatformError as error:
             # The watcher reads them when the platform is available again.
             log.warning("decisions not read", error=str(error))
-        self.registration.apply_predecessor()
-        self.ready = True
-        self.announce()
-        await self.restore_target()
 
     async def restore_target(self) -> None:
         """Restores the target of an earlier process if it is still running."""
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -280,8 +280,7 @@
         """Handles a request from another node."""
         # An attempt may have any path; only attempts carry an attempt ID.
         is_attempt = http1.find_header(head.headers, calls.ATTEMPT_HEADER)
-        own_paths = (peers.DOCUMENT_PATH, peers.MEMBERS_PATH)
-        if head.target in own_paths and not is_attempt:
+        if peers.is_request_path(head.target) and not is_attempt:
             await peers.answer_request(
                 connection, head.target, self.configured, self.members
             )
--- a/src/waxwingferry/process/protection/registration.py
+++ b/src/waxwingferry/process/protection/registration.py
@@ -3,9 +3,11 @@
 Each start of a target is a new incarnation. Heartbeats that arrive late, even
 from an earlier incarnation, are ignored. An incarnation whose draining was
 confirmed never takes work again: the state is stored in this node's row of the
-table, where a later process of the node finds it.
+table, where a later process of the node finds it. While the table is
+unavailable, another node that knows the row takes its place.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 
@@ -20,9 +22,9 @@
 from waxwingferry.request import receive
 
 # Targets repeat a heartbeat that is not confirmed within a second.
-CONFIRM_WAIT_S = 0.8
+CONFIRM_WAIT_S = 0.65
 # While the table is unavailable, draining is confirmed after it was announced
-# to the other nodes by datagrams for this long.
+# to the other nodes by datagrams for this long, if one of them has the row.
 CONFIRM_UNWRITTEN_S = 1.2
 
 log = structlog.get_logger()
@@ -55,10 +57,14 @@
         membership: The known members, with the predecessor of this process.
         node_lease: Lease of this node.
         publish_member: Publishes the changed member row of this node.
+        is_row_known: Tells whether another node has a member row of this node,
+            which a later process of this node would then learn.
         clock: Returns the monotonic time in seconds.
 
     Attributes:
         latest: The latest heartbeat, or None.
+        is_loaded: Tells whether the state of an earlier process was loaded, if
+            there was one.
         draining_since_s: Monotonic time of the first sign that an incarnation
             drains, by incarnation.
         early_deregistrations: Monotonic time of deregistrations that came
@@ -72,14 +78,17 @@
         membership: members.Membership,
         node_lease: lease.Lease,
         publish_member: Callable[[], None],
+        is_row_known: Callable[[members.MemberRow], Awaitable[bool]],
         clock: Callable[[], float],
     ):
         self.receiver = receiver
         self.membership = membership
         self.node_lease = node_lease
         self.publish_member = publish_member
+        self.is_row_known = is_row_known
         self.clock = clock
         self.latest: Heartbeat | None = None
+        self.is_loaded: Callable[[], bool] = lambda: True
         self.draining_since_s: dict[str, float] = {}
         self.early_deregistrations: dict[str, float] = {}
 
@@ -169,11 +178,8 @@
         return msgspec.structs.replace(announcement, state="draining")
 
     def _was_draining(self, incarnation: str) -> bool:
-        """Returns whether the earlier process stored it as draining."""
-        earlier = self.membership.predecessor
-        if earlier is None or earlier.target != incarnation:
-            return False
-        return earlier.state == "draining"
+        """Returns whether an earlier process announced it as draining."""
+        return incarnation in self.membership.leaving_targets
 
     def _apply(
         self, announcement: target.Announcement, warmup_left_s: float
@@ -209,7 +215,9 @@
             )
             # Nothing is stored until the incarnation is known, so a restart
             # would lose the deregistration.
-            return self.clock() - received_s > CONFIRM_UNWRITTEN_S
+            if self.clock() - received_s <= CONFIRM_UNWRITTEN_S:
+                return False
+            return self.is_loaded() and not self._is_predecessor(target_id)
         if latest.target_id != target_id:
             return True
         incarnation = latest.announcement.incarnation
@@ -217,6 +225,13 @@
         self._apply(self._apply_draining(target_id, latest.announcement), 0.0)
         return await self._confirm_draining(incarnation)
 
+    def _is_predecessor(self, target_id: str) -> bool:
+        """Returns whether an earlier process of this node had the target."""
+        earlier = self.membership.predecessor
+        if earlier is None:
+            return False
+        return target.split_incarnation(earlier.target)[0] == target_id
+
     async def _confirm_draining(self, incarnation: str) -> bool:
         """Waits until draining, if any, would survive this process."""
         if incarnation not in self.draining_since_s:
@@ -233,4 +248,6 @@
             target=incarnation,
             waited_s=round(waited_s, 2),
         )
-        return waited_s > CONFIRM_UNWRITTEN_S
+        if waited_s <= CONFIRM_UNWRITTEN_S:
+            return False
+        return await self.is_row_known(row)
--- a/src/waxwingferry/process/protection/tests/test_registration.py
+++ b/src/waxwingferry/process/protection/tests/test_registration.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import msgspec
 import pytest
 
 from waxwingferry.process import metrics
@@ -43,8 +44,14 @@
             self.membership,
             self.node_lease,
             self.publish_member,
+            self.is_row_known,
             self.clock,
         )
+        self.known_to_peers = True
+
+    async def is_row_known(self, row: members.MemberRow) -> bool:
+        """Tells whether a peer has the row."""
+        return self.known_to_peers and row.state == "draining"
 
     def publish_member(self) -> None:
         """Publishes the member row for the receiver's state."""
@@ -106,6 +113,66 @@
     assert await harness.send_heartbeat(sequence=3, state="draining")
 
 
+async def test_draining_that_no_other_node_knows_is_not_confirmed(harness):
+    """Guards against a confirmed leave that ends with its node.
+
+    The table was down and the node killed: its next process took the target
+    for ready, and it got requests 6 s after its leave was confirmed.
+    """
+    harness.known_to_peers = False
+    await harness.send_heartbeat()
+    await harness.send_heartbeat(sequence=2, state="draining")
+    harness.clock.now_s += registration.CONFIRM_UNWRITTEN_S + 0.1
+    assert not await harness.send_heartbeat(sequence=3, state="draining")
+    harness.known_to_peers = True
+    assert await harness.registration.handle_deregistration("i-1")
+
+
+async def test_draining_that_a_peer_knows_is_applied_after_a_restart(harness):
+    """Guards against a target that gets work again after its node restarts.
+
+    The table has an older row of the same process; a peer knows the leave.
+    """
+    stored = fakes.make_row(0, target="i-1:10", incarnation="earlier")
+    harness.membership.apply(stored)
+    harness.registration.restore_target(stored, "127.0.0.1", 80)
+    harness.membership.on_predecessor = harness.registration.apply_predecessor
+    harness.membership.apply(
+        msgspec.structs.replace(stored, state="draining", change=2)
+    )
+    assert harness.state == "draining"
+
+
+async def test_draining_is_kept_over_two_restarts(harness):
+    """Guards against a leave that the row of a second process hides."""
+    row = fakes.make_row(0, target="i-1:10", incarnation="first")
+    later = fakes.make_row(
+        0, target="i-1:10", incarnation="second", generation=2
+    )
+    harness.membership.apply(msgspec.structs.replace(row, state="draining"))
+    harness.membership.apply(later)
+    harness.registration.restore_target(later, "127.0.0.1", 80)
+    assert harness.state == "draining"
+
+
+@pytest.mark.parametrize("known", ["nothing loaded", "earlier process"])
+async def test_a_deregistration_that_is_not_stored_is_not_confirmed(
+    harness, known
+):
+    """Guards against a confirmed deregistration that a restart forgets.
+
+    The node has not heard of the target since its own start.
+    """
+    if known == "nothing loaded":
+        harness.registration.is_loaded = lambda: False
+    else:
+        row = fakes.make_row(0, target="i-1:10", incarnation="earlier")
+        harness.membership.apply(row)
+    assert not await harness.registration.handle_deregistration("i-1")
+    harness.clock.now_s += registration.CONFIRM_UNWRITTEN_S + 0.1
+    assert not await harness.registration.handle_deregistration("i-1")
+
+
 async def test_later_heartbeat_does_not_undo_draining(harness):
     """A delayed or later ready heartbeat must not bring work back."""
     await harness.send_heartbeat(sequence=5)
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -171,9 +171,11 @@
         candidates: All targets by node, for the entry.
         removed_orders: Orders of removed rows, so that a peer that still
             has them can't add them again.
-        leaving_targets: Incarnations of targets that stated in a response that
-            they leave. Their nodes may announce them as ready after a restart.
+        leaving_targets: Incarnations of targets that leave, as their nodes
+            announced or as they stated in a response. Their nodes may announce
+            them as ready after a restart.
         predecessor: Newest row of another process of this node, or None.
+        on_predecessor: Called when the predecessor changes.
         fingerprint: Hash of all rows, independent of their order of arrival.
 
     Args:
@@ -197,6 +199,7 @@
         self.on_name_conflict = on_name_conflict
         self.own: MemberRow | None = None
         self.predecessor: MemberRow | None = None
+        self.on_predecessor: Callable[[], None] = lambda: None
         self.own_changed = anyio.Event()
         self.records: dict[str, Record] = {}
         self.candidates: dict[str, known_target.Candidate] = {}
@@ -267,6 +270,9 @@
             previous is None or row.order > previous.order
         ):
             self.predecessor = row
+            if row.state == "draining":
+                self._remember_leaving(row.target)
+            self.on_predecessor()
         if self.own is None or row.incarnation == self.own.incarnation:
             return
         if row.order > self.own.order:
@@ -281,6 +287,8 @@
             self.fingerprint ^= old.row.fingerprint()
         self.fingerprint ^= row.fingerprint()
         self.records[row.node] = Record(row, self.clock())
+        if row.state == "draining":
+            self._remember_leaving(row.target)
         self._update_candidate(row)
         self.usable_targets = None
 
@@ -290,20 +298,31 @@
         Args:
             target: Incarnation of the target.
         """
-        if not target or target in self.leaving_targets:
+        if not self._remember_leaving(target):
             return
-        while len(self.leaving_targets) >= MAX_MEMBERS:
-            del self.leaving_targets[next(iter(self.leaving_targets))]
-        self.leaving_targets[target] = None
         log.info("leave passed on in an answer", target=target)
         for record in self.records.values():
             if record.row.target == target:
                 self._update_candidate(record.row)
         self.usable_targets = None
 
-    def _update_candidate(self, row: MemberRow) -> None:
+    def _remember_leaving(self, target: str) -> bool:
+        """Adds a target to leaving_targets; returns whether it is new."""
+        if not target or target in self.leaving_targets:
+            return False
+        while len(self.leaving_targets) >= MAX_MEMBERS:
+            del self.leaving_targets[next(iter(self.leaving_targets))]
+        self.leaving_targets[target] = None
+        return True
+
+    def _mark_leaving(self, row: MemberRow) -> MemberRow:
+        """Returns a row whose state is draining if its target leaves."""
         if row.target in self.leaving_targets and row.state == "ready":
-            row = msgspec.structs.replace(row, state="draining")
+            return msgspec.structs.replace(row, state="draining")
+        return row
+
+    def _update_candidate(self, row: MemberRow) -> None:
+        row = self._mark_leaving(row)
         old = self.candidates.get(row.node)
         if old is not None and old.incarnation == row.incarnation:
             # Calls in flight refer to this object and update its counters.
@@ -460,6 +479,15 @@
         """Returns the newest row of each node."""
         return [record.row for record in self.records.values()]
 
+    def find_rows(self, node: str) -> list[MemberRow]:
+        """Returns the newest row of one node, or none.
+
+        Its state is draining if its target leaves, although a later process of
+        the node may have announced it as ready.
+        """
+        record = self.records.get(node)
+        return [] if record is None else [self._mark_leaving(record.row)]
+
     def peers(self) -> list[MemberRow]:
         """Returns the other nodes that are not suspects."""
         return [
--- a/src/waxwingferry/process/spreading/peers.py
+++ b/src/waxwingferry/process/spreading/peers.py
@@ -2,6 +2,7 @@
 
 GET /_peer/document -> {"revision", "document"}; 404 if there is none
 GET /_peer/members  -> {"rows": [...]}
+GET /_peer/members/NODE -> {"rows": [...]}, with the row of that node if known
 """
 
 from collections.abc import Callable
@@ -68,7 +69,23 @@
         Raises:
             PeerError: The peer sent no valid response.
         """
-        data = await self._get(address, MEMBERS_PATH)
+        return await self._fetch_rows(address, MEMBERS_PATH)
+
+    async def fetch_member(
+        self, address: gossip.Address, node: str
+    ) -> members.MemberRow | None:
+        """Returns the row that a peer has of one node, or None.
+
+        Raises:
+            PeerError: The peer sent no valid response.
+        """
+        rows = await self._fetch_rows(address, f"{MEMBERS_PATH}/{node}")
+        return next((row for row in rows if row.node == node), None)
+
+    async def _fetch_rows(
+        self, address: gossip.Address, path: str
+    ) -> list[members.MemberRow]:
+        data = await self._get(address, path)
         try:
             return msgspec.convert(data.get("rows"), list[members.MemberRow])
         except msgspec.ValidationError as error:
@@ -90,6 +107,13 @@
         return data
 
 
+def is_request_path(path: str) -> bool:
+    """Tells whether a path is that of a request between nodes."""
+    return path in (DOCUMENT_PATH, MEMBERS_PATH) or path.startswith(
+        f"{MEMBERS_PATH}/"
+    )
+
+
 async def answer_request(
     connection: http1.ServerConnection,
     path: str,
@@ -100,10 +124,10 @@
     while await connection.receive_chunk() is not None:
         pass
     data: dict[str, Any]
-    if path == MEMBERS_PATH:
-        data = {
-            "rows": [msgspec.to_builtins(row) for row in membership.all_rows()]
-        }
+    if path != DOCUMENT_PATH:
+        _, _, node = path.removeprefix(MEMBERS_PATH).partition("/")
+        rows = membership.find_rows(node) if node else membership.all_rows()
+        data = {"rows": [msgspec.to_builtins(row) for row in rows]}
     elif configured.revision is None:
         await connection.send_head(404, [], b"no document\n")
         return
--- a/src/waxwingferry/process/spreading/synchronizer.py
+++ b/src/waxwingferry/process/spreading/synchronizer.py
@@ -31,6 +31,10 @@
 # Peers whose rows complete a restored table at the start, and the time for it.
 RESTORE_PEERS = 3
 RESTORE_FETCH_TIMEOUT_S = 0.5
+# Peers that are asked for the row of this node, and the time for it.
+OWN_ROW_PEERS = 3
+OWN_ROW_TIMEOUT_S = 0.3
+OWN_ROW_CHECK_TIMEOUT_S = 0.15
 
 log = structlog.get_logger()
 
@@ -152,6 +156,43 @@
         self.membership.apply_all(rows)
         self._raise_generation(rows)
 
+    async def load_own_row(self) -> None:
+        """Loads from peers what an earlier process of this node announced.
+
+        It may have ended before it could write its newest row to the table.
+        """
+        for row in await self._fetch_own_rows(OWN_ROW_TIMEOUT_S):
+            self.membership.apply(row)
+            self._raise_generation([row])
+
+    async def is_row_known(self, row: members.MemberRow) -> bool:
+        """Tells whether a peer has a row of this node, or a newer one."""
+        rows = await self._fetch_own_rows(OWN_ROW_CHECK_TIMEOUT_S)
+        return any(found.order >= row.order for found in rows)
+
+    async def _fetch_own_rows(
+        self, timeout_s: float
+    ) -> list[members.MemberRow]:
+        """Returns the rows that some peers have of this node."""
+        rows = []
+
+        async def fetch(address: gossip.Address) -> None:
+            try:
+                row = await self.client.fetch_member(
+                    address, self.membership.node
+                )
+            except peers.PeerError as error:
+                log.info("own row not fetched", error=str(error))
+                return
+            if row is not None:
+                rows.append(row)
+
+        with anyio.move_on_after(timeout_s):
+            async with anyio.create_task_group() as group:
+                for address in self.gossiper.choose_peers(OWN_ROW_PEERS):
+                    group.start_soon(fetch, address)
+        return rows
+
     def _find_peers(self) -> list[gossip.Address]:
         """Returns all seeds, the newest contact and some known peers."""
         addresses = self.rng.sample(list(self.seeds), len(self.seeds))
--- a/src/waxwingferry/process/spreading/tests/test_members.py
+++ b/src/waxwingferry/process/spreading/tests/test_members.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from waxwingferry.process import target
@@ -128,3 +129,25 @@
     rows[8] = fakes.make_row(8, state="leaving")
     assert list_probers(rows) == ["n6", "n7"]
     assert members.Membership("n0", fakes.Clock()).is_prober()
+
+
+def test_a_target_that_leaves_gets_no_work_after_its_node_restarts():
+    """Guards against a leave that the row of a restarted node undoes.
+
+    The node had ended before it could write the leave to the table.
+    """
+    membership = members.Membership("n0", fakes.Clock())
+    membership.apply(fakes.make_row(1, target="i-1:10"))
+    membership.apply(
+        fakes.make_row(1, target="i-1:10", state="draining", change=2)
+    )
+    restarted = fakes.make_row(
+        1, target="i-1:10", incarnation="next", generation=2
+    )
+    membership.apply(restarted)
+    assert membership.candidates["n1"].state == "draining"
+    assert [row.state for row in membership.find_rows("n1")] == ["draining"]
+    membership.apply(
+        msgspec.structs.replace(restarted, change=3, target="i-1:20")
+    )
+    assert membership.candidates["n1"].state == "ready"
--- a/src/waxwingferry/process/spreading/tests/test_peers.py
+++ b/src/waxwingferry/process/spreading/tests/test_peers.py
@@ -6,7 +6,10 @@
 import pytest
 
 from waxwingferry.connection import serve
+from waxwingferry.process.spreading import configuration
+from waxwingferry.process.spreading import members
 from waxwingferry.process.spreading import peers
+from waxwingferry.process.tests import fakes
 
 pytestmark = pytest.mark.anyio
 
@@ -87,3 +90,27 @@
     """Guards against sound documents that are refused."""
     body = json.dumps(DOCUMENT).encode()
     assert await fetch(body, peers.PeerClient.fetch_document) == (7, {})
+
+
+async def test_a_peer_tells_the_row_of_one_node():
+    """Guards against a restarted node that loads the rows of all nodes."""
+    membership = members.Membership("n0", fakes.Clock())
+    membership.apply_all([fakes.make_row(1), fakes.make_row(2)])
+    configured = configuration.Configuration(fakes.Table())
+
+    async def handle(connection, head):
+        assert peers.is_request_path(head.target)
+        await peers.answer_request(
+            connection, head.target, configured, membership
+        )
+
+    server = serve.Server(handle)
+    client = peers.PeerClient()
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve, "127.0.0.1", 0)
+        await server.listening.wait()
+        address = ("127.0.0.1", server.port)
+        assert await client.fetch_member(address, "n2") == fakes.make_row(2)
+        assert await client.fetch_member(address, "n3") is None
+        assert len(await client.fetch_members(address)) == 2
+        group.cancel_scope.cancel()
--- a/src/waxwingferry/process/spreading/tests/test_synchronizer.py
+++ b/src/waxwingferry/process/spreading/tests/test_synchronizer.py
@@ -41,6 +41,11 @@
             raise peers.PeerError("refused")
         return self.rows[address]
 
+    async def fetch_member(self, address, node):
+        """See peers.PeerClient."""
+        rows = await self.fetch_members(address)
+        return next((row for row in rows if row.node == node), None)
+
 
 @pytest.fixture
 def synced():
@@ -233,6 +238,44 @@
         await synced.complete_members()
 
 
+async def test_a_restarted_node_learns_from_peers_what_it_announced(synced):
+    """Guards against a leave that ends with the process that confirmed it.
+
+    The table was down when the process was killed.
+    """
+    leaving = fakes.make_row(
+        0, state="draining", target="i-1:10", generation=10**7
+    )
+    synced.client.rows = {SEEDS[1]: [leaving]}
+    await synced.load_own_row()
+    assert synced.membership.predecessor == leaving
+    assert synced.node_lease.generation > leaving.generation
+
+
+@pytest.mark.parametrize(
+    ("change", "known"), [(None, False), (1, False), (2, True), (3, True)]
+)
+async def test_a_row_is_known_once_a_peer_has_it(synced, change, known):
+    """Guards against a leave that is confirmed although no peer knows it."""
+    row = fakes.make_row(0, state="draining", change=2)
+    if change is not None:
+        found = fakes.make_row(0, state="draining", change=change)
+        synced.client.rows = {SEEDS[0]: [found]}
+    assert await synced.is_row_known(row) is known
+
+
+async def test_a_peer_that_does_not_respond_knows_no_row(synced, monkeypatch):
+    """Guards against a leave whose confirmation waits for a silent peer."""
+    monkeypatch.setattr(synchronizer, "OWN_ROW_CHECK_TIMEOUT_S", 0.01)
+
+    async def fetch_member(address, node):
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr(synced.client, "fetch_member", fetch_member)
+    with anyio.fail_after(5):
+        assert not await synced.is_row_known(fakes.make_row(0))
+
+
 async def _announce_document(synced) -> None:
     """Runs the fetcher while a peer announces a document for a moment."""
     synced.client.documents = {SEEDS[0]: 4}
