Don't send an upload again of which a part is gone

A body above 64 KiB is read from the client once. A refusal that reached no target is retried for free, and that path did not ask whether the body is still whole; the cancelled reader then looked like one at its end, so the last chunk was sent after the buffered part.

Change: calls.Body owns the question whether the body can be sent (can_be_sent), and the entry asks it after each attempt, whatever its result. BodyStream raises an error to a second reader instead of an early end. An upload of which nothing was read goes to another node as before.

--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -5,7 +5,7 @@
 and limits; `reader` parses received bytes.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterable
 import re
 import sys
 import time
@@ -308,7 +308,7 @@
         target: str,
         headers: Headers,
         body: bytes = b"",
-        rest: AsyncIterator[bytes] | None = None,
+        rest: AsyncIterable[bytes] | None = None,
         timeout_s: float | None = None,
     ) -> None:
         """Sends one request.
@@ -368,7 +368,7 @@
         await _send(self.stream, data, timeout_s)
 
     async def _send_rest(
-        self, rest: AsyncIterator[bytes], chunked: bool
+        self, rest: AsyncIterable[bytes], chunked: bool
     ) -> None:
         async for part in rest:
             await self._write(message.encode_chunk(part) if chunked else part)
@@ -376,7 +376,7 @@
             await self._write(b"0\r\n\r\n")
 
     async def _send_until_response(
-        self, rest: AsyncIterator[bytes], chunked: bool
+        self, rest: AsyncIterable[bytes], chunked: bool
     ) -> None:
         """Sends the rest of a body until a response begins."""
         completed = False
--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -164,8 +164,8 @@
 async def read_body(connection: http1.ServerConnection) -> calls.Body:
     """Buffers a small body; a larger one is streamed after its first part.
 
-    The rest of a larger body is read only as fast as it is forwarded. It can
-    be read only once, so the call is not retried.
+    The rest of a larger body is read only as fast as it is forwarded, and can
+    be read only once.
 
     Raises:
         http1.HttpError: Reading failed before any part was forwarded.
@@ -178,7 +178,8 @@
             return calls.Body(b"".join(parts))
         parts.append(chunk)
         size += len(chunk)
-    return calls.Body(b"".join(parts), _iterate_body(connection))
+    rest = calls.BodyStream(_iterate_body(connection))
+    return calls.Body(b"".join(parts), rest)
 
 
 async def _iterate_body(
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -113,18 +113,58 @@
     priority: int = 0
 
 
+class BodyStream:
+    """The part of a request body that is not buffered; it can be read once.
+
+    A second reader would get the remaining chunks, or none, and take them for
+    the whole rest of the body.
+
+    Args:
+        chunks: The chunks, as they arrive from the client.
+
+    Attributes:
+        begun: Whether a reader has asked for a chunk.
+    """
+
+    def __init__(self, chunks: AsyncIterator[bytes]):
+        self.chunks = chunks
+        self.begun = False
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Returns the chunks.
+
+        Raises:
+            BodyError: The stream was read before.
+        """
+        if self.begun:
+            raise BodyError("the body was read before", 502)
+        return self._read()
+
+    async def _read(self) -> AsyncIterator[bytes]:
+        self.begun = True
+        async for chunk in self.chunks:
+            yield chunk
+
+
 @dataclasses.dataclass(slots=True)
 class Body:
     """A request body: a buffered first part and a stream of the rest.
 
     Attributes:
         buffered: The bytes read so far.
-        rest: The remaining chunks, or None if the whole body is buffered. A
-            body with a rest can be sent only once.
+        rest: The remaining chunks, or None if the whole body is buffered.
     """
 
     buffered: bytes
-    rest: AsyncIterator[bytes] | None = None
+    rest: BodyStream | None = None
+
+    def can_be_sent(self) -> bool:
+        """Returns whether the whole body can be sent, perhaps once more.
+
+        This must hold before each attempt: an attempt that was refused may
+        have sent a part of the rest, which is gone.
+        """
+        return self.rest is None or not self.rest.begun
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -294,6 +294,9 @@
                     result = cut
                 history.add_result(candidate, result)
             self._log_attempt(call, candidate, history, result)
+            if not call.body.can_be_sent():
+                self._count_denial(retry.Denial.BODY_STREAMED)
+                break
             if history.retry_is_free:
                 continue
             if not self._may_retry(call, history):
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -221,7 +221,7 @@
             return Denial.NOT_IDEMPOTENT
         if call.is_retry:
             return Denial.RETRIED_ABOVE
-        if call.body.rest is not None:
+        if not call.body.can_be_sent():
             return Denial.BODY_STREAMED
         max_attempts = min(call.max_attempts, MAX_ATTEMPTS)
         if kind is RefusalKind.OVERLOADED:
