State the service of the settings in force as the caller

The caller protocol kept the service that the process had started with. The platform may also change the file without a signal, which nothing noticed.

Change: the protocol asks for the service at each request, and the node looks each second whether its settings file was written.

--- a/src/waxwingferry/platform/header_fields.py
+++ b/src/waxwingferry/platform/header_fields.py
@@ -1,5 +1,6 @@
 """Header fields exchanged with the platform's callers and targets."""
 
+from collections.abc import Callable
 import dataclasses
 import re
 
@@ -55,11 +56,12 @@
     """Header fields exchanged with the platform's callers.
 
     Args:
-        service: Service of the target on this VM, which sends the requests.
+        get_service: Returns the service of the target on this VM, which sends
+            the requests.
     """
 
-    def __init__(self, service: str):
-        self.service = service
+    def __init__(self, get_service: Callable[[], str]):
+        self.get_service = get_service
 
     def parse_context(self, headers: http1.Headers) -> call_context.CallContext:
         """See call_context.CallerProtocol."""
@@ -76,7 +78,7 @@
         forwarded = [
             item for item in headers if item[0] not in _NODE_SET_HEADERS
         ]
-        return [*forwarded, (CALLER_SERVICE, self.service)]
+        return [*forwarded, (CALLER_SERVICE, self.get_service())]
 
     def find_request_id(self, headers: http1.Headers) -> str:
         """See call_context.CallerProtocol."""
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -46,6 +46,7 @@
 MAX_HEALTH_BODY_BYTES = 64 * 1024
 # Time for peers to receive the datagrams that announce the leave of this node.
 LEAVE_DELAY_S = 0.3
+SETTINGS_CHECK_INTERVAL_S = 1.0
 
 log = structlog.get_logger()
 
@@ -59,6 +60,7 @@
 
     def __init__(self, settings: settings_file.Settings):
         self.settings = settings
+        self.settings_state = settings_file.read_state(_get_settings_path())
         self.store = table = store.StoreTable(
             exchange.Client(
                 settings.store_address.host, settings.store_address.port
@@ -89,7 +91,7 @@
             self.document,
             random.Random(),
             peers.PeerClient(),
-            header_fields.PlatformCallerProtocol(settings.service),
+            header_fields.PlatformCallerProtocol(lambda: self.settings.service),
             header_fields.PlatformTargetProtocol(),
             self.make_limit,
         )
@@ -351,6 +353,7 @@
                 self.sampler.run,
                 self.load_queries.run,
                 self.rollouts.run,
+                self.watch_settings,
             ):
                 group.start_soon(task)
             group.start_soon(self.datagrams.run, self.gossip.receive)
@@ -366,24 +369,39 @@
             log.info("node stopped", node=settings.node)
             group.cancel_scope.cancel()
 
+    async def watch_settings(self) -> None:
+        """Reloads the settings if their file changes without a signal."""
+        while True:
+            await anyio.sleep(SETTINGS_CHECK_INTERVAL_S)
+            state = settings_file.read_state(_get_settings_path())
+            if state != self.settings_state:
+                self.reload()
+
     def reload(self) -> None:
         """Reloads the settings; listen addresses stay as they were at start."""
+        path = _get_settings_path()
+        self.settings_state = settings_file.read_state(path)
         try:
-            self.settings = settings_file.load(
-                os.environ[settings_file.PATH_VARIABLE]
-            )
+            self.settings = settings_file.load(path)
         except settings_file.SettingsError as error:
             log.error("settings not reloaded", error=str(error))
             return
         self.stop_grace_s = self.settings.stop_grace_s
-        log.info("settings reloaded", node=self.settings.node)
+        log.info(
+            "settings reloaded",
+            node=self.settings.node,
+            service=self.settings.service,
+        )
+
+
+def _get_settings_path() -> str:
+    return os.environ.get(settings_file.PATH_VARIABLE, "")
 
 
 def main() -> None:
     """Runs the program."""
-    path = os.environ.get(settings_file.PATH_VARIABLE, "")
     try:
-        settings = settings_file.load(path)
+        settings = settings_file.load(_get_settings_path())
     except settings_file.SettingsError as error:
         print(f"waxwingferry-sidecar: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
--- a/src/waxwingferry/platform/settings_file.py
+++ b/src/waxwingferry/platform/settings_file.py
@@ -1,14 +1,19 @@
 """Settings file that the platform writes for each node."""
 
 import dataclasses
+import os
 import pathlib
 import tomllib
 from typing import Any
 
+import structlog
+
 from waxwingferry.platform import parsing
 
 PATH_VARIABLE = "WAXWINGFERRY_SETTINGS"
 
+log = structlog.get_logger()
+
 
 class SettingsError(Exception):
     """The settings are invalid; the message is a single line."""
@@ -90,6 +95,20 @@
     stop_grace_s: float | None = None
 
 
+def read_state(path: str) -> tuple[int, int, int] | None:
+    """Returns what shows that the file was written: time, size and inode.
+
+    Returns:
+        None if there is no such file.
+    """
+    try:
+        state = os.stat(path)
+    except OSError as error:
+        log.debug("settings file not found", path=path, error=str(error))
+        return None
+    return state.st_mtime_ns, state.st_size, state.st_ino
+
+
 def load(path: str) -> Settings:
     """Reads and checks the settings file.
 
--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -8,6 +8,7 @@
 
 from waxwingferry.bench import ports
 from waxwingferry.connection import exchange
+from waxwingferry.platform import header_fields
 from waxwingferry.platform import main
 from waxwingferry.platform import settings_file
 from waxwingferry.platform.tests import test_settings_file
@@ -123,6 +124,22 @@
     assert node.entry.stop_deadline.remaining_s() < 3.0
 
 
+async def test_calls_state_the_service_of_the_reloaded_settings(
+    node, monkeypatch
+):
+    """Guards against calls that state the earlier service of their VM.
+
+    A target of another service had taken over the address, and the settings
+    had changed with a signal.
+    """
+    monkeypatch.setenv(settings_file.PATH_VARIABLE, "settings.toml")
+    settings = dataclasses.replace(node.settings, service="other")
+    monkeypatch.setattr(settings_file, "load", lambda _: settings)
+    node.reload()
+    headers = node.entry.protocol.prepare_request_headers([])
+    assert headers == [(header_fields.CALLER_SERVICE, "other")]
+
+
 async def test_the_warmup_rate_stays_below_the_bound_of_the_platform(node):
     """Guards against a rate that leaves no margin for bunched requests."""
     apply_document(node, 6.9)
--- a/src/waxwingferry/platform/tests/test_signals.py
+++ b/src/waxwingferry/platform/tests/test_signals.py
@@ -138,6 +138,23 @@
         assert await node.wait() == 0
 
 
+async def test_settings_that_change_without_a_signal_are_reloaded(
+    tmp_path,
+) -> None:
+    """Guards against calls that state the earlier service of their VM.
+
+    The platform may write the settings file and send no signal.
+    """
+    data = _make_settings(ports.PortAllocator())
+    async with run_node(tmp_path, data) as node:
+        await node.wait_for("node started")
+        data["self"]["service"] = "other"
+        (tmp_path / "settings.toml").write_text(_format_settings(data))
+        await node.wait_for("settings reloaded")
+        node.process.terminate()
+        assert await node.wait() == 0
+
+
 async def test_a_reload_while_a_process_starts_does_not_end_it(
     tmp_path, monkeypatch
 ) -> None:
--- a/src/waxwingferry/platform/tests/test_target_messages.py
+++ b/src/waxwingferry/platform/tests/test_target_messages.py
@@ -132,7 +132,7 @@
 
 def make_attempt() -> calls.Attempt:
     """Returns an attempt as the node of the target receives it."""
-    protocol = header_fields.PlatformCallerProtocol("wuno96b")
+    protocol = header_fields.PlatformCallerProtocol(lambda: "wuno96b")
     headers = protocol.prepare_request_headers(
         [
             ("host", "a.example"),
@@ -242,7 +242,7 @@
 
 def test_a_deadline_that_is_not_a_number_is_refused():
     """Guards against signs and spaces, which int() would accept."""
-    protocol = header_fields.PlatformCallerProtocol("s")
+    protocol = header_fields.PlatformCallerProtocol(lambda: "s")
     assert protocol.parse_context([]).deadline_ms is None
     with pytest.raises(http1.HttpError):
         protocol.parse_context([(header_fields.DEADLINE_MS, "+5")])
