Refuse calls with a negative time left as late, not as wrong

A backend that calls on behalf of a request whose time has just passed may state a negative time, or one with a fraction. Such a call got status 400, which tells its caller that it was wrong and must not be sent again (DENIED). Found by reading, while the report of proper requests that were turned away was traced; no run shows that a caller sends such a time.

Change: on the users' platform a time below 0 counts as 0 and is refused as not run with 503; fractions are rounded, times of up to 30 digits are capped. The project's own protocol is stricter and unchanged.

Evidence: four of the six new cases fail on the code before.

--- a/src/waxwingferry/platform/header_fields.py
+++ b/src/waxwingferry/platform/header_fields.py
@@ -26,6 +26,9 @@
 
 # Set by the node itself; values sent by a caller are removed.
 _NODE_SET_HEADERS = frozenset({CALLER_SERVICE, EXPECTED_TARGET, DEADLINE_MS})
+# Larger times are as good as none.
+MAX_DEADLINE_MS = 999_999_999
+_TIME_LEFT = re.compile(r"-?[0-9]{1,30}(?:\.[0-9]{1,30})?")
 _MILLISECONDS = re.compile(r"[0-9]{1,9}")
 _LOAD_FIGURE = re.compile(r"[0-9]{1,9}")
 _HEALTH_FIELDS = frozenset(
@@ -68,9 +71,7 @@
         text = http1.find_header(headers, DEADLINE_MS)
         deadline_ms = None
         if text:
-            if not _MILLISECONDS.fullmatch(text):
-                raise http1.HttpError(f"{DEADLINE_MS} = {text!r}: not a number")
-            deadline_ms = int(text)
+            deadline_ms = _parse_deadline_ms(text)
         return call_context.CallContext(0, deadline_ms, False)
 
     def prepare_request_headers(self, headers: http1.Headers) -> http1.Headers:
@@ -91,6 +92,20 @@
         return headers
 
 
+def _parse_deadline_ms(text: str) -> int:
+    """Parses the time that a caller has left, in milliseconds.
+
+    A target that calls on behalf of a request whose time has passed may state a
+    negative one. Its call is refused like one that has no time left.
+
+    Raises:
+        http1.HttpError: The value is not a number (status 400).
+    """
+    if not _TIME_LEFT.fullmatch(text):
+        raise http1.HttpError(f"{DEADLINE_MS} = {text!r}: must be a number")
+    return round(min(max(float(text), 0.0), MAX_DEADLINE_MS))
+
+
 class PlatformTargetProtocol(target.TargetProtocol):
     """Header fields exchanged with the platform's targets."""
 
--- a/src/waxwingferry/platform/tests/test_target_messages.py
+++ b/src/waxwingferry/platform/tests/test_target_messages.py
@@ -248,6 +248,28 @@
         protocol.parse_context([(header_fields.DEADLINE_MS, "+5")])
 
 
+@pytest.mark.parametrize(
+    ("text", "deadline_ms"),
+    [
+        ("0", 0),
+        ("-3", 0),
+        ("-0.4", 0),
+        ("12.6", 13),
+        ("007", 7),
+        ("9" * 30, header_fields.MAX_DEADLINE_MS),
+    ],
+)
+def test_odd_times_left_are_no_bad_requests(text, deadline_ms):
+    """Guards against calls that are turned away as if they were wrong.
+
+    A backend that calls on behalf of a request whose time has passed may state
+    a negative time, which got status 400.
+    """
+    protocol = header_fields.PlatformCallerProtocol(lambda: "s")
+    headers = [(header_fields.DEADLINE_MS, text)]
+    assert protocol.parse_context(headers).deadline_ms == deadline_ms
+
+
 def test_a_health_response_without_a_warmup_time_is_of_a_warm_target():
     """Guards against rate limiting a warm target after a node restart."""
     reply = exchange.Reply(200, [(header_fields.LOAD, "1,0,8")], b"")
