Log which request was refused without a call, and count rejected ones

Change: such refusals name the request, its host and path and the revision in force; rejected requests are logged and counted by reason.

Evidence: the new tests fail on the code before (no such line, no such hook).

--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -54,10 +54,11 @@
 
 
 OnUnanswered = Callable[[http1.RequestHead, Unanswered], None]
+OnRejected = Callable[[http1.RequestHead | None, http1.HttpError], None]
 
 
 def ignore_unanswered(*_: object) -> None:
-    """Default for Server.on_unanswered: does nothing."""
+    """Default for Server.on_unanswered and on_rejected: does nothing."""
 
 
 class Server:
@@ -90,6 +91,8 @@
         failures: Number of connections ended by an unexpected error.
         on_unanswered: Called with each request that was read and whose
             connection ended without a complete response.
+        on_rejected: Called with each invalid request that gets an error
+            response; its head is None if that was not read.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         self.listener: tcp.Listener | None = None
         self.failures = 0
         self.on_unanswered: OnUnanswered = ignore_unanswered
+        self.on_rejected: OnRejected = ignore_unanswered
         self.port = 0
 
     async def serve(self, host: str, port: int) -> None:
@@ -235,7 +239,7 @@
                 head = await self._receive_head(requests)
             except http1.HttpError as error:
                 await requests.wait_until_empty()
-                await _send_error_response(connection, error)
+                await self._reject(connection, None, error)
                 return
             if head is None:
                 return
@@ -315,11 +319,21 @@
                 # The response is incomplete, so the connection must close
                 # without an end of message.
                 raise
-            await _send_error_response(connection, error)
+            await self._reject(connection, head, error)
         finally:
             self.active.discard(connection)
             self.changed.set()
 
+    async def _reject(
+        self,
+        connection: http1.ServerConnection,
+        head: http1.RequestHead | None,
+        error: http1.HttpError,
+    ) -> None:
+        if not isinstance(error, http1.ConnectionLostError):
+            self.on_rejected(head, error)
+        await _send_error_response(connection, error)
+
     def _begin(self, connection: http1.ServerConnection) -> None:
         connection.call_started_s = time.monotonic()
         self.active.add(connection)
--- a/src/waxwingferry/connection/tests/test_unanswered.py
+++ b/src/waxwingferry/connection/tests/test_unanswered.py
@@ -118,3 +118,37 @@
     assert await reports.run(GET % 2, 1, close=True) == [
         ("/2", serve.Unanswered.CLIENT_CLOSED)
     ]
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"GET\r\n\r\n", (None, 400)),
+        (
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"no length\r\n",
+            ("/1", 400),
+        ),
+    ],
+    ids=["head", "body"],
+)
+async def test_a_rejected_request_is_reported(data, expected):
+    """Guards against requests that are rejected without a trace."""
+    found = []
+
+    async def handle(connection, head):
+        while await connection.receive_chunk() is not None:
+            pass
+
+    server = serve.Server(handle)
+    server.on_rejected = lambda head, error: found.append(
+        (head.target if head else None, error.status)
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve, wire.HOST, 0)
+        await server.listening.wait()
+        with anyio.fail_after(TIMEOUT_S):
+            answer = await wire.exchange(server.port, data)
+        group.cancel_scope.cancel()
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert found == [expected]
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -36,6 +36,7 @@
 from waxwingferry.request import calls
 from waxwingferry.request import entry
 from waxwingferry.request import forward
+from waxwingferry.request import outcome
 from waxwingferry.request import peer
 from waxwingferry.request import receive
 from waxwingferry.version import revision
@@ -147,6 +148,7 @@
             self.entry.handle, may_overlap=self.entry.may_overlap
         )
         self.caller_server.on_unanswered = self.record_unanswered
+        self.caller_server.on_rejected = self.record_rejected
         self.peer_server = make_peer_server(self.handle_peer)
 
     def _make_control_plane(self, client: peers.PeerClient) -> None:
@@ -247,6 +249,24 @@
             stopping=self.stop_requested.is_set(),
         )
 
+    def record_rejected(
+        self, head: http1.RequestHead | None, error: http1.HttpError
+    ) -> None:
+        """Counts and logs a caller's request that is invalid."""
+        reason = outcome.Reason.BAD_REQUEST
+        if error.status == serve.BODY_TOO_LARGE_STATUS:
+            reason = outcome.Reason.BODY_TOO_LARGE
+        self.counters.refusals.inc({"kind": "not_run", "reason": reason.value})
+        log.info(
+            "request rejected",
+            request=self.entry.protocol.find_request_id(head.headers)
+            if head
+            else "",
+            reason=reason.value,
+            status=error.status,
+            error=str(error),
+        )
+
     def count_ejection(self, candidate: known_target.Candidate) -> None:
         """Counts the ejection of a target that fails far more than others."""
         self.counters.events.inc({"name": "ejected"})
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import functools
 import random
 import time
 
@@ -34,6 +35,8 @@
 # Part of MAX_IN_FLIGHT that external calls may use. The rest is reserved for
 # nested calls: refusing one wastes the work already done for those above it.
 EXTERNAL_SHARE = 0.8
+# Characters of a path in the log line of a refused request.
+MAX_LOGGED_PATH = 80
 
 
 _WRONG_INCARNATION = outcome.NotRun(outcome.Reason.WRONG_INCARNATION)
@@ -128,17 +131,17 @@
             context = self.protocol.parse_context(head.headers)
         except http1.HttpError:
             refusal = outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
-            await self._refuse(connection, refusal)
+            await self._refuse_early(connection, head, refusal)
             return
         if not self._has_capacity(context.depth):
             refusal = outcome.NotRun(outcome.Reason.ENTRY_FULL)
-            await self._refuse(connection, refusal)
+            await self._refuse_early(connection, head, refusal)
             return
         self.in_flight += 1
         try:
             call = await self._make_call(connection, head, context)
             if isinstance(call, outcome.NotRun):
-                await self._refuse(connection, call)
+                await self._refuse_early(connection, head, call)
                 return
             self.retry_policy.count_call(call)
             started_s = time.monotonic()
@@ -174,11 +177,14 @@
             # Reading the body took too long; an attempt would time out and
             # its outcome would be unknown.
             refusal = outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
-            await self._refuse(connection, refusal)
+            await self._refuse(connection, refusal, call)
             return
         if call.key and self.claims is not None:
             await self.claims.run(
-                connection, call, self._run_attempts, self._refuse
+                connection,
+                call,
+                self._run_attempts,
+                functools.partial(self._refuse, call=call),
             )
             return
         try:
@@ -188,7 +194,7 @@
             if error.status == 413:
                 reason = outcome.Reason.BODY_TOO_LARGE
             await self._refuse(
-                connection, outcome.Unknown(reason, error.status)
+                connection, outcome.Unknown(reason, error.status), call
             )
 
     async def _make_call(
@@ -460,19 +466,45 @@
         finally:
             self.router.finish_attempt(candidate)
 
+    async def _refuse_early(
+        self,
+        connection: http1.ServerConnection,
+        head: http1.RequestHead,
+        refusal: outcome.NotRun,
+    ) -> None:
+        """Refuses a request that was not made a call."""
+        revision = self.revision()
+        log.info(
+            "request refused",
+            request=self.protocol.find_request_id(head.headers),
+            reason=refusal.reason.value,
+            status=refusal.status,
+            host=http1.find_header(head.headers, "host"),
+            path=head.target.partition("?")[0][:MAX_LOGGED_PATH],
+            revision=revision.number if revision else 0,
+        )
+        await self._send_refusal(connection, refusal)
+
     async def _refuse(
         self,
         connection: http1.ServerConnection,
         refusal: outcome.NotRun | outcome.Unknown,
-        call: calls.Call | None = None,
+        call: calls.Call,
     ) -> None:
         log.info(
             "request refused",
-            request=call.request_id if call else "",
-            service=call.service if call else "",
+            request=call.request_id,
+            service=call.service,
             reason=refusal.reason.value,
             status=refusal.status,
         )
+        await self._send_refusal(connection, refusal)
+
+    async def _send_refusal(
+        self,
+        connection: http1.ServerConnection,
+        refusal: outcome.NotRun | outcome.Unknown,
+    ) -> None:
         kind = "not_run" if isinstance(refusal, outcome.NotRun) else "unknown"
         self.counters.refusals.inc(
             {"kind": kind, "reason": refusal.reason.value}
--- a/src/waxwingferry/request/tests/test_entry_limits.py
+++ b/src/waxwingferry/request/tests/test_entry_limits.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 import pytest
+import structlog.testing
 
 from waxwingferry.connection import http1
 from waxwingferry.process import metrics
@@ -70,6 +71,20 @@
     assert await ask(in_flight, headers) == expected
 
 
+@pytest.mark.anyio
+async def test_a_refusal_without_a_call_names_its_request() -> None:
+    """Guards against refusals that no record of a client can be matched to."""
+    with structlog.testing.capture_logs() as logs:
+        await ask(0, [("host", "a.example")])
+    (line,) = logs
+    assert line["reason"] == "no_document"
+    assert (line["host"], line["path"], line["revision"]) == (
+        "a.example",
+        "/",
+        0,
+    )
+
+
 # Requests that came during a planned stop were passed on or queued, and
 # cut off when the process was killed.
 @pytest.mark.anyio
