Follow a store that comes back older without stating an era

Change: responses are linearizable, so a version below one that was known when the request was sent shows a restore if no era is stated. After a failed poll the table is read whole then, and a node that has not noticed learns of it from peers.

Evidence: the three new cases fail on the code before.

--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -129,6 +129,7 @@
         if platform.get_era(number) > platform.get_era(self.version or 0):
             # A peer knows of a restore. A poll from a version of before it may
             # wait for long without any response.
+            self.table.learn_restores(platform.get_era(number))
             self.interrupt_poll()
         return super().apply_if_newer(number, content)
 
@@ -156,6 +157,11 @@
                 if self.version is None:
                     await self._read()
             return
+        if self.poll_failed and self.table.era is None:
+            # The store may be a copy, and nothing would state it.
+            await self.read()
+            self.poll_failed = False
+            return
         known_version = self.version
         rows: list[platform.Row] = []
         version = known_version
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -91,6 +91,9 @@
 class StoreTable:
     """See process.platform.Table.
 
+    Responses are linearizable. So if the store states no era, a version that
+    went back since the request was sent shows a restore as well.
+
     Args:
         client: HTTP client of the store.
         timeout_s: Response timeout of all requests except long polls.
@@ -98,7 +101,9 @@
             from a copy since an earlier response.
 
     Attributes:
-        era: Era of the newest response, or None before the first one.
+        era: Era of the newest response, or None if none was stated.
+        unstated_restores: Restores that versions or peers have shown while the
+            store stated no era.
         newest_version: Newest version of the store in that era.
         on_malformed: Called once for each version of a row whose value is not
             a JSON object.
@@ -116,6 +121,7 @@
         self.timeout_s = timeout_s
         self.on_restored = on_restored
         self.era: int | None = None
+        self.unstated_restores = 0
         self.newest_version = 0
         self.on_malformed: Callable[[], None] = lambda: None
         self.malformed_rows = ReportedRows()
@@ -128,7 +134,13 @@
         It is the era of versions, so that the versions of a store that was
         never restored are the store's own.
         """
-        return max((self.era or 0) - FIRST_ERA, 0)
+        return max((self.era or 0) - FIRST_ERA, self.unstated_restores)
+
+    def learn_restores(self, count: int) -> None:
+        """Follows the restores that peers know of, if none are stated."""
+        if self.era is None and self.restores < count <= platform.MAX_ERA:
+            self.unstated_restores = count
+            self.newest_version = 0
 
     async def read(self, key: str) -> platform.Row | None:
         """See process.platform.Table."""
@@ -327,6 +339,7 @@
         timeout_s: float | None = None,
     ) -> exchange.Reply:
         headers = [("content-type", "application/json")] if body else []
+        known_version = self.newest_version
         try:
             reply = await self.client.request(
                 method,
@@ -340,8 +353,29 @@
         except exchange.ExchangeError as error:
             raise platform.PlatformError(str(error)) from error
         self._record_era(reply)
+        if self.era is None:
+            self._check_version(reply, known_version)
         return reply
 
+    def _check_version(self, reply: exchange.Reply, known_version: int) -> None:
+        """Detects a restore by a version that went back.
+
+        Args:
+            reply: The response.
+            known_version: Newest version when the request was sent.
+        """
+        version = _decode_response(reply).ver
+        if not 0 < version < known_version:
+            return
+        log.warning(
+            "store went back without stating an era",
+            old_version=known_version,
+            new_version=version,
+        )
+        self.unstated_restores += 1
+        self.newest_version = 0
+        self.on_restored()
+
     def _record_era(self, reply: exchange.Reply) -> None:
         """Records the era that a response states.
 
--- a/src/waxwingferry/platform/tests/fake_store.py
+++ b/src/waxwingferry/platform/tests/fake_store.py
@@ -57,6 +57,7 @@
         access: Access of the single node in most tests.
         oldest_kept: Oldest version whose later changes are kept.
         era: One more than the number of restores from a copy.
+        states_era: Whether responses state the era.
         polled: Set once a poll waits for changes.
         connections: Connections on which a request was received.
         silent: Connections that stay open and deliver nothing more.
@@ -70,6 +71,7 @@
         self.access = StoreAccess()
         self.oldest_kept = 0
         self.era = store.FIRST_ERA
+        self.states_era = True
         self.polled = anyio.Event()
         self.paths_called: list[str] = []
         self.connections: set[http1.ServerConnection] = set()
@@ -142,8 +144,7 @@
         if access.hangs or connection in self.silent:
             await anyio.sleep_forever()
         if access.status:
-            headers = [("Store-Era", str(self.era))]
-            await connection.send_head(access.status, headers, b"")
+            await connection.send_head(access.status, self._make_headers(), b"")
             return
         match url.path:
             case "/-/rows-tx":
@@ -160,8 +161,12 @@
         if access.drop_responses or connection in self.silent:
             await anyio.sleep_forever()
         data = {**data, "ver": self.version, "now": "1000ms"}
-        headers = [("Store-Era", str(self.era))]
-        await connection.send_head(status, headers, json.dumps(data).encode())
+        await connection.send_head(
+            status, self._make_headers(), json.dumps(data).encode()
+        )
+
+    def _make_headers(self) -> http1.Headers:
+        return [("Store-Era", str(self.era))] if self.states_era else []
 
     def _transact(self, body: dict) -> tuple[int, dict]:
         row_ids = [_row_id(item) for item in body["expected-rev"]]
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -630,3 +630,53 @@
         fake.put("op", "evacuate/a", {})
         await document.watch()
         assert get_config_version(document) == "r3"
+
+
+@pytest.mark.parametrize("found_by", ["expired history", "read", "peer"])
+async def test_a_restore_that_the_store_does_not_state_is_followed(found_by):
+    """Guards against changes that no node takes after versions went back.
+
+    Real nodes beside a store that states no era answered 404 on an added route
+    until the versions had passed those from before.
+    """
+    async with fake_store.run_store() as (fake, table):
+        fake.states_era = False
+        backup = fake.copy()
+        for number in range(3):
+            fake.put("op", "config", make_config(f"r{number + 1}"))
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        await document.read()
+        fake.restore(backup)
+        fake.put("op", "config", make_config("r4"))
+        with anyio.fail_after(5):
+            if found_by == "expired history":
+                await document.watch()
+            elif found_by == "read":
+                document.poll_failed = True
+                await document.watch()
+            else:
+                content = {"op/config": {"value": make_config("r4")}}
+                number = platform.make_version(1, 1)
+                assert document.apply_if_newer(number, content)
+                await document.read()
+                assert document.version == number
+            assert get_config_version(document) == "r4"
+            fake.put("op", "config", make_config("r5"))
+            await document.watch()
+        assert get_config_version(document) == "r5"
+        assert table.restores == 1
+
+
+async def test_overtaken_responses_show_no_restore():
+    """Guards against a restore that a slow response is taken for."""
+    async with fake_store.run_store() as (fake, table):
+        fake.states_era = False
+        fake.put("op", "config", make_config("r1"))
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        await document.read()
+        reply = exchange.Reply(200, [], b'{"rows": [], "ver": 1}')
+        fake.put("op", "config", make_config("r2"))
+        known_version = table.newest_version
+        await document.read()
+        table._check_version(reply, known_version)
+        assert table.restores == 0
