Don't let a read of the table replace a newer state

Change: rows and the version that they stand for are replaced together, and only by a version that is not older.

--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -134,10 +134,22 @@
         return super().apply_if_newer(number, content)
 
     def _replace_rows(self, rows: list[platform.Row], version: int) -> bool:
+        """Replaces all rows unless a newer state was read meanwhile.
+
+        Args:
+            rows: All rows of the table.
+            version: Version of the store that the rows stand for.
+
+        Returns:
+            Whether a newer document is in force.
+        """
+        if self.version is not None and version < self.version:
+            log.info("read of the table was overtaken", version=version)
+            return False
         self.rows = {
             row.key: _make_content(row) for row in rows if row.value is not None
         }
-        self.version = max(self.version or 0, version)
+        self.version = version
         number = max((row.version for row in rows), default=0)
         current = self.revision
         if current is not None and current.content != self.rows:
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -680,3 +680,24 @@
         await document.read()
         table._check_version(reply, known_version)
         assert table.restores == 0
+
+
+async def test_a_read_that_a_change_overtakes_is_not_applied():
+    """Guards against an older config that comes back with the next change.
+
+    The response of a read was late, and a poll delivered a change meanwhile.
+    The rows went back while the version stayed.
+    """
+    async with fake_store.run_store() as (fake, table):
+        fake.put("op", "config", make_config("r1"))
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        await document.read()
+        late = await table.read_table("op")
+        fake.put("op", "config", make_config("r2"))
+        await document.watch()
+        assert not document._replace_rows(*late)
+        fake.put("op", "evacuate/a", {})
+        await document.watch()
+        assert get_config_version(document) == "r2"
+        assert document.revision is not None
+        assert document.revision.domains_out == {"a"}
