Read the clock once in a decision on admission

The check that time is left and the assertion of it read the clock one after the other; the deadline passed between them. A pause of the process there does the same for any deadline.

Change: the dispatch of an attempt reads the clock once, and so do the decisions that share its check. A deadline that passes later is refused just before the attempt is sent, as before.

--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -306,22 +306,25 @@
                 return
             cost_s = max(self.estimate.all.mean(), MIN_COST_S)
             permit = self.queue.pop(cost_s, self._rank)
-            if self._will_miss_deadline(permit, 0.0, bool(self.queue)):
+            # The deadline may pass between two readings of the clock.
+            now_s = self.clock()
+            if self._will_miss_deadline(permit, now_s, 0.0, bool(self.queue)):
                 assert permit.member_queue is not None
                 self.queue.finish(permit.member_queue, cost_s, 0.0)
                 _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
                 continue
-            self._dispatch(permit, cost_s)
+            self._dispatch(permit, now_s, cost_s)
             self._refuse_overtaken(permit)
 
     def _refuse_overtaken(self, dispatched: Permit) -> None:
         """Refuses earlier attempts that are unlikely to finish in time."""
         assert dispatched.member_queue is not None
+        now_s = self.clock()
         overtaken = [
             permit
             for permit in dispatched.member_queue.items
             if permit.submitted_s <= dispatched.submitted_s
-            and self._will_miss_deadline(permit, 0.0, True)
+            and self._will_miss_deadline(permit, now_s, 0.0, True)
         ]
         self._refuse_queued(overtaken, outcome.Reason.DEADLINE_TOO_SHORT)
 
@@ -335,17 +338,17 @@
         left_s = permit.objective_s - self.clock()
         return not self.estimate.is_likely_within(permit.route, left_s), due_s
 
-    def _dispatch(self, permit: Permit, cost_s: float) -> None:
+    def _dispatch(self, permit: Permit, now_s: float, cost_s: float) -> None:
         self.running += 1
         limit = self.limit
         assert self.in_flight <= limit.value <= limit.slots
         assert self.find_closed_reason() is None
         assert permit.state is State.QUEUED
-        assert permit.deadline_s > self.clock()
+        assert permit.deadline_s > now_s
         permit.state = State.RUNNING
         permit.reset_count = limit.reset_count
         permit.in_flight = self.in_flight
-        permit.started_s = self.clock()
+        permit.started_s = now_s
         permit.charged_s = cost_s
         limit.record_dispatch()
         self.rate_limit.record_dispatch()
@@ -386,8 +389,9 @@
 
     def _should_reject(self, permit: Permit, member: str) -> bool:
         """Returns whether a new attempt is unlikely to finish in time."""
+        now_s = self.clock()
         if self.can_dispatch() and not self.queue:
-            return self._will_miss_deadline(permit, 0.0, False)
+            return self._will_miss_deadline(permit, now_s, 0.0, False)
         mean_s = self.estimate.all.mean()
         member_queue = self.queue.find_member_queue(member)
         ahead = self.queue.count_ahead(member_queue, max(mean_s, MIN_COST_S))
@@ -399,12 +403,12 @@
             self.limit.estimate_rate_limit_wait_s(ahead),
             self.rate_limit.estimate_wait_s(ahead),
         )
-        return self._will_miss_deadline(permit, wait_s, False)
+        return self._will_miss_deadline(permit, now_s, wait_s, False)
 
     def _will_miss_deadline(
-        self, permit: Permit, wait_s: float, contended: bool
+        self, permit: Permit, now_s: float, wait_s: float, contended: bool
     ) -> bool:
-        left_s = permit.deadline_s - self.clock()
+        left_s = permit.deadline_s - now_s
         if left_s <= 0:
             return True
         if permit.is_trial:
--- a/src/waxwingferry/process/protection/tests/test_admission.py
+++ b/src/waxwingferry/process/protection/tests/test_admission.py
@@ -410,3 +410,39 @@
         (permit,) = admission.queue
         assert 0.9 < permit.deadline_s - admission.clock() <= 1.0
         group.cancel_scope.cancel()
+
+
+class PassingClock:
+    """Clock that advances by a millisecond at each reading."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        """Returns the time."""
+        self.now_s += 0.001
+        return self.now_s
+
+
+@pytest.mark.parametrize("readings", range(-2, 40))
+@pytest.mark.parametrize("queued", [False, True])
+def test_a_deadline_that_passes_during_a_decision_ends_no_process(
+    readings: int, queued: bool
+) -> None:
+    """Guards against an assertion that ends a process with all its requests.
+
+    A deadline passed between the check that there is time left and the
+    assertion of it. The end of a process took up to 9 requests along.
+    """
+    clock = PassingClock()
+    admission = admissions.Admission(1, clock=clock)
+    first = admission.submit("a", clock() + 60) if queued else None
+    permit = admission.submit("a", clock.now_s + 0.001 * readings)
+    if first is not None:
+        admission.release(first, Ending.ANSWERED)
+    admission.advance()
+    assert permit.state in (State.RUNNING, State.QUEUED, State.ENDED)
+    if permit.state is State.RUNNING:
+        assert permit.deadline_s > permit.started_s
+        admission.release(permit, Ending.NOT_SENT)
+    assert admission.running == 0
