Let the process that announced a leave withdraw it

Found in the read-through: since nodes remember targets that were announced as draining, a target of the project's own protocol that reports that it is ready again would get no more work, although the same process of its node announces it.

Change: the memory names the process that announced the leave; that process may withdraw it, a later one may not, and what a target stated itself stays. Also from the read-through: a stated era is followed alone, hosts in log lines are cut at 80 characters, and a default hook is named for both of its uses.

--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -57,7 +57,7 @@
 OnRejected = Callable[[http1.RequestHead | None, http1.HttpError], None]
 
 
-def ignore_unanswered(*_: object) -> None:
+def ignore_report(*_: object) -> None:
     """Default for Server.on_unanswered and on_rejected: does nothing."""
 
 
@@ -117,8 +117,8 @@
         self.listening = anyio.Event()
         self.listener: tcp.Listener | None = None
         self.failures = 0
-        self.on_unanswered: OnUnanswered = ignore_unanswered
-        self.on_rejected: OnRejected = ignore_unanswered
+        self.on_unanswered: OnUnanswered = ignore_report
+        self.on_rejected: OnRejected = ignore_report
         self.port = 0
 
     async def serve(self, host: str, port: int) -> None:
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -134,7 +134,9 @@
         It is the era of versions, so that the versions of a store that was
         never restored are the store's own.
         """
-        return max((self.era or 0) - FIRST_ERA, self.unstated_restores)
+        if self.era is None:
+            return self.unstated_restores
+        return max(self.era - FIRST_ERA, 0)
 
     def learn_restores(self, count: int) -> None:
         """Follows the restores that peers know of, if none are stated."""
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -171,9 +171,10 @@
         candidates: All targets by node, for the entry.
         removed_orders: Orders of removed rows, so that a peer that still
             has them can't add them again.
-        leaving_targets: Incarnations of targets that leave, as their nodes
-            announced or as they stated in a response. Their nodes may announce
-            them as ready after a restart.
+        leaving_targets: Incarnations of targets that leave, with the process of
+            their node that announced it; empty if a target stated it in a
+            response. A later process may not know of it and announce the
+            target as ready.
         predecessor: Newest row of another process of this node, or None.
         on_predecessor: Called when the predecessor changes.
         fingerprint: Hash of all rows, independent of their order of arrival.
@@ -204,7 +205,7 @@
         self.records: dict[str, Record] = {}
         self.candidates: dict[str, known_target.Candidate] = {}
         self.removed_orders: dict[str, tuple[int, int, str]] = {}
-        self.leaving_targets: dict[str, None] = {}
+        self.leaving_targets: dict[str, str] = {}
         self.usable_targets: dict[str, list[known_target.Candidate]] | None = (
             None
         )
@@ -270,8 +271,7 @@
             previous is None or row.order > previous.order
         ):
             self.predecessor = row
-            if row.state == "draining":
-                self._remember_leaving(row.target)
+            self._record_state(row)
             self.on_predecessor()
         if self.own is None or row.incarnation == self.own.incarnation:
             return
@@ -287,8 +287,7 @@
             self.fingerprint ^= old.row.fingerprint()
         self.fingerprint ^= row.fingerprint()
         self.records[row.node] = Record(row, self.clock())
-        if row.state == "draining":
-            self._remember_leaving(row.target)
+        self._record_state(row)
         self._update_candidate(row)
         self.usable_targets = None
 
@@ -298,26 +297,32 @@
         Args:
             target: Incarnation of the target.
         """
-        if not self._remember_leaving(target):
+        if not target or target in self.leaving_targets:
             return
+        self._remember_leaving(target, "")
         log.info("leave passed on in an answer", target=target)
         for record in self.records.values():
             if record.row.target == target:
                 self._update_candidate(record.row)
         self.usable_targets = None
 
-    def _remember_leaving(self, target: str) -> bool:
-        """Adds a target to leaving_targets; returns whether it is new."""
-        if not target or target in self.leaving_targets:
-            return False
+    def _record_state(self, row: MemberRow) -> None:
+        """Records whether a node's process announces that its target leaves."""
+        announced_by = self.leaving_targets.get(row.target)
+        if row.state == "draining" and row.target and announced_by != "":
+            self._remember_leaving(row.target, row.incarnation)
+        elif row.state == "ready" and announced_by == row.incarnation:
+            # The process that announced it withdraws it.
+            del self.leaving_targets[row.target]
+
+    def _remember_leaving(self, target: str, announced_by: str) -> None:
         while len(self.leaving_targets) >= MAX_MEMBERS:
             del self.leaving_targets[next(iter(self.leaving_targets))]
-        self.leaving_targets[target] = None
-        return True
+        self.leaving_targets[target] = announced_by
 
     def _mark_leaving(self, row: MemberRow) -> MemberRow:
         """Returns a row whose state is draining if its target leaves."""
-        if row.target in self.leaving_targets and row.state == "ready":
+        if row.state == "ready" and row.target in self.leaving_targets:
             return msgspec.structs.replace(row, state="draining")
         return row
 
--- a/src/waxwingferry/process/spreading/tests/test_members.py
+++ b/src/waxwingferry/process/spreading/tests/test_members.py
@@ -151,3 +151,19 @@
         msgspec.structs.replace(restarted, change=3, target="i-1:20")
     )
     assert membership.candidates["n1"].state == "ready"
+
+
+def test_a_process_can_withdraw_the_leave_that_it_announced():
+    """Guards against a target that gets no work after its drain was ended.
+
+    Targets of the project's own protocol may report that they are ready again.
+    """
+    membership = members.Membership("n0", fakes.Clock())
+    row = fakes.make_row(1, target="i-1:10", state="draining")
+    membership.apply(row)
+    membership.apply(msgspec.structs.replace(row, state="ready", change=2))
+    assert membership.candidates["n1"].state == "ready"
+    membership.record_leaving("i-1:10")
+    membership.apply(msgspec.structs.replace(row, change=3))
+    membership.apply(msgspec.structs.replace(row, state="ready", change=4))
+    assert membership.candidates["n1"].state == "draining"
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -35,8 +35,8 @@
 # Part of MAX_IN_FLIGHT that external calls may use. The rest is reserved for
 # nested calls: refusing one wastes the work already done for those above it.
 EXTERNAL_SHARE = 0.8
-# Characters of a path in the log line of a refused request.
-MAX_LOGGED_PATH = 80
+# Characters of a host or path in the log line of a refused request.
+MAX_LOGGED_LENGTH = 80
 
 
 _WRONG_INCARNATION = outcome.NotRun(outcome.Reason.WRONG_INCARNATION)
@@ -479,8 +479,8 @@
             request=self.protocol.find_request_id(head.headers),
             reason=refusal.reason.value,
             status=refusal.status,
-            host=http1.find_header(head.headers, "host"),
-            path=head.target.partition("?")[0][:MAX_LOGGED_PATH],
+            host=http1.find_header(head.headers, "host")[:MAX_LOGGED_LENGTH],
+            path=head.target.partition("?")[0][:MAX_LOGGED_LENGTH],
             revision=revision.number if revision else 0,
         )
         await self._send_refusal(connection, refusal)
