Let only probers announce a change to all nodes

Found in the read-through: each node that replaced a silent poll announced the next changes to all others, so that one change among 195 nodes would have cost 195 times 194 datagrams. The probers alone know of it first, so they alone tell all.

Evidence: the new assertion fails on the code before (the tests of the module pass).

--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -55,7 +55,7 @@
         is_prober: Tells whether this is a probing node.
         on_silent: Called when a poll got no response and a second one, over a
             new connection, did.
-        silence_found_s: Monotonic time of the latest such poll.
+        silence_found_s: Monotonic time of the latest such poll as a prober.
     """
 
     def __init__(
@@ -99,7 +99,11 @@
             self.poll_scope.cancel()
 
     def others_may_be_silent(self) -> bool:
-        """Tells whether polls of other nodes may wait on silent connections."""
+        """Tells whether polls of other nodes may wait on silent connections.
+
+        Only a prober tells so: if each node announced the same change to all
+        others, the datagrams would grow with the square of their number.
+        """
         return self.clock() - self.silence_found_s < SILENCE_S
 
     async def read_missed_changes(self) -> None:
@@ -121,7 +125,6 @@
 
     def _record_silence(self) -> None:
         log.warning("connection to the store was silent")
-        self.silence_found_s = self.clock()
         self.on_silent()
 
     def apply_if_newer(self, number: int, content: Any) -> bool:
@@ -211,7 +214,8 @@
             # again; a poll from there would wait before it shows that.
             return await self.table.read_changes(TABLE, known_version, 0.0)
         wait_s, margin_s = store.FEED_WAIT_S, store.FEED_TIMEOUT_MARGIN_S
-        if self.is_prober():
+        is_prober = self.is_prober()
+        if is_prober:
             wait_s, margin_s = PROBE_WAIT_S, PROBE_MARGIN_S
         try:
             return await self.table.read_changes(
@@ -223,6 +227,8 @@
             TABLE, known_version, 0.0, store.FEED_TIMEOUT_MARGIN_S
         )
         self._record_silence()
+        if is_prober:
+            self.silence_found_s = self.clock()
         return changes
 
     def _apply_changes(self, rows: list[platform.Row], version: int) -> bool:
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -613,6 +613,7 @@
                 fake.put("op", "config", make_config("r2"))
                 await document.read_missed_changes()
         assert get_config_version(document) == "r2"
+        assert not document.others_may_be_silent()
 
 
 async def test_a_late_poll_does_not_undo_a_newer_change():
