Don't let peers that are gone delay a restarted node

Each waited 0.3 s for the row of its node, since one of the three peers that it asked was on a VM that had been removed.

Change: the node takes up its work while peers are asked, and rows are applied as they arrive; a leave that arrives late is applied by the hook for that.

Evidence: both new tests fail on the code before.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -210,12 +210,14 @@
         if self.store.restores:
             await self.synchronizer.complete_members()
         async with anyio.create_task_group() as group:
+            # Peers that don't respond must not delay the node; what arrives
+            # late is applied through on_predecessor.
             group.start_soon(self.synchronizer.load_own_row)
-            group.start_soon(self.load_decisions)
-        self.registration.apply_predecessor()
-        self.ready = True
-        self.announce()
-        await self.restore_target()
+            await self.load_decisions()
+            self.registration.apply_predecessor()
+            self.ready = True
+            self.announce()
+            await self.restore_target()
 
     async def load_decisions(self) -> None:
         """Loads the decisions on version rollouts, if the platform answers."""
--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -178,3 +178,22 @@
     push = gossip.LoadPush("n1", 0, 0, 6, 300, incarnation=incarnation)
     node.record_load_push(push)
     assert node.members.candidates["n1"].load.slowness == slowness
+
+
+async def test_a_node_is_ready_while_a_peer_does_not_respond(node, monkeypatch):
+    """Guards against a restarted node that is late because a peer is gone."""
+
+    async def do_nothing():
+        pass
+
+    monkeypatch.setattr(node.synchronizer, "load_initial_state", do_nothing)
+    monkeypatch.setattr(node.synchronizer, "load_own_row", anyio.sleep_forever)
+    monkeypatch.setattr(node, "load_decisions", do_nothing)
+    announced = anyio.Event()
+    monkeypatch.setattr(node, "announce", announced.set)
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            group.start_soon(node.join)
+            await announced.wait()
+            group.cancel_scope.cancel()
+    assert node.ready
--- a/src/waxwingferry/process/spreading/synchronizer.py
+++ b/src/waxwingferry/process/spreading/synchronizer.py
@@ -161,20 +161,28 @@
 
         It may have ended before it could write its newest row to the table.
         """
-        for row in await self._fetch_own_rows(OWN_ROW_TIMEOUT_S):
+
+        def apply(row: members.MemberRow) -> None:
             self.membership.apply(row)
             self._raise_generation([row])
 
+        await self._fetch_own_rows(OWN_ROW_TIMEOUT_S, apply)
+
     async def is_row_known(self, row: members.MemberRow) -> bool:
         """Tells whether a peer has a row of this node, or a newer one."""
-        rows = await self._fetch_own_rows(OWN_ROW_CHECK_TIMEOUT_S)
-        return any(found.order >= row.order for found in rows)
+        found: list[members.MemberRow] = []
+        await self._fetch_own_rows(OWN_ROW_CHECK_TIMEOUT_S, found.append)
+        return any(item.order >= row.order for item in found)
 
     async def _fetch_own_rows(
-        self, timeout_s: float
-    ) -> list[members.MemberRow]:
-        """Returns the rows that some peers have of this node."""
-        rows = []
+        self, timeout_s: float, on_row: Callable[[members.MemberRow], None]
+    ) -> None:
+        """Asks some peers for their row of this node.
+
+        Args:
+            timeout_s: Longest wait; some peers may not respond.
+            on_row: Called with each row as it arrives.
+        """
 
         async def fetch(address: gossip.Address) -> None:
             try:
@@ -185,13 +193,12 @@
                 log.info("own row not fetched", error=str(error))
                 return
             if row is not None:
-                rows.append(row)
+                on_row(row)
 
         with anyio.move_on_after(timeout_s):
             async with anyio.create_task_group() as group:
                 for address in self.gossiper.choose_peers(OWN_ROW_PEERS):
                     group.start_soon(fetch, address)
-        return rows
 
     def _find_peers(self) -> list[gossip.Address]:
         """Returns all seeds, the newest contact and some known peers."""
--- a/src/waxwingferry/process/spreading/tests/test_synchronizer.py
+++ b/src/waxwingferry/process/spreading/tests/test_synchronizer.py
@@ -252,6 +252,31 @@
     assert synced.node_lease.generation > leaving.generation
 
 
+async def test_a_peer_that_does_not_respond_delays_no_row(synced, monkeypatch):
+    """Guards against a restarted node that waits for a peer that is gone.
+
+    All nodes were killed, and each waited 0.3 s for a VM that had been removed
+    before it took up its target; half of the requests of that time were late.
+    """
+    leaving = fakes.make_row(0, state="draining", target="i-1:10")
+
+    async def fetch_member(address, node):
+        if address == SEEDS[0]:
+            await anyio.sleep_forever()
+        return leaving
+
+    monkeypatch.setattr(synchronizer, "OWN_ROW_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(synced.client, "fetch_member", fetch_member)
+    applied = anyio.Event()
+    synced.membership.on_predecessor = applied.set
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            group.start_soon(synced.load_own_row)
+            await applied.wait()
+            group.cancel_scope.cancel()
+    assert synced.membership.predecessor == leaving
+
+
 @pytest.mark.parametrize(
     ("change", "known"), [(None, False), (1, False), (2, True), (3, True)]
 )
