Probe only where a node knows that it is one of the probers

At the start 195 nodes know no members, and each took itself for a prober and polled each second until they had found each other.

Change: a node without a target, which knows of no members, is no prober.

Evidence: the changed case and the new test fail on the code before (no such method).

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -46,7 +46,7 @@
 MAX_HEALTH_BODY_BYTES = 64 * 1024
 # Time for peers to receive the datagrams that announce the leave of this node.
 LEAVE_DELAY_S = 0.3
-SETTINGS_CHECK_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 1.0
 
 log = structlog.get_logger()
 
@@ -355,7 +355,7 @@
                 self.sampler.run,
                 self.load_queries.run,
                 self.rollouts.run,
-                self.watch_settings,
+                self.run_periodic_checks,
             ):
                 group.start_soon(task)
             group.start_soon(self.datagrams.run, self.gossip.receive)
@@ -371,10 +371,14 @@
             log.info("node stopped", node=settings.node)
             group.cancel_scope.cancel()
 
-    async def watch_settings(self) -> None:
-        """Reloads the settings if their file changes without a signal."""
+    async def run_periodic_checks(self) -> None:
+        """Reloads settings that changed without a signal, and starts probing.
+
+        Whether this node is a prober changes with the members that it knows.
+        """
         while True:
-            await anyio.sleep(SETTINGS_CHECK_INTERVAL_S)
+            await anyio.sleep(CHECK_INTERVAL_S)
+            self.document.start_probing_if_due()
             state = settings_file.read_state(_get_settings_path())
             if state != self.settings_state:
                 self.reload()
--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -80,6 +80,8 @@
         self.poll_failed = False
         # Made with the first poll, because it needs a running event loop.
         self.poll_scope: anyio.CancelScope | None = None
+        # Whether the present poll is a long one.
+        self.polls_long = False
         # Whether an interrupted poll is followed by a read of the whole table.
         self.must_read = False
 
@@ -98,6 +100,11 @@
         if self.poll_scope is not None:
             self.poll_scope.cancel()
 
+    def start_probing_if_due(self) -> None:
+        """Replaces a long poll if this node has become a prober meanwhile."""
+        if self.polls_long and self.poll_scope is not None and self.is_prober():
+            self.poll_scope.cancel()
+
     def others_may_be_silent(self) -> bool:
         """Tells whether polls of other nodes may wait on silent connections.
 
@@ -217,12 +224,15 @@
         is_prober = self.is_prober()
         if is_prober:
             wait_s, margin_s = PROBE_WAIT_S, PROBE_MARGIN_S
+        self.polls_long = not is_prober
         try:
             return await self.table.read_changes(
                 TABLE, known_version, wait_s, margin_s
             )
         except store.ResponseTimeoutError as error:
             log.info("poll got no response", error=str(error))
+        finally:
+            self.polls_long = False
         changes = await self.table.read_changes(
             TABLE, known_version, 0.0, store.FEED_TIMEOUT_MARGIN_S
         )
--- a/src/waxwingferry/platform/tests/test_operator_document.py
+++ b/src/waxwingferry/platform/tests/test_operator_document.py
@@ -702,3 +702,26 @@
         assert get_config_version(document) == "r2"
         assert document.revision is not None
         assert document.revision.domains_out == {"a"}
+
+
+async def test_a_long_poll_ends_when_the_node_becomes_a_prober():
+    """Guards against silent connections that no node probes for 25 s.
+
+    At the start nodes don't know each other, and none is a prober.
+    """
+    probers: list[bool] = []
+    async with fake_store.run_store() as (fake, table):
+        fake.put("op", "config", make_config("r1"))
+        document = operator_document.OperatorDocument(table, BOUNDS)
+        document.is_prober = lambda: bool(probers)
+        await document.read()
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as group:
+                group.start_soon(document.watch)
+                await fake.polled.wait()
+                document.start_probing_if_due()
+                assert document.polls_long
+                probers.append(True)
+                document.start_probing_if_due()
+        assert not document.polls_long
+        assert fake.paths_called.count("/-/rows-get") == 1
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -504,14 +504,14 @@
     def is_prober(self) -> bool:
         """Tells whether this node is one of the last ones by name.
 
-        They are of different failure domains if there are several.
+        They are of different failure domains if there are several. A node
+        without a target is none, so that nodes that start together and don't
+        know each other yet do not all probe.
         """
         rows = self.peers()
         if self.own is not None:
             rows.append(self.own)
         rows = [row for row in rows if row.state != "leaving"]
-        if not rows:
-            return True
         rows.sort(key=lambda row: row.node, reverse=True)
         last_by_domain: dict[str, str] = {}
         for row in rows:
