--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -142,6 +142,7 @@
             self.id_rng,
             protocol,
             suspects=self.suspects,
+            running_requests=self.receiver.running,
         )
         self.peer = peer.PeerHandler(self.receiver, self.runner)
         self.caller_server = serve.Server(
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -25,6 +25,8 @@
 NODE_TIME_HEADER = "x-waxwing-node-time"
 # "PRIORITY,MS": priority of the attempt, and milliseconds until its objective.
 URGENCY_HEADER = "x-waxwing-urgency"
+# Name of the workspace whose key the caller presented.
+WORKSPACE_HEADER = "x-waxwing-workspace"
 # Makes the target's node finish the attempt and retain the answer, even if the
 # connection is lost.
 KEEP_HEADER = "x-waxwing-keep"
@@ -49,6 +51,7 @@
         NODE_TIME_HEADER,
         TARGET_HEADER,
         URGENCY_HEADER,
+        WORKSPACE_HEADER,
     }
 )
 
@@ -174,6 +177,8 @@
     Attributes:
         request_id: The caller's identifier of the request, for logs.
         canary: Whether it may go to the new version during a rollout.
+        depth: Depth in its chain of calls; 1 for one of an external caller.
+        workspace: Workspace whose key the caller presented, or "".
     """
 
     call_id: str
@@ -193,6 +198,7 @@
     route: str = ""
     canary: bool = False
     urgency: Urgency = Urgency()
+    workspace: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -209,6 +215,7 @@
             target is tried.
         target_incarnation: Incarnation of the target that it is meant for;
             empty for any.
+        workspace: Workspace whose key the caller presented, or "".
         on_dispatch: Called before the first byte is sent to the target;
             returns False if the attempt is fenced and must not be sent.
     """
@@ -231,6 +238,7 @@
     reroutable: bool = False
     target_incarnation: str = ""
     urgency: Urgency = Urgency()
+    workspace: str = ""
     on_dispatch: Callable[[], bool] | None = None
 
 
@@ -254,6 +262,7 @@
         bool(call.key) and not call.idempotent,
         target_incarnation=target_incarnation,
         urgency=call.urgency,
+        workspace=call.workspace,
     )
 
 
@@ -310,6 +319,8 @@
         left_ms = max(int(attempt.urgency.objective.remaining_s() * 1000), 0)
         text = f"{attempt.urgency.priority},{left_ms}"
         headers.append((URGENCY_HEADER, text))
+    if attempt.workspace:
+        headers.append((WORKSPACE_HEADER, attempt.workspace))
     if attempt.target_incarnation:
         headers.append((TARGET_HEADER, attempt.target_incarnation))
     return headers
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import functools
 import random
 import time
@@ -26,6 +27,7 @@
 from waxwingferry.request import forward
 from waxwingferry.request import outcome
 from waxwingferry.request import retry
+from waxwingferry.request import running
 from waxwingferry.version import revision as revisions
 from waxwingferry.version import rollout
 from waxwingferry.version import traffic_split
@@ -60,6 +62,7 @@
         protocol: Header fields exchanged with callers.
         max_in_flight: Limit of concurrent calls; more are refused.
         suspects: The requests that are suspected of ending targets.
+        running_requests: Requests that the local target is running.
 
     Attributes:
         claims: Claims of idempotency keys, or None if keys are not supported.
@@ -87,7 +90,9 @@
         protocol: call_context.CallerProtocol = call_context.DEFAULT_PROTOCOL,
         max_in_flight: int = MAX_IN_FLIGHT,
         suspects: crash_suspects.CrashSuspects | None = None,
+        running_requests: running.RunningRequests | None = None,
     ):
+        self.running = running_requests or running.RunningRequests()
         self.suspects = suspects or crash_suspects.CrashSuspects()
         self.node = node
         self.revision = revision
@@ -133,13 +138,18 @@
             refusal = outcome.NotRun(outcome.Reason.BAD_REQUEST, 400)
             await self._refuse_early(connection, head, refusal)
             return
+        parent = self.running.find_parent(
+            self.protocol.find_request_id(head.headers)
+        )
+        if parent is not None and not context.depth:
+            context = dataclasses.replace(context, depth=parent.depth)
         if not self._has_capacity(context.depth):
             refusal = outcome.NotRun(outcome.Reason.ENTRY_FULL)
             await self._refuse_early(connection, head, refusal)
             return
         self.in_flight += 1
         try:
-            call = await self._make_call(connection, head, context)
+            call = await self._make_call(connection, head, context, parent)
             if isinstance(call, outcome.NotRun):
                 await self._refuse_early(connection, head, call)
                 return
@@ -202,6 +212,7 @@
         connection: http1.ServerConnection,
         head: http1.RequestHead,
         context: call_context.CallContext,
+        parent: running.Parent | None,
     ) -> calls.Call | outcome.NotRun:
         revision = self.revision()
         if revision is None:
@@ -241,7 +252,9 @@
             headers=self.protocol.prepare_request_headers(headers),
             body=await answering.read_body(connection),
             deadline=deadline,
-            member=find(head.headers, service.member_header, ""),
+            member=parent.member
+            if parent and parent.member
+            else find(head.headers, service.member_header, ""),
             depth=context.depth + 1,
             idempotent=route.idempotent,
             is_retry=context.is_retry,
@@ -253,7 +266,10 @@
                 self.rollouts and self.rollouts.select_canary(service.name)
             ),
             urgency=calls.Urgency(
-                calls.make_deadline(route.objective_s), route.priority
+                calls.make_deadline(route.objective_s),
+                min(route.priority, parent.priority)
+                if parent
+                else route.priority,
             ),
         )
 
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -225,4 +225,5 @@
         reroutable=find(head.headers, calls.REROUTABLE_HEADER) == "1",
         target_incarnation=find(head.headers, calls.TARGET_HEADER),
         urgency=calls.parse_urgency(find(head.headers, calls.URGENCY_HEADER)),
+        workspace=find(head.headers, calls.WORKSPACE_HEADER),
     )
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -21,6 +21,7 @@
 from waxwingferry.request import calls
 from waxwingferry.request import fingerprint
 from waxwingferry.request import outcome
+from waxwingferry.request import running
 from waxwingferry.version import revision as revisions
 
 log = structlog.get_logger()
@@ -49,6 +50,7 @@
         suspects: The requests that are suspected of ending targets.
 
     Attributes:
+        running: Requests that the target is running.
         sample: The newest load report of the target, or None.
         sampled_s: Monotonic time of that report.
         on_sample: Called after each report.
@@ -72,6 +74,7 @@
         make_limit: Callable[[int], limits.Limit] | None = None,
         suspects: crash_suspects.CrashSuspects | None = None,
     ):
+        self.running = running.RunningRequests()
         self.suspects = suspects or crash_suspects.CrashSuspects()
         self.separator = crash_suspects.Separator()
         self.target_protocol = target_protocol
@@ -336,18 +339,33 @@
         initial_slowness = self.slowness()
         try:
             link = self.link
-            async with link.execute(attempt) as result:
-                self._count_refusal(result)
-                permit.record_head(self.admission.clock())
-                ending = _classify_ending(result, finished=False)
-                self._count_answer(attempt, permit, result, initial_slowness)
-                if isinstance(result, outcome.Answer):
-                    result = self._record_end_of_answer(attempt, link, result)
-                yield result
-                ending = _classify_ending(result, finished=True)
+            with self._track(attempt):
+                async with link.execute(attempt) as result:
+                    self._count_refusal(result)
+                    permit.record_head(self.admission.clock())
+                    ending = _classify_ending(result, finished=False)
+                    self._count_answer(
+                        attempt, permit, result, initial_slowness
+                    )
+                    if isinstance(result, outcome.Answer):
+                        result = self._record_end_of_answer(
+                            attempt, link, result
+                        )
+                    yield result
+                    ending = _classify_ending(result, finished=True)
         finally:
             self.admission.release(permit, ending)
 
+    def _track(
+        self, attempt: calls.Attempt
+    ) -> contextlib.AbstractContextManager[None]:
+        """Tracks an attempt at the target, to recognise its nested calls."""
+        protocol = self.target_protocol or target.TargetProtocol()
+        parent = running.Parent(
+            attempt.member, attempt.urgency.priority, attempt.depth
+        )
+        return self.running.track(protocol.get_correlation_id(attempt), parent)
+
     def _record_end_of_answer(
         self,
         attempt: calls.Attempt,
--- a/src/waxwingferry/version/revision.py
+++ b/src/waxwingferry/version/revision.py
@@ -35,6 +35,7 @@
             its full value.
         max_attempts: Maximum number of targets that one call may reach.
         priority: Priority; 0 is the highest.
+        anonymous: Whether requests need no key of a workspace.
     """
 
     name: str
@@ -47,6 +48,20 @@
     objective_s: float = 5.0
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     priority: int = 0
+    anonymous: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Workspace:
+    """Customer of a shared cluster, whose callers present API keys.
+
+    Attributes:
+        name: Unique name.
+        priority: Priority of its requests in place of their route's, or None.
+    """
+
+    name: str
+    priority: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -167,6 +182,7 @@
         rollouts: Rollout orders, by service.
         budgets: Budgets for work that the system causes itself.
         caller_limits: Limits on one caller.
+        workspaces: Workspaces by name; without any, callers need no keys.
     """
 
     def __init__(
@@ -179,6 +195,7 @@
         rollouts: dict[str, RolloutOrder] | None = None,
         budgets: Budgets | None = None,
         caller_limits: CallerLimits | None = None,
+        workspaces: dict[str, Workspace] | None = None,
     ):
         self.number = number
         self.content = content
@@ -187,11 +204,16 @@
         self.rollouts = rollouts or {}
         self.budgets = budgets or Budgets()
         self.caller_limits = caller_limits or CallerLimits()
+        self.workspaces = workspaces or {}
         self.routes_by_host: dict[str, _PrefixIndex] = {}
         for route in routes:
             index = self.routes_by_host.setdefault(route.host, _PrefixIndex())
             index.add(route)
 
+    def find_workspace(self, key: str) -> Workspace | None:
+        """Returns the workspace that holds an API key, or None."""
+        return None
+
     def match_route(
         self, method: str, target: str, host: str = ANY_HOST
     ) -> Route | None:
