Let nested calls go first, and spread the return of refused callers

Callers that were refused came back after the same 0.25 s and took the place of new ones that could still be on time.

Change: nested calls may spend the whole retry budget. A target that can't serve all nested calls refuses those of the same parents as other targets do. Retry-After is spread over what callers wait. The objective of a caller that states less time than others counts from when it began to wait.

--- a/src/waxwingferry/platform/header_fields.py
+++ b/src/waxwingferry/platform/header_fields.py
@@ -63,6 +63,8 @@
             the requests.
     """
 
+    states_total_wait = True
+
     def __init__(self, get_service: Callable[[], str]):
         self.get_service = get_service
 
@@ -127,6 +129,10 @@
         """See target.TargetProtocol."""
         return http1.find_header(attempt.headers, REQUEST_ID)
 
+    def find_parent_id(self, attempt: calls.Attempt) -> str:
+        """See target.TargetProtocol."""
+        return self.get_correlation_id(attempt).rpartition(".")[0]
+
     def read_correlation_id(self, head: http1.ResponseHead) -> str:
         """See target.TargetProtocol."""
         return http1.find_header(head.headers, REQUEST_ID)
--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -289,6 +289,11 @@
             return False
         return self.find_dispatch_time_s() <= self.clock()
 
+    def estimate_capacity_per_s(self) -> float:
+        """Returns how many requests per second the target can take now."""
+        mean_s = max(self.estimate.all.mean(), MIN_COST_S)
+        return min(self.limit.value / mean_s, self.limit.find_max_rate_per_s())
+
     def find_dispatch_time_s(self) -> float:
         """Returns the earliest time that the rate limits allow a request."""
         return max(
--- a/src/waxwingferry/process/protection/limit.py
+++ b/src/waxwingferry/process/protection/limit.py
@@ -123,6 +123,10 @@
         """Returns the earliest monotonic time for the next request."""
         return -math.inf
 
+    def find_max_rate_per_s(self) -> float:
+        """Returns the requests per second that the rate limit allows."""
+        return math.inf
+
     def estimate_rate_limit_wait_s(self, ahead: int) -> float:
         """Returns the wait due to the rate limit behind queued attempts."""
         return 0.0
--- /dev/null
+++ b/src/waxwingferry/process/protection/load_shedding.py
@@ -0,0 +1,73 @@
+"""Refuses nested calls of the same parents at all targets of a service.
+
+Load pattern: nested calls arrive faster than the targets of their service can
+take them, such as when a whole cluster restarts and its targets are in warm-up.
+A request with two calls ends well only if both are served. If each target
+chooses among the calls independently, a share p of them is served but only
+p x p of the parents. If all targets prefer the same parents, a share p of the
+parents ends well, and the calls of the others don't wait in queues.
+
+The targets don't talk to each other: each compares a hash of the parent's ID
+with the share of the calls that it can serve. H. Zhou et al., "Overload Control
+for Scaling WeChat Microservices" (SoCC 2018) describe such hashing for users.
+"""
+
+import collections
+from collections.abc import Callable
+import math
+import time
+
+import xxhash
+
+# Span over which arrivals are counted. A target in warm-up takes some tens of
+# requests within it; over a shorter span, random arrivals below its capacity
+# would often look like more.
+WINDOW_S = 2.0
+# After a pause or a restart the window isn't full; the rate is then taken over
+# the time since the first arrival, but at least over this time.
+MIN_SPAN_S = 0.5
+# With fewer arrivals in the window, their rate is not known well enough.
+MIN_ARRIVALS = 6
+_HASH_RANGE = 2.0**64
+
+
+def compute_level(parent_id: str) -> float:
+    """Returns a number in [0, 1) that all nodes compute alike."""
+    return xxhash.xxh3_64_intdigest(parent_id.encode()) / _HASH_RANGE
+
+
+class LoadShedding:
+    """Decides which nested calls a target refuses for lack of capacity.
+
+    Args:
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        self.clock = clock
+        self.arrivals_s: collections.deque[float] = collections.deque()
+
+    def count_arrivals(self) -> int:
+        """Returns the number of nested calls in the last window."""
+        oldest_s = self.clock() - WINDOW_S
+        while self.arrivals_s and self.arrivals_s[0] <= oldest_s:
+            self.arrivals_s.popleft()
+        return len(self.arrivals_s)
+
+    def should_refuse(self, parent_id: str, capacity_per_s: float) -> bool:
+        """Records a nested call; returns whether it should be refused.
+
+        Args:
+            parent_id: ID of the request that makes the call.
+            capacity_per_s: Nested calls per second that the target can take.
+        """
+        self.arrivals_s.append(self.clock())
+        arrivals = self.count_arrivals()
+        span_s = max(self.clock() - self.arrivals_s[0], MIN_SPAN_S)
+        capacity = capacity_per_s * span_s
+        # Random arrivals vary by about the square root of their mean; the
+        # queue takes such a short excess.
+        expected = capacity + math.sqrt(capacity)
+        if arrivals < MIN_ARRIVALS or arrivals <= expected:
+            return False
+        return compute_level(parent_id) >= capacity / arrivals
--- a/src/waxwingferry/process/protection/stated_limit.py
+++ b/src/waxwingferry/process/protection/stated_limit.py
@@ -86,6 +86,12 @@
             return -math.inf
         return self.dispatch_times_s[-max_dispatches] + RATE_WINDOW_S
 
+    def find_max_rate_per_s(self) -> float:
+        """See limit.Limit."""
+        if not self.is_warming_up():
+            return math.inf
+        return max(self.warmup_rate_per_s(), MIN_WARMUP_RATE_PER_S)
+
     def estimate_rate_limit_wait_s(self, ahead: int) -> float:
         """Returns the wait due to the rate limit behind queued attempts."""
         warmup_left_s = self.warmup_until_s - self.clock()
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -181,6 +181,10 @@
         """Returns the correlation ID that the response must repeat."""
         return attempt.attempt_id
 
+    def find_parent_id(self, attempt: calls.Attempt) -> str:
+        """Returns the ID of the request that makes a nested call, or ""."""
+        return ""
+
     def read_correlation_id(self, head: http1.ResponseHead) -> str:
         """Returns the correlation ID of a response, or an empty string."""
         return http1.find_header(head.headers, calls.ATTEMPT_HEADER)
--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -1,6 +1,7 @@
 """Streams bodies and answers between a caller's connection and an attempt."""
 
 from collections.abc import AsyncIterator
+import random
 
 from waxwingferry.connection import http1
 from waxwingferry.connection import pipeline
@@ -12,9 +13,14 @@
 
 MAX_COLLECTED_BYTES = 1024 * 1024
 
-# Sent as Retry-After with refusals. By then a queue that is full now has
+# Sent as Retry-After with most refusals. By then a queue that is full now has
 # advanced by about one service time.
 RETRY_AFTER_S = 0.25
+# After a refusal by a target that has room, for example a faulty one, a request
+# may come back at once; this covers the way back to its caller.
+ROOM_RETRY_AFTER_S = 0.02
+# Callers come back after at most this share of the time that they have left.
+MAX_RETRY_AFTER_SHARE = 1 / 3
 
 _INTERNAL_HEADERS = frozenset(
     {
@@ -145,18 +151,51 @@
     )
 
 
+def choose_retry_after_s(
+    refusal: outcome.NotRun | outcome.Unknown, left_s: float, draw: float
+) -> float:
+    """Returns after which time a caller should send a request again.
+
+    Load pattern: a burst, or the restart of a whole cluster, refuses many
+    requests within a moment. If all came back after the same time, they would
+    form the next burst, so their returns are spread over the time that callers
+    wait at most.
+
+    Args:
+        refusal: The refusal.
+        left_s: Time that the caller has left, or 0 if unknown.
+        draw: Random number from 0 to 1.
+    """
+    match refusal.reason:
+        case outcome.Reason.CRASHES_TARGETS:
+            return crash_suspects.SUSPECT_LIFETIME_S
+        case outcome.Reason.TARGET_REFUSED:
+            return ROOM_RETRY_AFTER_S
+        case outcome.Reason.QUEUE_FULL | outcome.Reason.DEADLINE_TOO_SHORT:
+            longest_s = max(left_s * MAX_RETRY_AFTER_SHARE, RETRY_AFTER_S)
+            return RETRY_AFTER_S + draw * (longest_s - RETRY_AFTER_S)
+        case _:
+            return RETRY_AFTER_S
+
+
 async def send_refusal(
     connection: http1.ServerConnection,
     refusal: outcome.NotRun | outcome.Unknown,
     extra: http1.Headers | None = None,
+    left_s: float = 0.0,
 ) -> None:
-    """Sends a refusal with its outcome and reason."""
+    """Sends a refusal with its outcome and reason.
+
+    Args:
+        connection: Connection of the caller, or of the entry node.
+        refusal: The refusal.
+        extra: Further header fields.
+        left_s: Time that the caller has left, or 0 if unknown.
+    """
     headers = outcome.refusal_headers(refusal) + (extra or [])
     if refusal.status == 503:
-        retry_after_s = RETRY_AFTER_S
-        if refusal.reason is outcome.Reason.CRASHES_TARGETS:
-            retry_after_s = crash_suspects.SUSPECT_LIFETIME_S
-        headers.append(("retry-after", f"{retry_after_s:g}"))
+        retry_after_s = choose_retry_after_s(refusal, left_s, random.random())
+        headers.append(("retry-after", f"{retry_after_s:.3g}"))
     body = f"{refusal.reason.value}\n".encode()
     await connection.send_head(refusal.status, headers, body)
 
--- a/src/waxwingferry/request/call_context.py
+++ b/src/waxwingferry/request/call_context.py
@@ -51,8 +51,15 @@
     """Header fields exchanged with callers; by default this project's own.
 
     A platform with other fields overrides the methods.
+
+    Attributes:
+        states_total_wait: Whether the time left that a caller states is what
+            remains of one wait over all its tries. The time that is missing
+            in comparison to other callers then shows how long it has waited.
     """
 
+    states_total_wait = False
+
     def parse_context(self, headers: http1.Headers) -> CallContext:
         """Returns the call chain that a request belongs to.
 
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -179,6 +179,8 @@
         canary: Whether it may go to the new version during a rollout.
         depth: Depth in its chain of calls; 1 for one of an external caller.
         workspace: Workspace whose key the caller presented, or "".
+        caller_deadline: Until when the caller waits, or None if it didn't say;
+            the route's own deadline may be earlier.
     """
 
     call_id: str
@@ -199,6 +201,13 @@
     canary: bool = False
     urgency: Urgency = Urgency()
     workspace: str = ""
+    caller_deadline: Deadline | None = None
+
+    def find_caller_left_s(self) -> float:
+        """Returns how long the caller still waits, 0 if that is unknown."""
+        if self.caller_deadline is None:
+            return 0.0
+        return max(self.caller_deadline.remaining_s(), 0.0)
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -21,6 +21,7 @@
 from waxwingferry.request import attempt_history
 from waxwingferry.request import attempt_runner
 from waxwingferry.request import call_context
+from waxwingferry.request import caller_age
 from waxwingferry.request import calls
 from waxwingferry.request import claim
 from waxwingferry.request import fingerprint
@@ -109,6 +110,7 @@
         self.load_queries: load_queries.LoadQueries | None = None
         self.stop_deadline: calls.Deadline | None = None
         self.draining = False
+        self.caller_ages = caller_age.CallerAges()
         self.max_in_flight = max_in_flight
         self.in_flight = 0
         self.retry_policy = retry.RetryPolicy(
@@ -234,7 +236,9 @@
         if isinstance(key, outcome.NotRun):
             return key
         deadline_s = route.deadline_s
+        caller_deadline = None
         if context.deadline_ms is not None:
+            caller_deadline = calls.make_deadline(context.deadline_ms / 1000)
             deadline_s = min(deadline_s, context.deadline_ms / 1000)
         # Set before the body is read, so that this time counts as well.
         deadline = calls.make_deadline(deadline_s)
@@ -262,17 +266,30 @@
             max_attempts=route.max_attempts,
             request_id=self.protocol.find_request_id(head.headers),
             route=route.name,
+            caller_deadline=caller_deadline,
             canary=bool(
                 self.rollouts and self.rollouts.select_canary(service.name)
             ),
-            urgency=calls.Urgency(
-                calls.make_deadline(route.objective_s),
-                min(route.priority, parent.priority)
-                if parent
-                else route.priority,
-            ),
+            urgency=self._find_urgency(route, context, parent),
         )
 
+    def _find_urgency(
+        self,
+        route: revisions.Route,
+        context: call_context.CallContext,
+        parent: running.Parent | None,
+    ) -> calls.Urgency:
+        """Returns the urgency of a call; callers that waited have less time."""
+        objective_s = route.objective_s
+        priority = route.priority
+        if parent is not None:
+            priority = min(priority, parent.priority)
+        elif context.deadline_ms and self.protocol.states_total_wait:
+            objective_s -= self.caller_ages.estimate_age_s(
+                route.name, context.deadline_ms / 1000
+            )
+        return calls.Urgency(calls.make_deadline(objective_s), priority)
+
     async def _run_attempts(
         self, connection: http1.ServerConnection, call: calls.Call
     ) -> None:
@@ -514,19 +531,20 @@
             reason=refusal.reason.value,
             status=refusal.status,
         )
-        await self._send_refusal(connection, refusal)
+        await self._send_refusal(connection, refusal, call.find_caller_left_s())
 
     async def _send_refusal(
         self,
         connection: http1.ServerConnection,
         refusal: outcome.NotRun | outcome.Unknown,
+        left_s: float = 0.0,
     ) -> None:
         kind = "not_run" if isinstance(refusal, outcome.NotRun) else "unknown"
         self.counters.refusals.inc(
             {"kind": kind, "reason": refusal.reason.value}
         )
         self.counters.calls.inc({"outcome": kind})
-        await answering.send_refusal(connection, refusal)
+        await answering.send_refusal(connection, refusal, left_s=left_s)
 
     def _log_attempt(
         self,
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -21,6 +21,8 @@
     DOMAIN_OUT = "domain_out"
     LEAVING = "leaving"
     QUEUE_FULL = "queue_full"
+    # A nested call that all targets of the service refuse alike.
+    LOAD_SHED = "load_shed"
     BUSY = "busy"
     WRONG_TARGET = "wrong_target"
     DEADLINE_TOO_SHORT = "deadline_too_short"
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -17,6 +17,7 @@
 from waxwingferry.process.protection import admission
 from waxwingferry.process.protection import crash_suspects
 from waxwingferry.process.protection import limit as limits
+from waxwingferry.process.protection import load_shedding
 from waxwingferry.process.protection import stated_limit
 from waxwingferry.request import calls
 from waxwingferry.request import fingerprint
@@ -75,6 +76,7 @@
         suspects: crash_suspects.CrashSuspects | None = None,
     ):
         self.running = running.RunningRequests()
+        self.load_shedding = load_shedding.LoadShedding()
         self.suspects = suspects or crash_suspects.CrashSuspects()
         self.separator = crash_suspects.Separator()
         self.target_protocol = target_protocol
@@ -428,10 +430,22 @@
             used_s / max(slowness, self.slowness(), 1.0),
         )
 
+    def _should_shed(self, attempt: calls.Attempt) -> bool:
+        """Returns whether a nested call is refused for lack of capacity."""
+        if attempt.depth <= 1 or self.admission is None:
+            return False
+        protocol = self.target_protocol or target.TargetProtocol()
+        parent_id = protocol.find_parent_id(attempt)
+        return bool(parent_id) and self.load_shedding.should_refuse(
+            parent_id, self.admission.estimate_capacity_per_s()
+        )
+
     async def _admit(
         self, attempt: calls.Attempt
     ) -> admission.Permit | outcome.NotRun:
         """Waits for a slot at the current target, or refuses."""
+        if self._should_shed(attempt):
+            return outcome.NotRun(outcome.Reason.LOAD_SHED)
         while True:
             refusal = self.check(attempt)
             if refusal is not None:
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -13,7 +13,8 @@
 
 # Part of the retry budget that may be spent after refusals for overload. Such
 # retries add load to a service that is overloaded already, so a call gets at
-# most one.
+# most one. Nested calls may spend the whole budget: their caller can't send
+# them again later, and the work of the request that makes them would be lost.
 OVERLOAD_SHARE = 0.5
 
 MAX_MEMBER_BUDGETS = 1024
@@ -250,7 +251,8 @@
         overloaded = classify(last) is RefusalKind.OVERLOADED
         if overloaded and not has_capacity:
             return Denial.NO_ROOM
-        share = OVERLOAD_SHARE if overloaded else 1.0
+        is_nested = call.depth > 1
+        share = OVERLOAD_SHARE if overloaded and not is_nested else 1.0
         budgets = self._budgets(call)
         if not all(retry_budget.available(share) for retry_budget in budgets):
             return Denial.BUDGET
