Shed nested calls by the rest that more urgent attempts leave

Cause: a nested call took over the higher of two priorities, so a cheap call of a less urgent request went before an urgent request; and calls were refused although the target could have taken them at that moment.

Change: a nested call has the priority of the request that makes it. The capacity for calls is what more urgent attempts leave of it, and a target that can take a call at once doesn't refuse it.

--- a/src/waxwingferry/process/protection/load_shedding.py
+++ b/src/waxwingferry/process/protection/load_shedding.py
@@ -41,33 +41,55 @@
 
     Args:
         clock: Monotonic time in seconds.
+
+    Attributes:
+        arrivals: Time and priority of each attempt in the last window.
+        counts: Number of these attempts, by priority.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
-        self.arrivals_s: collections.deque[float] = collections.deque()
+        self.arrivals: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self.counts: collections.Counter[int] = collections.Counter()
+
+    def record(self, priority: int) -> None:
+        """Records the arrival of an attempt, nested or not."""
+        now_s = self.clock()
+        self._drop_old(now_s)
+        self.arrivals.append((now_s, priority))
+        self.counts[priority] += 1
+
+    def _drop_old(self, now_s: float) -> None:
+        oldest_s = now_s - WINDOW_S
+        while self.arrivals and self.arrivals[0][0] <= oldest_s:
+            _, priority = self.arrivals.popleft()
+            self.counts[priority] -= 1
+            if not self.counts[priority]:
+                del self.counts[priority]
 
-    def count_arrivals(self) -> int:
-        """Returns the number of nested calls in the last window."""
-        oldest_s = self.clock() - WINDOW_S
-        while self.arrivals_s and self.arrivals_s[0] <= oldest_s:
-            self.arrivals_s.popleft()
-        return len(self.arrivals_s)
+    def should_refuse(
+        self, parent_id: str, priority: int, capacity_per_s: float
+    ) -> bool:
+        """Returns whether a nested call, which was recorded, is refused.
 
-    def should_refuse(self, parent_id: str, capacity_per_s: float) -> bool:
-        """Records a nested call; returns whether it should be refused.
+        More urgent attempts go first and leave the rest of the capacity.
 
         Args:
             parent_id: ID of the request that makes the call.
-            capacity_per_s: Nested calls per second that the target can take.
+            priority: Priority of the call; 0 is the highest.
+            capacity_per_s: Attempts per second that the target can take.
         """
-        self.arrivals_s.append(self.clock())
-        arrivals = self.count_arrivals()
-        span_s = max(self.clock() - self.arrivals_s[0], MIN_SPAN_S)
-        capacity = capacity_per_s * span_s
+        span_s = max(self.clock() - self.arrivals[0][0], MIN_SPAN_S)
+        urgent = sum(
+            count for rank, count in self.counts.items() if rank < priority
+        )
+        competing = self.counts[priority]
+        capacity = max(capacity_per_s * span_s - urgent, 0.0)
         # Random arrivals vary by about the square root of their mean; the
         # queue takes such a short excess.
         expected = capacity + math.sqrt(capacity)
-        if arrivals < MIN_ARRIVALS or arrivals <= expected:
+        if competing < MIN_ARRIVALS or competing <= expected:
             return False
-        return compute_level(parent_id) >= capacity / arrivals
+        return compute_level(parent_id) >= capacity / competing
--- a/src/waxwingferry/process/protection/tests/test_load_shedding.py
+++ b/src/waxwingferry/process/protection/tests/test_load_shedding.py
@@ -41,7 +41,8 @@
             if not by_parent:
                 parent_id = f"{rng.getrandbits(64):016x}"
             target = rng.choice(targets)
-            refused |= target.should_refuse(parent_id, RATE_PER_S)
+            target.record(2)
+            refused |= target.should_refuse(parent_id, 2, RATE_PER_S)
         if number > parents_per_s:
             counted += 1
             served += not refused
@@ -72,16 +73,38 @@
     for _ in range(40 * 10):
         clock.now_s += 1 / 40
         parent_id = f"{rng.getrandbits(64):016x}"
-        served += not target.should_refuse(parent_id, RATE_PER_S)
+        target.record(2)
+        served += not target.should_refuse(parent_id, 2, RATE_PER_S)
     assert 0.85 * RATE_PER_S < served / 10 < 1.15 * RATE_PER_S
 
 
+def test_more_urgent_attempts_leave_the_rest_of_the_capacity():
+    """Calls that wait behind more urgent attempts would miss their deadline."""
+    rng = random.Random(1)
+    clock = Clock()
+    target = load_shedding.LoadShedding(clock)
+    served = urgent_refused = 0
+    for number in range(40 * 10):
+        clock.now_s += 1 / 40
+        parent_id = f"{rng.getrandbits(64):016x}"
+        priority = 1 if number % 4 == 0 else 2
+        target.record(priority)
+        refused = target.should_refuse(parent_id, priority, RATE_PER_S)
+        if priority == 1:
+            urgent_refused += refused
+        else:
+            served += not refused
+    assert urgent_refused == 0
+    assert 0.75 * 7 < served / 10 < 1.25 * 7
+
+
 def test_window_forgets_arrivals():
     """After a burst has ended, calls must be served again."""
     clock = Clock()
     target = load_shedding.LoadShedding(clock)
-    for number in range(100):
-        target.should_refuse(f"p{number}", 5.0)
+    for _ in range(100):
+        target.record(0)
     clock.now_s += load_shedding.WINDOW_S
-    assert not target.should_refuse("p", 5.0)
-    assert target.count_arrivals() == 1
+    target.record(0)
+    assert not target.should_refuse("p", 0, 5.0)
+    assert target.counts == {0: 1}
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -283,7 +283,8 @@
         objective_s = route.objective_s
         priority = route.priority
         if parent is not None:
-            priority = min(priority, parent.priority)
+            # The call is worth as much as the request that needs it.
+            priority = parent.priority
         elif context.deadline_ms and self.protocol.states_total_wait:
             objective_s -= self.caller_ages.estimate_age_s(
                 route.name, context.deadline_ms / 1000
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -432,12 +432,17 @@
 
     def _should_shed(self, attempt: calls.Attempt) -> bool:
         """Returns whether a nested call is refused for lack of capacity."""
-        if attempt.depth <= 1 or self.admission is None:
+        state = self.admission
+        if state is None:
+            return False
+        priority = attempt.urgency.priority
+        self.load_shedding.record(priority)
+        if attempt.depth <= 1 or (state.can_dispatch() and not state.queue):
             return False
         protocol = self.target_protocol or target.TargetProtocol()
         parent_id = protocol.find_parent_id(attempt)
         return bool(parent_id) and self.load_shedding.should_refuse(
-            parent_id, self.admission.estimate_capacity_per_s()
+            parent_id, priority, state.estimate_capacity_per_s()
         )
 
     async def _admit(
