Authenticate callers by the keys of the platform's tenants

Cause: the document of the platform may name tenants with API keys, which the node ignored. Anybody could call keyed paths, and the keys of callers reached the targets.

Change: op/config `tenants` and `anonymous` of a path become workspaces and anonymous routes; an invalid entry refuses the whole document, with places and without values in the message. The entry checks the key first and answers 401 before it reads the body. It removes Authorization and sets the name of the workspace, which is also the member; the priority of a workspace replaces that of its route. The node of the target removes both fields as well, for entries with an earlier document. Nested calls need a key too, but count for their parent. Header fields are no longer part of the repr of heads, calls and attempts.

--- a/src/waxwingferry/connection/message.py
+++ b/src/waxwingferry/connection/message.py
@@ -95,7 +95,8 @@
 
     method: str
     target: str
-    headers: Headers
+    # Not shown, because it may hold the credentials of a client.
+    headers: Headers = dataclasses.field(repr=False)
     keep_alive: bool = True
     has_body: bool = False
     version: str = "1.1"
--- a/src/waxwingferry/platform/header_fields.py
+++ b/src/waxwingferry/platform/header_fields.py
@@ -23,6 +23,8 @@
 WARMUP_MS = "x-waxwingferry-warmup-ms"
 MAX_RATE = "server-limit"
 LEAVING = "server-leaving"
+# Name of the workspace whose key the caller presented.
+TENANT = "x-waxwingferry-tenant"
 
 # Set by the node itself; values sent by a caller are removed.
 _NODE_SET_HEADERS = frozenset({CALLER_SERVICE, EXPECTED_TARGET, DEADLINE_MS})
@@ -63,6 +65,8 @@
             the requests.
     """
 
+    workspace_header = TENANT
+
     def __init__(self, get_service: Callable[[], str]):
         self.get_service = get_service
 
@@ -111,17 +115,22 @@
 
     accepts_close_delimited = True
     skips_unmatched = True
+    workspace_header = TENANT
 
     def make_headers(
         self, attempt: calls.Attempt, announcement: target.Announcement
     ) -> http1.Headers:
         """See target.TargetProtocol."""
         target_id, _ = target.split_incarnation(announcement.incarnation)
-        return [
-            *calls.forwarded_headers(attempt),
+        headers = calls.forwarded_headers(attempt)
+        headers += [
             (DEADLINE_MS, str(calls.remaining_ms(attempt))),
             (EXPECTED_TARGET, target_id),
         ]
+        if attempt.workspace:
+            # The entry node has removed what the caller sent.
+            headers.append((TENANT, attempt.workspace))
+        return headers
 
     def get_correlation_id(self, attempt: calls.Attempt) -> str:
         """See target.TargetProtocol."""
--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -16,6 +16,7 @@
 from waxwingferry.platform import parsing
 from waxwingferry.platform import settings_file
 from waxwingferry.platform import store
+from waxwingferry.platform import tenants
 from waxwingferry.process import platform
 from waxwingferry.process.spreading import current_document
 from waxwingferry.version import revision
@@ -371,6 +372,7 @@
         elif key.startswith(EVACUATION_PREFIX):
             evacuated_domains.append(key.removeprefix(EVACUATION_PREFIX))
     limits = config.get("limits", {})
+    workspaces, workspaces_by_digest = tenants.parse_tenants(config)
     return revision.Revision(
         number,
         content,
@@ -388,6 +390,8 @@
             head_s=_parse_optional_duration(limits.get("header-timeout")),
             idle_s=_parse_optional_duration(limits.get("idle-timeout")),
         ),
+        workspaces,
+        workspaces_by_digest,
     )
 
 
@@ -428,6 +432,7 @@
         objective_s=parsing.parse_duration(path["target-latency"]),
         max_attempts=int(path["max-attempts"]),
         priority=int(path.get("priority", 0)),
+        anonymous=tenants.parse_anonymous(path),
     )
 
 
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -166,10 +166,12 @@
             not used, because truncation can't be detected.
         skips_unmatched: Whether a response with another correlation ID is late
             or duplicate, and the expected response may follow it.
+        workspace_header: Field that tells the target the caller's workspace.
     """
 
     accepts_close_delimited = False
     skips_unmatched = False
+    workspace_header = calls.WORKSPACE_HEADER
 
     def make_headers(
         self, attempt: calls.Attempt, announcement: Announcement
--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -7,6 +7,7 @@
 from waxwingferry.process.protection import crash_suspects
 from waxwingferry.request import call_context
 from waxwingferry.request import calls
+from waxwingferry.request import keys
 from waxwingferry.request import outcome
 from waxwingferry.request import resolve
 
@@ -157,6 +158,8 @@
         if refusal.reason is outcome.Reason.CRASHES_TARGETS:
             retry_after_s = crash_suspects.SUSPECT_LIFETIME_S
         headers.append(("retry-after", f"{retry_after_s:g}"))
+    if refusal.status == keys.UNAUTHORIZED:
+        headers.append(keys.CHALLENGE)
     body = f"{refusal.reason.value}\n".encode()
     await connection.send_head(refusal.status, headers, body)
 
--- a/src/waxwingferry/request/call_context.py
+++ b/src/waxwingferry/request/call_context.py
@@ -51,8 +51,13 @@
     """Header fields exchanged with callers; by default this project's own.
 
     A platform with other fields overrides the methods.
+
+    Attributes:
+        workspace_header: Field that tells a target the caller's workspace.
     """
 
+    workspace_header = calls.WORKSPACE_HEADER
+
     def parse_context(self, headers: http1.Headers) -> CallContext:
         """Returns the call chain that a request belongs to.
 
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -185,7 +185,8 @@
     service: str
     method: str
     request_target: str
-    headers: http1.Headers
+    # Not shown, because it may hold the credentials of a caller.
+    headers: http1.Headers = dataclasses.field(repr=False)
     body: Body
     deadline: Deadline
     member: str
@@ -224,7 +225,8 @@
     service: str
     method: str
     request_target: str
-    headers: http1.Headers
+    # Not shown, because it may hold the credentials of a caller.
+    headers: http1.Headers = dataclasses.field(repr=False)
     body: Body
     deadline: Deadline
     member: str
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -25,6 +25,7 @@
 from waxwingferry.request import claim
 from waxwingferry.request import fingerprint
 from waxwingferry.request import forward
+from waxwingferry.request import keys
 from waxwingferry.request import outcome
 from waxwingferry.request import retry
 from waxwingferry.request import running
@@ -132,6 +133,10 @@
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Handles one request of a caller."""
+        workspace = keys.check(head, self.revision())
+        if isinstance(workspace, outcome.NotRun):
+            await self._refuse_early(connection, head, workspace)
+            return
         try:
             context = self.protocol.parse_context(head.headers)
         except http1.HttpError:
@@ -143,13 +148,18 @@
         )
         if parent is not None and not context.depth:
             context = dataclasses.replace(context, depth=parent.depth)
+        if parent is not None:
+            # It counts for the workspace of its parent.
+            workspace = None
         if not self._has_capacity(context.depth):
             refusal = outcome.NotRun(outcome.Reason.ENTRY_FULL)
             await self._refuse_early(connection, head, refusal)
             return
         self.in_flight += 1
         try:
-            call = await self._make_call(connection, head, context, parent)
+            call = await self._make_call(
+                connection, head, context, parent, workspace
+            )
             if isinstance(call, outcome.NotRun):
                 await self._refuse_early(connection, head, call)
                 return
@@ -213,6 +223,7 @@
         head: http1.RequestHead,
         context: call_context.CallContext,
         parent: running.Parent | None,
+        workspace: revisions.Workspace | None,
     ) -> calls.Call | outcome.NotRun:
         revision = self.revision()
         if revision is None:
@@ -244,6 +255,19 @@
             # The caller gets an answer before the process is killed.
             deadline = self.stop_deadline
         headers = http1.end_to_end_headers(head.headers)
+        if revision.workspaces:
+            headers = keys.remove_fields(
+                headers, self.protocol.workspace_header
+            )
+        member = find(head.headers, service.member_header, "")
+        priority = route.priority
+        if workspace is not None:
+            member = workspace.name
+            if workspace.priority is not None:
+                priority = workspace.priority
+        if parent is not None:
+            member = parent.member or member
+            priority = min(priority, parent.priority)
         return calls.Call(
             call_id=f"{self.rng.getrandbits(64):016x}",
             service=service.name,
@@ -252,9 +276,7 @@
             headers=self.protocol.prepare_request_headers(headers),
             body=await answering.read_body(connection),
             deadline=deadline,
-            member=parent.member
-            if parent and parent.member
-            else find(head.headers, service.member_header, ""),
+            member=member,
             depth=context.depth + 1,
             idempotent=route.idempotent,
             is_retry=context.is_retry,
@@ -266,11 +288,9 @@
                 self.rollouts and self.rollouts.select_canary(service.name)
             ),
             urgency=calls.Urgency(
-                calls.make_deadline(route.objective_s),
-                min(route.priority, parent.priority)
-                if parent
-                else route.priority,
+                calls.make_deadline(route.objective_s), priority
             ),
+            workspace=workspace.name if workspace is not None else "",
         )
 
     async def _run_attempts(
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -32,7 +32,12 @@
     STALE_ATTEMPT = "stale_attempt"
     DUPLICATE_ATTEMPT = "duplicate_attempt"
     BAD_REQUEST = "bad_request"
+    # Of an idempotency key; the reasons that follow are of an API key.
     BAD_KEY = "bad_key"
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN = "key_unknown"
+    KEY_MALFORMED = "key_malformed"
+    KEY_REPEATED = "key_repeated"
     BODY_TOO_LARGE = "body_too_large"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_BUDGET = "claim_budget"
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -5,12 +5,14 @@
 from waxwingferry import decoding
 from waxwingferry.connection import http1
 from waxwingferry.process import attempts
+from waxwingferry.process import target
 from waxwingferry.process.choice import probe
 from waxwingferry.request import answering
 from waxwingferry.request import attempt_runner
 from waxwingferry.request import call_context
 from waxwingferry.request import calls
 from waxwingferry.request import forward
+from waxwingferry.request import keys
 from waxwingferry.request import outcome
 from waxwingferry.request import receive
 from waxwingferry.request import resolve
@@ -49,6 +51,7 @@
             await self._handle_node_request(connection, head)
             return
         attempt = await _make_attempt(connection, head)
+        self._remove_workspace_fields(attempt)
         try:
             async with self.runner.execute(attempt) as result:
                 await self._send_result(connection, attempt, result)
@@ -59,6 +62,19 @@
             # requested this over another connection and abandoned this one.
             connection.keep_alive = False
 
+    def _remove_workspace_fields(self, attempt: calls.Attempt) -> None:
+        """Removes what the caller sent if the entry node may not have done it.
+
+        An entry node may still have a document without workspaces.
+        """
+        revision = self.receiver.revision()
+        if revision is None or not revision.workspaces:
+            return
+        protocol = self.receiver.target_protocol or target.TargetProtocol()
+        attempt.headers = keys.remove_fields(
+            attempt.headers, protocol.workspace_header
+        )
+
     async def _send_result(
         self,
         connection: http1.ServerConnection,
--- a/src/waxwingferry/version/revision.py
+++ b/src/waxwingferry/version/revision.py
@@ -3,6 +3,8 @@
 import dataclasses
 from typing import Any
 
+from waxwingferry.version import api_keys
+
 ANY_HOST = ""
 DEFAULT_MAX_ATTEMPTS = 3
 
@@ -183,6 +185,7 @@
         budgets: Budgets for work that the system causes itself.
         caller_limits: Limits on one caller.
         workspaces: Workspaces by name; without any, callers need no keys.
+        workspaces_by_digest: The same by the digest of each of their keys.
     """
 
     def __init__(
@@ -196,6 +199,7 @@
         budgets: Budgets | None = None,
         caller_limits: CallerLimits | None = None,
         workspaces: dict[str, Workspace] | None = None,
+        workspaces_by_digest: dict[bytes, Workspace] | None = None,
     ):
         self.number = number
         self.content = content
@@ -205,6 +209,7 @@
         self.budgets = budgets or Budgets()
         self.caller_limits = caller_limits or CallerLimits()
         self.workspaces = workspaces or {}
+        self.workspaces_by_digest = workspaces_by_digest or {}
         self.routes_by_host: dict[str, _PrefixIndex] = {}
         for route in routes:
             index = self.routes_by_host.setdefault(route.host, _PrefixIndex())
@@ -212,7 +217,7 @@
 
     def find_workspace(self, key: str) -> Workspace | None:
         """Returns the workspace that holds an API key, or None."""
-        return None
+        return self.workspaces_by_digest.get(api_keys.hash_key(key))
 
     def match_route(
         self, method: str, target: str, host: str = ANY_HOST
