Add workspaces to the document of operators, and show no keys

Cause: the project's own document had no workspaces. With them, messages of the schema and of the YAML parser, `show`, differences and the console would print keys.

Change: `workspaces: [{name, keys, priority}]` and `anonymous` of a route; both are left out of the stored document while unused, so that earlier programs still read it. Messages hide values that may be keys. People see the first 8 hex digits of a key's digest; `apply` and the console put the keys of the base back in their place, and a node refuses a digest as a key. DocumentError is made from the lines that operators see.

--- a/src/waxwingferry/cli/explain.py
+++ b/src/waxwingferry/cli/explain.py
@@ -21,6 +21,10 @@
 
 _REASON_TEXTS = {
     outcome.Reason.NO_ROUTE: "no route of the document fits host and path",
+    outcome.Reason.KEY_MISSING: "the request had no API key",
+    outcome.Reason.KEY_UNKNOWN: "no workspace of the document held the API key",
+    outcome.Reason.KEY_MALFORMED: "the Authorization field was no bearer key",
+    outcome.Reason.KEY_REPEATED: "there was more than one Authorization field",
     outcome.Reason.NO_DOCUMENT: "the entry knew no document yet",
     outcome.Reason.NO_TARGET: "no target of the service could be used",
     outcome.Reason.BUSY: "the target's machine had turned slow",
--- a/src/waxwingferry/cli/main.py
+++ b/src/waxwingferry/cli/main.py
@@ -10,6 +10,7 @@
 from waxwingferry.process import program
 from waxwingferry.process import settings
 from waxwingferry.version import document
+from waxwingferry.version import shown_keys
 
 MAX_DOMAIN_UPDATE_ATTEMPTS = 5
 MAX_HISTORY_ROWS = 100
@@ -30,6 +31,8 @@
 def show(revision: int = 0) -> int:
     """Prints the document in force, with its revision in the first line.
 
+    API keys are not printed: the first digits of their digests stand for them.
+
     Args:
         revision: Print this earlier revision instead.
     """
@@ -61,7 +64,15 @@
         else int(revision_line.group(1))
     )
     data = content.model_dump(mode="json", exclude_unset=True)
-    revision = client.make_client().put_document(data, number, why)
+    admin = client.make_client()
+    if shown_keys.has_shown(data):
+        _, base_content = admin.get_document(number) if number else (0, None)
+        data, errors = shown_keys.restore(data, base_content)
+        if errors:
+            raise settings.SettingsError(
+                "\n".join(f"{file}: {line}" for line in errors)
+            )
+    revision = admin.put_document(data, number, why)
     print(f"revision {revision} accepted; the next change is based on it")
     return 0
 
@@ -218,7 +229,7 @@
 
 
 def _load_document(file: str) -> document.Document:
-    data = settings.parse_yaml(settings.read_file(file), file)
+    data = settings.parse_yaml(settings.read_file(file), file, hides_text=True)
     checked, errors = document.check(data)
     if checked is None:
         raise settings.SettingsError(
@@ -228,8 +239,10 @@
 
 
 def _format_document(number: int, content: Any) -> str:
-    header = f"# revision: {number}\n"
-    return header + yaml.safe_dump(content or {}, sort_keys=False)
+    lines = [f"revision: {number}", *shown_keys.describe_workspaces(content)]
+    header = "".join(f"# {line}\n" for line in lines)
+    data = shown_keys.hide(content or {})
+    return header + yaml.safe_dump(data, sort_keys=False)
 
 
 COMMANDS = {
--- a/src/waxwingferry/console/app.py
+++ b/src/waxwingferry/console/app.py
@@ -23,6 +23,7 @@
 from waxwingferry.process import program
 from waxwingferry.process import settings
 from waxwingferry.version import document
+from waxwingferry.version import shown_keys
 
 MAX_FORM_BYTES = 1024 * 1024
 MAX_HISTORY_ROWS = 50
@@ -190,7 +191,11 @@
         base, why = int(form.get("base", "0")), form.get("why", "")
 
         def accept() -> dict[str, Any]:
-            number = self.admin.put_document(content, base, why)
+            _, old = self.admin.get_document(base) if base else (0, None)
+            restored, errors = shown_keys.restore(content, old)
+            if errors:
+                raise program.CommandError("\n".join(errors))
+            number = self.admin.put_document(restored, base, why)
             return {"notice": f"Revision {number} is accepted."}
 
         return await self._render_result("Document", accept)
@@ -235,7 +240,7 @@
 ) -> tuple[document.Document | None, list[str]]:
     """Returns the document of a YAML text, or None and all its errors."""
     try:
-        data = settings.parse_yaml(text, "document")
+        data = settings.parse_yaml(text, "document", hides_text=True)
     except settings.SettingsError as error:
         return None, [str(error)]
     return document.check(data)
--- a/src/waxwingferry/process/admin.py
+++ b/src/waxwingferry/process/admin.py
@@ -37,6 +37,7 @@
 from waxwingferry.process.spreading import members
 from waxwingferry.request import receive
 from waxwingferry.version import document
+from waxwingferry.version import shown_keys
 
 MAX_BODY_BYTES = 512 * 1024
 MAX_HISTORY = 100
@@ -50,7 +51,8 @@
     model_config = pydantic.ConfigDict(extra="forbid")
 
     base: Annotated[int, pydantic.Field(ge=0)]
-    document: Any
+    # Not shown, because it may hold API keys.
+    document: Annotated[Any, pydantic.Field(repr=False)]
     why: Annotated[str, pydantic.Field(min_length=1, max_length=500)]
     change_id: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{32}$")]
 
@@ -247,7 +249,12 @@
                 {"errors": [settings.describe_error(error)]}, 422
             )
         parsed_document, errors = document.check(change_request.document)
-        if parsed_document is None:
+        if parsed_document is not None:
+            # Only the program of the operator knows the base.
+            _, errors = shown_keys.restore(
+                parsed_document.model_dump(mode="json"), None
+            )
+        if parsed_document is None or errors:
             return _json_response({"errors": errors}, 422)
         change = configuration.Change(
             parsed_document,
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -1,6 +1,7 @@
 """Settings of a node, read from a YAML file."""
 
 import pathlib
+import re
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -18,7 +19,15 @@
 _ModelType = TypeVar("_ModelType", bound=pydantic.BaseModel)
 
 MAX_SHOWN_VALUE_CHARS = 80
-SECRET_KEYS = frozenset({"admin_tokens"})
+# Unknown keys of such names hold secrets that were put in a wrong place.
+_SECRET_NAME = re.compile("key|token|secret", re.IGNORECASE)
+# Values below these keys are not shown in messages.
+SECRET_KEYS = frozenset({"admin_tokens", "workspaces"})
+
+
+# Quoted parts of the messages of the YAML parser: names of aliases, tags and
+# keys, and single characters.
+_QUOTED = re.compile(r"""'.*'|".*\"""", re.DOTALL)
 
 
 class SettingsError(Exception):
@@ -106,9 +115,15 @@
         return super().construct_mapping(node, deep)
 
 
-def parse_yaml(text: str, source: str) -> Any:
+def parse_yaml(text: str, source: str, hides_text: bool = False) -> Any:
     """Parses YAML.
 
+    Args:
+        text: The YAML.
+        source: Where the text is from, for the message.
+        hides_text: Whether messages show no part of the text, which may hold
+            secrets, but only the place and kind of the fault.
+
     Raises:
         SettingsError: The text is not valid YAML; the message is one line
             and starts with the source.
@@ -116,10 +131,25 @@
     try:
         return yaml.load(text, _UniqueKeyLoader)  # noqa: S506
     except yaml.YAMLError as error:
+        if hides_text:
+            raise SettingsError(
+                f"{source}: not valid YAML{_describe_place(error)}"
+            ) from None
         message = " ".join(str(error).split())
         raise SettingsError(f"{source}: not valid YAML: {message}") from error
 
 
+def _describe_place(error: yaml.YAMLError) -> str:
+    """Returns what is wrong and where, without any part of the text."""
+    if not isinstance(error, yaml.MarkedYAMLError):
+        return ""
+    problem = _QUOTED.sub("(hidden)", error.problem or "")
+    mark = error.problem_mark or error.context_mark
+    if mark is None:
+        return f": {problem}"
+    return f": {problem} in line {mark.line + 1}, column {mark.column + 1}"
+
+
 def read_file(path: str) -> str:
     """Returns the text of a file.
 
@@ -172,13 +202,26 @@
     return describe_detail(first_error, allowed)
 
 
+def _may_hold_secret(detail: Any) -> bool:
+    """Returns whether the value of an error may be a secret, or hold one."""
+    location, value = detail["loc"], detail["input"]
+    if not location or SECRET_KEYS.intersection(location):
+        return True
+    if isinstance(value, (dict, list, tuple)):
+        # A misspelt key may stand above secrets.
+        return bool(value)
+    return detail["type"] == "extra_forbidden" and bool(
+        _SECRET_NAME.search(str(location[-1]))
+    )
+
+
 def describe_detail(detail: Any, allowed: list[str] | None = None) -> str:
     """Returns a pydantic error detail as one line."""
     key_path = ".".join(str(part) for part in detail["loc"])
     value = repr(detail["input"])
     if len(value) > MAX_SHOWN_VALUE_CHARS:
         value = value[:MAX_SHOWN_VALUE_CHARS] + "..."
-    if SECRET_KEYS.intersection(detail["loc"]):
+    if _may_hold_secret(detail):
         value = "(hidden)"
     message = detail["msg"].removeprefix("Value error, ")
     match detail["type"]:
--- a/src/waxwingferry/version/document.py
+++ b/src/waxwingferry/version/document.py
@@ -1,4 +1,8 @@
-"""Schema of the operators' document: services, routes, failure domains."""
+"""Schema of the operators' document: services, routes, workspaces.
+
+The document holds the API keys of workspaces. People are shown the first
+digits of a key's digest in its place, see `shown_keys`.
+"""
 
 from collections.abc import Iterator
 import difflib
@@ -10,7 +14,9 @@
 import yaml
 
 from waxwingferry.process import settings
+from waxwingferry.version import api_keys
 from waxwingferry.version import revision
+from waxwingferry.version import shown_keys
 
 DOCUMENT_KEY = "document/current"
 
@@ -18,9 +24,16 @@
 
 Method = Annotated[str, pydantic.Field(pattern=r"^[A-Z]{1,20}$")]
 
+Key = Annotated[
+    str, pydantic.Field(min_length=1, max_length=api_keys.MAX_KEY_CHARS)
+]
+
 
 class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    # Errors are shown by settings.describe_detail, which hides keys.
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, hide_input_in_errors=True
+    )
 
 
 class Route(_Model):
@@ -31,6 +44,7 @@
         methods: Methods that match the route.
         idempotent: Whether a request may be executed more than once.
         deadline_ms: Time for the whole call, unless the caller gives less.
+        anonymous: Whether requests need no key of a workspace.
     """
 
     path_prefix: Annotated[str, pydantic.Field(pattern=r"^/\S*$")]
@@ -40,6 +54,17 @@
     )
     idempotent: bool = False
     deadline_ms: Annotated[int, pydantic.Field(ge=1, le=600_000)] = 5000
+    anonymous: bool = False
+
+    @pydantic.model_serializer(mode="wrap")
+    def omit_unused(
+        self, handler: pydantic.SerializerFunctionWrapHandler
+    ) -> dict[str, Any]:
+        """Omits a key that earlier programs refuse, unless it is used."""
+        data = handler(self)
+        if not self.anonymous:
+            data.pop("anonymous", None)
+        return data
 
 
 class Service(_Model):
@@ -68,6 +93,20 @@
     state: Literal["in", "out"] = "in"
 
 
+class Workspace(_Model):
+    """Customer of a shared cluster.
+
+    Attributes:
+        keys: API keys that its callers present.
+        priority: Priority of its requests in place of their route's; 0 is the
+            highest.
+    """
+
+    name: Name
+    keys: Annotated[tuple[Key, ...], pydantic.Field(repr=False)]
+    priority: Annotated[int, pydantic.Field(ge=0, le=999)] | None = None
+
+
 class Budgets(_Model):
     """Budgets for work that the system causes itself.
 
@@ -89,11 +128,26 @@
     services: tuple[Service, ...] = ()
     failure_domains: tuple[FailureDomain, ...] = ()
     budgets: Budgets = Budgets()
+    workspaces: tuple[Workspace, ...] = ()
+
+    @pydantic.model_serializer(mode="wrap")
+    def omit_unused(
+        self, handler: pydantic.SerializerFunctionWrapHandler
+    ) -> dict[str, Any]:
+        """Omits a key that earlier programs refuse, unless it is used."""
+        data = handler(self)
+        if not self.workspaces:
+            data.pop("workspaces", None)
+        return data
 
     @pydantic.model_validator(mode="after")
     def check_duplicates(self) -> "Document":
-        """Rejects duplicate names and routes, which span several keys."""
-        problems = [*_find_duplicate_names(self), *_find_duplicate_routes(self)]
+        """Rejects duplicate names, routes and API keys."""
+        problems = [
+            *_find_duplicate_names(self),
+            *_find_duplicate_routes(self),
+            *api_keys.find_problems(_list_keys(self)),
+        ]
         if problems:
             raise ValueError("\n".join(problems))
         return self
@@ -125,6 +179,18 @@
                     )
 
 
+def _list_keys(document: Document) -> list[api_keys.KeyList]:
+    return [
+        api_keys.KeyList(
+            item.name,
+            f"workspaces.{index}.name",
+            f"workspaces.{index}.keys",
+            item.keys,
+        )
+        for index, item in enumerate(document.workspaces)
+    ]
+
+
 def check(data: Any) -> tuple[Document | None, list[str]]:
     """Validates a document and collects all errors.
 
@@ -151,8 +217,8 @@
 
 
 def to_yaml(document: Document) -> str:
-    """Returns a document as YAML, in the order of the schema."""
-    data = document.model_dump(mode="json")
+    """Returns a document as YAML for people, in the order of the schema."""
+    data = shown_keys.hide(document.model_dump(mode="json"))
     return yaml.safe_dump(data, sort_keys=False)
 
 
@@ -178,6 +244,7 @@
             idempotent=route.idempotent,
             deadline_s=route.deadline_ms / 1000,
             objective_s=route.deadline_ms / 1000,
+            anonymous=route.anonymous,
         )
         for service in document.services
         for route in service.routes
@@ -189,6 +256,10 @@
         for item in document.services
     }
     budgets = document.budgets
+    workspaces = {
+        item.name: revision.Workspace(item.name, item.priority)
+        for item in document.workspaces
+    }
     return revision.Revision(
         number,
         document.model_dump(mode="json"),
@@ -204,6 +275,12 @@
             probe_per_s=budgets.probe_per_s,
             claim_writes_per_s=budgets.claim_writes_per_s,
         ),
+        workspaces=workspaces,
+        workspaces_by_digest={
+            api_keys.hash_key(key): workspaces[item.name]
+            for item in document.workspaces
+            for key in item.keys
+        },
     )
 
 
@@ -213,7 +290,7 @@
     Raises:
         revision.DocumentError: The data is not a valid document.
     """
-    try:
-        return make_revision(number, Document.model_validate(content))
-    except pydantic.ValidationError as error:
-        raise revision.DocumentError(str(error)) from error
+    checked, errors = check(content)
+    if checked is None:
+        raise revision.DocumentError("; ".join(errors))
+    return make_revision(number, checked)
