--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -8,6 +8,7 @@
 from waxwingferry.process.protection import crash_suspects
 from waxwingferry.request import call_context
 from waxwingferry.request import calls
+from waxwingferry.request import keys
 from waxwingferry.request import outcome
 from waxwingferry.request import resolve
 
@@ -196,6 +197,8 @@
     if refusal.status == 503:
         retry_after_s = choose_retry_after_s(refusal, left_s, random.random())
         headers.append(("retry-after", f"{retry_after_s:.3g}"))
+    if refusal.status == keys.UNAUTHORIZED:
+        headers.append(keys.CHALLENGE)
     body = f"{refusal.reason.value}\n".encode()
     await connection.send_head(refusal.status, headers, body)
 
--- a/src/waxwingferry/request/call_context.py
+++ b/src/waxwingferry/request/call_context.py
@@ -56,9 +56,11 @@
         states_total_wait: Whether the time left that a caller states is what
             remains of one wait over all its tries. The time that is missing
             in comparison to other callers then shows how long it has waited.
+        workspace_header: Field that tells a target the caller's workspace.
     """
 
     states_total_wait = False
+    workspace_header = calls.WORKSPACE_HEADER
 
     def parse_context(self, headers: http1.Headers) -> CallContext:
         """Returns the call chain that a request belongs to.
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -26,6 +26,7 @@
 from waxwingferry.request import claim
 from waxwingferry.request import fingerprint
 from waxwingferry.request import forward
+from waxwingferry.request import keys
 from waxwingferry.request import outcome
 from waxwingferry.request import retry
 from waxwingferry.request import running
@@ -134,6 +135,10 @@
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Handles one request of a caller."""
+        workspace = keys.check(head, self.revision())
+        if isinstance(workspace, outcome.NotRun):
+            await self._refuse_early(connection, head, workspace)
+            return
         try:
             context = self.protocol.parse_context(head.headers)
         except http1.HttpError:
@@ -151,7 +156,9 @@
             return
         self.in_flight += 1
         try:
-            call = await self._make_call(connection, head, context, parent)
+            call = await self._make_call(
+                connection, head, context, parent, workspace
+            )
             if isinstance(call, outcome.NotRun):
                 await self._refuse_early(connection, head, call)
                 return
@@ -215,6 +222,7 @@
         head: http1.RequestHead,
         context: call_context.CallContext,
         parent: running.Parent | None,
+        workspace: revisions.Workspace | None,
     ) -> calls.Call | outcome.NotRun:
         revision = self.revision()
         if revision is None:
@@ -248,6 +256,15 @@
             # The caller gets an answer before the process is killed.
             deadline = self.stop_deadline
         headers = http1.end_to_end_headers(head.headers)
+        if revision.workspaces:
+            headers = keys.remove_fields(
+                headers, self.protocol.workspace_header
+            )
+        member = find(head.headers, service.member_header, "")
+        if workspace is not None:
+            member = workspace.name
+        if parent is not None:
+            member = parent.member or member
         return calls.Call(
             call_id=f"{self.rng.getrandbits(64):016x}",
             service=service.name,
@@ -256,9 +273,7 @@
             headers=self.protocol.prepare_request_headers(headers),
             body=await answering.read_body(connection),
             deadline=deadline,
-            member=parent.member
-            if parent and parent.member
-            else find(head.headers, service.member_header, ""),
+            member=member,
             depth=context.depth + 1,
             idempotent=route.idempotent,
             is_retry=context.is_retry,
@@ -270,7 +285,8 @@
             canary=bool(
                 self.rollouts and self.rollouts.select_canary(service.name)
             ),
-            urgency=self._find_urgency(route, context, parent),
+            urgency=self._find_urgency(route, context, parent, workspace),
+            workspace=workspace.name if workspace is not None else "",
         )
 
     def _find_urgency(
@@ -278,10 +294,13 @@
         route: revisions.Route,
         context: call_context.CallContext,
         parent: running.Parent | None,
+        workspace: revisions.Workspace | None,
     ) -> calls.Urgency:
         """Returns the urgency of a call; callers that waited have less time."""
         objective_s = route.objective_s
         priority = route.priority
+        if workspace is not None and workspace.priority is not None:
+            priority = workspace.priority
         if parent is not None:
             # The call is worth as much as the request that needs it.
             priority = parent.priority
