--- a/src/waxwingferry/platform/settings_file.py
+++ b/src/waxwingferry/platform/settings_file.py
@@ -1,6 +1,7 @@
 """Settings file that the platform writes for each node."""
 
 import dataclasses
+import math
 import os
 import pathlib
 import tomllib
@@ -52,6 +53,52 @@
     warmup_rate_slack: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CloudApi:
+    """API of the platform that one node at a time may call for each duty.
+
+    Attributes:
+        duties: Names of the duties that are on.
+        duty_rate_per_s: Calls for duties that the API takes in a second.
+    """
+
+    address: tuple[str, int]
+    duties: tuple[str, ...] = ()
+    duty_rate_per_s: float = 50.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DutyBounds:
+    """Times and limits for duties, in seconds.
+
+    Attributes:
+        lease_s: Time without an act between two holders.
+        thaw_slack_s: Time after a freeze or cut in which calls that were
+            late by it are excused.
+        report_window_s: Length of a window of usage.
+        usage_tolerance: Allowed difference of a count to the truth, as a
+            share.
+        usage_late_s: Time after a window's end at which its report is late.
+        fencing_required: Whether the API refuses lower tokens.
+    """
+
+    lease_s: float = 3.0
+    thaw_slack_s: float = 0.3
+    report_window_s: float = 5.0
+    usage_tolerance: float = 0.05
+    usage_late_s: float = 10.0
+    fencing_required: bool = False
+
+
+# Field of DutyBounds -> key in the settings file, for durations.
+_DUTY_DURATION_KEYS = {
+    "lease_s": "lease_time",
+    "thaw_slack_s": "thaw-slack",
+    "report_window_s": "report-window",
+    "usage_late_s": "usage-late",
+}
+
+
 # Field of Bounds -> key in the settings file.
 _BOUND_KEYS = {
     "retry_ratio": "retry-budget-ratio",
@@ -77,6 +124,8 @@
         seed_hosts: Hosts of VMs that may run a node; the ports given with
             them are not used.
         stop_grace_s: Time from SIGTERM to SIGKILL, or None if not given.
+        cloud_api: API for duties, or None if there are no duties.
+        duty_bounds: Times and limits for duties.
     """
 
     node: str
@@ -93,6 +142,8 @@
     store_address: StoreAddress
     bounds: Bounds
     stop_grace_s: float | None = None
+    cloud_api: CloudApi | None = None
+    duty_bounds: DutyBounds = DutyBounds()
 
 
 def read_state(path: str) -> tuple[int, int, int] | None:
@@ -169,9 +220,39 @@
             }
         ),
         stop_grace_s=bounds.get_optional_duration("grace"),
+        cloud_api=_make_cloud_api(provider),
+        duty_bounds=_make_duty_bounds(bounds),
     )
 
 
+def _make_cloud_api(provider: "_Section") -> CloudApi | None:
+    if "cloud-api" not in provider.values:
+        return None
+    section = _Section(provider.values, "cloud-api", "provider.")
+    values: dict[str, Any] = {}
+    if "duties" in section.values:
+        values["duties"] = section.get_texts("duties")
+    if "duty-per-s" in section.values:
+        values["duty_rate_per_s"] = section.get_positive_number("duty-per-s")
+    return CloudApi(section.get_address("address"), **values)
+
+
+def _make_duty_bounds(bounds: "_Section") -> DutyBounds:
+    values: dict[str, Any] = {}
+    for name, key in _DUTY_DURATION_KEYS.items():
+        duration_s = bounds.get_optional_duration(key)
+        if duration_s is not None:
+            values[name] = duration_s
+    for key in ("lease_time", "report-window"):
+        if bounds.get_optional_duration(key) == 0:
+            raise bounds.make_error(key, "above 0")
+    if "usage-tolerance" in bounds.values:
+        values["usage_tolerance"] = bounds.get_number("usage-tolerance")
+    if "fencing-required" in bounds.values:
+        values["fencing_required"] = bounds.get_flag("fencing-required")
+    return DutyBounds(**values)
+
+
 class _Section:
     """One TOML table of the file, with validated access to its values."""
 
@@ -182,7 +263,8 @@
             raise SettingsError(f"{self.name}: missing; the table is required")
         self.values: dict[str, Any] = section
 
-    def _make_error(self, key: str, allowed: str) -> SettingsError:
+    def make_error(self, key: str, allowed: str) -> SettingsError:
+        """Returns the error for a value that is missing or not allowed."""
         value = self.values.get(key)
         if key not in self.values:
             return SettingsError(
@@ -195,22 +277,42 @@
     def get_text(self, key: str) -> str:
         value = self.values.get(key)
         if not isinstance(value, str) or not value:
-            raise self._make_error(key, "a non-empty string")
+            raise self.make_error(key, "a non-empty string")
         return value
 
     def get_number(self, key: str) -> float:
         value = self.values.get(key)
         if isinstance(value, bool) or not isinstance(value, int | float):
-            raise self._make_error(key, "a number")
+            raise self.make_error(key, "a number")
         return float(value)
 
+    def get_positive_number(self, key: str) -> float:
+        value = self.get_number(key)
+        if not 0 < value < math.inf:
+            raise self.make_error(key, "a number above 0")
+        return value
+
+    def get_flag(self, key: str) -> bool:
+        value = self.values.get(key)
+        if not isinstance(value, bool):
+            raise self.make_error(key, "true or false")
+        return value
+
+    def get_texts(self, key: str) -> tuple[str, ...]:
+        value = self.values.get(key)
+        if not isinstance(value, list) or not all(
+            isinstance(item, str) for item in value
+        ):
+            raise self.make_error(key, "a list of strings")
+        return tuple(value)
+
     def get_optional_duration(self, key: str) -> float | None:
         if key not in self.values:
             return None
         try:
             return parsing.parse_duration(self.values[key])
         except parsing.ValueFormatError:
-            raise self._make_error(
+            raise self.make_error(
                 key, "a number with the unit ms or s"
             ) from None
 
@@ -218,7 +320,7 @@
         try:
             return parsing.parse_address(self.values.get(key))
         except parsing.ValueFormatError:
-            raise self._make_error(key, "an IP address with a port") from None
+            raise self.make_error(key, "an IP address with a port") from None
 
     def get_first_port(self, key: str) -> int:
         value = self.values.get(key)
@@ -228,7 +330,7 @@
             or not all(isinstance(item, int) for item in value)
             or not 0 < value[0] < value[1] < 65536
         ):
-            raise self._make_error(key, "a first and a last port")
+            raise self.make_error(key, "a first and a last port")
         return value[0]
 
     def get_hosts(self, key: str) -> tuple[str, ...]:
@@ -236,4 +338,4 @@
             addresses = self.values.get(key, [])
             return tuple(parsing.parse_address(item)[0] for item in addresses)
         except (parsing.ValueFormatError, TypeError):
-            raise self._make_error(key, "a list of addresses") from None
+            raise self.make_error(key, "a list of addresses") from None
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -31,6 +31,8 @@
 from waxwingferry.process.spreading import members
 from waxwingferry.process.spreading import peers
 from waxwingferry.process.spreading import synchronizer
+from waxwingferry.process.usage import local
+from waxwingferry.process.usage import messages
 from waxwingferry.request import attempt_runner
 from waxwingferry.request import call_context
 from waxwingferry.request import calls
@@ -127,6 +129,8 @@
             self.suspects,
         )
         self.receiver.on_leaving = self.announce
+        # Set if usage is reported.
+        self.usage: local.LocalUsage | None = None
         self.tasks = background.Background()
         self.runner = attempt_runner.AttemptRunner(
             self.receiver, attempts.Attempts(), self.tasks, self.counters
@@ -306,6 +310,9 @@
                 connection, head.target, self.configured, self.members
             )
             return
+        if messages.is_usage_path(head.target) and not is_attempt:
+            await local.answer_request(connection, head, self.usage)
+            return
         await self.peer.handle(connection, head)
 
     def announce(self) -> None:
--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -37,6 +37,14 @@
             registry=self.registry,
             buckets=list(LATENCY_BUCKETS_S),
         )
+        self.usage_windows = aioprometheus.Gauge(
+            "waxwingferry_usage_windows",
+            "Windows of usage that are not confirmed, by state.",
+            registry=self.registry,
+        )
+        self.usage_reports = self._make_counter(
+            "usage_reports", "Windows of usage by how they ended."
+        )
         self.events = self._make_counter("events", "Rare events by name.")
 
     def render(self) -> tuple[bytes, list[tuple[str, str]]]:
--- a/src/waxwingferry/process/spreading/peers.py
+++ b/src/waxwingferry/process/spreading/peers.py
@@ -20,11 +20,17 @@
 from waxwingferry.process.spreading import current_document
 from waxwingferry.process.spreading import gossip
 from waxwingferry.process.spreading import members
+from waxwingferry.process.usage import messages
 
 DOCUMENT_PATH = "/_peer/document"
 MEMBERS_PATH = "/_peer/members"
 FETCH_TIMEOUT_S = 2.0
 MAX_DATAGRAMS_PER_WAKEUP = 64
+# A reply later than this would be of another time than the question's, and
+# several questions must fit into the time that a report may take.
+USAGE_TIMEOUT_S = 1.0
+# The counts of 1,000 workspaces with names of 200 characters.
+MAX_USAGE_REPLY_BYTES = 1024 * 1024
 # The largest number that datagrams announce; no later one could be followed.
 MAX_REVISION = 2**53
 
@@ -44,6 +50,7 @@
 
     def __init__(self, connect: pool.Connect = pool.connect_tcp):
         self.connect = connect
+        self.usage_clients: dict[gossip.Address, exchange.Client] = {}
 
     async def fetch_document(self, address: gossip.Address) -> tuple[int, Any]:
         """Returns the revision number and content of a peer's document.
@@ -91,6 +98,65 @@
         except msgspec.ValidationError as error:
             raise PeerError(str(error)) from error
 
+    async def fetch_usage(
+        self, address: gossip.Address, question: messages.Question
+    ) -> messages.Reply:
+        """Returns a peer's reply to a question about usage.
+
+        The connection is kept for the next question.
+
+        Raises:
+            PeerError: The peer sent no valid response.
+        """
+        client = self._get_usage_client(address)
+        path = messages.format_question(question)
+        try:
+            reply = await client.request("GET", path, USAGE_TIMEOUT_S)
+            if reply.status != 200:
+                raise PeerError(f"{client.authority}{path}: {reply.status}")
+            return messages.parse_reply(decoding.decode_json(reply.body))
+        except (
+            exchange.ExchangeError,
+            decoding.DecodingError,
+            messages.MessageError,
+        ) as error:
+            raise PeerError(f"{client.authority}{path}: {error!r}") from error
+
+    async def hand_over_usage(
+        self, address: gossip.Address, body: bytes, timeout_s: float
+    ) -> None:
+        """Hands records of runs over to a peer.
+
+        Raises:
+            PeerError: The peer did not confirm them.
+        """
+        client = exchange.Client(*address, self.connect)
+        try:
+            reply = await client.request(
+                "POST", messages.PATH, timeout_s, body
+            )
+        except exchange.ExchangeError as error:
+            raise PeerError(f"{client.authority}: {error!r}") from error
+        finally:
+            await client.close()
+        if reply.status != 200:
+            raise PeerError(f"{client.authority}: {reply.status}")
+
+    async def keep_usage_clients(self, addresses: set[gossip.Address]) -> None:
+        """Closes the connections to nodes that are not asked any more."""
+        for address in list(self.usage_clients):
+            if address not in addresses:
+                await self.usage_clients.pop(address).close()
+
+    def _get_usage_client(self, address: gossip.Address) -> exchange.Client:
+        client = self.usage_clients.get(address)
+        if client is None:
+            client = exchange.Client(
+                *address, self.connect, max_body_bytes=MAX_USAGE_REPLY_BYTES
+            )
+            self.usage_clients[address] = client
+        return client
+
     async def _get(self, address: gossip.Address, path: str) -> dict[str, Any]:
         client = exchange.Client(*address, self.connect)
         try:
--- /dev/null
+++ b/src/waxwingferry/process/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage reports: requests per workspace and window of true time."""
--- /dev/null
+++ b/src/waxwingferry/process/usage/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of usage reports."""
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -18,6 +18,7 @@
 from waxwingferry.process.protection import crash_suspects
 from waxwingferry.process.protection import limit as limits
 from waxwingferry.process.protection import stated_limit
+from waxwingferry.process.usage import records
 from waxwingferry.request import calls
 from waxwingferry.request import fingerprint
 from waxwingferry.request import outcome
@@ -59,6 +60,8 @@
         on_leaving: Called when the target first states that it leaves.
         on_answer: Called with service, version and route of each answer,
             whether it was a failure, and its service time.
+        usage: Records of the runs by workspace, or None if they are not
+            reported.
         leaving: Whether the node has announced that it is leaving. Other
             nodes send work until they have received the announcement.
         closed: Whether new work is refused because the node is leaving.
@@ -85,6 +88,7 @@
         self.on_leaving: Callable[[], None] = lambda: None
         self.on_sample: Callable[[], None] = lambda: None
         self.on_answer: OnAnswer = ignore_answer
+        self.usage: records.Records | None = None
         self.incarnation = incarnation
         self.domain_is_out = domain_is_out
         self.revision = revision
@@ -340,7 +344,9 @@
         try:
             link = self.link
             with self._track(attempt):
+                run_handle = self._record_run(attempt)
                 async with link.execute(attempt) as result:
+                    self._remove_run(run_handle, result)
                     self._count_refusal(result)
                     permit.record_head(self.admission.clock())
                     ending = _classify_ending(result, finished=False)
@@ -366,6 +372,21 @@
         )
         return self.running.track(protocol.get_correlation_id(attempt), parent)
 
+    def _record_run(self, attempt: calls.Attempt) -> int | None:
+        """Records that a run begins, if it counts as usage."""
+        if self.usage is None or not attempt.workspace or attempt.depth > 1:
+            return None
+        return self.usage.record(attempt.workspace)
+
+    def _remove_run(self, handle: int | None, result: outcome.Outcome) -> None:
+        """Removes the record of a run that proved not to have begun."""
+        if (
+            handle is not None
+            and self.usage is not None
+            and isinstance(result, outcome.NotRun)
+        ):
+            self.usage.remove(handle)
+
     def _record_end_of_answer(
         self,
         attempt: calls.Attempt,
