--- a/src/waxwingferry/process/usage/tests/test_reporter.py
+++ b/src/waxwingferry/process/usage/tests/test_reporter.py
@@ -154,7 +154,7 @@
         assert not world.accepted
         world.api_fault_share = 0.0
         await world.run(12)
-    assert list(world.accepted) == list(range(1000, 1013))
+    assert list(world.accepted) == list(range(1000, 1014))
 
 
 async def test_a_refused_token_ends_acting():
