--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -37,6 +37,16 @@
             registry=self.registry,
             buckets=list(LATENCY_BUCKETS_S),
         )
+        self.duty_token = aioprometheus.Gauge(
+            "waxwingferry_duty_token",
+            "Newest fencing token that this node knows, by duty.",
+            registry=self.registry,
+        )
+        self.duty_held = aioprometheus.Gauge(
+            "waxwingferry_duty_held",
+            "Whether this node believes that it holds the duty.",
+            registry=self.registry,
+        )
         self.events = self._make_counter("events", "Rare events by name.")
 
     def render(self) -> tuple[bytes, list[tuple[str, str]]]:
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -519,6 +519,35 @@
         names = [*last_by_domain.values(), *(row.node for row in rows)]
         return self.node in list(dict.fromkeys(names))[:PROBERS]
 
+    def is_duty_candidate(self) -> bool:
+        """Tells whether this node is the one that takes duties over.
+
+        It is the first live ready node in the order of is_prober. A node that
+        has not announced itself is none, because it may not know the others.
+        """
+        if self.own is None or self.own.state != "ready":
+            return False
+        return not any(
+            node > self.node
+            and record.row.state == "ready"
+            and self._is_current(node)
+            for node, record in self.records.items()
+        )
+
+    def is_live(self, node: str, incarnation: str) -> bool:
+        """Tells whether a process of a node is a live member.
+
+        It is not if the node left, is a suspect, has an expired lease or is
+        run by another process. A node whose target drains is live.
+        """
+        record = self.records.get(node)
+        return (
+            record is not None
+            and record.row.incarnation == incarnation
+            and record.row.state != "leaving"
+            and self._is_current(node)
+        )
+
     def apply_all(self, rows: Iterable[MemberRow]) -> int:
         """Stores the newer ones of several rows; returns their number."""
         return sum(self.apply(row) for row in rows)
--- a/src/waxwingferry/process/spreading/tests/test_members.py
+++ b/src/waxwingferry/process/spreading/tests/test_members.py
@@ -132,6 +132,58 @@
     assert not members.Membership("n0", fakes.Clock()).is_prober()
 
 
+def test_one_node_is_the_candidate_for_duties():
+    """Guards against duties that no node, or every one, takes over."""
+    rows = [fakes.make_row(number) for number in range(4)]
+    rows[3] = fakes.make_row(3, state="draining")
+
+    def make_membership(own):
+        membership = members.Membership(own.node, fakes.Clock())
+        membership.announce(own)
+        membership.apply_all(rows)
+        return membership
+
+    known = [make_membership(own) for own in rows]
+    assert [item.is_duty_candidate() for item in known] == [
+        False,
+        False,
+        True,
+        False,
+    ]
+    known[1].mark_suspect("n2")
+    assert known[1].is_duty_candidate()
+    assert not known[0].is_duty_candidate()
+    known[1].clear_suspect("n2")
+    assert not known[1].is_duty_candidate()
+    known[0].apply(fakes.make_row(1, state="leaving", change=2))
+    known[0].records["n2"].age_s = members.LEASE_TTL_S + 1
+    assert known[0].is_duty_candidate()
+    # Nodes that start together don't know each other before they announce
+    # themselves.
+    assert not members.Membership("n0", fakes.Clock()).is_duty_candidate()
+
+
+@pytest.mark.parametrize(
+    ("change", "live"),
+    [
+        ({}, True),
+        ({"state": "draining", "change": 2}, True),
+        ({"state": "leaving", "change": 2}, False),
+        ({"incarnation": "next", "generation": 2}, False),
+    ],
+)
+def test_the_holder_of_a_duty_is_one_process_of_a_live_node(change, live):
+    """Guards against a duty that stays with a process that has ended."""
+    membership = members.Membership("n0", fakes.Clock())
+    row = fakes.make_row(1)
+    membership.apply(row)
+    membership.apply(fakes.make_row(1, **change))
+    assert membership.is_live("n1", row.incarnation) == live
+    assert not membership.is_live("n9", row.incarnation)
+    membership.mark_suspect("n1")
+    assert not membership.is_live("n1", row.incarnation)
+
+
 def test_a_target_that_leaves_gets_no_work_after_its_node_restarts():
     """Guards against a leave that the row of a restarted node undoes.
 
