--- a/src/waxwingferry/process/usage/reporter.py
+++ b/src/waxwingferry/process/usage/reporter.py
@@ -5,20 +5,21 @@
 import dataclasses
 import enum
 from typing import Any
-from typing import Protocol
 
 import anyio
 import structlog
 
 from waxwingferry import boot_clock
+from waxwingferry.process import duties
 from waxwingferry.process import metrics
-from waxwingferry.process import platform
 from waxwingferry.process.usage import collector
 from waxwingferry.process.usage import records
 from waxwingferry.process.usage import true_time
 from waxwingferry.process.usage import windows
 
 TICK_S = 0.2
+# Token of the node that creates the duty's row.
+FIRST_TOKEN = 1
 # First wait before a window is stored or sent again. Each try costs a write.
 RETRY_MIN_S = 1.0
 # Wait before the second send within one write, as after a reset connection.
@@ -42,36 +43,8 @@
     FAILED = "failed"
 
 
-class Holding(Protocol):
-    """Holder and token of an act; see process.duties."""
-
-    @property
-    def holder(self) -> str:
-        """Name of the node."""
-
-    @property
-    def token(self) -> int:
-        """Fencing token."""
-
-
-class Duty(Protocol):
-    """What the reporter uses of process.duties.Duty."""
-
-    state: dict[str, Any]
-    act_until_s: float
-
-    def holds(self) -> bool:
-        """Returns whether this process believes that it is the holder."""
-
-    async def store(self, state: dict[str, Any]) -> Holding | None:
-        """Stores the state; returns the holding if the caller may act."""
-
-    def may_act(self) -> bool:
-        """Returns whether the caller may still act."""
-
-
 Send = Callable[
-    [Holding, windows.Report, float], Awaitable[SendResult]
+    [duties.Holding, windows.Report, float], Awaitable[SendResult]
 ]
 
 
@@ -87,7 +60,10 @@
         collecting: Windows that are being collected.
         confirmed: Newest confirmed window, or -1.
         retry_at_s: Boot clock until which nothing is stored or sent again.
-        token_refused: Whether the API has seen a higher token.
+        write_due: Whether the state must be stored although no window is
+            ready, because the row lacks a part of it.
+        token_refused: Whether the API has seen a higher token. The row is not
+            written any more, so that the next candidate takes over.
     """
 
     token: int
@@ -101,6 +77,7 @@
     confirmed: int = -1
     retry_at_s: float = 0.0
     retry_delay_s: float = RETRY_MIN_S
+    write_due: bool = False
     token_refused: bool = False
 
     def find_ready(self) -> list[windows.Report]:
@@ -140,14 +117,11 @@
 
     Attributes:
         tenure: What is known while this node has the duty, or None.
-        held_since_s: Boot clock when this node got the duty, or None.
-        refused_token: Highest token that the API refused. The row is not
-            written with it any more, so that the next candidate takes over.
     """
 
     def __init__(
         self,
-        duty: Duty,
+        duty: duties.Duty,
         source: collector.Collector,
         times: true_time.TrueTime,
         send: Send,
@@ -173,10 +147,7 @@
         self.clock = clock
         self.sleep = sleep
         self.tenure: Tenure | None = None
-        self.held_since_s: float | None = None
-        self.refused_token = -1
         self.next_send_s = 0.0
-        self.next_open_s = 0.0
         self.closed = False
 
     async def run(self) -> None:
@@ -265,51 +236,38 @@
 
     async def advance(self) -> None:
         """Does what is due: takes up the duty, stores and sends."""
-        if not self._may_report():
-            if self.tenure is not None or self.held_since_s is not None:
+        holding = self.duty.holding
+        tenure = self.tenure
+        if holding is None or not self._may_report():
+            if tenure is not None:
                 log.info("usage no longer reported by this node")
             self.tenure = None
-            self.held_since_s = None
-            return
-        if self.held_since_s is None:
-            self.held_since_s = self.clock()
-        tenure = self.tenure
-        if tenure is None:
-            await self._open_tenure()
-            return
-        if self.duty.state not in (tenure.stored, tenure.attempted):
-            log.warning("row of the duty was changed by another holder")
+        elif tenure is None or tenure.token != holding.token:
             self.tenure = None
-            return
-        await self._report(tenure)
+            await self._open_tenure(holding)
+        elif self.duty.state not in (tenure.stored, tenure.attempted):
+            log.error("state of the duty was changed by another user")
+            self.tenure = None
+        else:
+            await self._report(tenure)
 
-    async def _open_tenure(self) -> None:
+    async def _open_tenure(self, holding: duties.Holding) -> None:
         if not await self.source.find_true_time():
             log.warning("usage not reported: too few clocks for true time")
             return
-        assert self.times.offset_s is not None
-        assert self.held_since_s is not None
-        # A write before the wait of a takeover is over allows no act.
-        may_open_s = max(self.held_since_s + self.lease_s, self.next_open_s)
-        if self.clock() < may_open_s:
-            return
-        self.next_open_s = self.clock() + RETRY_MIN_S
-        data = dict(self.duty.state)
-        if not data:
-            held_since_s = self.held_since_s + self.times.offset_s
-            data = windows.make_initial_data(
-                windows.find_window(held_since_s, self.window_s)
-            )
-        # The token shows whether the table was restored since the row was
-        # written, and only a write tells it.
-        holding = await self.duty.store(data)
-        if holding is None or self.duty.state != data:
-            return
+        duty = self.duty
         now_s = self.times.read_s()
-        assert now_s is not None
-        opening_window = windows.find_window(now_s, self.window_s)
-        era = platform.get_era(holding.token)
-        state = windows.open_state(data, era, opening_window)
+        # Until then an earlier holder may still act on its last write.
+        wait_s = duty.act_from_s - self.clock()
+        if duty.holding is not holding or now_s is None or wait_s > 0:
+            return
+        data = duty.state
+        window = windows.find_window(now_s, self.window_s)
+        if not data and holding.token == FIRST_TOKEN:
+            # The row was just created, and there was no earlier holder.
+            created_s = now_s + wait_s - self.lease_s
+            window = windows.find_window(created_s, self.window_s)
+        state = windows.open_state(data, duty.state_incomplete, window)
         self._log_unknown(data, state)
         tenure = Tenure(
             holding.token,
@@ -317,7 +275,7 @@
             data,
             data,
             confirmed=state.confirmed,
-            token_refused=holding.token <= self.refused_token,
+            write_due=windows.format_state(state) != data,
         )
         oldest = windows.find_oldest_retained(
             now_s, self.window_s, records.RETENTION_S
@@ -325,23 +283,20 @@
         if state.next_window < oldest:
             self._skip_to(tenure, oldest, "its records are not kept any more")
         self.tenure = tenure
-        if tenure.token_refused:
-            log.error("token was refused before", token=holding.token)
-            return
         log.info(
             "usage reported by this node",
             token=holding.token,
             next_window=tenure.state.next_window,
             pending=len(state.pending),
         )
-        await self._send_unconfirmed(tenure, holding)
 
     def _log_unknown(self, data: dict[str, Any], state: windows.State) -> None:
+        if not data:
+            return
         try:
             first = windows.parse_state(data).next_window
         except windows.CountsError as error:
-            if "created" not in data:
-                log.error("row of the duty is malformed", error=str(error))
+            log.error("state of the duty is malformed", error=str(error))
             return
         self._count_given_up(
             first, state.next_window, "may have been sent before a restore"
@@ -351,7 +306,7 @@
         """Stores what is collected, and sends what is not confirmed."""
         self._update_gauge(tenure)
         ready = tenure.find_ready()
-        if not ready and not tenure.find_unconfirmed():
+        if not (ready or tenure.write_due or tenure.find_unconfirmed()):
             return
         if tenure.token_refused or self.clock() < tenure.retry_at_s:
             return
@@ -366,14 +321,9 @@
         if holding is None or self.duty.state != data:
             self._delay_retry(tenure)
             return
-        if holding.token != tenure.token:
-            log.warning(
-                "duty was taken again", token=holding.token, old=tenure.token
-            )
-            self.tenure = None
-            return
         tenure.state = state
         tenure.stored = data
+        tenure.write_due = False
         for report in ready:
             tenure.collected.pop(report.window, None)
         for window in given_up:
@@ -385,7 +335,7 @@
         tenure.retry_delay_s = min(tenure.retry_delay_s * 2, self.window_s)
 
     async def _send_unconfirmed(
-        self, tenure: Tenure, holding: Holding
+        self, tenure: Tenure, holding: duties.Holding
     ) -> None:
         """Sends the stored windows in order, as long as the node may act."""
         for report in tenure.find_unconfirmed():
@@ -396,7 +346,7 @@
         self._update_gauge(tenure)
 
     async def _send_report(
-        self, tenure: Tenure, holding: Holding, report: windows.Report
+        self, tenure: Tenure, holding: duties.Holding, report: windows.Report
     ) -> bool:
         for number in range(SENDS_PER_WRITE):
             if number:
@@ -419,12 +369,11 @@
             if result is SendResult.TOKEN_REFUSED:
                 log.error("token refused by the API", token=holding.token)
                 tenure.token_refused = True
-                self.refused_token = max(self.refused_token, holding.token)
                 return False
         return False
 
     def _record_confirmed(
-        self, holding: Holding, report: windows.Report
+        self, holding: duties.Holding, report: windows.Report
     ) -> None:
         end_s = windows.get_start_s(report.window + 1, self.window_s)
         now_s = self.times.read_s() or end_s
--- a/src/waxwingferry/process/usage/tests/world.py
+++ b/src/waxwingferry/process/usage/tests/world.py
@@ -1,12 +1,12 @@
-"""Nodes, a duty's row and an API in memory, on a virtual clock."""
+"""Nodes with duties and reporters, a table and an API, on a virtual clock."""
 
 import copy
-import dataclasses
 import random
 
 import anyio
 import anyio.lowlevel
 
+from waxwingferry.process import duties
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
 from waxwingferry.process.spreading import members
@@ -28,110 +28,110 @@
     """Virtual clock for deeper chains of tasks."""
 
     async def _run_ready_tasks(self) -> None:
-        for _ in range(60):
+        for _ in range(30):
             await anyio.lowlevel.checkpoint()
 
 
-@dataclasses.dataclass
-class Holding:
-    """Stands in for process.duties.Holding."""
-
-    holder: str
-    token: int
-
-
-@dataclasses.dataclass
-class Row:
-    """The duty's row in the table."""
-
-    version: int
-    holder: str
-    token: int
-    state: dict
+class Table:
+    """Table with one row of interest, which can be restored.
 
+    Attributes:
+        loss_share: Share of writes whose response is lost; half of these
+            writes are not applied.
+        history: All values and versions of rows, oldest first.
+    """
 
-class Duty:
-    """Stands in for process.duties.Duty, with takeovers by command."""
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+        self.rows: dict[str, platform.Row] = {}
+        self.history: list[dict[str, platform.Row]] = [{}]
+        self.number = 0
+        self.restores = 0
+        self.writes = 0
+        self.loss_share = 0.0
+        self.is_down = False
 
-    def __init__(self, world: "World", name: str):
-        self.world = world
-        self.name = name
-        self.state: dict = {}
-        self.act_until_s = 0.0
-        self.token = -1
-        self.version = 0
-        self.taken_over_s = 0.0
-
-    def holds(self) -> bool:
-        return self.token >= 0
-
-    def may_act(self) -> bool:
-        return self.world.clock() < self.act_until_s
-
-    def take_over(self) -> None:
-        """Writes the row with a higher token."""
-        row = self.world.row
-        self.token = max(
-            (row.token if row else 0) + 1,
-            platform.make_version(self.world.era, 1),
-        )
-        self.state = copy.deepcopy(row.state) if row else {}
-        self.act_until_s = 0.0
-        self.taken_over_s = self.world.clock()
-        self._write(self.state)
+    def restore(self, age: int) -> None:
+        """Restores a copy that lacks the newest writes."""
+        self.restores += 1
+        copied = self.history[max(len(self.history) - 1 - age, 0)]
+        self.rows = {}
+        for key, row in copied.items():
+            self.number += 1
+            version = platform.make_version(self.restores, self.number)
+            self.rows[key] = platform.Row(key, row.value, version)
+
+    async def read(self, key):
+        await anyio.lowlevel.checkpoint()
+        if self.is_down:
+            raise platform.PlatformError("down")
+        return copy.deepcopy(self.rows.get(key))
 
-    def _write(self, state: dict) -> None:
-        self.version = self.world.write(self.name, self.token, state)
+    async def scan(self, prefix, after_version=0):
+        raise NotImplementedError
 
-    async def store(self, state: dict) -> Holding | None:
-        world = self.world
-        began_s = world.clock()
+    async def transact(self, writes):
+        await anyio.lowlevel.checkpoint()
+        fate = self.rng.random()
+        if self.is_down or fate < self.loss_share / 2:
+            raise platform.PlatformError("not applied")
+        (write,) = writes
+        row = self.rows.get(write.key)
+        if write.if_version != (row.version if row else 0):
+            raise platform.ConflictError(write.key, copy.deepcopy(row))
+        self.writes += 1
+        self.number += 1
+        version = platform.make_version(self.restores, self.number)
+        value = copy.deepcopy(write.value)
+        self.rows[write.key] = platform.Row(write.key, value, version)
+        self.history.append(dict(self.rows))
         await anyio.lowlevel.checkpoint()
-        if not self.holds() or world.table_is_down:
-            return None
-        row = world.row
-        if row is None or row.version != self.version:
-            restored = row is None or row.token < self.token
-            if restored and world.rng.random() < 0.5:
-                # The holder writes its row again after a restore.
-                self._write(self.state)
-            elif row is not None and row.token == self.token:
-                self.version, self.state = row.version, dict(row.state)
-            else:
-                self.token, self.act_until_s = -1, 0.0
-            return None
-        world.stores += 1
-        fate = world.rng.random()
-        if fate < world.loss_share / 2:
-            return None
-        if fate < world.loss_share:
-            world.write(self.name, self.token, state)
-            return None
-        self._write(state)
-        self.state = copy.deepcopy(state)
-        if began_s < self.taken_over_s + LEASE_S:
-            return None
-        self.act_until_s = began_s + LEASE_S / 4
-        return Holding(self.name, self.token)
+        if fate < self.loss_share:
+            raise platform.PlatformError("response lost")
+        return [version]
 
 
 class Node:
-    """A node with records, a duty and a reporter."""
+    """A process of a node, with records, a duty and a reporter.
 
-    def __init__(self, world: "World", number: int):
+    Attributes:
+        wall_error_s: Error of its wall clock.
+        hangs: Whether it does not answer questions.
+        live: Whether other nodes take it for a live member.
+    """
+
+    def __init__(self, world: "World", number: int, life: int = 0):
         self.world = world
-        self.row = fakes.make_row(number)
+        self.number = number
+        self.life = life
+        self.row = fakes.make_row(number, incarnation=f"{number}a{life}")
         self.wall_error_s = 0.0
         self.hangs = False
+        self.live = True
         self.is_gone = False
         self.questions = 0
+        self.scope = anyio.CancelScope()
+        name, incarnation = self.row.node, self.row.incarnation
         self.usage = local.LocalUsage(
-            self.row.node,
-            self.row.incarnation,
+            name,
+            incarnation,
             world.clock,
             lambda: world.clock() + OFFSET_S + self.wall_error_s,
         )
-        self.duty = Duty(world, self.row.node)
+        self.duty = duties.Duty(
+            "usage_reporting",
+            name,
+            incarnation,
+            world.table,
+            lambda: world.candidate == number,
+            world.is_live,
+            LEASE_S,
+            2 * WINDOW_S,
+            world.clock,
+            world.clock.sleep,
+            world.rng,
+            lambda: world.table.restores,
+        )
         self.times = true_time.TrueTime(world.clock)
         self.collector = collector.Collector(
             self.usage,
@@ -143,14 +143,13 @@
             world.clock,
             world.clock.sleep,
         )
-        self.counters = metrics.Metrics()
         self.reporter = reporter.Reporter(
             self.duty,
             self.collector,
             self.times,
             world.send,
             lambda: True,
-            self.counters,
+            metrics.Metrics(),
             WINDOW_S,
             LATE_S,
             LEASE_S,
@@ -159,14 +158,21 @@
             world.clock.sleep,
         )
 
+    async def run(self) -> None:
+        """Runs until killed."""
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.duty.run)
+                group.start_soon(self.reporter.run)
+
 
 class World:
-    """All nodes, the row and the API, which records calls and faults.
+    """All nodes, the table and the API, which records calls and faults.
 
     Attributes:
-        loss_share: Share of writes whose response is lost; half of these
-            writes are not applied.
+        candidate: Number of the node that may take the duty over.
         accepted: Counts by window, as the API accepted them first.
+        accepted_s: Time of that.
         violations: Calls that must not happen.
         truth: Runs by window and workspace.
     """
@@ -174,13 +180,8 @@
     def __init__(self, node_count: int, seed: int = 1):
         self.rng = random.Random(seed)
         self.clock = Clock()
-        self.row: Row | None = None
-        self.history: list[Row] = []
-        self.version = 0
-        self.era = 0
-        self.stores = 0
-        self.loss_share = 0.0
-        self.table_is_down = False
+        self.table = Table(self.rng)
+        self.candidate = 0
         self.api_fault_share = 0.0
         self.accepted: dict[int, dict] = {}
         self.accepted_s: dict[int, float] = {}
@@ -188,20 +189,34 @@
         self.violations: list[str] = []
         self.truth: dict[int, dict[str, int]] = {}
         self.nodes = [Node(self, number) for number in range(node_count)]
-
-    def write(self, holder: str, token: int, state: dict) -> int:
-        self.version += 1
-        self.row = Row(self.version, holder, token, copy.deepcopy(state))
-        self.history.append(self.row)
-        return self.version
-
-    def restore(self, age: int) -> None:
-        """Restores the row from a copy that lacks the newest writes."""
-        self.era += 1
-        self.version += 1
-        copied = self.history[-age - 1] if age < len(self.history) else None
-        self.row = copied and dataclasses.replace(
-            copied, version=self.version
+        self.group: anyio.abc.TaskGroup | None = None
+
+    async def __aenter__(self):
+        self.group = anyio.create_task_group()
+        await self.group.__aenter__()
+        for node in self.nodes:
+            self.group.start_soon(node.run)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.group.cancel_scope.cancel()
+        return await self.group.__aexit__(*exc_info)
+
+    def kill(self, number: int, restarts: bool = False) -> None:
+        """Ends a process, and starts another one of the same node."""
+        node = self.nodes[number]
+        node.scope.cancel()
+        node.live = False
+        node.is_gone = True
+        if restarts:
+            self.nodes[number] = Node(self, number, node.life + 1)
+            self.group.start_soon(self.nodes[number].run)
+
+    def is_live(self, name: str, incarnation: str) -> bool:
+        return any(
+            (item.row.node, item.row.incarnation) == (name, incarnation)
+            and item.live
+            for item in self.nodes
         )
 
     def list_rows(self) -> list[members.MemberRow]:
@@ -228,10 +243,14 @@
             self.violations.append(f"token {holding.token}")
         self.highest_token = max(self.highest_token, holding.token)
         counts = dict(report.counts)
+        if report.window not in self.accepted and (
+            report.window < max(self.accepted, default=0)
+        ):
+            self.violations.append(f"order of {report.window}")
         first = self.accepted.setdefault(report.window, counts)
         self.accepted_s.setdefault(report.window, self.clock())
         if first != counts:
-            self.violations.append(f"window {report.window}")
+            self.violations.append(f"counts of window {report.window}")
         if self.rng.random() < self.api_fault_share / 2:
             return reporter.SendResult.FAILED
         return reporter.SendResult.CONFIRMED
--- a/src/waxwingferry/process/usage/windows.py
+++ b/src/waxwingferry/process/usage/windows.py
@@ -45,13 +45,11 @@
         next_window: First window that is not stored.
         confirmed: Newest confirmed window, or -1.
         pending: Stored windows that are not confirmed, in order.
-        era: Restores of the table, as the token of the writer showed them.
     """
 
     next_window: int
     confirmed: int = -1
     pending: tuple[Report, ...] = ()
-    era: int = 0
 
 
 def find_window(true_s: float, length_s: float) -> int:
@@ -114,17 +112,11 @@
     return {name: sums[name] for name in sorted(kept)}
 
 
-def make_initial_data(window: int) -> dict[str, Any]:
-    """Returns the data of a row that is created in a window."""
-    return {"created": window}
-
-
 def format_state(state: State) -> dict[str, Any]:
     """Returns the state as stored in the row."""
     return {
         "next": state.next_window,
         "confirmed": state.confirmed,
-        "era": state.era,
         "pending": [
             [report.window, dict(report.counts)] for report in state.pending
         ],
@@ -155,40 +147,28 @@
         counts = parse_counts(counts, MAX_REPORTED_WORKSPACES)
         pending.append(Report(window, counts))
         earlier = window
-    era = _parse_number(data, "era")
-    return State(next_window, confirmed, tuple(pending), era)
+    return State(next_window, confirmed, tuple(pending))
 
 
-def open_state(data: dict[str, Any], era: int, opening_window: int) -> State:
+def open_state(data: dict[str, Any], incomplete: bool, window: int) -> State:
     """Returns the state that a new holder begins with.
 
     Args:
-        data: State read from the row, or make_initial_data.
-        era: Restores of the table, as the new holder's token shows them.
-        opening_window: Window that contains the time at which the new holder
-            may first act. No earlier holder can have stored it, because a
-            window is stored after its end.
+        data: State read from the row; empty if none was stored yet.
+        incomplete: Whether states of earlier holders may be missing.
+        window: First window that no earlier holder can have stored.
 
     Returns:
         The state of the row, if it is certain that no later one was lost.
-        Otherwise all windows before the opening window that the row doesn't
-        show may have been sent with other counts, and are skipped. Reports
-        that the row shows keep their counts in every copy of it.
+        Otherwise all windows before the given one that the row doesn't show
+        may have been sent with other counts, and are skipped. Reports that
+        the row shows keep their counts in every copy of it.
     """
-    if set(data) == {"created"} and era == 0:
-        try:
-            created = _parse_number(data, "created")
-        except CountsError:
-            return State(opening_window, era=era)
-        return State(min(created, opening_window), era=era)
     try:
         stored = parse_state(data)
     except CountsError:
-        return State(opening_window, era=era)
-    if stored.era == era:
-        return stored
-    next_window = max(stored.next_window, opening_window)
-    return dataclasses.replace(stored, next_window=next_window, era=era)
+        return State(window)
+    return skip_to(stored, window) if incomplete else stored
 
 
 def skip_to(state: State, window: int) -> State:
@@ -223,10 +203,8 @@
         if report.window > confirmed
     ]
     given_up = [report.window for report in pending[:-MAX_PENDING]]
-    new_state = State(
-        next_window, confirmed, tuple(pending[-MAX_PENDING:]), state.era
-    )
-    return new_state, given_up
+    kept = tuple(pending[-MAX_PENDING:])
+    return State(next_window, confirmed, kept), given_up
 
 
 def _parse_number(data: dict[str, Any], key: str) -> int:
