--- a/src/waxwingferry/cli/main.py
+++ b/src/waxwingferry/cli/main.py
@@ -132,9 +132,22 @@
             f"{address}: {data['node']} revision {data['revision']} "
             f"members {len(data['members'])} load {data['load']}"
         )
+        if "usage" in data:
+            print(f"{address}: {_format_usage(data['usage'])}")
     return program.EXIT_FAILURE if failed else 0
 
 
+def _format_usage(usage: dict[str, Any]) -> str:
+    """Returns one line on the duty of reporting usage."""
+    text = f"usage reported by {usage['holder']} token {usage['token']}"
+    if not usage["holds"]:
+        return text
+    return (
+        f"{text} windows: confirmed {usage['confirmed']} "
+        f"open {usage['open']} late {usage['late']}"
+    )
+
+
 def domain_out(name: str, why: str = "") -> int:
     """Takes a failure domain out of service: it gets no new requests.
 
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -4,8 +4,10 @@
 import random
 import sys
 import time
+from typing import Any
 
 import anyio
+import msgspec
 import structlog
 
 from waxwingferry.connection import exchange
@@ -17,6 +19,7 @@
 from waxwingferry.platform import operator_document
 from waxwingferry.platform import settings_file
 from waxwingferry.platform import store
+from waxwingferry.platform import usage_duty
 from waxwingferry.process import core
 from waxwingferry.process import logs
 from waxwingferry.process import platform
@@ -34,6 +37,7 @@
 
 EXIT_USAGE = 2
 READY_PATH = "/-/ready"
+STATUS_PATH = "/status"
 # Added to the first internal port; the first one is for other nodes.
 METRICS_PORT_OFFSET = 1
 # The platform checks readiness every second and removes a node after two failed
@@ -74,6 +78,7 @@
             for host in settings.seed_hosts
             if host != settings.host
         )
+        client = peers.PeerClient()
         super().__init__(
             core.NodeOptions(
                 node=settings.node,
@@ -90,11 +95,14 @@
             table,
             self.document,
             random.Random(),
-            peers.PeerClient(),
+            client,
             header_fields.PlatformCallerProtocol(lambda: self.settings.service),
             header_fields.PlatformTargetProtocol(),
             self.make_limit,
         )
+        self.usage_duty = usage_duty.make_usage_duty(
+            self, table, client, settings
+        )
         table.on_restored = self.handle_store_restored
         table.on_malformed = lambda: self.counters.events.inc(
             {"event": "row_malformed"}
@@ -320,11 +328,30 @@
     async def handle_metrics(
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
-        """Responds with the metrics in text format."""
+        """Responds with the metrics in text format, or with the status."""
+        if head.target == STATUS_PATH:
+            headers = [("content-type", "application/json")]
+            body = msgspec.json.encode(self.describe())
+            await connection.send_head(200, headers, body)
+            return
         self.receiver.update_gauges()
+        if self.usage_duty is not None:
+            self.usage_duty.update_gauges()
         content, headers = self.counters.render()
         await connection.send_head(200, headers, content)
 
+    def describe(self) -> dict[str, Any]:
+        """Returns the status that the command line shows."""
+        status: dict[str, Any] = {
+            "node": self.options.node,
+            "revision": self.configured.number,
+            "load": self.receiver.format_load(),
+            "members": sorted(self.members.candidates),
+        }
+        if self.usage_duty is not None:
+            status["usage"] = self.usage_duty.describe()
+        return status
+
     async def run(self) -> None:
         """Runs until a stop is requested, then stops gracefully."""
         with signals.receive_signals() as received:
@@ -358,11 +385,17 @@
                 self.run_periodic_checks,
             ):
                 group.start_soon(task)
+            if self.usage_duty is not None:
+                group.start_soon(self.usage_duty.run)
             group.start_soon(self.datagrams.run, self.gossip.receive)
             log.info("node started", node=settings.node)
             await self.stop_requested.wait()
             stop_requested_s = time.monotonic()
+            if self.usage_duty is not None:
+                self.usage_duty.stop()
             await self.leave()
+            if self.usage_duty is not None:
+                group.start_soon(self.usage_duty.hand_over)
             remaining_s = READINESS_REMOVAL_DELAY_S - (
                 time.monotonic() - stop_requested_s
             )
--- a/src/waxwingferry/process/spreading/peers.py
+++ b/src/waxwingferry/process/spreading/peers.py
@@ -132,9 +132,7 @@
         """
         client = exchange.Client(*address, self.connect)
         try:
-            reply = await client.request(
-                "POST", messages.PATH, timeout_s, body
-            )
+            reply = await client.request("POST", messages.PATH, timeout_s, body)
         except exchange.ExchangeError as error:
             raise PeerError(f"{client.authority}: {error!r}") from error
         finally:
--- a/src/waxwingferry/process/usage/collector.py
+++ b/src/waxwingferry/process/usage/collector.py
@@ -313,4 +313,3 @@
                 *handed_over.values(),
             ]
         )
-
--- a/src/waxwingferry/process/usage/local.py
+++ b/src/waxwingferry/process/usage/local.py
@@ -67,9 +67,7 @@
             self.handed_over.pop(key, None)
             self.handed_over[key] = item
             self.received_s[key] = now_s
-            log.info(
-                "usage handed over", by=item.node, groups=len(item.runs)
-            )
+            log.info("usage handed over", by=item.node, groups=len(item.runs))
         self._remove_old()
 
     def _remove_old(self) -> None:
@@ -135,9 +133,7 @@
         if head.method == "POST":
             if size > messages.MAX_HAND_OVER_BYTES:
                 raise messages.MessageError("the body is too large")
-            usage.keep(
-                messages.parse_hand_over(b"".join(parts), usage.clock())
-            )
+            usage.keep(messages.parse_hand_over(b"".join(parts), usage.clock()))
             await connection.send_head(200, [], b"")
             return
         reply = usage.answer(messages.parse_question(head.target))
--- a/src/waxwingferry/process/usage/messages.py
+++ b/src/waxwingferry/process/usage/messages.py
@@ -140,9 +140,7 @@
         or len(incarnation) > MAX_NODE_CHARACTERS
     ):
         raise MessageError("incarnation: must be a short string")
-    return Reply(
-        wall_ms / 1000, _parse_counts(data.get("counts")), incarnation
-    )
+    return Reply(wall_ms / 1000, _parse_counts(data.get("counts")), incarnation)
 
 
 def format_hand_over(nodes: Iterable[HandedOver], now_s: float) -> bytes:
@@ -215,9 +213,7 @@
         age_ms, counts = item
         if type(age_ms) is not int or not 0 <= age_ms <= MAX_AGE_MS:
             raise MessageError("runs: the age must be milliseconds")
-        parsed.append(
-            records.Run(now_s - age_ms / 1000, _parse_counts(counts))
-        )
+        parsed.append(records.Run(now_s - age_ms / 1000, _parse_counts(counts)))
     return HandedOver(data["node"], data["incarnation"], tuple(parsed))
 
 
--- a/src/waxwingferry/process/usage/reporter.py
+++ b/src/waxwingferry/process/usage/reporter.py
@@ -43,9 +43,7 @@
     FAILED = "failed"
 
 
-Send = Callable[
-    [duties.Holding, windows.Report, float], Awaitable[SendResult]
-]
+Send = Callable[[duties.Holding, windows.Report, float], Awaitable[SendResult]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -304,7 +302,6 @@
 
     async def _report(self, tenure: Tenure) -> None:
         """Stores what is collected, and sends what is not confirmed."""
-        self._update_gauge(tenure)
         ready = tenure.find_ready()
         if not (ready or tenure.write_due or tenure.find_unconfirmed()):
             return
@@ -343,7 +340,6 @@
                 self._delay_retry(tenure)
                 return
         tenure.retry_delay_s = RETRY_MIN_S
-        self._update_gauge(tenure)
 
     async def _send_report(
         self, tenure: Tenure, holding: duties.Holding, report: windows.Report
@@ -387,18 +383,18 @@
             after_end_ms=round((now_s - end_s) * 1000),
         )
 
-    def _update_gauge(self, tenure: Tenure) -> None:
-        status = self.describe_windows(tenure)
+    def update_gauge(self) -> None:
+        """Updates the gauge of windows; 0 on nodes without the duty."""
+        status = {} if self.tenure is None else self._count(self.tenure)
         for state in ("open", "late"):
-            self.counters.usage_windows.set({"state": state}, status[state])
+            value = status.get(state, 0)
+            self.counters.usage_windows.set({"state": state}, value)
 
-    def describe_windows(self, tenure: Tenure) -> dict[str, int]:
+    def _count(self, tenure: Tenure) -> dict[str, int]:
         """Returns the numbers of windows that ended and are not confirmed."""
         now_s = self.times.read_s() or 0.0
         last = windows.find_newest_ended(now_s, self.window_s, 0.0)
-        last_late = windows.find_newest_ended(
-            now_s, self.window_s, self.late_s
-        )
+        last_late = windows.find_newest_ended(now_s, self.window_s, self.late_s)
         pending = [item.window for item in tenure.find_unconfirmed()]
         next_window = tenure.state.next_window
         late = sum(window <= last_late for window in pending)
@@ -414,6 +410,5 @@
             return {"holds": False}
         return {
             "holds": True,
-            "token": self.tenure.token,
-            **self.describe_windows(self.tenure),
+            **self._count(self.tenure),
         }
--- a/src/waxwingferry/process/usage/true_time.py
+++ b/src/waxwingferry/process/usage/true_time.py
@@ -60,15 +60,11 @@
         self.updated_s = self.clock()
         if self.offset_s is None:
             self.offset_s = median_s
-            log.info(
-                "true time known", clocks=len(offsets_s), nodes=node_count
-            )
+            log.info("true time known", clocks=len(offsets_s), nodes=node_count)
             return
         step_s = median_s - self.offset_s
         if abs(step_s) > MAX_STEP_S:
-            log.warning(
-                "median of clocks moved", step_ms=round(step_s * 1000)
-            )
+            log.warning("median of clocks moved", step_ms=round(step_s * 1000))
         self.offset_s += min(max(step_s, -MAX_STEP_S), MAX_STEP_S)
 
     def read_s(self) -> float | None:
