--- a/src/waxwingferry/platform/usage_api.py
+++ b/src/waxwingferry/platform/usage_api.py
@@ -12,6 +12,7 @@
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
 from waxwingferry.connection import tcp
+from waxwingferry.process import duties
 from waxwingferry.process.usage import reporter
 from waxwingferry.process.usage import windows
 
@@ -63,7 +64,7 @@
 
     async def send(
         self,
-        holding: reporter.Holding,
+        holding: duties.Holding,
         report: windows.Report,
         arrival_timeout_s: float,
     ) -> reporter.SendResult:
--- a/src/waxwingferry/process/usage/tests/world.py
+++ b/src/waxwingferry/process/usage/tests/world.py
@@ -62,15 +62,18 @@
             self.rows[key] = platform.Row(key, row.value, version)
 
     async def read(self, key):
+        """See platform.Table."""
         await anyio.lowlevel.checkpoint()
         if self.is_down:
             raise platform.PlatformError("down")
         return copy.deepcopy(self.rows.get(key))
 
     async def scan(self, prefix, after_version=0):
+        """See platform.Table."""
         raise NotImplementedError
 
     async def transact(self, writes):
+        """See platform.Table."""
         await anyio.lowlevel.checkpoint()
         fate = self.rng.random()
         if self.is_down or fate < self.loss_share / 2:
@@ -189,10 +192,9 @@
         self.violations: list[str] = []
         self.truth: dict[int, dict[str, int]] = {}
         self.nodes = [Node(self, number) for number in range(node_count)]
-        self.group: anyio.abc.TaskGroup | None = None
 
     async def __aenter__(self):
-        self.group = anyio.create_task_group()
+        self.group: anyio.abc.TaskGroup = anyio.create_task_group()
         await self.group.__aenter__()
         for node in self.nodes:
             self.group.start_soon(node.run)
@@ -213,6 +215,7 @@
             self.group.start_soon(self.nodes[number].run)
 
     def is_live(self, name: str, incarnation: str) -> bool:
+        """Stands in for Membership.is_live."""
         return any(
             (item.row.node, item.row.incarnation) == (name, incarnation)
             and item.live
@@ -220,9 +223,11 @@
         )
 
     def list_rows(self) -> list[members.MemberRow]:
+        """Returns the rows of all nodes."""
         return [node.row for node in self.nodes]
 
     async def ask(self, row, question):
+        """Stands in for PeerClient.fetch_usage."""
         node = next(item for item in self.nodes if item.row.node == row.node)
         node.questions += 1
         if node.hangs:
@@ -236,6 +241,7 @@
         return reply
 
     async def send(self, holding, report, timeout_s):
+        """Stands in for UsageApi.send, with an API that checks calls."""
         if self.rng.random() < self.api_fault_share / 2:
             await self.clock.sleep(self.rng.uniform(0, 2))
             return reporter.SendResult.FAILED
