--- a/src/waxwingferry/platform/tests/test_settings_file.py
+++ b/src/waxwingferry/platform/tests/test_settings_file.py
@@ -140,6 +140,59 @@
     assert bounds.retry_slack == 56
 
 
+def test_duties_are_off_unless_listed():
+    """Guards against reports on a platform without the API."""
+    parsed = settings_file.parse(DATA)
+    assert parsed.cloud_api is None
+    assert parsed.duty_bounds == settings_file.DutyBounds()
+
+
+def test_settings_of_duties_are_decoded():
+    """Guards against times and limits read from the wrong keys."""
+    data = copy.deepcopy(DATA)
+    data["provider"]["cloud-api"] = {
+        "address": "10.200.0.13:8128",
+        "rate-per-s": 50.0,
+        "duties": ["usage_reporting"],
+        "duty-per-s": 20.0,
+    }
+    data["timing"]["bounds"] |= {
+        "lease_time": "3500ms",
+        "thaw-slack": "200ms",
+        "report-window": "6s",
+        "usage-tolerance": 0.1,
+        "usage-late": "12s",
+        "fencing-required": True,
+    }
+    parsed = settings_file.parse(data)
+    assert parsed.cloud_api == settings_file.CloudApi(
+        ("10.200.0.13", 8128), ("usage_reporting",), 20.0
+    )
+    assert parsed.duty_bounds == settings_file.DutyBounds(
+        3.5, 0.2, 6.0, 0.1, 12.0, True
+    )
+
+
+@pytest.mark.parametrize(
+    ("section", "key", "value", "allowed"),
+    [
+        ("bounds", "report-window", "0s", "above 0"),
+        ("bounds", "fencing-required", "no", "true or false"),
+        ("cloud-api", "duties", "usage_reporting", "a list of strings"),
+        ("cloud-api", "duty-per-s", 0, "a number above 0"),
+    ],
+)
+def test_bad_settings_of_duties_are_refused(section, key, value, allowed):
+    """Guards against a division by zero, or a duty that is off unnoticed."""
+    data = copy.deepcopy(DATA)
+    data["provider"]["cloud-api"] = {"address": "10.200.0.13:8128"}
+    sections = {**data["timing"], **data["provider"]}
+    sections[section][key] = value
+    with pytest.raises(settings_file.SettingsError) as caught:
+        settings_file.parse(data)
+    assert str(caught.value).endswith(f"{key} = {value!r}: must be {allowed}")
+
+
 def test_unknown_fields_are_ignored():
     """Guards against a failed start because of a new field."""
     data = copy.deepcopy(DATA)
--- a/src/waxwingferry/platform/usage_duty.py
+++ b/src/waxwingferry/platform/usage_duty.py
@@ -71,6 +71,7 @@
             self.times,
             bounds.report_window_s,
             bounds.usage_late_s,
+            keep_connections=self.keep_connections,
         )
         self.api = usage_api.UsageApi(*api.address, bounds.fencing_required)
         self.reporter = reporter.Reporter(
@@ -120,6 +121,10 @@
         """
         return await self.client.fetch_usage(row.address, question)
 
+    async def keep_connections(self, rows: list[members.MemberRow]) -> None:
+        """Closes the connections for questions to other nodes than these."""
+        await self.client.keep_usage_clients({row.address for row in rows})
+
     async def run(self) -> None:
         """Takes the duty over when it is due, and reports; never ends."""
         async with anyio.create_task_group() as group:
--- a/src/waxwingferry/process/usage/collector.py
+++ b/src/waxwingferry/process/usage/collector.py
@@ -44,9 +44,15 @@
     [members.MemberRow, messages.Question], Awaitable[messages.Reply]
 ]
 
+KeepConnections = Callable[[list[members.MemberRow]], Awaitable[None]]
+
 log = structlog.get_logger()
 
 
+async def ignore_connections(rows: list[members.MemberRow]) -> None:
+    """Default for Collector.keep_connections: does nothing."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Answer:
     """The best reply of a node to the questions about one window."""
@@ -97,6 +103,7 @@
         late_s: Time after a window's end at which its report is late.
         clock: Returns the boot clock in seconds.
         sleep: Waits for a number of seconds.
+        keep_connections: Closes the connections to other nodes than these.
 
     Attributes:
         locks: Let one question at a time be on its way to a node.
@@ -114,6 +121,7 @@
         late_s: float,
         clock: Callable[[], float] = boot_clock.read_s,
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+        keep_connections: KeepConnections = ignore_connections,
     ):
         self.usage = usage
         self.list_nodes = list_nodes
@@ -123,6 +131,7 @@
         self.late_s = late_s
         self.clock = clock
         self.sleep = sleep
+        self.keep_connections = keep_connections
         self.unreachable: dict[str, int] = {}
         self.round_trips_s: dict[str, float] = {}
         self.locks: dict[str, anyio.Lock] = {}
@@ -175,6 +184,7 @@
             await self.sleep(RETRY_INTERVAL_S)
         self._update_true_time(collection)
         self._record_unreachable(rows, collection)
+        await self.keep_connections(rows)
         return self._merge(rows, collection)
 
     async def _ask_all(
--- a/src/waxwingferry/process/usage/reporter.py
+++ b/src/waxwingferry/process/usage/reporter.py
@@ -239,6 +239,7 @@
         if holding is None or not self._may_report():
             if tenure is not None:
                 log.info("usage no longer reported by this node")
+                await self.source.keep_connections([])
             self.tenure = None
         elif tenure is None or tenure.token != holding.token:
             self.tenure = None
