--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -37,6 +37,24 @@
             registry=self.registry,
             buckets=list(LATENCY_BUCKETS_S),
         )
+        self.usage_windows = aioprometheus.Gauge(
+            "waxwingferry_usage_windows",
+            "Windows of usage that are not confirmed, by state.",
+            registry=self.registry,
+        )
+        self.usage_reports = self._make_counter(
+            "usage_reports", "Windows of usage by how they ended."
+        )
+        self.duty_token = aioprometheus.Gauge(
+            "waxwingferry_duty_token",
+            "Newest fencing token that this node knows, by duty.",
+            registry=self.registry,
+        )
+        self.duty_held = aioprometheus.Gauge(
+            "waxwingferry_duty_held",
+            "Whether this node believes that it holds the duty.",
+            registry=self.registry,
+        )
         self.events = self._make_counter("events", "Rare events by name.")
 
     def render(self) -> tuple[bytes, list[tuple[str, str]]]:
