Test the name of a workspace on the way to another node

Cause: no test followed the platform's field over a peer connection, from an entry that has a document without tenants. Keys over 200 characters were hashed although no document holds one.

--- a/src/waxwingferry/platform/tests/test_tenants.py
+++ b/src/waxwingferry/platform/tests/test_tenants.py
@@ -18,6 +18,9 @@
 from waxwingferry.platform.tests import test_odd_entries
 from waxwingferry.platform.tests import test_operator_document
 from waxwingferry.platform.tests import test_target_messages
+from waxwingferry.process import metrics
+from waxwingferry.request import receive
+from waxwingferry.request.tests import test_keys
 from waxwingferry.version import revision as revisions
 
 pytestmark = pytest.mark.anyio
@@ -155,6 +158,24 @@
     assert revision.content["op/config"]["value"]["version"] == "r8"
 
 
+async def test_a_target_of_another_node_gets_the_name():
+    """Guards against a forged name that an entry without tenants passes on."""
+    revision, _ = await read_document(make_config(TENANTS))
+    protocol = header_fields.PlatformTargetProtocol()
+    receiver = receive.Receiver(
+        "i1", lambda: False, lambda: revision, metrics.Metrics(), protocol
+    )
+    received = await test_keys.pass_on(
+        receiver,
+        [("authorization", f"Bearer {KEYS[0]}"), (header_fields.TENANT, "x")],
+    )
+    headers = protocol.make_headers(received, test_target_messages.ANNOUNCEMENT)
+    names = [value for name, value in headers if name == header_fields.TENANT]
+    assert names == ["acme"]
+    assert SECRET not in repr(headers)
+    assert not [name for name, _ in headers if name.startswith("x-waxwing-")]
+
+
 class RecordingTarget:
     """A target that answers each request and keeps its fields."""
 
--- a/src/waxwingferry/request/keys.py
+++ b/src/waxwingferry/request/keys.py
@@ -2,13 +2,13 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.request import outcome
+from waxwingferry.version import api_keys
 from waxwingferry.version import revision as revisions
 
 AUTHORIZATION_HEADER = "authorization"
 # RFC 6750; schemes are compared without regard to case (RFC 9110, 11.1).
 _SCHEME = "bearer"
-# Keys have at most 200 characters. The bound keeps the work for a hostile
-# field small; it is far above what any client sends by mistake.
+# Far above what any client sends by mistake; a key has at most 200 characters.
 MAX_FIELD_BYTES = 8192
 UNAUTHORIZED = 401
 # RFC 9110, section 15.5.2: a 401 response names the scheme that is expected.
@@ -71,6 +71,9 @@
         return _MALFORMED
     if not key:
         return _MISSING
+    if len(key) > api_keys.MAX_KEY_CHARS:
+        # No document holds it, so it need not be hashed.
+        return _UNKNOWN
     return document.find_workspace(key) or _UNKNOWN
 
 
--- a/src/waxwingferry/request/tests/test_keys.py
+++ b/src/waxwingferry/request/tests/test_keys.py
@@ -269,12 +269,15 @@
     assert AUTHORIZED in call.headers
 
 
-@pytest.mark.parametrize("has_workspaces", [True, False])
-async def test_a_key_ends_at_the_node_of_the_target(has_workspaces):
-    """Guards against a key that an entry with an older document passes on."""
-    revision = make_revision(has_workspaces)
-    counters = metrics.Metrics()
-    receiver = receive.Receiver("i1", lambda: False, lambda: revision, counters)
+async def pass_on(
+    receiver: receive.Receiver, headers: http1.Headers
+) -> calls.Attempt:
+    """Returns what the node of a target makes of another node's attempt.
+
+    Args:
+        receiver: Receiver of the target's node.
+        headers: Fields that the entry node leaves in the attempt.
+    """
     taken: list[calls.Attempt] = []
 
     class Target:
@@ -287,30 +290,39 @@
         cast(Any, Target()),
         attempts.Attempts(),
         background.Background(),
-        counters,
+        receiver.counters,
     )
-    handler = peer.PeerHandler(receiver, runner)
-    sent = calls.attempt_headers(
-        calls.Attempt(
-            "c1.1",
-            "desk",
-            "GET",
-            "/keyed",
-            [("host", "a"), AUTHORIZED],
-            calls.Body(b""),
-            calls.make_deadline(1.0),
-            "",
-            1,
-            "i1",
-            node_time_ms=runner.records.now_ms(),
-            workspace="acme",
-        )
+    sent = calls.Attempt(
+        "c1.1",
+        "desk",
+        "GET",
+        "/keyed",
+        headers,
+        calls.Body(b""),
+        calls.make_deadline(1.0),
+        "",
+        1,
+        receiver.incarnation,
+        node_time_ms=runner.records.now_ms(),
+        workspace="acme",
     )
     connection = FakeConnection()
     connection.receive_chunk = _end_body  # type: ignore[method-assign]
-    head = http1.RequestHead("GET", "/keyed", sent)
+    head = http1.RequestHead("GET", "/keyed", calls.attempt_headers(sent))
+    handler = peer.PeerHandler(receiver, runner)
     await handler.handle(cast(Any, connection), head)
     (attempt,) = taken
+    return attempt
+
+
+@pytest.mark.parametrize("has_workspaces", [True, False])
+async def test_a_key_ends_at_the_node_of_the_target(has_workspaces):
+    """Guards against a key that an entry with an older document passes on."""
+    revision = make_revision(has_workspaces)
+    receiver = receive.Receiver(
+        "i1", lambda: False, lambda: revision, metrics.Metrics()
+    )
+    attempt = await pass_on(receiver, [("host", "a"), AUTHORIZED])
     assert attempt.workspace == "acme"
     assert (AUTHORIZED in attempt.headers) is not has_workspaces
     names = [name for name, _ in calls.attempt_headers(attempt)]
