Merge tests of what a workspace changes in a call

Cause: five tests repeated the same steps with other requests.

Change: one test with a table of requests, as strict as before; the test of a peer connection with the platform's fields replaces the one without them.

--- a/src/waxwingferry/platform/tests/test_tenants.py
+++ b/src/waxwingferry/platform/tests/test_tenants.py
@@ -169,6 +169,7 @@
         receiver,
         [("authorization", f"Bearer {KEYS[0]}"), (header_fields.TENANT, "x")],
     )
+    assert received.workspace == "acme"
     headers = protocol.make_headers(received, test_target_messages.ANNOUNCEMENT)
     names = [value for name, value in headers if name == header_fields.TENANT]
     assert names == ["acme"]
--- a/src/waxwingferry/request/tests/test_keys.py
+++ b/src/waxwingferry/request/tests/test_keys.py
@@ -108,13 +108,12 @@
     path: str,
     headers: http1.Headers,
     revision: revisions.Revision | None = None,
-    parents: running.RunningRequests | None = None,
-    request_id: str = "",
+    parent: running.Parent | None = None,
 ) -> calls.Call:
-    """Returns the call that an entry makes of a request."""
+    """Returns the call that an entry makes of a request with the ID p1.1."""
     node = make_entry(revision or make_revision())
-    if parents is not None:
-        node.running = parents
+    if parent is not None:
+        node.running.parents["p1"] = [parent]
     taken: list[calls.Call] = []
 
     async def read_body(_: object) -> calls.Body:
@@ -125,7 +124,7 @@
 
     monkeypatch.setattr(answering, "read_body", read_body)
     monkeypatch.setattr(node, "_run_call", run_call)
-    monkeypatch.setattr(node.protocol, "find_request_id", lambda _: request_id)
+    monkeypatch.setattr(node.protocol, "find_request_id", lambda _: "p1.1")
     head = http1.RequestHead("POST", path, headers)
     await node.handle(cast(Any, FakeConnection()), head)
     (call,) = taken
@@ -202,53 +201,35 @@
     assert secret not in node.counters.render()[0].decode()
 
 
-async def test_a_caller_counts_for_its_workspace(monkeypatch):
-    """Guards against forged members, names and priorities of callers."""
-    headers = [("host", "a"), AUTHORIZED, FORGED, ("x-member", "forged")]
-    call = await make_call(monkeypatch, "/keyed", headers)
-    assert (call.workspace, call.member) == ("acme", "acme")
-    assert call.urgency.priority == 1
+@pytest.mark.parametrize(
+    ("path", "key", "is_nested", "expected"),
+    [
+        ("/keyed", KEY, False, ("acme", "acme", 1)),
+        # Without a priority of its own the route's counts.
+        ("/keyed", "plain-key", False, ("plain", "plain", 5)),
+        ("/open", KEY, False, ("", "m", 5)),
+        ("/open", "wrong", False, ("", "m", 5)),
+        ("/keyed", KEY, True, ("", "other", 3)),
+        ("/open", "wrong", True, ("", "other", 3)),
+    ],
+)
+async def test_a_call_counts_for_its_workspace(
+    monkeypatch, path, key, is_nested, expected
+):
+    """Guards against forged names and members, and keys sent to a target."""
+    headers = [("host", "a"), ("x-member", "m"), FORGED]
+    headers.append(("authorization", f"Bearer {key}"))
+    parent = running.Parent("other", 3, 2)
+    call = await make_call(
+        monkeypatch, path, headers, parent=parent if is_nested else None
+    )
+    assert (call.workspace, call.member, call.urgency.priority) == expected
+    assert call.depth == (3 if is_nested else 1)
     attempt = calls.make_attempt(call, 1, "i1")
     sent = calls.attempt_headers(attempt)
     found = [value for name, value in sent if name == FORGED[0]]
-    assert found == ["acme"]
-    assert KEY not in repr([call, attempt, sent])
-
-
-async def test_a_workspace_without_a_priority_has_that_of_the_route(
-    monkeypatch,
-):
-    """Guards against a missing priority that counts as the most urgent."""
-    headers = [("host", "a"), ("authorization", "Bearer plain-key")]
-    call = await make_call(monkeypatch, "/keyed", headers)
-    assert (call.workspace, call.urgency.priority) == ("plain", 5)
-
-
-async def test_an_anonymous_call_has_no_workspace(monkeypatch):
-    """Guards against a key that reaches a target over an open route."""
-    headers = [("host", "a"), AUTHORIZED, FORGED, ("x-member", "m")]
-    call = await make_call(monkeypatch, "/open", headers)
-    assert (call.workspace, call.member) == ("", "m")
-    assert call.urgency.priority == 5
-    sent = calls.attempt_headers(calls.make_attempt(call, 1, "i1"))
-    assert not [name for name, _ in sent if name in (AUTHORIZED[0], FORGED[0])]
-
-
-@pytest.mark.parametrize("path", ["/keyed", "/open"])
-async def test_a_nested_call_counts_for_the_member_of_its_parent(
-    monkeypatch, path
-):
-    """Guards against nested calls that are counted or ordered on their own."""
-    parents = running.RunningRequests()
-    with parents.track("p1", running.Parent("other", 3, 2)):
-        headers = [("host", "a"), AUTHORIZED, FORGED]
-        call = await make_call(
-            monkeypatch, path, headers, parents=parents, request_id="p1.1"
-        )
-    assert (call.workspace, call.member, call.depth) == ("", "other", 3)
-    assert call.urgency.priority == 3
-    sent = calls.attempt_headers(calls.make_attempt(call, 1, "i1"))
-    assert not [name for name, _ in sent if name in (AUTHORIZED[0], FORGED[0])]
+    assert found == ([expected[0]] if expected[0] else [])
+    assert key not in repr([call, attempt, sent])
 
 
 async def test_a_request_that_looks_nested_needs_a_key(monkeypatch):
@@ -315,20 +296,6 @@
     return attempt
 
 
-@pytest.mark.parametrize("has_workspaces", [True, False])
-async def test_a_key_ends_at_the_node_of_the_target(has_workspaces):
-    """Guards against a key that an entry with an older document passes on."""
-    revision = make_revision(has_workspaces)
-    receiver = receive.Receiver(
-        "i1", lambda: False, lambda: revision, metrics.Metrics()
-    )
-    attempt = await pass_on(receiver, [("host", "a"), AUTHORIZED])
-    assert attempt.workspace == "acme"
-    assert (AUTHORIZED in attempt.headers) is not has_workspaces
-    names = [name for name, _ in calls.attempt_headers(attempt)]
-    assert names.count(calls.WORKSPACE_HEADER) == 1
-
-
 async def _end_body() -> None:
     return None
 
