Take null in the platform's tenants for a missing value

Cause: null as the keys of a tenant or as anonymous of a path refused the whole document. Writers in some languages put null for an empty list.

Change: null counts as missing; the path then needs a key.

Measured: the tests of tenants pass, the new one among them.

--- a/src/waxwingferry/platform/tenants.py
+++ b/src/waxwingferry/platform/tenants.py
@@ -62,7 +62,9 @@
         parsing.ValueFormatError: The value is neither true nor false. A text
             such as "false" must not open a path.
     """
-    value = path.get("anonymous", False)
+    value = path.get("anonymous")
+    if value is None:
+        return False
     if not isinstance(value, bool):
         raise parsing.ValueFormatError(
             f"path {path['name']!r}: anonymous = {value!r}: "
@@ -80,6 +82,9 @@
             f"{place}.name: must have 1 to 200 printable ASCII characters"
         )
     keys = entry.get(_KEYS)
+    if keys is None:
+        # A workspace that was given no key yet, or has none any more.
+        keys = []
     if not isinstance(keys, list) or not all(
         isinstance(key, str) for key in keys
     ):
