--- a/src/waxwingferry/process/usage/local.py
+++ b/src/waxwingferry/process/usage/local.py
@@ -1,6 +1,7 @@
 """What a node does about usage: records, answers, keeps, hands over."""
 
 from collections.abc import Callable
+import dataclasses
 import time
 
 import structlog
@@ -13,6 +14,9 @@
 
 # Bounds what the hand-overs of others take, in runs.
 MAX_HANDED_OVER_RUNS = 50_000
+# Age of the oldest runs that are handed over. Older ones are reported by then,
+# unless no node could take the duty over for this long.
+HAND_OVER_AGE_S = 30.0
 
 log = structlog.get_logger()
 
@@ -103,15 +107,20 @@
         }
 
     def make_hand_over(self) -> bytes:
-        """Returns the records of this node and those handed over to it."""
+        """Returns the newest records of this node and of nodes that left."""
+        now_s = self.clock()
+        oldest_s = now_s - HAND_OVER_AGE_S
         own = messages.HandedOver(
             self.node,
             self.incarnation,
-            tuple(self.records.list_runs(records.RETENTION_S)),
+            tuple(self.records.list_runs(HAND_OVER_AGE_S)),
         )
-        others = list(self.handed_over.values())
-        newest = others[-(messages.MAX_HAND_OVER_NODES - 1) :]
-        return messages.format_hand_over([own, *newest], self.clock())
+        nodes = [own]
+        for item in reversed(self.handed_over.values()):
+            runs = tuple(run for run in item.runs if run.began_s >= oldest_s)
+            if runs and len(nodes) < messages.MAX_HAND_OVER_NODES:
+                nodes.append(dataclasses.replace(item, runs=runs))
+        return messages.format_hand_over(nodes, now_s)
 
 
 async def answer_request(
--- a/src/waxwingferry/process/usage/reporter.py
+++ b/src/waxwingferry/process/usage/reporter.py
@@ -20,6 +20,10 @@
 TICK_S = 0.2
 # Token of the node that creates the duty's row.
 FIRST_TOKEN = 1
+# Age of the row, in windows, at which it is written although no window is
+# ready, because nodes don't answer. A row that is two windows old shows other
+# nodes that its holder does not act.
+RENEWAL_WINDOWS = 1.5
 # First wait before a window is stored or sent again. Each try costs a write.
 RETRY_MIN_S = 1.0
 # Wait before the second send within one write, as after a reset connection.
@@ -58,6 +62,7 @@
         collecting: Windows that are being collected.
         confirmed: Newest confirmed window, or -1.
         retry_at_s: Boot clock until which nothing is stored or sent again.
+        stored_s: Boot clock when the row was last written.
         write_due: Whether the state must be stored although no window is
             ready, because the row lacks a part of it.
         token_refused: Whether the API has seen a higher token. The row is not
@@ -75,6 +80,7 @@
     confirmed: int = -1
     retry_at_s: float = 0.0
     retry_delay_s: float = RETRY_MIN_S
+    stored_s: float = 0.0
     write_due: bool = False
     token_refused: bool = False
 
@@ -180,6 +186,8 @@
         now_s = self.times.read_s()
         if tenure is None or now_s is None or not self._may_report():
             return
+        if tenure.token_refused:
+            return
         last = windows.find_newest_ended(
             now_s, self.window_s, collector.ASK_DELAY_S
         )
@@ -274,6 +282,7 @@
             data,
             data,
             confirmed=state.confirmed,
+            stored_s=self.clock(),
             write_due=windows.format_state(state) != data,
         )
         oldest = windows.find_oldest_retained(
@@ -304,7 +313,9 @@
     async def _report(self, tenure: Tenure) -> None:
         """Stores what is collected, and sends what is not confirmed."""
         ready = tenure.find_ready()
-        if not (ready or tenure.write_due or tenure.find_unconfirmed()):
+        age_s = self.clock() - tenure.stored_s
+        is_due = tenure.write_due or age_s > RENEWAL_WINDOWS * self.window_s
+        if not (ready or is_due or tenure.find_unconfirmed()):
             return
         if tenure.token_refused or self.clock() < tenure.retry_at_s:
             return
@@ -321,6 +332,7 @@
             return
         tenure.state = state
         tenure.stored = data
+        tenure.stored_s = self.clock()
         tenure.write_due = False
         for report in ready:
             tenure.collected.pop(report.window, None)
--- a/src/waxwingferry/process/usage/tests/test_windows.py
+++ b/src/waxwingferry/process/usage/tests/test_windows.py
@@ -96,6 +96,9 @@
     times = true_time.TrueTime(clock)
     times.update([50.0, 51.0], 2)
     assert times.offset_s == 50.0
+    # As soon as there are enough clocks, their median counts.
+    times.update([40.0, 40.0, 40.0], 3)
+    assert times.offset_s == 40.0
     clock.now_s += true_time.MAX_AGE_S + 1
     times.forget_if_old()
     assert times.offset_s is None
--- a/src/waxwingferry/process/usage/true_time.py
+++ b/src/waxwingferry/process/usage/true_time.py
@@ -29,17 +29,21 @@
     Attributes:
         offset_s: True time less boot clock, or None if unknown.
         updated_s: Boot clock of the last update.
+        has_median: Whether the offset is a median of enough clocks. The
+            first such median replaces an offset of fewer clocks.
     """
 
     def __init__(self, clock: Callable[[], float] = boot_clock.read_s):
         self.clock = clock
         self.offset_s: float | None = None
         self.updated_s = 0.0
+        self.has_median = False
 
     def forget_if_old(self) -> None:
         """Forgets an offset that may have drifted."""
         if self.clock() - self.updated_s > MAX_AGE_S:
             self.offset_s = None
+            self.has_median = False
 
     def update(self, offsets_s: Sequence[float], node_count: int) -> None:
         """Takes in the offsets of nodes' wall clocks to this boot clock.
@@ -58,8 +62,10 @@
         # Of two clocks one is taken; their mean would be neither's time.
         median_s = statistics.median_low(offsets_s)
         self.updated_s = self.clock()
-        if self.offset_s is None:
+        is_median = len(offsets_s) >= MIN_CLOCKS
+        if self.offset_s is None or not self.has_median:
             self.offset_s = median_s
+            self.has_median = is_median
             log.info("true time known", clocks=len(offsets_s), nodes=node_count)
             return
         step_s = median_s - self.offset_s
