--- a/src/waxwingferry/process/usage/reporter.py
+++ b/src/waxwingferry/process/usage/reporter.py
@@ -253,7 +253,9 @@
             self.tenure = None
             await self._open_tenure(holding)
         elif self.duty.state not in (tenure.stored, tenure.attempted):
-            log.error("state of the duty was changed by another user")
+            # A write with an unknown outcome was applied after a later one
+            # was begun, or the row was written outside this class.
+            log.warning("state of the duty is not the expected one")
             self.tenure = None
         else:
             await self._report(tenure)
