--- a/src/waxwingferry/process/duties.py
+++ b/src/waxwingferry/process/duties.py
@@ -27,14 +27,18 @@
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
 
-# Share of the lease in which a holder may act. The remaining three quarters
-# separate the actions of two holders.
+# Share of the lease in which a holder may begin a call. The remaining three
+# quarters separate the actions of two holders.
 ACT_SHARE = 0.25
+# Share of the lease after the time to act in which a call may arrive; the last
+# quarter is for delays of the sender's timer and of the network.
+ABORT_SHARE = 0.5
 # Interval between checks of the membership, which call no other process.
 CHECK_INTERVAL_S = 0.5
-# Nodes that start together know the members by then; see lease.Lease.run and
-# the second read of the members 4 s after the start.
-START_DELAY_S = 4.0
+# Gossip has spread the rows of nodes that start together by then, so that few
+# of them take themselves for the candidate. A holder that restarts has to act
+# again within the time in which its calls are due (10 s for usage reports).
+START_DELAY_S = 2.0
 # Backoff of a holder whose write has not allowed it to act.
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 5.0
@@ -148,6 +152,15 @@
         """Returns whether this process believes that it is the holder."""
         return self.holding is not None
 
+    @property
+    def abort_at_s(self) -> float:
+        """Clock reading by which a call that was begun must be given up.
+
+        Its connection must be reset then, because a closed one still delivers
+        what the system has buffered, also after a later holder has acted.
+        """
+        return self.act_until_s + self.lease_s * ABORT_SHARE
+
     def may_act(self) -> bool:
         """Returns whether an action may begin now.
 
@@ -170,7 +183,7 @@
 
     async def run(self) -> None:
         """Takes the duty over when it is due; runs until cancelled."""
-        await self.sleep(START_DELAY_S * self._draw_jitter())
+        await self.sleep(self.watch.add_jitter(START_DELAY_S))
         while True:
             await self._check()
             await self.sleep(CHECK_INTERVAL_S)
@@ -205,14 +218,11 @@
         self._back_off()
         return held if stored else None
 
-    def _draw_jitter(self) -> float:
-        return self.rng.uniform(1, 1 + duty_watch.JITTER)
-
     def _back_off(self) -> None:
         delay_s = min(BACKOFF_MIN_S * 2**self._failures, BACKOFF_MAX_S)
         # The bound keeps the power small during a long outage.
         self._failures = min(self._failures + 1, 10)
-        self._retry_at_s = self.clock() + delay_s * self._draw_jitter()
+        self._retry_at_s = self.clock() + self.watch.add_jitter(delay_s)
 
     async def _wait_until_due(self, held: Holding) -> bool:
         """Waits until a write is due; returns whether the duty is held."""
@@ -322,10 +332,7 @@
     def _end_holding(self, holder: str, token: int, reason: str) -> None:
         """Stops acting.
 
-        Args:
-            holder: The holder of the row.
-            token: Its token.
-            reason: Reason for the log.
+        The arguments are the row's holder and token, and the reason.
         """
         self.log.warning("duty lost", holder=holder, token=token, reason=reason)
         self.holding = None
@@ -381,7 +388,7 @@
                 return
             except platform.ConflictError as error:
                 found = duty_rows.ReadRow(error.row, self.clock())
-                self._record_winner(found.row)
+                self._record_winner(duty_rows.interpret(error.row).content)
 
     def _find_reason(
         self, stored: duty_rows.Stored, read_began_s: float
@@ -485,11 +492,8 @@
         self.act_until_s = -math.inf
         self.act_from_s = self.clock() + self.lease_s
 
-    def _record_winner(self, row: platform.Row | None) -> None:
+    def _record_winner(self, row: duty_rows.DutyRow | None) -> None:
         """Records the process that took over before this one."""
-        content = duty_rows.interpret(row).content
-        known = self.row
-        if content is None or known is None or self._is_own(content):
-            return
-        if content.token > known.token:
-            self.watch.displaced_by = content.process
+        known_token = self.row.token if self.row else 0
+        if row and row.token > known_token and not self._is_own(row):
+            self.watch.displaced_by = row.process
--- a/src/waxwingferry/process/duty_rows.py
+++ b/src/waxwingferry/process/duty_rows.py
@@ -49,8 +49,8 @@
         content: The row, or None if it is missing or malformed.
         version: Condition of a write that replaces it; 0 if it is missing.
         malformed: Whether there is a row that is not understood.
-        token_floor: No holder of this era of the table had a higher token, as
-            far as this shows; 0 if it shows nothing.
+        token_floor: No holder had a higher token, as far as this shows; 0 if it
+            shows nothing.
     """
 
     content: DutyRow | None
@@ -63,14 +63,20 @@
     """Returns what a row of the table says."""
     if row is None:
         return Stored(None, 0, False, 0)
+    # Each takeover is a commit of the table, so no token is above the version
+    # of a later write. This bounds tokens that the row does not show.
     if row.value is None and not row.malformed:
         return Stored(None, 0, False, row.version)
     content = _parse(row.value or {})
     if content is None:
-        # Each takeover is a commit of the table, so no token is above the
-        # version of a later write.
         return Stored(None, row.version, True, row.version)
-    return Stored(content, row.version, False, content.token)
+    floor = content.token
+    if platform.get_era(floor) < platform.get_era(row.version):
+        # After a restore, commit numbers are given out again. A write from
+        # before it may have met its condition by chance and replaced a row
+        # with a token of the new era.
+        floor = row.version
+    return Stored(content, row.version, False, floor)
 
 
 def _parse(value: dict[str, Any]) -> DutyRow | None:
--- a/src/waxwingferry/process/duty_watch.py
+++ b/src/waxwingferry/process/duty_watch.py
@@ -55,10 +55,13 @@
         self.read_due_s = max(self.read_due_s, settled_s)
         self.version = None
 
+    def add_jitter(self, delay_s: float) -> float:
+        """Returns a delay that is longer by a random share."""
+        return delay_s * self.rng.uniform(1, 1 + JITTER)
+
     def schedule_read(self) -> None:
         """Sets the earliest time of the next read."""
-        interval_s = READ_INTERVAL_S * self.rng.uniform(1, 1 + JITTER)
-        self.read_due_s = self.clock() + interval_s
+        self.read_due_s = self.clock() + self.add_jitter(READ_INTERVAL_S)
 
     def is_read_due(self, row: duty_rows.DutyRow | None) -> bool:
         """Returns whether the row is to be read now.
