--- a/src/waxwingferry/process/usage/reporter.py
+++ b/src/waxwingferry/process/usage/reporter.py
@@ -31,10 +31,6 @@
 SENDS_PER_WRITE = 2
 # Share of the allowed rate that is used; calls may be bunched on their way.
 RATE_SHARE = 0.8
-# A call that was begun in time is ended at this share of the lease time after
-# the end of the period for acting. Until another holder may act there is at
-# least a quarter of the lease time left.
-SEND_GRACE_SHARE = 0.5
 
 log = structlog.get_logger()
 
@@ -365,13 +361,12 @@
             wait_s = self.next_send_s - self.clock()
             if wait_s > 0:
                 await self.sleep(wait_s)
-            grace_s = self.lease_s * SEND_GRACE_SHARE
             if self.closed or not self.duty.may_act():
                 return False
             now_s = self.clock()
             self.next_send_s = now_s + self.send_interval_s
             result = await self.send(
-                holding, report, self.duty.act_until_s + grace_s - now_s
+                holding, report, self.duty.abort_at_s - now_s
             )
             if result is SendResult.CONFIRMED:
                 tenure.confirmed = report.window
