--- a/src/waxwingferry/platform/tests/test_usage_api.py
+++ b/src/waxwingferry/platform/tests/test_usage_api.py
@@ -124,6 +124,21 @@
     assert ends == ["reset"]
 
 
+async def test_nothing_is_sent_if_connecting_took_too_long():
+    """Guards against a call after the time in which the holder may act."""
+    received = []
+
+    async def handle(stream):
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            received.append(await stream.receive())
+
+    async with run_api(handle) as api:
+        api.may_act = lambda: False
+        assert await api.send(HOLDING, REPORT, 1.0) is FAILED
+        api.may_act = lambda: True
+    assert not received
+
+
 async def test_an_api_that_is_down_is_a_failure():
     """Guards against an error that ends the report loop."""
     with socket.socket() as unused:
--- a/src/waxwingferry/platform/usage_api.py
+++ b/src/waxwingferry/platform/usage_api.py
@@ -1,5 +1,6 @@
 """Client of the platform's API for usage reports."""
 
+from collections.abc import Callable
 import socket
 import struct
 
@@ -36,6 +37,8 @@
         port: Port of the API.
         checks_tokens: Whether the API refuses lower tokens.
         connect: Opens a connection.
+        may_act: Returns whether a call may still begin. Asked again once a
+            connection is open, since opening it takes time.
 
     Attributes:
         stream: Stream of the newest connection, or None.
@@ -47,9 +50,11 @@
         port: int,
         checks_tokens: bool = False,
         connect: pool.Connect = pool.connect_tcp,
+        may_act: Callable[[], bool] = lambda: True,
     ):
         self.checks_tokens = checks_tokens
         self.connect = connect
+        self.may_act = may_act
         self.stream: anyio.abc.ByteStream | None = None
         self.client = exchange.Client(
             host, port, self._connect, MAX_RESPONSE_BYTES
@@ -60,6 +65,9 @@
         stream = await self.connect(host, port)
         _discard_on_close(stream)
         self.stream = stream
+        if not self.may_act():
+            await stream.aclose()
+            raise pool.ConnectError("the time to act ended while connecting")
         return stream
 
     async def send(
--- a/src/waxwingferry/platform/usage_duty.py
+++ b/src/waxwingferry/platform/usage_duty.py
@@ -73,7 +73,11 @@
             bounds.usage_late_s,
             keep_connections=self.keep_connections,
         )
-        self.api = usage_api.UsageApi(*api.address, bounds.fencing_required)
+        self.api = usage_api.UsageApi(
+            *api.address,
+            bounds.fencing_required,
+            may_act=self.duty.may_act,
+        )
         self.reporter = reporter.Reporter(
             self.duty,
             self.collector,
--- a/src/waxwingferry/process/usage/collector.py
+++ b/src/waxwingferry/process/usage/collector.py
@@ -192,8 +192,12 @@
     ) -> None:
         if self.limiter is None:
             self.limiter = anyio.CapacityLimiter(MAX_CONCURRENCY)
+        # Nodes that hang must not hold up the others.
+        ordered = sorted(
+            rows, key=lambda row: self.unreachable.get(row.node, 0)
+        )
         async with anyio.create_task_group() as group:
-            for row in rows:
+            for row in ordered:
                 if collection.needs(row):
                     group.start_soon(self._ask_node, row, collection)
 
