Add the refusal reason displaced

A queued attempt that gives its place to a more urgent one is refused for another reason than one that finds the queue full. Retries and routing treat both alike. A refusal can carry facts of its decision for the log line; they are not sent to other nodes.

A node that does not know the reason takes it for an unknown outcome (answer_mismatch), so all nodes have to be updated together.

--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -21,6 +22,8 @@
     DOMAIN_OUT = "domain_out"
     LEAVING = "leaving"
     QUEUE_FULL = "queue_full"
+    # A more urgent attempt took the place in the queue of a target.
+    DISPLACED = "displaced"
     BUSY = "busy"
     WRONG_TARGET = "wrong_target"
     DEADLINE_TOO_SHORT = "deadline_too_short"
@@ -81,10 +84,19 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class NotRun:
-    """The request did not run and will not run later."""
+    """The request did not run and will not run later.
+
+    Attributes:
+        reason: Why it was refused.
+        status: Status of the response.
+        details: Facts of the decision for its log line. They are not sent.
+    """
 
     reason: Reason
     status: int = 503
+    details: Mapping[str, object] = dataclasses.field(
+        default_factory=dict, compare=False, repr=False
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -69,7 +69,12 @@
     }
 )
 _OVERLOADED = frozenset(
-    {_Reason.QUEUE_FULL, _Reason.DEADLINE_TOO_SHORT, _Reason.TARGET_REFUSED}
+    {
+        _Reason.QUEUE_FULL,
+        _Reason.DISPLACED,
+        _Reason.DEADLINE_TOO_SHORT,
+        _Reason.TARGET_REFUSED,
+    }
 )
 
 
@@ -128,7 +133,7 @@
         return routing.Result.ABANDONED
     if result.reason is _Reason.ENDED_TARGET:
         return routing.Result.FAILED
-    if result.reason is _Reason.QUEUE_FULL:
+    if result.reason in (_Reason.QUEUE_FULL, _Reason.DISPLACED):
         return routing.Result.OVERLOADED
     match classify(result):
         case RefusalKind.UNAVAILABLE:
--- a/src/waxwingferry/request/tests/test_retry.py
+++ b/src/waxwingferry/request/tests/test_retry.py
@@ -67,7 +67,8 @@
 
 
 @pytest.mark.parametrize(
-    "reason", [_Reason.CONNECTION_REFUSED, _Reason.QUEUE_FULL]
+    "reason",
+    [_Reason.CONNECTION_REFUSED, _Reason.QUEUE_FULL, _Reason.DISPLACED],
 )
 def test_retries_do_not_multiply_in_a_chain(reason) -> None:
     """Guards against a retry storm that keeps a service overloaded.
@@ -125,6 +126,7 @@
         ({}, outcome.NotRun(_Reason.LEAVING), 3, retry.Denial.ATTEMPTS),
         ({}, outcome.NotRun(_Reason.QUEUE_FULL), 1, None),
         ({}, outcome.NotRun(_Reason.QUEUE_FULL), 2, retry.Denial.ATTEMPTS),
+        ({}, outcome.NotRun(_Reason.DISPLACED), 2, retry.Denial.ATTEMPTS),
         ({}, outcome.NotRun(_Reason.KEY_MISMATCH), 1, retry.Denial.FINAL),
         ({}, outcome.Unknown(_Reason.CONNECTION_LOST), 1, None),
         (
--- a/src/waxwingferry/request/tests/test_uploads.py
+++ b/src/waxwingferry/request/tests/test_uploads.py
@@ -114,6 +114,7 @@
     outcome.Reason.LEAVING,
     outcome.Reason.DOMAIN_OUT,
     outcome.Reason.QUEUE_FULL,
+    outcome.Reason.DISPLACED,
     outcome.Reason.TARGET_REFUSED,
     outcome.Reason.WRONG_TARGET,
     outcome.Reason.WRONG_INCARNATION,
