Order and evict waiting attempts by least cost over all members

Admission took the member with the earliest virtual start and ordered only within it, so priority had no effect among many members. A full queue refused the newest attempt of the largest member. A sole member could use only half of the queue.

Ranks now order all queued attempts: members over their share last, nested calls first, then kinds served too often, objectives that can be met, urgency and work. The last of the order is evicted. Expected times count the slowness that the target reports, for as long as a slow phase probably lasts.

--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -1,8 +1,6 @@
 """Admission control for one target: a concurrency limit and a fair queue."""
 
 from collections.abc import Callable
-import dataclasses
-import enum
 import math
 import time
 
@@ -11,89 +9,27 @@
 from waxwingferry.process.protection import estimate as estimates
 from waxwingferry.process.protection import fairness
 from waxwingferry.process.protection import limit as limits
+from waxwingferry.process.protection import permits
+from waxwingferry.process.protection import precedence
 from waxwingferry.process.protection import rate_limit
+from waxwingferry.process.protection import waiting_order
 from waxwingferry.request import calls
 from waxwingferry.request import outcome
 
-# Queue bounds per member and in total. One member can't fill the whole queue,
-# so bursts of other members still fit while it floods the target.
-MEMBER_QUEUE_PER_SLOT = 2
-QUEUE_PER_SLOT = 4
-# Each priority rank counts like this much extra time until the objective. That
-# is about how far the objectives of neighbouring ranks of a service differ.
-PRIORITY_STEP_S = 0.1
 # Waiting attempts check this often whether the target still accepts work.
 RECHECK_INTERVAL_S = 0.25
-# Minimum cost of an attempt, so that fair shares also hold before the first
-# answer.
-MIN_COST_S = 1e-4
-
-
-class Ending(enum.Enum):
-    """Result of a dispatched attempt."""
-
-    ANSWERED = "answered"
-    SHED = "shed"
-    REFUSED = "refused"
-    LOST = "lost"
-    ABANDONED = "abandoned"
-    NOT_SENT = "not_sent"
-
-
-class State(enum.Enum):
-    """Admission state of an attempt."""
-
-    QUEUED = "queued"
-    RUNNING = "running"
-    ENDED = "ended"
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Permit:
-    """An attempt in the queue or at the target.
-
-    Attributes:
-        route: Key of the route for the service time estimate.
-        deadline_s: Monotonic time of the deadline.
-        submitted_s: Monotonic time of the submission.
-        objective_s: Monotonic time of the latency objective.
-        priority: Rank of the route; 0 is the most urgent.
-        refusal: Reason of the refusal, or None.
-        member_queue: Queue of the attempt's member.
-        reset_count: Resets of the limit before the dispatch.
-        is_trial: Whether it is sent although the estimate is against it.
-        in_flight: Attempts in flight just after the dispatch.
-        started_s: Monotonic time of the dispatch.
-        head_received_s: Monotonic time of the answer's head, 0 if none.
-        charged_s: Estimated cost charged to the member at the dispatch.
-        event: Set when the state changes.
-    """
-
-    route: str
-    deadline_s: float
-    submitted_s: float
-    objective_s: float
-    priority: int = 0
-    state: State = State.QUEUED
-    refusal: outcome.NotRun | None = None
-    member_queue: "fairness.MemberQueue[Permit] | None" = None
-    reset_count: int = 0
-    is_trial: bool = False
-    in_flight: int = 0
-    started_s: float = 0.0
-    head_received_s: float = 0.0
-    charged_s: float = 0.0
-    event: anyio.Event | None = None
-
-    def record_head(self, now_s: float) -> None:
-        """Records when the answer's head came; excludes slow readers' time."""
-        self.head_received_s = now_s
-
-    def wake(self) -> None:
-        """Wakes the task waiting for this permit."""
-        if self.event is not None:
-            self.event.set()
-
+# Refusals for lack of capacity; they count against a kind's served share.
+CAPACITY_REASONS = frozenset(
+    {
+        outcome.Reason.QUEUE_FULL,
+        outcome.Reason.DISPLACED,
+        outcome.Reason.DEADLINE_TOO_SHORT,
+    }
+)
+
+Ending = permits.Ending
+State = permits.State
+Permit = permits.Permit
 
 _DEFAULT_URGENCY = calls.Urgency()
 
@@ -106,6 +42,10 @@
     return 1.0
 
 
+def _report_normal_speed() -> float:
+    return 1.0
+
+
 def _ignore_reset(cause: limits.ResetCause) -> None:
     pass
 
@@ -126,6 +66,8 @@
         make_limit: Creates the limit for a number of slots. Defaults to a
             limit.Limit with the rule.
         clock: Returns the monotonic time in seconds.
+        find_slowness: Returns the target's present service time relative to
+            normal, 1 if it is not known.
     """
 
     def __init__(
@@ -137,6 +79,7 @@
         rule: limits.GrowthRule = limits.DEFAULT_RULE,
         clock: Callable[[], float] = time.monotonic,
         make_limit: Callable[[int], limits.Limit] | None = None,
+        find_slowness: Callable[[], float] = _report_normal_speed,
     ):
         self.find_closed_reason = find_closed_reason
         self.on_reset = on_reset
@@ -151,7 +94,12 @@
         self.abandoned_until_s: list[float] = []
         # Lower bound of the queued deadlines; saves most scans of the queue.
         self.earliest_deadline_s = math.inf
-        self.estimate = estimates.Estimate(clock)
+        self.find_slowness = find_slowness
+        self.checked_slowness = 1.0
+        self.estimate = estimates.Estimate(clock, find_slowness=find_slowness)
+        self.order = waiting_order.WaitingOrder(
+            self.queue, self.estimate, self.limit
+        )
         self.rate_limit = rate_limit.RateLimit(clock)
 
     @property
@@ -165,6 +113,8 @@
         deadline: calls.Deadline,
         route: str = "",
         urgency: calls.Urgency = _DEFAULT_URGENCY,
+        depth: int = 1,
+        request_id: str = "",
     ) -> Permit | outcome.NotRun:
         """Waits for a free slot; returns a refusal if there is none in time."""
         # Deadlines use the boot clock, the queue uses the monotonic clock.
@@ -176,6 +126,8 @@
             route,
             now_s + objective.remaining_s(),
             urgency.priority,
+            depth,
+            request_id,
         )
         try:
             while permit.state is State.QUEUED:
@@ -195,6 +147,8 @@
         route: str = "",
         objective_s: float = math.inf,
         priority: int = 0,
+        depth: int = 1,
+        request_id: str = "",
     ) -> Permit:
         """Queues an attempt and dispatches whatever fits; never waits.
 
@@ -204,6 +158,8 @@
             route: Route of the attempt.
             objective_s: Monotonic time of the latency objective.
             priority: Rank of the route; 0 is the most urgent.
+            depth: Depth of the call; more than 1 for a nested call.
+            request_id: ID of the request for log lines.
         """
         self.advance()
         permit = Permit(
@@ -212,19 +168,22 @@
             self.clock(),
             min(objective_s, deadline_s),
             priority,
+            depth,
+            request_id,
+            member_queue=self.queue.find_member_queue(member),
         )
         reason = self.find_closed_reason()
-        if reason is None and self._should_reject(permit, member):
+        if reason is None and self._should_reject(permit):
             reason = outcome.Reason.DEADLINE_TOO_SHORT
-        if reason is None and not self._make_room(member):
+        if reason is None and not self._make_room(permit):
             reason = outcome.Reason.QUEUE_FULL
         if reason is not None:
-            _refuse(permit, reason)
+            self._refuse(permit, reason)
             return permit
         permit.member_queue = self.queue.push(member, permit)
         self.earliest_deadline_s = min(self.earliest_deadline_s, deadline_s)
         self._dispatch_queued()
-        assert len(self.queue) <= QUEUE_PER_SLOT * self.limit.slots
+        assert len(self.queue) <= precedence.QUEUE_PER_SLOT * self.limit.slots
         return permit
 
     def withdraw(self, permit: Permit) -> None:
@@ -271,6 +230,10 @@
                 until_s for until_s in self.abandoned_until_s if until_s > now_s
             ]
         self._refuse_expired(now_s)
+        slowness = self.find_slowness()
+        if slowness > self.checked_slowness:
+            self._refuse_hopeless(now_s)
+        self.checked_slowness = slowness
         self._dispatch_queued()
 
     def find_wait_s(self, permit: Permit) -> float:
@@ -304,39 +267,36 @@
                 return
             if not self.can_dispatch():
                 return
-            cost_s = max(self.estimate.all.mean(), MIN_COST_S)
-            permit = self.queue.pop(cost_s, self._rank)
+            cost_s = max(self.estimate.find_mean_s(), waiting_order.MIN_COST_S)
+            permit = self.order.choose(self.clock())
+            assert permit.member_queue is not None
+            self.queue.take(permit.member_queue, permit, cost_s)
             # The deadline may pass between two readings of the clock.
             now_s = self.clock()
             if self._will_miss_deadline(permit, now_s, 0.0, bool(self.queue)):
-                assert permit.member_queue is not None
                 self.queue.finish(permit.member_queue, cost_s, 0.0)
-                _refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
+                self._refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
                 continue
             self._dispatch(permit, now_s, cost_s)
-            self._refuse_overtaken(permit)
+            self._refuse_hopeless(now_s)
 
-    def _refuse_overtaken(self, dispatched: Permit) -> None:
-        """Refuses earlier attempts that are unlikely to finish in time."""
-        assert dispatched.member_queue is not None
-        now_s = self.clock()
-        overtaken = [
-            permit
-            for permit in dispatched.member_queue.items
-            if permit.submitted_s <= dispatched.submitted_s
-            and self._will_miss_deadline(permit, now_s, 0.0, True)
-        ]
-        self._refuse_queued(overtaken, outcome.Reason.DEADLINE_TOO_SHORT)
-
-    def _rank(self, permit: Permit) -> tuple[bool, float]:
-        """Returns the sort key of an attempt in its member's queue.
-
-        Attempts that can still meet their objective go first, the most urgent
-        before the others. The rest gets the remaining slots.
+    def _refuse_hopeless(self, now_s: float) -> None:
+        """Refuses queued attempts that would miss their deadline if sent now.
+
+        Their callers learn it as soon as it is known, and their places go to
+        attempts that can be served.
         """
-        due_s = permit.objective_s + permit.priority * PRIORITY_STEP_S
-        left_s = permit.objective_s - self.clock()
-        return not self.estimate.is_likely_within(permit.route, left_s), due_s
+        safe_s: dict[str, float] = {}
+        hopeless = []
+        for permit in self.queue:
+            if permit.route not in safe_s:
+                safe_s[permit.route] = self.estimate.find_safe_s(permit.route)
+            left_s = permit.deadline_s - now_s
+            if left_s < safe_s[permit.route] and self._will_miss_deadline(
+                permit, now_s, 0.0, True
+            ):
+                hopeless.append(permit)
+        self._refuse_queued(hopeless, outcome.Reason.DEADLINE_TOO_SHORT)
 
     def _dispatch(self, permit: Permit, now_s: float, cost_s: float) -> None:
         self.running += 1
@@ -350,6 +310,9 @@
         permit.in_flight = self.in_flight
         permit.started_s = now_s
         permit.charged_s = cost_s
+        permit.slowness = self.find_slowness()
+        if permit.depth <= 1:
+            self.order.served.record(permit.priority, True)
         limit.record_dispatch()
         self.rate_limit.record_dispatch()
         permit.wake()
@@ -357,9 +320,11 @@
     def _record_result(
         self, permit: Permit, ending: Ending, used_s: float
     ) -> None:
+        # The speed may have changed while the attempt ran.
+        slowness = (permit.slowness + self.find_slowness()) / 2
         match ending:
             case Ending.ANSWERED:
-                self.estimate.record(permit.route, used_s)
+                self.estimate.record(permit.route, used_s, slowness)
                 head_received_s = permit.head_received_s or self.clock()
                 if self.limit.record_answer(
                     permit.reset_count,
@@ -379,25 +344,23 @@
                         else limits.ResetCause.REFUSED
                     )
             case Ending.ABANDONED:
-                self._abandon(permit, used_s)
+                self._abandon(permit, used_s, slowness)
 
-    def _abandon(self, permit: Permit, used_s: float) -> None:
+    def _abandon(self, permit: Permit, used_s: float, slowness: float) -> None:
         """Keeps the slot taken while the target may still be working."""
-        delay_s = self.estimate.find_cancel_delay_s(permit.route, used_s)
+        delay_s = self.estimate.find_cancel_delay_s(
+            permit.route, used_s, slowness
+        )
         self.abandoned_until_s.append(self.clock() + delay_s)
-        self.estimate.record_abandoned(permit.route, used_s)
+        self.estimate.record_abandoned(permit.route, used_s, slowness)
 
-    def _should_reject(self, permit: Permit, member: str) -> bool:
+    def _should_reject(self, permit: Permit) -> bool:
         """Returns whether a new attempt is unlikely to finish in time."""
         now_s = self.clock()
         if self.can_dispatch() and not self.queue:
             return self._will_miss_deadline(permit, now_s, 0.0, False)
-        mean_s = self.estimate.all.mean()
-        member_queue = self.queue.find_member_queue(member)
-        ahead = self.queue.count_ahead(member_queue, max(mean_s, MIN_COST_S))
-        rank = self._rank(permit)
-        ahead -= sum(self._rank(other) > rank for other in member_queue.items)
-        wait_s = (ahead + 1) * mean_s / self.limit.value
+        ahead = self.order.count_ahead(permit, now_s)
+        wait_s = (ahead + 1) * self.estimate.find_mean_s() / self.limit.value
         wait_s = max(
             wait_s,
             self.limit.estimate_rate_limit_wait_s(ahead),
@@ -421,33 +384,48 @@
         permit.is_trial = self.estimate.try_take_trial(permit.route)
         return not permit.is_trial
 
-    def _make_room(self, member: str) -> bool:
+    def _make_room(self, permit: Permit) -> bool:
         """Makes room for one more attempt; returns whether there is any."""
         if self.can_dispatch() and not self.queue:
             return True
-        arriving = self.queue.find_member_queue(member)
-        if len(arriving.items) >= MEMBER_QUEUE_PER_SLOT * self.limit.slots:
-            return False
-        if len(self.queue) < QUEUE_PER_SLOT * self.limit.slots:
+        arriving = permit.member_queue
+        assert arriving is not None
+        slots = self.limit.slots
+        is_alone = len(arriving.items) == len(self.queue)
+        if len(arriving.items) >= precedence.find_member_bound(is_alone, slots):
+            queued = list(arriving.items)
+        elif len(self.queue) >= precedence.QUEUE_PER_SLOT * slots:
+            queued = list(self.queue)
+        else:
             return True
-        largest = self.queue.find_largest(arriving)
-        if largest is arriving:
+        evicted = self.order.choose_evicted([*queued, permit], self.clock())
+        if evicted is permit:
             return False
-        self._evict_newest(largest)
+        self._evict(evicted, permit)
         return True
 
-    def _evict_newest(
-        self, member_queue: "fairness.MemberQueue[Permit]"
-    ) -> None:
-        newest = member_queue.items[-1]
-        self.queue.remove(member_queue, newest)
-        _refuse(newest, outcome.Reason.QUEUE_FULL)
+    def _evict(self, evicted: Permit, displacing: Permit) -> None:
+        member_queue = evicted.member_queue
+        assert member_queue is not None
+        # A member that was alone may have filled more of the queue than it may
+        # hold beside others. It gives such places back as refused for room.
+        is_returned = member_queue is not displacing.member_queue and len(
+            member_queue.items
+        ) > precedence.find_member_bound(False, self.limit.slots)
+        reason = (
+            outcome.Reason.QUEUE_FULL
+            if is_returned
+            else outcome.Reason.DISPLACED
+        )
+        self.queue.remove(member_queue, evicted)
+        self._refuse(evicted, reason, displacing.request_id)
 
     def _trim_queue(self) -> None:
-        while len(self.queue) > QUEUE_PER_SLOT * self.limit.slots:
-            member_queue = next(iter(self.queue)).member_queue
-            assert member_queue is not None
-            self._evict_newest(self.queue.find_largest(member_queue))
+        """Evicts attempts that a queue with fewer slots has no room for."""
+        while len(self.queue) > precedence.QUEUE_PER_SLOT * self.limit.slots:
+            evicted = self.order.choose_evicted(list(self.queue), self.clock())
+            self._remove_from_queue(evicted)
+            self._refuse(evicted, outcome.Reason.QUEUE_FULL)
 
     def _refuse_expired(self, now_s: float) -> None:
         if now_s < self.earliest_deadline_s:
@@ -463,14 +441,33 @@
     ) -> None:
         for permit in permits:
             self._remove_from_queue(permit)
-            _refuse(permit, reason)
+            self._refuse(permit, reason)
 
     def _remove_from_queue(self, permit: Permit) -> None:
         assert permit.member_queue is not None
         self.queue.remove(permit.member_queue, permit)
 
-
-def _refuse(permit: Permit, reason: outcome.Reason) -> None:
-    permit.state = State.ENDED
-    permit.refusal = outcome.NotRun(reason)
-    permit.wake()
+    def _refuse(
+        self, permit: Permit, reason: outcome.Reason, displaced_by: str = ""
+    ) -> None:
+        """Ends an attempt, with the facts of the decision for the log."""
+        now_s = self.clock()
+        (rank,) = self.order.make_ranks([permit], now_s)
+        permit.state = State.ENDED
+        permit.refusal = outcome.NotRun(
+            reason,
+            details={
+                "priority": permit.priority,
+                "depth": permit.depth,
+                "displaced_by": displaced_by,
+                "waited_ms": round((now_s - permit.submitted_s) * 1000),
+                "objective_left_ms": round((permit.objective_s - now_s) * 1000),
+                "over_share": rank.over_share,
+                "over_served": rank.over_served,
+                "late": rank.late,
+                "work_ms": round(rank.work_s * 1000),
+            },
+        )
+        if reason in CAPACITY_REASONS and permit.depth <= 1:
+            self.order.served.record(permit.priority, False)
+        permit.wake()
--- a/src/waxwingferry/process/protection/fairness.py
+++ b/src/waxwingferry/process/protection/fairness.py
@@ -1,9 +1,10 @@
 """Weighted fair queue over members.
 
 Implements start-time fair queueing: each member has a virtual time at which
-its next item may start. The item with the earliest virtual start is taken
-first, and its member's virtual start advances by the item's cost divided by the
-member's weight. Costs are service times, so members share the target's time.
+its next item may start, which advances by the cost of each item taken divided
+by the member's weight. Costs are service times, so members share the target's
+time. The caller chooses the item; how far a member is ahead of the one with the
+earliest virtual start tells whether it is over its fair share.
 The cost charged at the start is an estimate; finish() corrects it afterwards.
 """
 
@@ -12,7 +13,6 @@
 from collections.abc import Iterator
 import dataclasses
 import math
-from typing import Any
 from typing import Generic
 from typing import TypeVar
 
@@ -55,6 +55,8 @@
     def __init__(self, weight: Callable[[str], float]):
         self.weight = weight
         self.member_queues: dict[str, MemberQueue[Item]] = {}
+        # The members with queued items.
+        self.active: dict[str, MemberQueue[Item]] = {}
         self.virtual_time = 0.0
         self.size = 0
 
@@ -64,7 +66,7 @@
 
     def __iter__(self) -> Iterator[Item]:
         """Iterates over the queued items, one member after the other."""
-        for queue in self.member_queues.values():
+        for queue in self.active.values():
             yield from queue.items
 
     def find_member_queue(self, member: str) -> MemberQueue[Item]:
@@ -88,33 +90,33 @@
             # A new document may have changed the weight.
             queue.weight = self.weight(queue.member)
             queue.virtual_start = max(queue.virtual_start, self.virtual_time)
+            self.active[queue.member] = queue
         queue.items.append(item)
         self.size += 1
         return queue
 
-    def pop(
-        self, cost_s: float, key: Callable[[Item], Any] | None = None
-    ) -> Item:
-        """Removes and returns the next item, and charges its member.
+    def take(self, queue: MemberQueue[Item], item: Item, cost_s: float) -> None:
+        """Removes a queued item to run it, and charges its member.
 
         Args:
+            queue: Queue of the item's member.
+            item: The item.
             cost_s: Estimated cost of the item.
-            key: Sort key of the items within a member, smallest first; None
-                takes them in order of arrival.
         """
-        queue = min(
-            (item for item in self.member_queues.values() if item.items),
-            key=lambda item: item.virtual_start,
-        )
-        self.virtual_time = max(self.virtual_time, queue.virtual_start)
+        # Items may be taken out of the fair order. The virtual time follows
+        # the member that got least, so that the lead of others stays known.
+        self.virtual_time = self.find_least_start()
         queue.virtual_start += cost_s / queue.weight
         queue.running += 1
-        self.size -= 1
-        if key is None:
-            return queue.items.popleft()
-        item = min(queue.items, key=key)
-        queue.items.remove(item)
-        return item
+        self.remove(queue, item)
+
+    def find_least_start(self) -> float:
+        """Returns the least virtual start of the members with queued items."""
+        least = min(
+            (queue.virtual_start for queue in self.active.values()),
+            default=self.virtual_time,
+        )
+        return max(self.virtual_time, least)
 
     def finish(
         self, queue: MemberQueue[Item], charged_s: float, used_s: float
@@ -128,20 +130,8 @@
         """Removes a queued item."""
         queue.items.remove(item)
         self.size -= 1
-
-    def find_largest(self, arriving: MemberQueue[Item]) -> MemberQueue[Item]:
-        """Returns the member queue with the most items per weight.
-
-        Args:
-            arriving: Queue of the member that is about to add an item.
-        """
-        queued = [item for item in self.member_queues.values() if item.items]
-        return max(
-            [arriving, *queued],
-            key=lambda item: (
-                (len(item.items) + (item is arriving)) / item.weight
-            ),
-        )
+        if not queue.items:
+            del self.active[queue.member]
 
     def count_ahead(self, queue: MemberQueue[Item], cost_s: float) -> int:
         """Returns how many queued items precede a new item of a member."""
@@ -152,7 +142,7 @@
         )
         own_start = start + len(queue.items) * cost_s / queue.weight
         ahead = len(queue.items)
-        for other in self.member_queues.values():
+        for other in self.active.values():
             if other is queue or other.virtual_start >= own_start:
                 continue
             step = cost_s / other.weight
--- /dev/null
+++ b/src/waxwingferry/process/protection/permits.py
@@ -0,0 +1,81 @@
+"""State of one attempt at the admission control of a target."""
+
+import dataclasses
+import enum
+
+import anyio
+
+from waxwingferry.process.protection import fairness
+from waxwingferry.request import outcome
+
+
+class Ending(enum.Enum):
+    """Result of a dispatched attempt."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    REFUSED = "refused"
+    LOST = "lost"
+    ABANDONED = "abandoned"
+    NOT_SENT = "not_sent"
+
+
+class State(enum.Enum):
+    """Admission state of an attempt."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Permit:
+    """An attempt in the queue or at the target.
+
+    Attributes:
+        route: Key of the route for the service time estimate.
+        deadline_s: Monotonic time of the deadline.
+        submitted_s: Monotonic time of the submission.
+        objective_s: Monotonic time of the latency objective.
+        priority: Rank of the route; 0 is the most urgent.
+        depth: Depth of the call; more than 1 for a nested call.
+        request_id: ID of the request for log lines.
+        refusal: Reason of the refusal, or None.
+        member_queue: Queue of the attempt's member.
+        reset_count: Resets of the limit before the dispatch.
+        is_trial: Whether it is sent although the estimate is against it.
+        in_flight: Attempts in flight just after the dispatch.
+        started_s: Monotonic time of the dispatch.
+        head_received_s: Monotonic time of the answer's head, 0 if none.
+        charged_s: Estimated cost charged to the member at the dispatch.
+        slowness: Slowness of the target at the dispatch.
+        event: Set when the state changes.
+    """
+
+    route: str
+    deadline_s: float
+    submitted_s: float
+    objective_s: float
+    priority: int = 0
+    depth: int = 1
+    request_id: str = ""
+    state: State = State.QUEUED
+    refusal: outcome.NotRun | None = None
+    member_queue: "fairness.MemberQueue[Permit] | None" = None
+    reset_count: int = 0
+    is_trial: bool = False
+    in_flight: int = 0
+    started_s: float = 0.0
+    head_received_s: float = 0.0
+    charged_s: float = 0.0
+    slowness: float = 1.0
+    event: anyio.Event | None = None
+
+    def record_head(self, now_s: float) -> None:
+        """Records when the answer's head came; excludes slow readers' time."""
+        self.head_received_s = now_s
+
+    def wake(self) -> None:
+        """Wakes the task waiting for this permit."""
+        if self.event is not None:
+            self.event.set()
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -29,6 +29,9 @@
 # Limits the wait for requests that are blamed for the same end. Few of them are
 # the cause, and a request must not wait for one that waits for its answer.
 MAX_SEPARATION_S = 0.3
+# Phases of slowness last about half a second. An older report says little about
+# the present speed.
+MAX_SLOWNESS_AGE_S = 0.2
 
 OnAnswer = Callable[[str, str, str, bool, float], None]
 
@@ -223,6 +226,8 @@
             self.record_statement(
                 self.link.announcement.incarnation, sample.statement
             )
+        # Attempts that can't be served at the present speed are refused now.
+        self.admission.advance()
         self.on_sample()
 
     def is_congested(self) -> bool:
@@ -240,6 +245,15 @@
         """Returns the target's current service time relative to normal."""
         return self.sample.slowness if self.sample is not None else 1.0
 
+    def find_present_slowness(self) -> float:
+        """Returns the slowness in a recent load report, 1 without one."""
+        if self.sample is None or self.admission is None:
+            return 1.0
+        age_s = self.admission.clock() - self.sampled_s
+        if age_s > MAX_SLOWNESS_AGE_S:
+            return 1.0
+        return max(self.sample.slowness, 1.0)
+
     def close(self) -> None:
         """Refuses all new and queued work from now on."""
         self.closed = True
@@ -360,11 +374,10 @@
         self, attempt: calls.Attempt
     ) -> contextlib.AbstractContextManager[None]:
         """Tracks an attempt at the target, to recognise its nested calls."""
-        protocol = self.target_protocol or target.TargetProtocol()
         parent = running.Parent(
             attempt.member, attempt.urgency.priority, attempt.depth
         )
-        return self.running.track(protocol.get_correlation_id(attempt), parent)
+        return self.running.track(self._find_request_id(attempt), parent)
 
     def _record_end_of_answer(
         self,
@@ -388,11 +401,10 @@
         self, attempt: calls.Attempt, refusal: outcome.NotRun
     ) -> None:
         state = self.admission
-        target_protocol = self.target_protocol or target.TargetProtocol()
         now_s = state.clock() if state else 0.0
         log.info(
             "attempt refused",
-            request=target_protocol.get_correlation_id(attempt),
+            request=self._find_request_id(attempt),
             reason=refusal.reason.value,
             in_flight=state.in_flight if state else None,
             queue=len(state.queue) if state else None,
@@ -403,8 +415,17 @@
                 round((now_s - self.sampled_s) * 1000) if self.sample else None
             ),
             left_ms=round(attempt.deadline.remaining_s() * 1000),
+            **{
+                "priority": attempt.urgency.priority,
+                "depth": attempt.depth,
+                **refusal.details,
+            },
         )
 
+    def _find_request_id(self, attempt: calls.Attempt) -> str:
+        protocol = self.target_protocol or target.TargetProtocol()
+        return protocol.get_correlation_id(attempt)
+
     def _count_answer(
         self,
         attempt: calls.Attempt,
@@ -442,6 +463,8 @@
                 attempt.deadline,
                 self._find_route(attempt),
                 attempt.urgency,
+                attempt.depth,
+                self._find_request_id(attempt),
             )
             if isinstance(permit, outcome.NotRun):
                 return permit
@@ -519,6 +542,7 @@
             find_closed_reason=self.find_closed_reason,
             on_reset=self._count_reset,
             make_limit=self.make_limit,
+            find_slowness=self.find_present_slowness,
         )
 
     def _find_weight(self, member: str) -> float:
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -6,6 +6,7 @@
 import anyio.lowlevel
 import msgspec
 import pytest
+import structlog
 
 from waxwingferry.connection import http1
 from waxwingferry.process import metrics
@@ -342,3 +343,33 @@
     assert state is not None
     assert state.queue.weight("big") == 3.0
     assert state.queue.weight("other") == 1.0
+
+
+@pytest.mark.anyio
+async def test_outdated_slowness_does_not_count_at_admission() -> None:
+    """Guards against refusals by the speed of a phase that has ended."""
+    fixture = ReceiverFixture()
+    receiver = fixture.receiver
+    assert receiver.find_present_slowness() == 1.0
+    receiver.record_sample(target.TargetLoad(1, 0, 2, slowness=7.0))
+    assert receiver.find_present_slowness() == 7.0
+    receiver.sampled_s -= receive.MAX_SLOWNESS_AGE_S + 0.001
+    assert receiver.find_present_slowness() == 1.0
+
+
+@pytest.mark.anyio
+async def test_log_of_a_refusal_names_its_facts() -> None:
+    """Guards against refusals whose cause can't be found afterwards."""
+    fixture = ReceiverFixture()
+    assert fixture.receiver.admission is not None
+    results: dict = {}
+    with structlog.testing.capture_logs() as lines:
+        async with anyio.create_task_group() as group:
+            for number in range(20):
+                group.start_soon(fixture.run, f"a{number}", results)
+            await anyio.wait_all_tasks_blocked()
+            fixture.release.set()
+    refused = [line for line in lines if line["event"] == "attempt refused"]
+    assert refused
+    facts = {"priority", "depth", "displaced_by", "late", "over_share"}
+    assert all(facts <= line.keys() for line in refused)
