--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -172,7 +172,11 @@
             return crash_suspects.SUSPECT_LIFETIME_S
         case outcome.Reason.TARGET_REFUSED:
             return ROOM_RETRY_AFTER_S
-        case outcome.Reason.QUEUE_FULL | outcome.Reason.DEADLINE_TOO_SHORT:
+        case (
+            outcome.Reason.QUEUE_FULL
+            | outcome.Reason.DISPLACED
+            | outcome.Reason.DEADLINE_TOO_SHORT
+        ):
             longest_s = max(left_s * MAX_RETRY_AFTER_SHARE, RETRY_AFTER_S)
             return RETRY_AFTER_S + draw * (longest_s - RETRY_AFTER_S)
         case _:
