Stop a store early while the table does not answer

Cause: a store called a table that refuses connections up to six times without a pause, and a call to the table is expensive.

Change: after a write and a read without an answer, store backs off.

--- a/src/waxwingferry/process/duties.py
+++ b/src/waxwingferry/process/duties.py
@@ -139,7 +139,7 @@
         self._highest_token = 0
         # Token of the newest holding of this process.
         self._own_token = 0
-        # Begin of the oldest write that may still be applied, or None.
+        # Begin of the oldest write without a known outcome, or None.
         self._pending_since_s: float | None = None
         self._last_write_s = -math.inf
         self._retry_at_s = -math.inf
@@ -209,7 +209,11 @@
         state = copy.deepcopy(state)
         stored = False
         for _ in range(WRITES_PER_STORE):
-            stored = await self._write_state(held, state) or stored
+            try:
+                stored = await self._write_state(held, state) or stored
+            except platform.PlatformError:
+                # The table does not answer; both calls were logged.
+                break
             if self.holding is not held:
                 return None
             if stored and self.may_act():
@@ -247,7 +251,11 @@
         return True
 
     async def _write_state(self, held: Holding, state: dict[str, Any]) -> bool:
-        """Writes the state once; returns whether it is known to be stored."""
+        """Writes the state once; returns whether it is known to be stored.
+
+        Raises:
+            platform.PlatformError: Neither the write nor a read was answered.
+        """
         began_s = self.clock()
         if self._pending_since_s is None:
             self._pending_since_s = began_s
@@ -260,8 +268,10 @@
             return self._apply_row(held, error.row, state)
         except platform.PlatformError:
             # The write may have been applied, or may be applied later.
-            row = await self.rows.read()
-            return row is not None and self._apply_row(held, row.row, state)
+            found = await self.rows.read()
+            if found is None:
+                raise
+            return self._apply_row(held, found.row, state)
         if self.holding is not held or self._is_before_restore(held):
             return False
         self._confirm(new_row, version, began_s)
@@ -286,7 +296,7 @@
             return False
         self._record_row(content)
         if content.token > held.token:
-            self.watch.displaced_by = content.process
+            self.watch.record_conflict(content, held.token)
             self._end_holding(content.holder, content.token, "taken over")
             return False
         if content.token < held.token or not self._is_own(content):
@@ -298,9 +308,7 @@
             return False
         # Only this process writes rows with its incarnation. None of its
         # writes with an earlier condition can be applied any more.
-        began_s = self._pending_since_s
-        if began_s is None:
-            began_s = -math.inf
+        began_s = self._pending_since_s or -math.inf
         self._confirm(content, stored.version, began_s)
         return content.state == state
 
@@ -330,10 +338,7 @@
         return row.process == (self.node, self.incarnation)
 
     def _end_holding(self, holder: str, token: int, reason: str) -> None:
-        """Stops acting.
-
-        The arguments are the row's holder and token, and the reason.
-        """
+        """Stops acting; the holder and the token are those of the row."""
         self.log.warning("duty lost", holder=holder, token=token, reason=reason)
         self.holding = None
         self.act_from_s = math.inf
@@ -388,7 +393,9 @@
                 return
             except platform.ConflictError as error:
                 found = duty_rows.ReadRow(error.row, self.clock())
-                self._record_winner(duty_rows.interpret(error.row).content)
+                self.watch.record_conflict(
+                    duty_rows.interpret(error.row).content, self._highest_token
+                )
 
     def _find_reason(
         self, stored: duty_rows.Stored, read_began_s: float
@@ -400,8 +407,7 @@
         if content is not None:
             self._record_row(content)
             if content.token > self._own_token and not self._is_own(content):
-                # Another node took over after the table went back.
-                self._rewrite_reason = ""
+                self._rewrite_reason = ""  # Another node was faster.
         if self._rewrite_reason:
             return self._rewrite_reason
         if not self.is_candidate():
@@ -491,9 +497,3 @@
         self._confirm(row, version, began_s)
         self.act_until_s = -math.inf
         self.act_from_s = self.clock() + self.lease_s
-
-    def _record_winner(self, row: duty_rows.DutyRow | None) -> None:
-        """Records the process that took over before this one."""
-        known_token = self.row.token if self.row else 0
-        if row and row.token > known_token and not self._is_own(row):
-            self.watch.displaced_by = row.process
--- a/src/waxwingferry/process/duty_watch.py
+++ b/src/waxwingferry/process/duty_watch.py
@@ -98,6 +98,18 @@
             return False
         return read_began_s - self.since_s >= self.stale_after_s
 
+    def record_conflict(
+        self, row: duty_rows.DutyRow | None, known_token: int
+    ) -> None:
+        """Records the process that took over before this one.
+
+        Args:
+            row: The row that a write found, or None.
+            known_token: Highest token that was known before.
+        """
+        if row is not None and row.token > known_token:
+            self.displaced_by = row.process
+
     def is_trusted_live(self, row: duty_rows.DutyRow) -> bool:
         """Returns whether the holder counts as live.
 
--- a/src/waxwingferry/process/tests/test_duties.py
+++ b/src/waxwingferry/process/tests/test_duties.py
@@ -257,7 +257,11 @@
         node.cut_until_s = simulation.now_s + 60.0
         node.unreachable_since_s = simulation.now_s + 60.0
     number = simulation.nodes["n3"].duty.state["number"]
-    simulation.advance(90.0)
+    calls = simulation.nodes["n3"].client.calls
+    simulation.advance(60.0)
+    # Guards against calls without a pause to a table that does not answer.
+    assert simulation.nodes["n3"].client.calls - calls < 25
+    simulation.advance(30.0)
     assert find_holders(simulation) == ["n3"]
     assert simulation.api.tokens[-1] == 1
     assert simulation.nodes["n3"].duty.state["number"] > number
