--- a/src/waxwingferry/process/usage/tests/test_reporter.py
+++ b/src/waxwingferry/process/usage/tests/test_reporter.py
@@ -52,6 +52,12 @@
     assert world.table.writes == len(world.accepted) + 2
 
 
+def replace_holder(world: worlds.World) -> None:
+    """Ends the candidate, which mostly holds the duty, for another one."""
+    world.kill(world.candidate, restarts=True)
+    world.candidate = world.rng.randrange(len(world.nodes))
+
+
 def disturb(world: worlds.World) -> None:
     """Causes one random event, or none."""
     rng = world.rng
@@ -61,8 +67,7 @@
     if event < 0.1:
         # The holder does not live to write its row again.
         world.table.restore(rng.choice([1, 2, 5, 1000]))
-        world.kill(world.candidate, restarts=True)
-        world.candidate = rng.randrange(len(world.nodes))
+        replace_holder(world)
     elif event < 0.2:
         world.candidate = rng.randrange(len(world.nodes))
         for node in world.nodes:
@@ -71,8 +76,11 @@
         world.kill(rng.randrange(len(world.nodes)), restarts=True)
     elif event < 0.42:
         world.table.restore(rng.choice([0, 1, 1, 2, 5, 1000]))
-    elif event < 0.5:
+    elif event < 0.6:
         world.table.is_down = not world.table.is_down
+        if not world.table.is_down and rng.random() < 0.5:
+            # What it could not store is not known to the next holder.
+            replace_holder(world)
 
 
 @pytest.mark.parametrize("seed", range(SEEDS))
