--- a/benchmarks/least_cost_admission.py
+++ b/benchmarks/least_cost_admission.py
@@ -321,17 +321,31 @@
                 number % 4,
                 depth=1 + number % 2,
             )
-        items = list(state.queue)
-        decisions = {
+        numbers = itertools.count()
+
+        def submit(
+            members: int = members,
+            state: admission.Admission = state,
+            now_s: float = clock.now_s,
+            numbers: itertools.count = numbers,
+        ) -> None:
+            number = next(numbers)
+            state.submit(
+                f"m{number % members}",
+                now_s + 60,
+                f"r{number % 4}",
+                now_s + 0.3 + number % 40 * 0.01,
+                number % 4,
+            )
+
+        decisions: dict[str, Callable[[], object]] = {
             "dispatch": functools.partial(state.order.choose, clock.now_s),
-            "eviction": functools.partial(
-                state.order.choose_evicted, items, clock.now_s
-            ),
+            "submit": submit,
         }
         for name, decide in decisions.items():
             time_us = min(timeit.repeat(decide, number=500, repeat=5)) * 2000
             print(
-                f"{name}, {len(items)} attempts of {members} members:"
+                f"{name}, {len(state.queue)} attempts of {members} members:"
                 f" {time_us:.1f} us"
             )
 
--- a/src/waxwingferry/process/choice/routing.py
+++ b/src/waxwingferry/process/choice/routing.py
@@ -26,7 +26,8 @@
 STALE_REPORT_S = 1.0
 
 # Work per slot below which a target gets a retry after queue_full. It is 3 at a
-# target whose queue is full, since the queue holds two requests per slot.
+# target whose queue is full for one of several members, since a member queues
+# two requests per slot, and 5 if the whole queue is full.
 RETRY_MAX_UTILISATION = 2.0
 
 # Targets first seen within this time of the entry's start may have been running
--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -172,11 +172,7 @@
             request_id,
             member_queue=self.queue.find_member_queue(member),
         )
-        reason = self.find_closed_reason()
-        if reason is None and self._should_reject(permit):
-            reason = outcome.Reason.DEADLINE_TOO_SHORT
-        if reason is None and not self._make_room(permit):
-            reason = outcome.Reason.QUEUE_FULL
+        reason = self.find_closed_reason() or self._find_refusal(permit)
         if reason is not None:
             self._refuse(permit, reason)
             return permit
@@ -354,19 +350,35 @@
         self.abandoned_until_s.append(self.clock() + delay_s)
         self.estimate.record_abandoned(permit.route, used_s, slowness)
 
-    def _should_reject(self, permit: Permit) -> bool:
-        """Returns whether a new attempt is unlikely to finish in time."""
+    def _find_refusal(self, permit: Permit) -> outcome.Reason | None:
+        """Returns why a new attempt is refused; makes room for it if not."""
         now_s = self.clock()
         if self.can_dispatch() and not self.queue:
-            return self._will_miss_deadline(permit, now_s, 0.0, False)
-        ahead = self.order.count_ahead(permit, now_s)
+            will_miss = self._will_miss_deadline(permit, now_s, 0.0, False)
+            return outcome.Reason.DEADLINE_TOO_SHORT if will_miss else None
+        items = [*self.queue, permit]
+        ranks = self.order.make_ranks(items, now_s)
+        if self._should_reject(items, ranks, now_s):
+            return outcome.Reason.DEADLINE_TOO_SHORT
+        if not self._make_room(items, ranks, now_s):
+            return outcome.Reason.QUEUE_FULL
+        return None
+
+    def _should_reject(
+        self,
+        items: list[Permit],
+        ranks: list[precedence.Rank],
+        now_s: float,
+    ) -> bool:
+        """Returns whether a new attempt is unlikely to finish in time."""
+        ahead = self.order.count_ahead(items, ranks)
         wait_s = (ahead + 1) * self.estimate.find_mean_s() / self.limit.value
         wait_s = max(
             wait_s,
             self.limit.estimate_rate_limit_wait_s(ahead),
             self.rate_limit.estimate_wait_s(ahead),
         )
-        return self._will_miss_deadline(permit, now_s, wait_s, False)
+        return self._will_miss_deadline(items[-1], now_s, wait_s, False)
 
     def _will_miss_deadline(
         self, permit: Permit, now_s: float, wait_s: float, contended: bool
@@ -384,21 +396,25 @@
         permit.is_trial = self.estimate.try_take_trial(permit.route)
         return not permit.is_trial
 
-    def _make_room(self, permit: Permit) -> bool:
-        """Makes room for one more attempt; returns whether there is any."""
-        if self.can_dispatch() and not self.queue:
-            return True
+    def _make_room(
+        self,
+        items: list[Permit],
+        ranks: list[precedence.Rank],
+        now_s: float,
+    ) -> bool:
+        """Makes room for a new attempt; returns whether there is any."""
+        permit = items[-1]
         arriving = permit.member_queue
         assert arriving is not None
         slots = self.limit.slots
         is_alone = len(arriving.items) == len(self.queue)
         if len(arriving.items) >= precedence.find_member_bound(is_alone, slots):
-            queued = list(arriving.items)
-        elif len(self.queue) >= precedence.QUEUE_PER_SLOT * slots:
-            queued = list(self.queue)
-        else:
+            own = [i for i, p in enumerate(items) if p.member_queue is arriving]
+            items = [items[i] for i in own]
+            ranks = [ranks[i] for i in own]
+        elif len(self.queue) < precedence.QUEUE_PER_SLOT * slots:
             return True
-        evicted = self.order.choose_evicted([*queued, permit], self.clock())
+        evicted = self.order.choose_evicted(items, ranks, now_s)
         if evicted is permit:
             return False
         self._evict(evicted, permit)
@@ -423,7 +439,10 @@
     def _trim_queue(self) -> None:
         """Evicts attempts that a queue with fewer slots has no room for."""
         while len(self.queue) > precedence.QUEUE_PER_SLOT * self.limit.slots:
-            evicted = self.order.choose_evicted(list(self.queue), self.clock())
+            now_s = self.clock()
+            items = list(self.queue)
+            ranks = self.order.make_ranks(items, now_s)
+            evicted = self.order.choose_evicted(items, ranks, now_s)
             self._remove_from_queue(evicted)
             self._refuse(evicted, outcome.Reason.QUEUE_FULL)
 
--- a/src/waxwingferry/process/protection/waiting_order.py
+++ b/src/waxwingferry/process/protection/waiting_order.py
@@ -103,38 +103,46 @@
         return items[index]
 
     def choose_evicted(
-        self, items: Sequence[permits.Permit], now_s: float
+        self,
+        items: Sequence[permits.Permit],
+        ranks: Sequence[precedence.Rank],
+        now_s: float,
     ) -> permits.Permit:
         """Returns the attempt that costs least if it is refused.
 
         Args:
             items: Attempts, the new one last.
+            ranks: Their ranks.
             now_s: Monotonic time.
         """
-        ranks = self.make_ranks(items, now_s)
         members = [_find_member(item).member for item in items]
         weights = {
             queue.member: queue.weight for queue in map(_find_member, items)
         }
         crowding = precedence.find_crowding(
-            collections.Counter(members),
-            weights.__getitem__,
-            len(items) - 1,
+            collections.Counter(members), weights.__getitem__, len(items) - 1
         )
         floor = _find_floor(items, ranks, now_s)
         index = precedence.find_evicted(ranks, members, crowding, floor)
         return items[index]
 
-    def count_ahead(self, permit: permits.Permit, now_s: float) -> int:
+    def count_ahead(
+        self,
+        items: Sequence[permits.Permit],
+        ranks: Sequence[precedence.Rank],
+    ) -> int:
         """Returns how many queued attempts precede a new one.
 
         Members that are ahead come after the new attempt's member as soon as
         their lead exceeds the allowance.
+
+        Args:
+            items: The queued attempts and the new one.
+            ranks: Their ranks.
         """
-        items = list(self.queue)
-        *ranks, own = self.make_ranks([*items, permit], now_s)
-        preceding = sum(rank <= own for rank in ranks)
-        member_queue = _find_member(permit)
+        own = ranks[-1]
+        preceding = sum(rank <= own for rank in ranks) - 1
+        member_queue = _find_member(items[-1])
         if not self.queue.active.keys() - {member_queue.member}:
             return preceding
         fair = self.queue.count_ahead(
