--- a/src/waxwingferry/platform/tests/test_signals.py
+++ b/src/waxwingferry/platform/tests/test_signals.py
@@ -40,7 +40,7 @@
     # Reserves the ports until the process has ended.
     free_ports = ports.PortAllocator()
     path = directory / "settings.toml"
-    path.write_text(_format_settings(data or _make_settings(free_ports)))
+    path.write_text(format_settings(data or make_settings(free_ports)))
     async with logged_process.run(
         directory,
         "waxwingferry.platform",
@@ -76,7 +76,8 @@
 """
 
 
-def _make_settings(free_ports: ports.PortAllocator) -> dict:
+def make_settings(free_ports: ports.PortAllocator) -> dict:
+    """Returns settings with free ports, without a store and a target."""
     data = copy.deepcopy(test_settings_file.DATA)
     data["self"]["ip"] = ports.HOST
     data["network"]["internal-ports"] = _allocate_internal_ports(free_ports)
@@ -91,7 +92,8 @@
     return data
 
 
-def _format_settings(data: dict) -> str:
+def format_settings(data: dict) -> str:
+    """Returns settings as TOML."""
     lines: list[str] = []
     _format_table("", data, lines)
     return "\n".join(lines) + "\n"
@@ -145,11 +147,11 @@
 
     The platform may write the settings file and send no signal.
     """
-    data = _make_settings(ports.PortAllocator())
+    data = make_settings(ports.PortAllocator())
     async with run_node(tmp_path, data) as node:
         await node.wait_for("node started")
         data["self"]["service"] = "other"
-        (tmp_path / "settings.toml").write_text(_format_settings(data))
+        (tmp_path / "settings.toml").write_text(format_settings(data))
         await node.wait_for("settings reloaded")
         node.process.terminate()
         assert await node.wait() == 0
@@ -191,8 +193,8 @@
     tmp_path,
 ) -> None:
     """Guards against requests lost because a reload finds odd settings."""
-    data = _make_settings(ports.PortAllocator())
-    content = _format_settings(data)
+    data = make_settings(ports.PortAllocator())
+    content = format_settings(data)
     async with run_node(tmp_path, data) as node:
         await node.wait_for("node started")
         path = tmp_path / "settings.toml"
@@ -200,7 +202,7 @@
         for number, odd in enumerate(
             (
                 "x = " + "[" * 5000 + "]" * 5000,
-                _format_settings(data),
+                format_settings(data),
                 content[: len(content) // 2],
                 "",
             )
@@ -246,7 +248,7 @@
         await connection.send_head(200, headers, b"whole")
 
 
-async def _request(
+async def request(
     address: tuple[str, int], method: str, path: str, body: bytes = b""
 ) -> exchange.Reply:
     """Sends one request on a connection of its own."""
@@ -256,18 +258,18 @@
     return await client.request(method, path, TIMEOUT_S, body, headers)
 
 
-async def _wait_for_readiness(
+async def wait_for_readiness(
     settings: settings_file.Settings, status: int
 ) -> None:
     """Returns once the node says that it is, or isn't, ready."""
     while True:
-        reply = await _request(settings.readiness_address, "GET", "/-/ready")
+        reply = await request(settings.readiness_address, "GET", "/-/ready")
         if reply.status == status:
             return
         await anyio.sleep(0.02)
 
 
-async def _announce_target(settings: settings_file.Settings) -> None:
+async def announce_target(settings: settings_file.Settings) -> None:
     """Sends the first heartbeat of the target."""
     host, port = settings.target_address
     heartbeat = {
@@ -276,7 +278,7 @@
         "info": {"service": "desk", "version": "v1", "zone": "a", "slots": 6},
         "status": {"state": "ready", "sequence": 1},
     }
-    reply = await _request(
+    reply = await request(
         settings.control_address,
         "POST",
         f"/-/instances/{TARGET_ID}/heartbeat",
@@ -303,7 +305,7 @@
     fake.put("op", "config", config)
     store_server = fake.make_server(fake.access)
     free_ports = ports.PortAllocator()
-    data = _make_settings(free_ports)
+    data = make_settings(free_ports)
     data["timing"]["bounds"]["grace"] = "60s"
     replies: list[exchange.Reply] = []
     async with anyio.create_task_group() as servers:
@@ -317,12 +319,12 @@
         settings = settings_file.parse(data)
         async with run_node(tmp_path, data) as node:
             await node.wait_for("document in force")
-            await _wait_for_readiness(settings, 200)
-            await _announce_target(settings)
+            await wait_for_readiness(settings, 200)
+            await announce_target(settings)
 
             async def send() -> None:
                 replies.append(
-                    await _request(
+                    await request(
                         settings.outbound_address, "POST", "/a/x", b"order"
                     )
                 )
