Bound what a connection sends while it arrives

Cause: the reader counted fields and bytes when a head was complete, and parsed all that it had received at once. An unfinished head of 90 kB became 2 MB of fields. A fixed bound of 200 fields refused legal heads.

Interim responses that nobody has taken are bounded during an upload.

--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -5,6 +5,7 @@
 and limits; `reader` parses received bytes.
 """
 
+import collections
 from collections.abc import AsyncIterable
 import re
 import sys
@@ -28,8 +29,17 @@
 find_header = message.find_header
 end_to_end_headers = message.end_to_end_headers
 
-# Responses may have any size, because they are streamed.
-_RESPONSE_LIMITS = message.Limits(body_bytes=sys.maxsize)
+# Responses may have any size, because they are streamed. Their heads may be
+# those of a target with fields that nodes have added.
+_RESPONSE_LIMITS = message.Limits(
+    head_bytes=message.make_forwarded_head_bytes(
+        message.DEFAULT_LIMITS.head_bytes
+    ),
+    body_bytes=sys.maxsize,
+)
+# A head and an end for each of the interim responses that are kept for the
+# reader of the response, while the request is still being sent.
+MAX_QUEUED_INTERIM_EVENTS = 200
 _BODY_METHODS = ("POST", "PUT", "PATCH")
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
 
@@ -266,6 +276,12 @@
         raise ConnectionLostError("connection lost while sending") from error
 
 
+def _is_interim(queue: collections.deque) -> bool:
+    """Tells whether a queue begins with an interim response."""
+    head = queue[0]
+    return isinstance(head, ResponseHead) and head.status < 200
+
+
 def _parse_idle_timeout(head: ResponseHead) -> float | None:
     """Returns the timeout of the Keep-Alive field, or None without one."""
     value = find_header(head.headers, "keep-alive")
@@ -403,14 +419,24 @@
         assert self.reader is not None
         try:
             while not self._is_response_queued():
+                self._drop_interim_responses()
                 await self.reader.receive()
         except ConnectionLostError as error:
             self.reader.events.fail(error)
         scope.cancel()
 
+    def _drop_interim_responses(self) -> None:
+        """Drops the first interim responses if a server has sent many."""
+        assert self.reader is not None
+        queue = self.reader.queue
+        while len(queue) > MAX_QUEUED_INTERIM_EVENTS and _is_interim(queue):
+            queue.popleft()
+            queue.popleft()
+
     def _is_response_queued(self) -> bool:
-        """Tells whether a final head or an error is queued."""
+        """Tells whether a final head or an error was received."""
         assert self.reader is not None
+        self.reader.parse_all()
         return any(
             isinstance(event, HttpError)
             or (isinstance(event, ResponseHead) and event.status >= 200)
--- a/src/waxwingferry/connection/message.py
+++ b/src/waxwingferry/connection/message.py
@@ -55,8 +55,13 @@
 
     Attributes:
         head_bytes: Size of a request head; a larger one is refused with 431.
-        fields: Number of fields in a head; more are refused with 431.
+            The number of its fields is not limited apart from that.
         body_bytes: Size of a request body; a larger one is refused with 413.
+        blank_bytes: Blank lines before a request.
+        framing_bytes: Bytes of chunk sizes, chunk extensions and trailers of
+            a body that are allowed beside as many bytes as the body has. Only
+            chunks of less than 5 bytes on average can exceed it without
+            extensions, and only after some 13,000 of them.
         idle_s: Longest wait for the first byte of the next request.
         head_s: Longest time from the first byte of a head to its end.
         body_grace_s: Time spent waiting for a body that is allowed at any
@@ -68,8 +73,9 @@
     """
 
     head_bytes: int = 32768
-    fields: int = 200
     body_bytes: int = 64 * 1024 * 1024
+    blank_bytes: int = 4096
+    framing_bytes: int = 65536
     idle_s: float = 75.0
     head_s: float = 10.0
     body_grace_s: float = 5.0
@@ -79,6 +85,19 @@
 
 DEFAULT_LIMITS = Limits()
 
+# Bytes of the fields that a node adds to a message which it forwards. The values
+# of some are taken from fields of the caller, such as its request ID.
+ADDED_HEAD_BYTES = 16384
+
+
+def make_forwarded_head_bytes(head_bytes: int) -> int:
+    """Returns the limit on heads that a node has received and sent on.
+
+    Each line may grow by the space behind its colon, which is a quarter of the
+    shortest line.
+    """
+    return head_bytes + head_bytes // 4 + ADDED_HEAD_BYTES
+
 
 @dataclasses.dataclass(slots=True)
 class RequestHead:
@@ -91,6 +110,7 @@
         version: HTTP version, "1.0" or "1.1".
         expects_continue: Whether the client waits for a 100 (Continue)
             response before it sends the body.
+        memory_bytes: Memory of the head, set by the reader.
     """
 
     method: str
@@ -100,6 +120,7 @@
     has_body: bool = False
     version: str = "1.1"
     expects_continue: bool = False
+    memory_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,12 +131,14 @@
         self_delimited: Whether the head defines where the body ends.
             Otherwise the body ends with the connection, so that a truncated
             body can't be detected.
+        memory_bytes: Memory of the head, set by the reader.
     """
 
     status: int
     headers: Headers
     keep_alive: bool = True
     self_delimited: bool = True
+    memory_bytes: int = 0
 
 
 def find_header(headers: Headers, name: str, default: str = "") -> str:
