Share a budget of memory and descriptors among clients

Cause: nothing bounded what all connections of a process hold together. 60 connections took a node from 32 MB to as much as 234 MB.

Change: each connection has an account of received bytes, parsed heads (with the cost of a field), requests in progress and responses that are not read. Near the limit a node reads no more from connections above an equal share and refuses their requests with 503 as not run; above it, connections are closed, old unfinished heads first and requests in progress last. Callers and the other listeners have a budget each, from the memory and the descriptors in the settings. Streams receive into a buffer of 64 kB, less where shares are small; the event loop's own had 256 kB. The last head of an idle connection is not kept. Peers may send larger heads than callers, since nodes add fields. The target of the crowd tests takes larger heads than the node, which adds fields; the crowd and its bounds are unchanged.

--- /dev/null
+++ b/src/waxwingferry/connection/closing.py
@@ -0,0 +1,80 @@
+"""Error responses, and the end of a server connection after them."""
+
+import contextlib
+
+import anyio
+import structlog
+
+from waxwingferry.connection import http1
+from waxwingferry.connection import message
+from waxwingferry.connection import tcp
+
+LINGERING_CLOSE_S = 2.0
+LINGERING_CHECK_S = 0.02
+BODY_TOO_LARGE_STATUS = 413
+NO_ROOM_REASON = "no_room"
+# Time after which a connection refused for lack of room may be tried again.
+RETRY_AFTER_S = 1
+NO_ROOM_RESPONSE = (
+    "HTTP/1.1 503 Service Unavailable\r\nx-waxwing-outcome: not-run\r\n"
+    f"x-waxwing-reason: {NO_ROOM_REASON}\r\nretry-after: {RETRY_AFTER_S}\r\n"
+    "content-length: 0\r\nconnection: close\r\n\r\n"
+).encode("ascii")
+
+log = structlog.get_logger()
+
+
+async def close_lingering(connection: http1.ServerConnection) -> None:
+    """Closes the sending side, then discards received data for a while.
+
+    Closing a socket with unread data resets the connection, and so does data
+    that arrives later. Of a response, what the client's system has not
+    acknowledged is lost then.
+    """
+    stream = connection.stream
+    assert isinstance(stream, tcp.Stream)
+    if stream.is_closed_by_peer():
+        return
+    request_complete = (
+        connection.request_ended and not connection.reader.events.failed
+    )
+    may_end = request_complete and stream.is_open_and_idle()
+    if may_end and not stream.has_unacknowledged_data():
+        return
+    with anyio.move_on_after(LINGERING_CLOSE_S):
+        try:
+            await stream.send_eof()
+            while not may_end or stream.has_unacknowledged_data():
+                with contextlib.suppress(TimeoutError):
+                    await stream.receive(timeout_s=LINGERING_CHECK_S)
+                    # The client may still be sending.
+                    may_end = False
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            return
+
+
+async def send_error_response(
+    connection: http1.ServerConnection, error: http1.HttpError
+) -> None:
+    """Answers a request that was not run because of an error."""
+    connection.keep_alive = False
+    if isinstance(error, http1.ConnectionLostError):
+        return
+    reason = "bad_request"
+    if error.status == BODY_TOO_LARGE_STATUS:
+        reason = "body_too_large"
+    elif isinstance(error, message.NoRoomError):
+        reason = NO_ROOM_REASON
+    headers = [("x-waxwing-outcome", "not-run"), ("x-waxwing-reason", reason)]
+    if isinstance(error, message.NoRoomError):
+        headers.append(("retry-after", str(RETRY_AFTER_S)))
+    body = f"{error}\n".encode()
+    connection.answer_started = False
+    try:
+        await connection.send_head(error.status, headers, body)
+    except http1.HttpError:
+        log.debug("error response not sent: connection lost")
--- a/src/waxwingferry/connection/message.py
+++ b/src/waxwingferry/connection/message.py
@@ -49,6 +49,13 @@
         super().__init__(message, status=408)
 
 
+class NoRoomError(HttpError):
+    """A request is refused because connections hold too much memory."""
+
+    def __init__(self):
+        super().__init__("too much memory is in use", status=503)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Limits:
     """Limits of a server on one client.
@@ -85,7 +92,7 @@
 
 DEFAULT_LIMITS = Limits()
 
-# Bytes of the fields that a node adds to a message which it forwards. The values
+# Bytes of the fields that a node adds to a message that it forwards. The values
 # of some are taken from fields of the caller, such as its request ID.
 ADDED_HEAD_BYTES = 16384
 
--- a/src/waxwingferry/connection/pipeline.py
+++ b/src/waxwingferry/connection/pipeline.py
@@ -48,6 +48,7 @@
         self.head = head
         self.keep_alive = head.keep_alive
         self.scope = connection.scope
+        self.account = connection.account
         self.held: list[bytes] = []
         self.sending = False
         self.turn = anyio.Event()
@@ -69,8 +70,8 @@
     async def _write(self, data: bytes) -> None:
         pipeline = self.pipeline
         if not self.turn.is_set():
-            if pipeline.held_bytes + len(data) <= MAX_HELD_BYTES:
-                pipeline.held_bytes += len(data)
+            if pipeline.may_hold(len(data)):
+                pipeline.change_held(len(data))
                 self.held.append(data)
                 return
             await self.turn.wait()
@@ -84,7 +85,7 @@
         """
         if self.sending:
             return False
-        self.pipeline.held_bytes -= sum(map(len, self.held))
+        self.pipeline.change_held(-sum(map(len, self.held)))
         self.held = []
         self.answer_started = False
         return True
@@ -95,8 +96,10 @@
         while self.held:
             parts, self.held = self.held, []
             data = b"".join(parts)
-            self.pipeline.held_bytes -= len(data)
-            await super()._write(data)
+            try:
+                await super()._write(data)
+            finally:
+                self.pipeline.change_held(-len(data))
         self.turn.set()
 
 
@@ -130,6 +133,22 @@
         self.advancing = False
         self._changed = anyio.Event()
 
+    def may_hold(self, size: int) -> bool:
+        """Returns whether a part of a response may wait for its turn here.
+
+        Otherwise the target that sends it has to wait.
+        """
+        account = self.connection.account
+        if account is not None and account.held_back:
+            return False
+        return self.held_bytes + size <= MAX_HELD_BYTES
+
+    def change_held(self, size: int) -> None:
+        """Adds to the bytes that are held."""
+        self.held_bytes += size
+        if self.connection.account is not None:
+            self.connection.account.change(size)
+
     def add(self, head: message.RequestHead) -> Exchange:
         """Adds a request behind the pending ones."""
         exchange = Exchange(self, head)
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -5,14 +5,16 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import enum
+import functools
 import time
 
 import anyio
 import anyio.abc
 import structlog
 
+from waxwingferry.connection import budget as budgets
+from waxwingferry.connection import closing
 from waxwingferry.connection import http1
 from waxwingferry.connection import message
 from waxwingferry.connection import pipeline
@@ -22,9 +24,6 @@
 CHECK_INTERVAL_S = 0.05
 # Longest time between checks of idle connections, whose limit may change.
 MAX_CHECK_INTERVAL_S = 1.0
-LINGERING_CLOSE_S = 2.0
-LINGERING_CHECK_S = 0.02
-BODY_TOO_LARGE_STATUS = 413
 # Time allowed for a request that was sent before the drain began to arrive.
 DRAIN_GRACE_S = 0.2
 CLOSE_INTERVAL_S = 0.01
@@ -76,6 +75,7 @@
         limits: Limits on one client.
         may_overlap: Tells whether a request may run beside others of its
             connection; by default each waits for the response before it.
+        budget: Memory and number of the connections, or None for no bound.
         listens_while_draining: Whether connections are accepted until all
             requests have ended, for clients that would take a refused
             connection for the end of the process.
@@ -102,8 +102,10 @@
         limits: message.Limits = message.DEFAULT_LIMITS,
         may_overlap: Callable[[http1.RequestHead], bool] | None = None,
         listens_while_draining: bool = False,
+        budget: budgets.Budget | None = None,
     ):
         self.handler = handler
+        self.budget = budget
         self.may_overlap = may_overlap
         self.listens_while_draining = listens_while_draining
         self.interim_interval_s = interim_interval_s
@@ -126,13 +128,23 @@
         async with anyio.create_task_group() as task_group:
 
             def accept(stream: tcp.TcpStream) -> None:
-                task_group.start_soon(self.serve_connection, stream)
+                if self._open_account(stream):
+                    task_group.start_soon(self.serve_connection, stream)
 
             async with tcp.listen(host, port, accept) as self.listener:
                 self.port = self.listener.port
                 self.listening.set()
                 await self.run_periodic_checks(task_group)
 
+    def _open_account(self, stream: tcp.TcpStream) -> bool:
+        """Returns whether there is room for a connection."""
+        if self.budget is None:
+            return True
+        stream.account = self.budget.open(stream.discard, stream.hold_back)
+        if stream.account is None:
+            stream.refuse(closing.NO_ROOM_RESPONSE)
+        return stream.account is not None
+
     async def drain(self) -> None:
         """Closes all connections without interrupting a request.
 
@@ -171,13 +183,20 @@
     async def serve_connection(self, stream: tcp.Stream) -> None:
         """Serves one connection until it ends."""
         connection = http1.ServerConnection(stream, self.limits)
+        account = None
+        if isinstance(stream, tcp.TcpStream) and stream.account is not None:
+            account = stream.account
+            connection.use_account(account)
+            account.close = functools.partial(_discard, connection, stream)
         self.connections.add(connection)
         self.began.set()
         try:
             async with stream:
                 await self._serve_until_end(connection)
-                await _lingering_close(connection)
+                await closing.close_lingering(connection)
         finally:
+            if account is not None:
+                account.budget.release(account)
             self.connections.discard(connection)
             self.changed.set()
 
@@ -233,7 +252,11 @@
     ) -> None:
         """Starts the requests in order; overlapping ones run in the group."""
         connection = requests.connection
+        head: http1.RequestHead | None = None
         while True:
+            # The memory of the last request is not kept while the next one is
+            # waited for.
+            head = None
             await requests.wait_for_room()
             try:
                 head = await self._receive_head(requests)
@@ -243,6 +266,14 @@
                 return
             if head is None:
                 return
+            if self._must_refuse(connection, head):
+                refusal = message.NoRoomError()
+                self.on_rejected(head, refusal)
+                # It may have to wait for earlier responses.
+                head.headers.clear()
+                await requests.wait_until_empty()
+                await closing.send_error_response(connection, refusal)
+                return
             await requests.wait_for_response_in_progress()
             if requests.closing or (self.stopping and requests.pending):
                 # The client sends a request again that was sent behind a
@@ -271,6 +302,17 @@
             if self.stopping and not requests.pending:
                 return
 
+    def _must_refuse(
+        self, connection: http1.ServerConnection, head: http1.RequestHead
+    ) -> bool:
+        account = connection.account
+        if account is None or not account.budget.must_refuse(
+            account, http1.compute_call_memory(head)
+        ):
+            return False
+        account.budget.record_limited(budgets.REFUSED, account.held_bytes)
+        return True
+
     async def _receive_head(
         self, requests: pipeline.Pipeline
     ) -> http1.RequestHead | None:
@@ -312,6 +354,7 @@
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         self._begin(connection)
+        connection.begin_call(head)
         try:
             await self.handler(connection, head)
         except http1.HttpError as error:
@@ -321,6 +364,7 @@
                 raise
             await self._reject(connection, head, error)
         finally:
+            connection.end_call()
             self.active.discard(connection)
             self.changed.set()
 
@@ -332,7 +376,7 @@
     ) -> None:
         if not isinstance(error, http1.ConnectionLostError):
             self.on_rejected(head, error)
-        await _send_error_response(connection, error)
+        await closing.send_error_response(connection, error)
 
     def _begin(self, connection: http1.ServerConnection) -> None:
         connection.call_started_s = time.monotonic()
@@ -414,6 +458,16 @@
             task_group.start_soon(_send_processing, connection)
 
 
+def _discard(connection: http1.ServerConnection, stream: tcp.TcpStream) -> None:
+    """Closes a connection and releases what it holds at once.
+
+    The tasks of many others may run before its own tasks end.
+    """
+    stream.discard()
+    connection.reader.discard()
+    _cancel(connection)
+
+
 def _cancel(connection: http1.ServerConnection) -> None:
     if connection.scope is not None:
         connection.scope.cancel()
@@ -426,55 +480,3 @@
         log.debug("interim response not sent", error=str(error))
     finally:
         connection.sending_interim = False
-
-
-async def _lingering_close(connection: http1.ServerConnection) -> None:
-    """Closes the sending side, then discards received data for a while.
-
-    Closing a socket with unread data resets the connection, and so does data
-    that arrives later. Of a response, what the client's system has not
-    acknowledged is lost then.
-    """
-    stream = connection.stream
-    assert isinstance(stream, tcp.Stream)
-    if stream.is_closed_by_peer():
-        return
-    request_complete = (
-        connection.request_ended and not connection.reader.events.failed
-    )
-    may_end = request_complete and stream.is_open_and_idle()
-    if may_end and not stream.has_unacknowledged_data():
-        return
-    with anyio.move_on_after(LINGERING_CLOSE_S):
-        try:
-            await stream.send_eof()
-            while not may_end or stream.has_unacknowledged_data():
-                with contextlib.suppress(TimeoutError):
-                    await stream.receive(timeout_s=LINGERING_CHECK_S)
-                    # The client may still be sending.
-                    may_end = False
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
-            return
-
-
-async def _send_error_response(
-    connection: http1.ServerConnection, error: http1.HttpError
-) -> None:
-    connection.keep_alive = False
-    if isinstance(error, http1.ConnectionLostError):
-        return
-    too_large = error.status == BODY_TOO_LARGE_STATUS
-    headers = [
-        ("x-waxwing-outcome", "not-run"),
-        ("x-waxwing-reason", "body_too_large" if too_large else "bad_request"),
-    ]
-    body = f"{error}\n".encode()
-    connection.answer_started = False
-    try:
-        await connection.send_head(error.status, headers, body)
-    except http1.HttpError:
-        log.debug("error response not sent: connection lost")
--- a/src/waxwingferry/connection/tcp.py
+++ b/src/waxwingferry/connection/tcp.py
@@ -14,6 +14,7 @@
 import contextlib
 import dataclasses
 import fcntl
+import os
 import select
 import socket
 import termios
@@ -23,7 +24,20 @@
 import anyio.abc
 import structlog
 
+from waxwingferry.connection import budget as budgets
+
 READ_AHEAD_BYTES = 65536
+# Largest number of bytes received at once. The event loop's own buffer has 256
+# kB, so that a few hundred connections could fill the memory at once.
+RECEIVE_BUFFER_BYTES = 65536
+# Smallest number for connections of clients, if their share of memory is small.
+SCARCE_BUFFER_BYTES = 4096
+# Connections accepted at once, before any of them can be refused.
+ACCEPT_BATCH = 64
+LISTEN_BACKLOG = 1024
+
+# Received bytes are copied from it before the next receive of any stream.
+_receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
 
 log = structlog.get_logger()
 
@@ -50,13 +64,16 @@
         return False
 
 
-class TcpStream(asyncio.Protocol, Stream):
+class TcpStream(asyncio.BufferedProtocol, Stream):
     """One TCP connection.
 
     Args:
         accept: Called with the stream once it is connected.
 
     Attributes:
+        account: Account of the memory that the connection of a client holds,
+            or None.
+        held_back: Whether reading is stopped for lack of room.
         ended: Whether the peer closed, or the connection failed.
         closed: Whether this side closed the stream, or the connection is gone.
     """
@@ -67,6 +84,8 @@
         self.buffer: collections.deque[bytes] = collections.deque()
         self.buffered_bytes = 0
         self.reading_paused = False
+        self.account: budgets.Account | None = None
+        self.held_back = False
         self.ended = False
         self.failed = False
         self.closed = False
@@ -84,14 +103,37 @@
         if self.accept is not None:
             self.accept(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns where received bytes are put before buffer_updated."""
+        if self.account is None:
+            return _receive_buffer
+        size = self.account.budget.compute_receive_bytes()
+        return _receive_buffer[: max(size, SCARCE_BUFFER_BYTES)]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Buffers received data; pauses reading at the read-ahead limit."""
-        self.buffer.append(data)
-        self.buffered_bytes += len(data)
-        if self.buffered_bytes >= READ_AHEAD_BYTES and not self.reading_paused:
-            self.reading_paused = True
-            self.transport.pause_reading()
+        self.buffer.append(bytes(_receive_buffer[:nbytes]))
+        self.buffered_bytes += nbytes
+        if self.buffered_bytes >= READ_AHEAD_BYTES:
+            self._update_reading()
         self._wake_receiver()
+        if self.account is not None:
+            self.account.change(nbytes)
+
+    def hold_back(self, held_back: bool) -> None:
+        """Stops reading for lack of room, or resumes it."""
+        self.held_back = held_back
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        paused = self.held_back or self.buffered_bytes >= READ_AHEAD_BYTES
+        if paused == self.reading_paused or self.closed or self.ended:
+            return
+        self.reading_paused = paused
+        if paused:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def eof_received(self) -> bool:
         """Records the peer's end of stream; this side can still send."""
@@ -142,13 +184,10 @@
             self.buffer.appendleft(data[max_bytes:])
             data = data[:max_bytes]
         self.buffered_bytes -= len(data)
-        if (
-            self.reading_paused
-            and self.buffered_bytes < READ_AHEAD_BYTES
-            and not self.closed
-        ):
-            self.reading_paused = False
-            self.transport.resume_reading()
+        if self.reading_paused:
+            self._update_reading()
+        if self.account is not None:
+            self.account.change(-len(data))
         return data
 
     def _check_readable(self) -> None:
@@ -193,8 +232,15 @@
         self._check_writable()
         self.transport.write(item)
         if not self.writable.is_set():
-            with anyio.fail_after(timeout_s):
-                await self.writable.wait()
+            account = self.account
+            if account is not None:
+                account.change(len(item))
+            try:
+                with anyio.fail_after(timeout_s):
+                    await self.writable.wait()
+            finally:
+                if account is not None:
+                    account.change(-len(item))
             self._check_writable()
 
     def _check_writable(self) -> None:
@@ -212,12 +258,28 @@
 
     async def aclose(self) -> None:
         """Closes the connection immediately, discarding unsent data."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Does the same as aclose."""
         if not self.closed:
             self.closed = True
             self.transport.abort()
         self._wake_receiver()
         self.writable.set()
 
+    def discard(self) -> None:
+        """Closes the connection and releases what was received."""
+        self.abort()
+        self.buffer.clear()
+        self.buffered_bytes = 0
+
+    def refuse(self, response: bytes) -> None:
+        """Sends a response that fits the system's buffer, and closes."""
+        self.transport.write(response)
+        self.closed = True
+        self.transport.close()
+
     def is_open_and_idle(self) -> bool:
         """Tells whether the connection is open and has no unread data."""
         if self.buffer or self.ended or self.closed:
@@ -281,8 +343,11 @@
     """
     loop = asyncio.get_running_loop()
     server = await loop.create_server(
-        lambda: TcpStream(accept), host, port, backlog=1024
+        lambda: TcpStream(accept), host, port, backlog=ACCEPT_BATCH
     )
+    # The event loop accepts as many connections at once as its backlog has.
+    with socket.socket(fileno=os.dup(server.sockets[0].fileno())) as listener:
+        listener.listen(LISTEN_BACKLOG)
     try:
         yield Listener(server.sockets[0].getsockname()[1], server.close)
     finally:
--- a/src/waxwingferry/connection/tests/test_splits.py
+++ b/src/waxwingferry/connection/tests/test_splits.py
@@ -8,6 +8,7 @@
 import pytest
 
 from waxwingferry.connection import message
+from waxwingferry.connection import message_events
 from waxwingferry.connection import reader as reading
 
 LIMITS = message.Limits(
@@ -18,14 +19,15 @@
 # reader detects a larger one within two blocks, but doesn't record its fields.
 MAX_FIELDS = LIMITS.head_bytes // 3
 MAX_UNFINISHED_BYTES = (
-    reading.HEAD_MEMORY_BYTES
-    + MAX_FIELDS * reading.FIELD_MEMORY_BYTES
+    message_events.HEAD_MEMORY_BYTES
+    + MAX_FIELDS * message_events.FIELD_MEMORY_BYTES
     + LIMITS.head_bytes
     + 2 * BLOCK_BYTES
 )
 # Heads, and the fields of one that began earlier, that one block completes.
 MAX_QUEUED_BYTES = MAX_UNFINISHED_BYTES + 4 * (
-    reading.HEAD_MEMORY_BYTES + BLOCK_BYTES * reading.FIELD_MEMORY_BYTES
+    message_events.HEAD_MEMORY_BYTES
+    + BLOCK_BYTES * message_events.FIELD_MEMORY_BYTES
 )
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n"
@@ -91,7 +93,7 @@
 @pytest.fixture(autouse=True, scope="module")
 def _small_blocks():
     patch = pytest.MonkeyPatch()
-    patch.setattr(reading, "BLOCK_BYTES", BLOCK_BYTES)
+    patch.setattr(message_events, "BLOCK_BYTES", BLOCK_BYTES)
     yield
     patch.undo()
 
--- a/src/waxwingferry/emulator/target.py
+++ b/src/waxwingferry/emulator/target.py
@@ -27,6 +27,7 @@
 import pydantic
 
 from waxwingferry.connection import http1
+from waxwingferry.connection import message
 from waxwingferry.connection import pool
 from waxwingferry.connection import serve
 from waxwingferry.process import signals
@@ -211,7 +212,13 @@
             collections.deque()
         )
         self.last_attempt = ""
-        self.server = serve.Server(self.handle)
+        # Up to two nodes have added fields to a head.
+        head_bytes = message.make_forwarded_head_bytes(
+            message.make_forwarded_head_bytes(message.DEFAULT_LIMITS.head_bytes)
+        )
+        self.server = serve.Server(
+            self.handle, limits=message.Limits(head_bytes=head_bytes)
+        )
         self.node_pool = pool.Pool("127.0.0.1", options.node_port)
         self.ledger_file: TextIO | None = None
         if options.ledger_file:
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -8,8 +8,10 @@
 import anyio
 import structlog
 
+from waxwingferry.connection import budget
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
+from waxwingferry.connection import message
 from waxwingferry.connection import serve
 from waxwingferry.platform import decisions
 from waxwingferry.platform import header_fields
@@ -86,6 +88,13 @@
                 choice=routing.Policy.STATED,
                 leave_delay_s=LEAVE_DELAY_S,
                 stop_grace_s=settings.stop_grace_s,
+                memory_bytes=settings.limits.memory_mb * budget.MIB,
+                max_descriptors=settings.limits.max_fds
+                or budget.read_max_descriptors(),
+                limits=message.Limits(
+                    blank_bytes=settings.limits.blank_bytes,
+                    framing_bytes=settings.limits.framing_bytes,
+                ),
             ),
             table,
             self.document,
@@ -149,9 +158,15 @@
             *settings.target_address, max_body_bytes=MAX_HEALTH_BODY_BYTES
         )
         self.unknown_fields = header_fields.UnknownFields()
-        self.readiness_server = serve.Server(self.handle_readiness)
-        self.control_server = serve.Server(self.handle_control)
-        self.metrics_server = serve.Server(self.handle_metrics)
+        self.readiness_server = self.make_internal_server(self.handle_readiness)
+        self.control_server = self.make_internal_server(self.handle_control)
+        self.metrics_server = self.make_internal_server(self.handle_metrics)
+
+    def make_internal_server(self, handler: serve.Handler) -> serve.Server:
+        """Returns a server for the platform and the local target."""
+        return serve.Server(
+            handler, limits=self.options.limits, budget=self.internal_budget
+        )
 
     def make_limit(self, slots: int) -> stated_limit.StatedLimit:
         """Returns the concurrency limit of the local target."""
--- a/src/waxwingferry/platform/settings_file.py
+++ b/src/waxwingferry/platform/settings_file.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from waxwingferry.connection import message
 from waxwingferry.platform import parsing
 
 PATH_VARIABLE = "WAXWINGFERRY_SETTINGS"
@@ -52,6 +53,25 @@
     warmup_rate_slack: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class MachineLimits:
+    """Limits of the machine and of the process.
+
+    Attributes:
+        memory_mb: Memory of the machine in MB. The default is that of the
+            smallest machine that is known.
+        max_fds: Descriptors that the process may open, or None if not given.
+        blank_bytes: Blank lines before a request.
+        framing_bytes: Chunk sizes, extensions and trailers of a body that are
+            allowed beside as many bytes as the body has.
+    """
+
+    memory_mb: int = 200
+    max_fds: int | None = None
+    blank_bytes: int = message.DEFAULT_LIMITS.blank_bytes
+    framing_bytes: int = message.DEFAULT_LIMITS.framing_bytes
+
+
 # Field of Bounds -> key in the settings file.
 _BOUND_KEYS = {
     "retry_ratio": "retry-budget-ratio",
@@ -63,6 +83,15 @@
 }
 
 
+# Field of MachineLimits -> key in the settings file.
+_LIMIT_KEYS = {
+    "memory_mb": "memory-mb",
+    "max_fds": "max-fds",
+    "blank_bytes": "max-blank-bytes",
+    "framing_bytes": "max-framing-bytes",
+}
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Settings:
     """Settings of one node.
@@ -77,6 +106,7 @@
         seed_hosts: Hosts of VMs that may run a node; the ports given with
             them are not used.
         stop_grace_s: Time from SIGTERM to SIGKILL, or None if not given.
+        limits: Limits of the machine and of the process.
     """
 
     node: str
@@ -93,6 +123,7 @@
     store_address: StoreAddress
     bounds: Bounds
     stop_grace_s: float | None = None
+    limits: MachineLimits = MachineLimits()
 
 
 def read_state(path: str) -> tuple[int, int, int] | None:
@@ -169,6 +200,20 @@
             }
         ),
         stop_grace_s=bounds.get_optional_duration("grace"),
+        limits=_make_limits(identity.values),
+    )
+
+
+def _make_limits(identity: dict[str, Any]) -> MachineLimits:
+    if "limits" not in identity:
+        return MachineLimits()
+    limits = _Section(identity, "limits", "self.")
+    return MachineLimits(
+        **{
+            name: limits.get_positive_integer(key)
+            for name, key in _LIMIT_KEYS.items()
+            if key in limits.values
+        }
     )
 
 
@@ -204,6 +249,12 @@
             raise self._make_error(key, "a number")
         return float(value)
 
+    def get_positive_integer(self, key: str) -> int:
+        value = self.values.get(key)
+        if type(value) is not int or value <= 0:
+            raise self._make_error(key, "a positive integer")
+        return value
+
     def get_optional_duration(self, key: str) -> float | None:
         if key not in self.values:
             return None
--- a/src/waxwingferry/platform/tests/crowd.py
+++ b/src/waxwingferry/platform/tests/crowd.py
@@ -21,6 +21,7 @@
 from waxwingferry.bench import ports
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
+from waxwingferry.connection import message
 from waxwingferry.connection import serve
 from waxwingferry.platform import settings_file
 from waxwingferry.platform.tests import fake_store
@@ -67,7 +68,9 @@
     """A target that answers at once, with a large answer on one path."""
 
     def __init__(self):
-        self.server = serve.Server(self.handle)
+        # The node adds fields to a head.
+        limits = message.Limits(head_bytes=65536)
+        self.server = serve.Server(self.handle, limits=limits)
 
     async def handle(
         self, connection: http1.ServerConnection, head: http1.RequestHead
--- a/src/waxwingferry/platform/tests/test_settings_file.py
+++ b/src/waxwingferry/platform/tests/test_settings_file.py
@@ -76,6 +76,21 @@
             [7380],
             "network.internal-ports = [7380]: must be a first and a last port",
         ),
+        (
+            ("self", "limits"),
+            {"memory-mb": 0},
+            "self.limits.memory-mb = 0: must be a positive integer",
+        ),
+        (
+            ("self", "limits"),
+            {"max-fds": "1024"},
+            "self.limits.max-fds = '1024': must be a positive integer",
+        ),
+        (
+            ("self", "limits"),
+            1024,
+            "self.limits: missing; the table is required",
+        ),
         (
             ("timing", "bounds", "retry-budget-slack"),
             True,
@@ -130,6 +145,15 @@
         settings_file.load(str(path))
 
 
+def test_limits_are_decoded():
+    """Guards against budgets that follow from another machine's memory."""
+    data = copy.deepcopy(DATA)
+    assert settings_file.parse(data).limits == settings_file.MachineLimits()
+    data["self"]["limits"] = {"memory-mb": 552, "max-fds": 1024, "cpus": 2}
+    limits = settings_file.parse(data).limits
+    assert (limits.memory_mb, limits.max_fds) == (552, 1024)
+
+
 def test_missing_bounds_have_defaults():
     """Guards against a failed start because of an optional bound."""
     data = copy.deepcopy(DATA)
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import math
 import random
 import secrets
@@ -10,6 +11,8 @@
 import anyio
 import structlog
 
+from waxwingferry.connection import budget
+from waxwingferry.connection import closing
 from waxwingferry.connection import http1
 from waxwingferry.connection import message
 from waxwingferry.connection import serve
@@ -65,6 +68,9 @@
         leave_delay_s: Time for the news of the leave to reach other nodes.
         stop_grace_s: Time from the request to stop until the process is
             killed, or None if it is given any time. A reload may change it.
+        memory_bytes: Memory of the machine.
+        max_descriptors: Descriptors that the process may open.
+        limits: Limits on one client where the document sets none.
     """
 
     node: str
@@ -77,6 +83,9 @@
     choice: routing.Policy = routing.Policy.WEIGHTED
     leave_delay_s: float = 1.5
     stop_grace_s: float | None = None
+    memory_bytes: int = 512 * budget.MIB
+    max_descriptors: int = 1024
+    limits: message.Limits = message.DEFAULT_LIMITS
 
 
 class Core:
@@ -145,12 +154,24 @@
             running_requests=self.receiver.running,
         )
         self.peer = peer.PeerHandler(self.receiver, self.runner)
+        memory = options.memory_bytes, options.max_descriptors
+        self.client_budget = budget.make_client_budget(*memory)
+        self.internal_budget = budget.make_internal_budget(*memory)
+        for item in (self.client_budget, self.internal_budget):
+            item.on_limited = functools.partial(
+                self.counters.record_limited, item.name
+            )
         self.caller_server = serve.Server(
-            self.entry.handle, may_overlap=self.entry.may_overlap
+            self.entry.handle,
+            limits=options.limits,
+            may_overlap=self.entry.may_overlap,
+            budget=self.client_budget,
         )
         self.caller_server.on_unanswered = self.record_unanswered
         self.caller_server.on_rejected = self.record_rejected
-        self.peer_server = make_peer_server(self.handle_peer)
+        self.peer_server = make_peer_server(
+            self.handle_peer, options.limits, self.internal_budget
+        )
 
     def _make_control_plane(self, client: peers.PeerClient) -> None:
         """Creates the components that distribute document and membership."""
@@ -207,9 +228,11 @@
         """Applies a new document's caller limits and gossips its number."""
         revision_in_force = self.configured.revision
         if revision_in_force is not None:
-            self.caller_server.limits = make_caller_limits(
-                revision_in_force.caller_limits
+            limits = make_caller_limits(
+                revision_in_force.caller_limits, self.options.limits
             )
+            self.caller_server.limits = limits
+            self.peer_server.limits = make_peer_limits(limits)
         self.gossip.add_revision()
 
     def record_load_push(self, push: gossip.LoadPush) -> None:
@@ -255,8 +278,10 @@
     ) -> None:
         """Counts and logs a caller's request that is invalid."""
         reason = outcome.Reason.BAD_REQUEST
-        if error.status == serve.BODY_TOO_LARGE_STATUS:
+        if error.status == closing.BODY_TOO_LARGE_STATUS:
             reason = outcome.Reason.BODY_TOO_LARGE
+        elif isinstance(error, message.NoRoomError):
+            reason = outcome.Reason.NO_ROOM
         self.counters.refusals.inc({"kind": "not_run", "reason": reason.value})
         log.info(
             "request rejected",
@@ -376,24 +401,52 @@
             group.start_soon(self.peer_server.drain)
 
 
-def make_peer_server(handler: serve.Handler) -> serve.Server:
+def make_peer_server(
+    handler: serve.Handler,
+    limits: message.Limits = message.DEFAULT_LIMITS,
+    connections: budget.Budget | None = None,
+) -> serve.Server:
     """Returns the server for other nodes.
 
     While a node drains, the entries of its attempts ask over new connections
     whether it still runs them.
+
+    Args:
+        handler: Handles a request.
+        limits: Limits on the callers of the other nodes.
+        connections: Budget of the connections.
     """
     return serve.Server(
-        handler, INTERIM_INTERVAL_S, listens_while_draining=True
+        handler,
+        INTERIM_INTERVAL_S,
+        make_peer_limits(limits),
+        listens_while_draining=True,
+        budget=connections,
+    )
+
+
+def make_peer_limits(limits: message.Limits) -> message.Limits:
+    """Returns the limits for other nodes, which add fields to a head."""
+    # A node that knows no document yet may get heads of the default size.
+    head_bytes = max(limits.head_bytes, message.DEFAULT_LIMITS.head_bytes)
+    return dataclasses.replace(
+        limits, head_bytes=message.make_forwarded_head_bytes(head_bytes)
     )
 
 
-def make_caller_limits(caller_limits: revision.CallerLimits) -> message.Limits:
+def make_caller_limits(
+    caller_limits: revision.CallerLimits,
+    default: message.Limits = message.DEFAULT_LIMITS,
+) -> message.Limits:
     """Returns the limits for connections from callers.
 
     The idle timeout is never below the default, because callers may still rely
     on the longer timeout of an earlier document.
+
+    Args:
+        caller_limits: Limits of the document.
+        default: Limits where the document sets none.
     """
-    default = message.DEFAULT_LIMITS
     return dataclasses.replace(
         default,
         head_bytes=caller_limits.head_bytes or default.head_bytes,
--- a/src/waxwingferry/process/metrics.py
+++ b/src/waxwingferry/process/metrics.py
@@ -16,6 +16,10 @@
         self.unanswered = self._make_counter(
             "unanswered", "Requests whose connection ended without a response."
         )
+        self.client_limits = self._make_counter(
+            "client_limits",
+            "Connections and requests limited for lack of room, by reason.",
+        )
         self.retries = self._make_counter("retries", "Retries by reason.")
         self.retry_denials = self._make_counter(
             "retry_denials", "Calls not tried again, by reason."
@@ -39,6 +43,10 @@
         )
         self.events = self._make_counter("events", "Rare events by name.")
 
+    def record_limited(self, listeners: str, reason: str) -> None:
+        """Counts a connection or request limited for lack of room."""
+        self.client_limits.inc({"listeners": listeners, "reason": reason})
+
     def render(self) -> tuple[bytes, list[tuple[str, str]]]:
         """Returns the metrics in Prometheus text format, and HTTP headers."""
         content, headers = aioprometheus.render(self.registry, [])
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -9,7 +9,9 @@
 import uvloop
 
 from waxwingferry import decoding
+from waxwingferry.connection import budget
 from waxwingferry.connection import http1
+from waxwingferry.connection import message
 from waxwingferry.connection import serve
 from waxwingferry.process import admin
 from waxwingferry.process import core
@@ -77,7 +79,11 @@
             self.counters,
         )
         self.entry.router.request_probe = self.prober.request_probe
-        self.local_server = serve.Server(self.handle_local)
+        self.local_server = serve.Server(
+            self.handle_local,
+            limits=self.options.limits,
+            budget=self.internal_budget,
+        )
         self.admin = admin.Admin(
             options.node,
             self.members,
@@ -224,6 +230,14 @@
         seeds=tuple((item.host, item.port) for item in options.seed_peers),
         choice=options.choice,
         stop_grace_s=options.stop_grace_s,
+        memory_bytes=options.limits.memory_mb * budget.MIB,
+        max_descriptors=options.limits.max_fds or budget.read_max_descriptors(),
+        limits=message.Limits(
+            head_bytes=options.limits.head_bytes,
+            body_bytes=options.limits.body_bytes,
+            blank_bytes=options.limits.blank_bytes,
+            framing_bytes=options.limits.framing_bytes,
+        ),
     )
 
 
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -9,6 +9,7 @@
 import pydantic
 import yaml
 
+from waxwingferry.connection import message
 from waxwingferry.process.choice import routing
 
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
@@ -43,6 +44,37 @@
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
+class ClientLimits(_StrictModel):
+    """Limits on clients, alone and together.
+
+    Attributes:
+        memory_mb: Memory of the machine; connections of callers may hold a
+            fifth, and others a tenth, of what it has above 40 MB.
+        max_fds: Descriptors that the process may open; None uses the limit
+            that the operating system sets on the process.
+        head_bytes: Size of a request's head.
+        body_bytes: Size of a request's body.
+        blank_bytes: Blank lines before a request.
+        framing_bytes: Chunk sizes, extensions and trailers of a body that are
+            allowed beside as many bytes as the body has.
+    """
+
+    memory_mb: Annotated[int, pydantic.Field(ge=64)] = 512
+    max_fds: Annotated[int, pydantic.Field(ge=256)] | None = None
+    head_bytes: Annotated[int, pydantic.Field(ge=1024, le=1048576)] = (
+        message.DEFAULT_LIMITS.head_bytes
+    )
+    body_bytes: Annotated[int, pydantic.Field(ge=0)] = (
+        message.DEFAULT_LIMITS.body_bytes
+    )
+    blank_bytes: Annotated[int, pydantic.Field(ge=2)] = (
+        message.DEFAULT_LIMITS.blank_bytes
+    )
+    framing_bytes: Annotated[int, pydantic.Field(ge=4096)] = (
+        message.DEFAULT_LIMITS.framing_bytes
+    )
+
+
 class NodeSettings(_StrictModel):
     """Settings that a node reads at its start.
 
@@ -67,6 +99,7 @@
         stop_grace_s: Time from SIGTERM until the process is killed. Calls of
             that time get a deadline before its end or are refused; None sets
             no limit.
+        limits: Limits on clients.
         log: Log settings.
         random_seed: Seed of random choices; None uses a seed from the
             operating system.
@@ -86,6 +119,7 @@
     seed_peers: tuple[PeerAddress, ...] = ()
     choice: routing.Policy = routing.Policy.WEIGHTED
     stop_grace_s: Annotated[float, pydantic.Field(gt=0)] | None = None
+    limits: ClientLimits = ClientLimits()
     log: LogSettings = LogSettings()
     random_seed: int | None = None
 
--- a/src/waxwingferry/process/tests/test_core.py
+++ b/src/waxwingferry/process/tests/test_core.py
@@ -25,3 +25,22 @@
     assert limits.idle_s == message.DEFAULT_LIMITS.idle_s
     limits = core.make_caller_limits(revision.CallerLimits(idle_s=200.0))
     assert limits.idle_s == 200.0
+
+
+def test_peers_may_send_larger_heads_than_callers():
+    """Guards against a legal head that is refused at the second node."""
+    configured = revision.CallerLimits(head_bytes=50_000)
+    limits = core.make_caller_limits(configured)
+    peer_limits = core.make_peer_limits(limits)
+    # Each line may grow by a space.
+    assert peer_limits.head_bytes > 50_000 * 5 / 4
+    small = core.make_caller_limits(revision.CallerLimits(head_bytes=1000))
+    default = core.make_peer_limits(message.DEFAULT_LIMITS)
+    assert core.make_peer_limits(small).head_bytes == default.head_bytes
+
+
+def test_limits_of_the_settings_apply_without_limits_of_the_document():
+    """Guards against settings that the first document overrides."""
+    default = message.Limits(head_bytes=9000, blank_bytes=8, framing_bytes=5000)
+    limits = core.make_caller_limits(revision.CallerLimits(), default)
+    assert limits == default
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -34,6 +34,8 @@
     BAD_REQUEST = "bad_request"
     BAD_KEY = "bad_key"
     BODY_TOO_LARGE = "body_too_large"
+    # Connections of callers hold too much memory.
+    NO_ROOM = "no_room"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_BUDGET = "claim_budget"
     KEY_MISMATCH = "key_mismatch"
