--- a/src/waxwingferry/connection/reader.py
+++ b/src/waxwingferry/connection/reader.py
@@ -14,12 +14,17 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import httptools
 
 from waxwingferry.connection import message
+from waxwingferry.connection import message_events
 from waxwingferry.connection import tcp
 
 RECEIVE_BYTES = 65536
+# Blocks and events after which a connection lets others run. A block of the
+# shortest fields takes 0.5 ms.
+MAX_STEPS = 8
 
 _HOST_VALUE = re.compile(r"[A-Za-z0-9._~%!$&'()*+,;=:\[\]-]*")
 _ABSOLUTE_FORM = re.compile(r"(?i:https?)://([^/?#]+)([^#]*)")
@@ -29,154 +34,59 @@
     """The peer closed the connection cleanly, not by a reset."""
 
 
-class EndOfMessage:
-    """Marks the end of a message in the event queue."""
-
-
-END_OF_MESSAGE = EndOfMessage()
-
-
-class Events:
-    """Turns parser callbacks into a queue of heads, body parts and ends.
-
-    An error is queued after the messages received before it, so that the
-    events don't depend on how the received bytes were split.
-
-    Args:
-        make_head: Creates a head from the collected fields; raises HttpError.
-        limits: Maximum sizes.
-    """
-
-    def __init__(
-        self, make_head: Callable[["Events"], Any], limits: message.Limits
-    ):
-        self.make_head = make_head
-        self.limits = limits
-        self.parser: Any = None
-        self.queue: collections.deque = collections.deque()
-        self.url = b""
-        self.headers: message.Headers = []
-        self.fields: list[tuple[bytes, bytes]] = []
-        self.in_message = False
-        self.in_head = True
-        self.failed = False
-        self.head_bytes = 0
-        self.body_bytes = 0
-        self.overhead_bytes = 0
-
-    def fail(self, error: message.HttpError) -> None:
-        """Queues the first error; nothing is parsed after it."""
-        if not self.failed:
-            self.failed = True
-            self.queue.append(error)
-
-    def on_message_begin(self) -> None:
-        """Resets the state for a new message."""
-        self.in_message = True
-        self.in_head = True
-        self.url = b""
-        self.headers = []
-        self.fields = []
-        self.head_bytes = 0
-        self.body_bytes = 0
-        self.overhead_bytes = 0
-
-    def on_url(self, url: bytes) -> None:
-        """Appends a part of the request target."""
-        self.url += url
-        self.head_bytes += len(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Records a field of the head; trailer fields are dropped.
-
-        Otherwise a trailer could set fields after the head was checked.
-        """
-        if self.in_head:
-            self.fields.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Queues the head, or an error if it is invalid."""
-        self.in_head = False
-        if self.failed:
-            return
-        try:
-            self._check_size()
-            self.headers = [
-                (
-                    name.decode("latin-1").lower(),
-                    value.decode("latin-1").rstrip(" \t"),
-                )
-                for name, value in self.fields
-            ]
-            self.queue.append(self.make_head(self))
-        except message.HttpError as error:
-            self.fail(error)
-
-    def _check_size(self) -> None:
-        limits = self.limits
-        for name, value in self.fields:
-            self.head_bytes += len(name) + len(value) + 4
-        if self.head_bytes > limits.head_bytes:
-            raise message.HttpError(
-                f"head is larger than {limits.head_bytes} bytes", 431
-            )
-        if len(self.fields) > limits.fields:
-            raise message.HttpError(
-                f"head has more than {limits.fields} fields", 431
-            )
-
-    def on_body(self, body: bytes) -> None:
-        """Queues a part of the body, or an error if the body is too large."""
-        if self.failed:
-            return
-        self.overhead_bytes = 0
-        self.body_bytes += len(body)
-        if self.body_bytes > self.limits.body_bytes:
-            self.fail(make_body_too_large_error(self.limits))
-            return
-        self.queue.append(body)
-
-    def on_message_complete(self) -> None:
-        """Queues the end of the message."""
-        self.in_message = False
-        if not self.failed:
-            self.queue.append(END_OF_MESSAGE)
-
-
-def make_body_too_large_error(limits: message.Limits) -> message.HttpError:
-    """Returns the error for a body that is larger than the limit."""
-    return message.HttpError(
-        f"body is larger than {limits.body_bytes} bytes", 413
-    )
-
-
 class Reader:
     """Receives one direction of a connection as a sequence of events.
 
+    Received bytes are parsed only while no event is queued, so that many small
+    messages don't become many parsed ones. They are parsed in blocks of
+    BLOCK_BYTES at fixed places of the stream, at whose ends limits on what is
+    unfinished are checked. Bodies with a length don't count in the blocks and
+    are parsed in one piece.
+
     Args:
         stream: The connection.
         make_parser: Parser class of httptools, called with the callbacks.
         make_head: Creates a head from the collected fields.
         limits: Maximum sizes.
+
+    Attributes:
+        pending: Received bytes, of which those from position on are not
+            parsed yet.
+        steps: Blocks parsed and events taken since the reader last suspended.
+        on_change: Called when the memory that the reader holds has changed.
     """
 
     def __init__(
         self,
         stream: anyio.abc.ByteStream,
-        make_parser: Callable[[Events], Any],
-        make_head: Callable[[Events], Any],
+        make_parser: Callable[[message_events.Events], Any],
+        make_head: Callable[[message_events.Events], Any],
         limits: message.Limits,
     ):
         self.stream = stream
-        self.events = Events(make_head, limits)
+        self.events = message_events.Events(make_head, limits)
         self.parser = make_parser(self.events)
         self.events.parser = self.parser
+        self.pending = b""
+        self.position = 0
+        self.block_bytes = 0
+        self.steps = 0
+        self.on_change: Callable[[], None] | None = None
 
     @property
     def queue(self) -> collections.deque:
         """Parsed events that have not been consumed yet."""
+        if self.pending and not self.events.queue:
+            self._parse_until_event()
         return self.events.queue
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of what was received and not taken, in bytes."""
+        events = self.events
+        held_bytes = len(self.pending) + events.unfinished_bytes
+        return held_bytes + events.queued_bytes if events.queue else held_bytes
+
     async def next_event(self, timeout_s: float):
         """Returns the next head, body part or end of message.
 
@@ -185,10 +95,17 @@
             ReceiveTimeoutError: No data arrived within timeout_s seconds.
             HttpError: The peer violated the protocol.
         """
+        if self.steps >= MAX_STEPS:
+            await self.give_way()
         while not self.queue:
             await self.receive_within(timeout_s)
         return self.pop_event()
 
+    async def give_way(self) -> None:
+        """Lets other tasks run, after MAX_STEPS steps without suspending."""
+        self.steps = 0
+        await anyio.lowlevel.checkpoint()
+
     def pop_event(self):
         """Removes and returns the first event; raises it if it is an error.
 
@@ -197,7 +114,11 @@
         event = self.queue[0]
         if isinstance(event, message.HttpError):
             raise event
-        return self.queue.popleft()
+        self.steps += 1
+        event = self.events.queue.popleft()
+        if self.on_change is not None:
+            self.on_change()
+        return event
 
     async def receive_within(self, timeout_s: float) -> None:
         """Receives and parses data; raises ReceiveTimeoutError."""
@@ -214,6 +135,8 @@
 
     async def receive(self, *timeout_s: float) -> None:
         """Receives and parses data; raises ConnectionLostError."""
+        if self.steps >= MAX_STEPS:
+            await self.give_way()
         try:
             data = await self.stream.receive(RECEIVE_BYTES, *timeout_s)
         except anyio.EndOfStream as error:
@@ -226,11 +149,71 @@
         self.feed(data)
 
     def feed(self, data: bytes) -> None:
-        """Parses received bytes; queues an error if they are invalid."""
+        """Parses received bytes; queues an error if they are invalid.
+
+        Bytes behind the first event may be parsed later.
+        """
+        self.parse_all()
         events = self.events
         if events.failed:
             return
-        events.overhead_bytes += len(data)
+        if not events.queue:
+            events.queued_bytes = 0
+        if len(data) <= message_events.BLOCK_BYTES - self.block_bytes:
+            self._parse(data)
+            events.flush_body()
+        else:
+            self.pending = data
+            if not events.queue:
+                self._parse_until_event()
+        if self.on_change is not None:
+            self.on_change()
+
+    def parse_all(self) -> None:
+        """Parses what is pending, for a caller that waits for a later event."""
+        while self.pending:
+            self._parse_block()
+        self.events.flush_body()
+
+    def discard(self) -> None:
+        """Releases all that was received; the connection counts as lost."""
+        self.pending = b""
+        self.position = 0
+        self.events.fail(message.ConnectionLostError("closed: no room"))
+        error = self.events.queue[-1]
+        self.events.queue.clear()
+        self.events.queue.append(error)
+
+    def _parse_until_event(self) -> None:
+        events = self.events
+        events.queued_bytes = 0
+        while self.pending and not events.queue:
+            self._parse_block()
+        events.flush_body()
+
+    def _parse_block(self) -> None:
+        """Parses pending bytes up to the end of the block or the body."""
+        events = self.events
+        begin = self.position
+        left = len(self.pending) - begin
+        left = min(
+            left,
+            events.body_left or message_events.BLOCK_BYTES - self.block_bytes,
+        )
+        self.position = begin + left
+        data = self.pending[begin : self.position]
+        if self.position == len(self.pending):
+            self.pending = b""
+            self.position = 0
+        self._parse(data)
+        if events.failed:
+            self.pending = b""
+            self.position = 0
+
+    def _parse(self, data: bytes) -> None:
+        events = self.events
+        self.steps += 1
+        delimited_bytes = events.delimited_bytes
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -239,15 +222,13 @@
             events.fail(
                 message.HttpError("protocol upgrade is not supported", 501)
             )
-        if events.in_message and (
-            events.overhead_bytes > events.limits.head_bytes + RECEIVE_BYTES
-        ):
-            # The parser buffers an unfinished field, so its size needs a
-            # limit of its own.
-            events.fail(message.HttpError("head or trailer is too large", 431))
+        self.block_bytes += len(data) + delimited_bytes - events.delimited_bytes
+        if self.block_bytes == message_events.BLOCK_BYTES:
+            self.block_bytes = 0
+            events.end_block()
 
 
-def make_request_head(events: Events) -> message.RequestHead:
+def make_request_head(events: message_events.Events) -> message.RequestHead:
     """Validates and returns the head of a request."""
     parser = events.parser
     version = parser.get_http_version()
@@ -271,8 +252,9 @@
         elif name == "content-length":
             length = int(value)
             if length > events.limits.body_bytes:
-                raise make_body_too_large_error(events.limits)
+                raise message_events.make_body_too_large_error(events.limits)
             head.has_body = length > 0
+            events.body_left = length
         elif name == "transfer-encoding":
             _check_transfer_coding(value, version)
             head.has_body = True
@@ -311,7 +293,7 @@
     head.headers = [("host", match[1]), *others]
 
 
-def make_response_head(events: Events) -> message.ResponseHead:
+def make_response_head(events: message_events.Events) -> message.ResponseHead:
     """Validates and returns the head of a response."""
     parser = events.parser
     status = parser.get_status_code()
@@ -323,6 +305,7 @@
     for name, value in events.headers:
         if name == "content-length":
             self_delimited = True
+            events.body_left = int(value)
         elif name == "transfer-encoding":
             if value.lower() != "chunked":
                 raise message.HttpError(
--- a/src/waxwingferry/platform/settings_file.py
+++ b/src/waxwingferry/platform/settings_file.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from waxwingferry.connection import message
 from waxwingferry.platform import parsing
 
 PATH_VARIABLE = "WAXWINGFERRY_SETTINGS"
@@ -99,6 +100,25 @@
 }
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class MachineLimits:
+    """Limits of the machine and of the process.
+
+    Attributes:
+        memory_mb: Memory of the machine in MB. The default is that of the
+            smallest machine that is known.
+        max_fds: Descriptors that the process may open, or None if not given.
+        blank_bytes: Blank lines before a request.
+        framing_bytes: Chunk sizes, extensions and trailers of a body that are
+            allowed beside as many bytes as the body has.
+    """
+
+    memory_mb: int = 200
+    max_fds: int | None = None
+    blank_bytes: int = message.DEFAULT_LIMITS.blank_bytes
+    framing_bytes: int = message.DEFAULT_LIMITS.framing_bytes
+
+
 # Field of Bounds -> key in the settings file.
 _BOUND_KEYS = {
     "retry_ratio": "retry-budget-ratio",
@@ -110,6 +130,15 @@
 }
 
 
+# Field of MachineLimits -> key in the settings file.
+_LIMIT_KEYS = {
+    "memory_mb": "memory-mb",
+    "max_fds": "max-fds",
+    "blank_bytes": "max-blank-bytes",
+    "framing_bytes": "max-framing-bytes",
+}
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Settings:
     """Settings of one node.
@@ -126,6 +155,7 @@
         stop_grace_s: Time from SIGTERM to SIGKILL, or None if not given.
         cloud_api: API for duties, or None if there are no duties.
         duty_bounds: Times and limits for duties.
+        limits: Limits of the machine and of the process.
     """
 
     node: str
@@ -144,6 +174,7 @@
     stop_grace_s: float | None = None
     cloud_api: CloudApi | None = None
     duty_bounds: DutyBounds = DutyBounds()
+    limits: MachineLimits = MachineLimits()
 
 
 def read_state(path: str) -> tuple[int, int, int] | None:
@@ -222,6 +253,20 @@
         stop_grace_s=bounds.get_optional_duration("grace"),
         cloud_api=_make_cloud_api(provider),
         duty_bounds=_make_duty_bounds(bounds),
+        limits=_make_limits(identity.values),
+    )
+
+
+def _make_limits(identity: dict[str, Any]) -> MachineLimits:
+    if "limits" not in identity:
+        return MachineLimits()
+    limits = _Section(identity, "limits", "self.")
+    return MachineLimits(
+        **{
+            name: limits.get_positive_integer(key)
+            for name, key in _LIMIT_KEYS.items()
+            if key in limits.values
+        }
     )
 
 
@@ -306,6 +351,12 @@
             raise self.make_error(key, "a list of strings")
         return tuple(value)
 
+    def get_positive_integer(self, key: str) -> int:
+        value = self.values.get(key)
+        if type(value) is not int or value <= 0:
+            raise self.make_error(key, "a positive integer")
+        return value
+
     def get_optional_duration(self, key: str) -> float | None:
         if key not in self.values:
             return None
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -44,6 +44,8 @@
     KEY_MALFORMED = "key_malformed"
     KEY_REPEATED = "key_repeated"
     BODY_TOO_LARGE = "body_too_large"
+    # Connections of callers hold too much memory.
+    NO_ROOM = "no_room"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_BUDGET = "claim_budget"
     KEY_MISMATCH = "key_mismatch"
