Keep the counts that a process tried to store

Cause: a write of unknown outcome may be in a copy of the table. A process that collected the window again after it lost and regained the duty could send other counts than those of the copy. Change: a process keeps what it tried to store, until the records of the window are not kept any more. Result: the new test fails without the change and passes with it.

--- a/src/waxwingferry/process/usage/reporter.py
+++ b/src/waxwingferry/process/usage/reporter.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import math
 from typing import Any
 
 import anyio
@@ -117,6 +118,9 @@
 
     Attributes:
         tenure: What is known while this node has the duty, or None.
+        tried: Counts that this process tried to store, by window. A write of
+            unknown outcome may be in a copy of the table, and another holder
+            sends what a restored copy shows, so they must not change.
     """
 
     def __init__(
@@ -147,6 +151,11 @@
         self.clock = clock
         self.sleep = sleep
         self.tenure: Tenure | None = None
+        self.tried: dict[int, windows.Counts] = {}
+        # Older windows are not collected again.
+        self.max_tried = (
+            math.ceil(records.RETENTION_S / window_s) + windows.MAX_PENDING
+        )
         self.next_send_s = 0.0
         self.closed = False
 
@@ -288,6 +297,9 @@
         )
         if state.next_window < oldest:
             self._skip_to(tenure, oldest, "its records are not kept any more")
+        for window, counts in self.tried.items():
+            if window >= tenure.state.next_window:
+                tenure.collected[window] = counts
         self.tenure = tenure
         log.info(
             "usage reported by this node",
@@ -321,6 +333,10 @@
             tenure.state, ready, tenure.confirmed
         )
         data = windows.format_state(state)
+        for report in ready:
+            self.tried[report.window] = report.counts
+        while len(self.tried) > self.max_tried:
+            del self.tried[min(self.tried)]
         tenure.attempted = data
         holding = await self.duty.store(data)
         # An unknown outcome counts as a failure; the next try stores the
--- a/src/waxwingferry/process/usage/tests/test_reporter.py
+++ b/src/waxwingferry/process/usage/tests/test_reporter.py
@@ -132,6 +132,30 @@
     pytest.fail("no counts differ")
 
 
+async def test_counts_that_a_process_tried_to_store_do_not_change():
+    """Guards against two counts by way of a write that was not confirmed.
+
+    A copy of the table may hold what the write stored.
+    """
+    async with worlds.World(4) as world:
+        await world.run(15)
+        world.table.is_down = True
+        await world.run(13)
+        holder = world.nodes[0].reporter
+        assert holder.tenure is not None
+        tried = dict(holder.tried)
+        # As after a failure in the loop. The next answers would differ.
+        holder.tenure = None
+        world.nodes[1].hangs = True
+        world.table.is_down = False
+        await world.run(20)
+    unconfirmed = [
+        window for window in tried if world.accepted_s[window] > 1028
+    ]
+    assert unconfirmed
+    assert all(world.accepted[item] == tried[item] for item in unconfirmed)
+
+
 async def test_a_takeover_reports_the_windows_in_between():
     """Guards against windows lost when the holder ends without notice."""
     async with worlds.World(4) as world:
