Keep records for long enough for long windows

Cause: with a report window of 60 s the records of its beginning were removed before it was asked for. Change: records are kept for 60 s, or three windows and the time of a report if that is more.

--- a/src/waxwingferry/platform/usage_duty.py
+++ b/src/waxwingferry/platform/usage_duty.py
@@ -16,6 +16,7 @@
 from waxwingferry.process.usage import collector
 from waxwingferry.process.usage import local
 from waxwingferry.process.usage import messages
+from waxwingferry.process.usage import records
 from waxwingferry.process.usage import reporter
 from waxwingferry.process.usage import true_time
 
@@ -50,7 +51,13 @@
         self.node = node
         self.client = client
         name = node.options.node
-        self.usage = local.LocalUsage(name, node.incarnation)
+        self.usage = local.LocalUsage(
+            name,
+            node.incarnation,
+            retention_s=records.find_retention_s(
+                bounds.report_window_s, bounds.usage_late_s
+            ),
+        )
         self.duty = duties.Duty(
             NAME,
             name,
--- a/src/waxwingferry/process/usage/local.py
+++ b/src/waxwingferry/process/usage/local.py
@@ -14,9 +14,9 @@
 
 # Bounds what the hand-overs of others take, in runs.
 MAX_HANDED_OVER_RUNS = 50_000
-# Age of the oldest runs that are handed over. Older ones are reported by then,
+# Share of the retention that is handed over. Older runs are reported by then,
 # unless no node could take the duty over for this long.
-HAND_OVER_AGE_S = 30.0
+HAND_OVER_SHARE = 0.5
 
 log = structlog.get_logger()
 
@@ -29,6 +29,7 @@
         incarnation: Random id of this process.
         clock: Returns the boot clock in seconds.
         wall_clock: Returns the seconds since the start of 1970.
+        retention_s: Time for which records are kept.
 
     Attributes:
         holder: Node that asked last, or "".
@@ -42,12 +43,14 @@
         incarnation: str,
         clock: Callable[[], float] = boot_clock.read_s,
         wall_clock: Callable[[], float] = time.time,
+        retention_s: float = records.RETENTION_S,
     ):
         self.node = node
         self.incarnation = incarnation
         self.clock = clock
         self.wall_clock = wall_clock
-        self.records = records.Records(clock)
+        self.retention_s = retention_s
+        self.records = records.Records(clock, retention_s=retention_s)
         self.holder = ""
         self.handed_over: dict[tuple[str, str], messages.HandedOver] = {}
         self.received_s: dict[tuple[str, str], float] = {}
@@ -76,7 +79,7 @@
 
     def _remove_old(self) -> None:
         total = sum(len(item.runs) for item in self.handed_over.values())
-        oldest_s = self.clock() - records.RETENTION_S
+        oldest_s = self.clock() - self.retention_s
         for key in list(self.handed_over):
             expired = self.received_s[key] < oldest_s
             if not expired and total <= MAX_HANDED_OVER_RUNS:
@@ -109,11 +112,14 @@
     def make_hand_over(self) -> bytes:
         """Returns the newest records of this node and of nodes that left."""
         now_s = self.clock()
-        oldest_s = now_s - HAND_OVER_AGE_S
+        age_s = self.retention_s * HAND_OVER_SHARE
+        oldest_s = now_s - age_s
         own = messages.HandedOver(
             self.node,
             self.incarnation,
-            tuple(self.records.list_runs(HAND_OVER_AGE_S)),
+            tuple(
+                self.records.list_runs(age_s)[-messages.MAX_HAND_OVER_RUNS :]
+            ),
         )
         nodes = [own]
         for item in reversed(self.handed_over.values()):
--- a/src/waxwingferry/process/usage/records.py
+++ b/src/waxwingferry/process/usage/records.py
@@ -10,8 +10,10 @@
 from waxwingferry import boot_clock
 from waxwingferry.process.usage import windows
 
-# Covers the questions of a holder that takes over after an outage.
+# Covers the questions of a holder that takes over after an outage. Long windows
+# need more, see find_retention_s.
 RETENTION_S = 60.0
+RETENTION_WINDOWS = 3
 # Bounds memory: 12 bytes each. A target runs far fewer requests in a minute.
 MAX_RECORDS = 100_000
 # Old records are removed in blocks, since it moves the others.
@@ -35,6 +37,16 @@
     counts: windows.Counts
 
 
+def find_retention_s(window_s: float, late_s: float) -> float:
+    """Returns the time for which records are kept.
+
+    Args:
+        window_s: Length of a window.
+        late_s: Time after a window's end at which its report is late.
+    """
+    return max(RETENTION_S, RETENTION_WINDOWS * window_s + late_s)
+
+
 class Records:
     """The runs that began at the local target, in order of time.
 
@@ -44,6 +56,7 @@
     Args:
         clock: Returns the boot clock in seconds.
         max_records: Number of records kept; the oldest ones are dropped.
+        retention_s: Time for which records are kept.
 
     Attributes:
         first_handle: Handle of the oldest record kept.
@@ -53,8 +66,10 @@
         self,
         clock: Callable[[], float] = boot_clock.read_s,
         max_records: int = MAX_RECORDS,
+        retention_s: float = RETENTION_S,
     ):
         self.clock = clock
+        self.retention_s = retention_s
         self.max_records = max_records
         self.times_s = array.array("d")
         self.name_indices = array.array("i")
@@ -148,7 +163,7 @@
         )
 
     def _oldest_kept_s(self) -> float:
-        return self.clock() - RETENTION_S
+        return self.clock() - self.retention_s
 
     def _trim(self) -> None:
         if len(self.times_s) > self.max_records:
--- a/src/waxwingferry/process/usage/reporter.py
+++ b/src/waxwingferry/process/usage/reporter.py
@@ -14,7 +14,6 @@
 from waxwingferry.process import duties
 from waxwingferry.process import metrics
 from waxwingferry.process.usage import collector
-from waxwingferry.process.usage import records
 from waxwingferry.process.usage import true_time
 from waxwingferry.process.usage import windows
 
@@ -154,7 +153,7 @@
         self.tried: dict[int, windows.Counts] = {}
         # Older windows are not collected again.
         self.max_tried = (
-            math.ceil(records.RETENTION_S / window_s) + windows.MAX_PENDING
+            math.ceil(source.usage.retention_s / window_s) + windows.MAX_PENDING
         )
         self.next_send_s = 0.0
         self.closed = False
@@ -293,7 +292,7 @@
             write_due=windows.format_state(state) != data,
         )
         oldest = windows.find_oldest_retained(
-            now_s, self.window_s, records.RETENTION_S
+            now_s, self.window_s, self.source.usage.retention_s
         )
         if state.next_window < oldest:
             self._skip_to(tenure, oldest, "its records are not kept any more")
