Back up a candidate that is frozen

Cause: a holder that is the candidate and hangs was never replaced. Its machine accepts connections, so the membership shows it as live (trial on loopback, four nodes: no takeover in 30 s). Change: nodes that are not asked for usage for 1.5 windows look after the row too, in the order of candidates, up to three of them.

--- a/src/waxwingferry/platform/tests/test_usage_duty.py
+++ b/src/waxwingferry/platform/tests/test_usage_duty.py
@@ -79,6 +79,29 @@
     assert duty.is_candidate()
 
 
+async def test_a_frozen_candidate_is_backed_up(make_node):
+    """Guards against a duty that nobody takes from a frozen holder.
+
+    It was the candidate itself, and all nodes took it for live.
+    """
+    node = make_node(["usage_reporting"])
+    add_workspace(node)
+    duty = node.usage_duty
+    clock = duty.usage.clock = fakes.Clock()
+    duty.usage.asked_s = clock()
+    node.members.announce(fakes.make_row(1, node=duty.usage.node))
+    node.members.apply(fakes.make_row(8, node="z8"))
+    node.members.apply(fakes.make_row(9, node="z9"))
+    clock.now_s += 14
+    assert not duty.is_candidate()
+    clock.now_s += 2
+    assert duty.is_candidate()
+    # It may be cut off, so only a row that does not change counts.
+    assert duty.is_holder_live("z9", "other")
+    duty.usage.answer(messages.Question(0, 0, "z9"))
+    assert not duty.is_candidate()
+
+
 async def test_questions_and_hand_overs_between_nodes(make_node):
     """Guards against messages that two nodes don't both understand."""
     node, other = (make_node(["usage_reporting"]) for _ in range(2))
--- a/src/waxwingferry/platform/usage_duty.py
+++ b/src/waxwingferry/platform/usage_duty.py
@@ -23,6 +23,11 @@
 NAME = "usage_reporting"
 # Two windows without a write show that the holder does not report.
 STALE_WINDOWS = 2
+# Windows without a question after which the next node in the order of
+# candidates looks after the row, and after that one more for each time.
+SILENT_WINDOWS = 1.5
+# Nodes that look after the row beside the candidate; each read costs.
+MAX_BACKUPS = 3
 # Time for the hand-over of a node that leaves, within its grace.
 HAND_OVER_TIMEOUT_S = 1.0
 
@@ -51,6 +56,7 @@
         self.node = node
         self.client = client
         name = node.options.node
+        self.window_s = bounds.report_window_s
         self.usage = local.LocalUsage(
             name,
             node.incarnation,
@@ -64,7 +70,7 @@
             node.incarnation,
             table,
             self.is_candidate,
-            node.members.is_live,
+            self.is_holder_live,
             bounds.lease_s,
             STALE_WINDOWS * bounds.report_window_s,
             rng=node.rng,
@@ -106,8 +112,41 @@
         return revision is not None and bool(revision.workspaces)
 
     def is_candidate(self) -> bool:
-        """Returns whether this node is the one to take the duty over."""
-        return self.is_needed() and self.node.members.is_duty_candidate()
+        """Returns whether this node may take the duty over."""
+        if not self.is_needed():
+            self.usage.asked_s = self.usage.clock()
+            return False
+        return self.node.members.is_duty_candidate() or self.is_backup()
+
+    def is_backup(self) -> bool:
+        """Returns whether this node looks after the row beside the candidate.
+
+        The candidate may be the holder itself and be frozen. Other nodes still
+        connect to it then, so the membership shows it as live, but it asks
+        nobody for usage.
+        """
+        known = self.node.members
+        if known.own is None or known.own.state != "ready":
+            return False
+        silence_s = self.usage.clock() - self.usage.asked_s
+        rank = sum(
+            row.state == "ready" and row.node > known.node
+            for row in known.peers()
+        )
+        return rank <= min(
+            silence_s // (SILENT_WINDOWS * self.window_s), MAX_BACKUPS
+        )
+
+    def is_holder_live(self, node: str, incarnation: str) -> bool:
+        """Returns whether the process of a holder counts as live.
+
+        For a backup only a row that does not change shows that it is not: the
+        backup may be cut off from the holder.
+        """
+        known = self.node.members
+        if not known.is_duty_candidate():
+            return True
+        return known.is_live(node, incarnation)
 
     def list_nodes(self) -> list[members.MemberRow]:
         """Returns the nodes to ask.
--- a/src/waxwingferry/process/usage/local.py
+++ b/src/waxwingferry/process/usage/local.py
@@ -33,6 +33,7 @@
 
     Attributes:
         holder: Node that asked last, or "".
+        asked_s: Boot clock of the last question, or of the start.
         handed_over: Records of nodes that left, by node and incarnation,
             oldest first.
     """
@@ -52,6 +53,7 @@
         self.retention_s = retention_s
         self.records = records.Records(clock, retention_s=retention_s)
         self.holder = ""
+        self.asked_s = clock()
         self.handed_over: dict[tuple[str, str], messages.HandedOver] = {}
         self.received_s: dict[tuple[str, str], float] = {}
 
@@ -59,6 +61,7 @@
         """Returns the reply to a question that arrives now."""
         if question.holder:
             self.holder = question.holder
+            self.asked_s = self.clock()
         counts = self.records.count(
             question.from_age_ms / 1000, question.to_age_ms / 1000
         )
