--- a/src/waxwingferry/process/tests/test_duties.py
+++ b/src/waxwingferry/process/tests/test_duties.py
@@ -238,6 +238,24 @@
     assert find_holders(simulation) == [expected]
 
 
+@pytest.mark.parametrize("frozen_s", [0.0, 2.0, 8.0])
+def test_the_wait_after_a_takeover_is_that_of_the_clock(simulation, frozen_s):
+    """Guards against a wait that trusts the length of its sleeps."""
+    simulation.nodes["n3"].freeze(100.0)
+    # It would take over from n2 while n2 is frozen.
+    simulation.nodes["n1"].duty.is_candidate = lambda: False
+    duty = simulation.nodes["n2"].duty
+    duty.sleep = lambda delay_s: duty_simulation.Wait("sleep", delay_s / 9)
+    while not duty.holds():
+        simulation.advance(0.05)
+    taken_s = simulation.now_s
+    simulation.nodes["n2"].freeze(frozen_s)
+    simulation.advance(20.0)
+    first_s = min(s for s, name in simulation.api.calls if name == "n2")
+    wait_s = max(duty_simulation.LEASE_S, frozen_s)
+    assert wait_s - 0.1 <= first_s - taken_s <= wait_s + 1.0
+
+
 def test_a_live_holder_that_is_cut_off_from_the_table_is_replaced(simulation):
     """Guards against a duty that nobody performs while its holder lives."""
     node = simulation.nodes["n3"]
@@ -257,7 +275,11 @@
         node.cut_until_s = simulation.now_s + 60.0
         node.unreachable_since_s = simulation.now_s + 60.0
     number = simulation.nodes["n3"].duty.state["number"]
-    simulation.advance(90.0)
+    calls = simulation.nodes["n3"].client.calls
+    simulation.advance(60.0)
+    # Guards against calls without a pause to a table that does not answer.
+    assert simulation.nodes["n3"].client.calls - calls < 25
+    simulation.advance(30.0)
     assert find_holders(simulation) == ["n3"]
     assert simulation.api.tokens[-1] == 1
     assert simulation.nodes["n3"].duty.state["number"] > number
