Count only feasible attempts in the served share of a kind

Repeats of refused requests come with too little time for their work. Their refusals lowered the served share of an urgent kind, so that less urgent attempts came last although there was room. Priorities above the last counted one are compared by their common count. The benchmark prints by how much a less urgent kind is served more often.

--- a/benchmarks/least_cost_admission.py
+++ b/benchmarks/least_cost_admission.py
@@ -69,6 +69,40 @@
     Kind("nested", 0.1, 1.0, 1, 0.4, 2, "inner"),
 )
 
+# Kinds whose order by due time alone would serve less urgent ones more often.
+MIXES = {
+    "urgent long": (
+        Kind("0", 0.3, 4.0, 0, 0.3),
+        Kind("1", 0.4, 0.3, 1, 0.4),
+        Kind("2", 0.3, 0.3, 2, 0.5),
+    ),
+    "rare least urgent": (
+        Kind("0", 0.6, 1.0, 0, 0.3),
+        Kind("1", 0.37, 1.0, 1, 0.4),
+        Kind("2", 0.03, 0.3, 2, 0.5),
+    ),
+    "rare urgent": (
+        Kind("0", 0.05, 3.0, 0, 0.3),
+        Kind("1", 0.5, 1.0, 1, 0.4),
+        Kind("2", 0.45, 0.5, 2, 0.5),
+    ),
+    "equal objectives": (
+        Kind("0", 0.4, 2.0, 0, 0.3),
+        Kind("1", 0.3, 1.0, 1, 0.3),
+        Kind("2", 0.3, 0.3, 2, 0.3),
+    ),
+    "objectives far apart": (
+        Kind("0", 0.4, 2.0, 0, 0.3),
+        Kind("1", 0.3, 1.0, 1, 0.8),
+        Kind("2", 0.3, 0.3, 2, 1.4),
+    ),
+    "objectives reversed": (
+        Kind("0", 0.4, 1.0, 0, 1.0),
+        Kind("1", 0.3, 1.0, 1, 0.5),
+        Kind("2", 0.3, 1.0, 2, 0.3),
+    ),
+}
+
 
 class Clock:
     """Virtual clock in seconds."""
@@ -298,6 +332,37 @@
             )
 
 
+def print_orders_of_kinds(seeds: int) -> None:
+    """Prints by how much a less urgent kind is served more often at most."""
+    print("excess of a less urgent kind in points: with / without its order")
+    for name, kinds in MIXES.items():
+        cells = []
+        for burst, quiet in ((0.6, 0.6), (1.3, 1.3), (2.5, 0.5)):
+            excesses = []
+            for margin in (precedence.KIND_MARGIN, 2.0):
+                old = precedence.KIND_MARGIN
+                precedence.KIND_MARGIN = margin
+                excesses.append(
+                    max(
+                        find_excess(Simulation(burst, seed, kinds, quiet).run())
+                        for seed in range(seeds)
+                    )
+                )
+                precedence.KIND_MARGIN = old
+            cells.append(f"{excesses[0]:6.1f} / {excesses[1]:5.1f}")
+        print(f"{name:22}" + "".join(f"{cell:>18}" for cell in cells))
+
+
+def find_excess(run: Simulation) -> float:
+    """Returns the highest excess of a less urgent kind in points."""
+    shares = [
+        (counts.good + counts.late) / counts.arrived
+        for _, counts in sorted(run.counts.items())
+    ]
+    pairs = itertools.combinations(shares, 2)
+    return 100 * max(other - urgent for urgent, other in pairs)
+
+
 def print_decision_times() -> None:
     """Prints the time of a decision with 32 queued attempts, by members."""
     for members in (1, 8, 32):
@@ -356,6 +421,7 @@
     for burst in (1.5, 2.0, 3.0):
         print_case(ONE_KIND, burst, seeds)
     print_case(KINDS, 2.0, seeds)
+    print_orders_of_kinds(seeds)
     print_decision_times()
 
 
--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -487,6 +487,9 @@
                 "work_ms": round(rank.work_s * 1000),
             },
         )
-        if reason in CAPACITY_REASONS and permit.depth <= 1:
+        # Attempts without time for their work say nothing about the capacity.
+        # They are often repeats of a request that was refused before.
+        had_time = permit.deadline_s - permit.submitted_s >= rank.work_s
+        if reason in CAPACITY_REASONS and permit.depth <= 1 and had_time:
             self.order.served.record(permit.priority, False)
         permit.wake()
--- a/src/waxwingferry/process/protection/tests/test_precedence.py
+++ b/src/waxwingferry/process/protection/tests/test_precedence.py
@@ -241,6 +241,19 @@
     assert model.served[1] / sum(model.served) >= 0.05
 
 
+def test_hopeless_attempts_do_not_count_against_a_kind() -> None:
+    """Load pattern: repeats of urgent requests come with too little time.
+
+    Less urgent attempts would come after all others although there is room.
+    """
+    admission = make_admission(2)
+    run_attempts(admission, [0.05] * 20)
+    for _ in range(20):
+        now_s = admission.clock()
+        admission.submit("a", now_s + 0.01, "r", now_s + 0.01, 0)
+    assert admission.order.served.shares == {0: 1.0}
+
+
 def test_flood_leaves_82_members_their_shares() -> None:
     """Load pattern: one member floods, a few are large and many are small.
 
--- a/src/waxwingferry/process/protection/waiting_order.py
+++ b/src/waxwingferry/process/protection/waiting_order.py
@@ -68,7 +68,8 @@
             priority = permit.priority
             if priority not in over_served:
                 over_served[priority] = precedence.count_over_served(
-                    priority, self.served.shares
+                    min(priority, served_shares.MAX_PRIORITY),
+                    self.served.shares,
                 )
             work_s = works_s[route]
             left_s = permit.objective_s - now_s
