Make the test of shorter work fail without its rule

The attempt with longer work could no longer meet its objective when the steps of urgency were shortened, so the test passed for another reason.

--- a/src/waxwingferry/process/protection/tests/test_precedence.py
+++ b/src/waxwingferry/process/protection/tests/test_precedence.py
@@ -69,7 +69,8 @@
     run_attempts(admission, [0.01] * 5, "short")
     now_s = admission.clock()
     running = admission.submit("a", now_s + 9)
-    due_s = (now_s // precedence.URGENCY_STEP_S + 9) * precedence.URGENCY_STEP_S
+    step_s = precedence.URGENCY_STEP_S
+    due_s = (now_s + 1) // step_s * step_s
     admission.submit("a", now_s + 9, "long", due_s + 0.01)
     short = admission.submit("a", now_s + 9, "short", due_s + 0.02)
     admission.release(running, Ending.ANSWERED)
