Keep the shorter queue for attempts without an objective

With the longer queue of a sole member, attempts whose objective is their deadline were sent just before it and answered less often.

Tests of protection and test_receive pass.

--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -119,12 +119,12 @@
         """Waits for a free slot; returns a refusal if there is none in time."""
         # Deadlines use the boot clock, the queue uses the monotonic clock.
         now_s = self.clock()
-        objective = urgency.objective or deadline
+        objective = urgency.objective
         permit = self.submit(
             member,
             now_s + deadline.remaining_s(),
             route,
-            now_s + objective.remaining_s(),
+            now_s + objective.remaining_s() if objective else math.inf,
             urgency.priority,
             depth,
             request_id,
@@ -407,8 +407,12 @@
         arriving = permit.member_queue
         assert arriving is not None
         slots = self.limit.slots
-        is_alone = len(arriving.items) == len(self.queue)
-        if len(arriving.items) >= precedence.find_member_bound(is_alone, slots):
+        bound = precedence.find_member_bound(
+            len(arriving.items) == len(self.queue),
+            permit.objective_s < permit.deadline_s,
+            slots,
+        )
+        if len(arriving.items) >= bound:
             own = [i for i, p in enumerate(items) if p.member_queue is arriving]
             items = [items[i] for i in own]
             ranks = [ranks[i] for i in own]
@@ -425,9 +429,9 @@
         assert member_queue is not None
         # A member that was alone may have filled more of the queue than it may
         # hold beside others. It gives such places back as refused for room.
-        is_returned = member_queue is not displacing.member_queue and len(
-            member_queue.items
-        ) > precedence.find_member_bound(False, self.limit.slots)
+        bound = precedence.MEMBER_QUEUE_PER_SLOT * self.limit.slots
+        is_other = member_queue is not displacing.member_queue
+        is_returned = is_other and len(member_queue.items) > bound
         reason = (
             outcome.Reason.QUEUE_FULL
             if is_returned
--- a/src/waxwingferry/process/protection/precedence.py
+++ b/src/waxwingferry/process/protection/precedence.py
@@ -160,13 +160,24 @@
     }
 
 
-def find_member_bound(is_alone: bool, slots: int) -> int:
+def find_member_bound(is_alone: bool, has_objective: bool, slots: int) -> int:
     """Returns how many attempts one member may queue.
 
     Load pattern: all external requests of a service belong to one member. The
     part of the queue that is kept for other members is then never used.
+    Without an objective before the deadline, a longer queue only means that
+    attempts are sent just before their deadlines.
+
+    Args:
+        is_alone: Whether no other member has queued attempts.
+        has_objective: Whether the new attempt has an objective of its own.
+        slots: Number of slots of the target.
     """
-    return (SOLE_QUEUE_PER_SLOT if is_alone else MEMBER_QUEUE_PER_SLOT) * slots
+    has_longer_queue = is_alone and has_objective
+    per_slot = (
+        SOLE_QUEUE_PER_SLOT if has_longer_queue else MEMBER_QUEUE_PER_SLOT
+    )
+    return per_slot * slots
 
 
 def count_over_served(priority: int, served_shares: Mapping[int, float]) -> int:
--- a/src/waxwingferry/process/protection/tests/test_precedence.py
+++ b/src/waxwingferry/process/protection/tests/test_precedence.py
@@ -104,18 +104,28 @@
 def test_sole_member_fills_the_queue_and_gives_places_back() -> None:
     """Load pattern: all external requests of a service are of one member.
 
-    Half of its queue was never used. Other members must still fit.
+    Half of its queue was never used. Other members must still fit. Without an
+    objective, the longer queue answered fewer requests in time.
     """
     admission = make_admission(3)
     now_s = admission.clock()
-    permits = [admission.submit("a", now_s + 9) for _ in range(20)]
+    permits = [admission.submit("a", now_s + 9) for _ in range(9)]
+    refused = admission.submit("a", now_s + 9)
+    assert find_refusal_reason(refused) is outcome.Reason.QUEUE_FULL
+    permits += [
+        admission.submit("a", now_s + 9, "", now_s + 8) for _ in range(6)
+    ]
     assert len(admission.queue) == 12
+    later = admission.submit("a", now_s + 9, "", now_s + 8.5)
+    assert find_refusal_reason(later) is None
     others = [admission.submit(f"b{i}", now_s + 9) for i in range(6)]
     assert all(other.state is State.QUEUED for other in others)
     assert len(admission.queue) == 12
+    permits.append(later)
     reasons = collections.Counter(map(find_refusal_reason, permits))
-    assert reasons[outcome.Reason.QUEUE_FULL] == 5 + 6
-    assert admission.submit("a", now_s + 9).refusal
+    # One attempt was displaced by a more urgent one of its own member.
+    assert reasons[outcome.Reason.DISPLACED] == 1
+    assert reasons[outcome.Reason.QUEUE_FULL] == 6
 
 
 def test_member_within_its_share_is_not_evicted_for_one_over_it() -> None:
