Leave the number of peers' connections without a bound

Cause: a quarter of the descriptors, and a tenth of the memory, for peers would have closed or refused connections of a large site's nodes, and so cost requests of ordinary callers. The requirement bounds the number of clients' connections only.

Change: peers, the target and the platform get a quarter of the memory and no bound on their number; callers' number also follows from half of their memory, as before.

--- a/src/waxwingferry/connection/budget.py
+++ b/src/waxwingferry/connection/budget.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import dataclasses
 import resource
+import sys
 import time
 
 import structlog
@@ -35,13 +36,12 @@
 # Shares of the memory beyond that. The rest is for fragmentation, for what a
 # request costs while it is forwarded, and for other processes.
 CLIENT_SHARE = 0.2
-INTERNAL_SHARE = 0.1
+INTERNAL_SHARE = 0.25
 # Descriptors reserved for files.
 FILE_DESCRIPTORS = 200
 # Share of the other descriptors for connections of clients. A request in
 # progress needs another one to a peer or the target.
 CLIENT_DESCRIPTOR_SHARE = 0.5
-INTERNAL_DESCRIPTOR_SHARE = 0.25
 # Used where the operating system sets no limit; the memory bounds the number of
 # connections then.
 UNLIMITED_DESCRIPTORS = 1_000_000
@@ -188,8 +188,7 @@
     ):
         self.limit_bytes = limit_bytes
         self.near_bytes = int(limit_bytes * NEAR_SHARE)
-        idle_connections = int(limit_bytes * IDLE_SHARE) // CONNECTION_BYTES
-        self.max_connections = min(max_connections, idle_connections)
+        self.max_connections = max_connections
         self.name = name
         self.clock = clock
         self.used_bytes = 0
@@ -366,43 +365,27 @@
         memory_bytes: Memory of the machine.
         max_descriptors: Number of descriptors that the process may open.
     """
-    return _make_budget(
-        memory_bytes,
-        max_descriptors,
-        CLIENT_SHARE,
-        CLIENT_DESCRIPTOR_SHARE,
-        "clients",
+    limit_bytes = _compute_limit(memory_bytes, CLIENT_SHARE)
+    connections = (max_descriptors - FILE_DESCRIPTORS) * CLIENT_DESCRIPTOR_SHARE
+    idle_connections = limit_bytes * IDLE_SHARE // CONNECTION_BYTES
+    return Budget(
+        limit_bytes,
+        max(int(min(connections, idle_connections)), MIN_CONNECTIONS),
     )
 
 
-def make_internal_budget(memory_bytes: int, max_descriptors: int) -> Budget:
-    """Returns the budget for peers, the target and administration.
+def make_internal_budget(memory_bytes: int) -> Budget:
+    """Returns the budget for peers, the target and the platform.
+
+    The number of their connections is not limited: a connection that is closed
+    or refused would cost requests of ordinary callers.
 
-    See make_client_budget.
+    Args:
+        memory_bytes: Memory of the machine.
     """
-    return _make_budget(
-        memory_bytes,
-        max_descriptors,
-        INTERNAL_SHARE,
-        INTERNAL_DESCRIPTOR_SHARE,
-        "internal",
-    )
+    limit_bytes = _compute_limit(memory_bytes, INTERNAL_SHARE)
+    return Budget(limit_bytes, sys.maxsize, "internal")
 
 
-def _make_budget(
-    memory_bytes: int,
-    max_descriptors: int,
-    memory_share: float,
-    descriptor_share: float,
-    name: str,
-) -> Budget:
-    return Budget(
-        max(
-            int((memory_bytes - PROCESS_BYTES) * memory_share), MIN_LIMIT_BYTES
-        ),
-        max(
-            int((max_descriptors - FILE_DESCRIPTORS) * descriptor_share),
-            MIN_CONNECTIONS,
-        ),
-        name,
-    )
+def _compute_limit(memory_bytes: int, share: float) -> int:
+    return max(int((memory_bytes - PROCESS_BYTES) * share), MIN_LIMIT_BYTES)
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -257,11 +257,10 @@
     ) -> None:
         """Starts the requests in order; overlapping ones run in the group."""
         connection = requests.connection
-        head: http1.RequestHead | None = None
         while True:
             # The memory of the last request is not kept while the next one is
             # waited for.
-            head = None
+            head: http1.RequestHead | None = None
             await requests.wait_for_room()
             try:
                 head = await self._receive_head(requests)
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -154,9 +154,10 @@
             running_requests=self.receiver.running,
         )
         self.peer = peer.PeerHandler(self.receiver, self.runner)
-        memory = options.memory_bytes, options.max_descriptors
-        self.client_budget = budget.make_client_budget(*memory)
-        self.internal_budget = budget.make_internal_budget(*memory)
+        self.client_budget = budget.make_client_budget(
+            options.memory_bytes, options.max_descriptors
+        )
+        self.internal_budget = budget.make_internal_budget(options.memory_bytes)
         for item in (self.client_budget, self.internal_budget):
             item.on_limited = functools.partial(
                 self.counters.record_limited, item.name
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -49,7 +49,7 @@
 
     Attributes:
         memory_mb: Memory of the machine; connections of callers may hold a
-            fifth, and others a tenth, of what it has above 40 MB.
+            fifth, and others a quarter, of what it has above 40 MB.
         max_fds: Descriptors that the process may open; None uses the limit
             that the operating system sets on the process.
         head_bytes: Size of a request's head.
