--- a/src/waxwingferry/connection/budget.py
+++ b/src/waxwingferry/connection/budget.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import dataclasses
 import resource
+import sys
 import time
 
 import structlog
@@ -22,8 +23,9 @@
 # Part of a connection's share that it may receive at once.
 RECEIVE_SHARE = 0.25
 # Memory of a connection without a request: its task, stream and parser. 17 kB
-# were measured with 400 idle connections.
-CONNECTION_BYTES = 18 * 1024
+# were measured with 400 idle connections. 4 kB that it has received and a small
+# parsed head are not counted elsewhere.
+CONNECTION_BYTES = 24 * 1024
 # Memory of a request in progress besides its head and body: its tasks and what
 # is recorded of its attempts. Estimated, not measured.
 CALL_BYTES = 16 * 1024
@@ -34,13 +36,12 @@
 # Shares of the memory beyond that. The rest is for fragmentation, for what a
 # request costs while it is forwarded, and for other processes.
 CLIENT_SHARE = 0.2
-INTERNAL_SHARE = 0.1
+INTERNAL_SHARE = 0.25
 # Descriptors reserved for files.
 FILE_DESCRIPTORS = 200
 # Share of the other descriptors for connections of clients. A request in
 # progress needs another one to a peer or the target.
 CLIENT_DESCRIPTOR_SHARE = 0.5
-INTERNAL_DESCRIPTOR_SHARE = 0.25
 # Used where the operating system sets no limit; the memory bounds the number of
 # connections then.
 UNLIMITED_DESCRIPTORS = 1_000_000
@@ -173,6 +174,8 @@
         used_bytes: Memory that all connections hold.
         accounts: Accounts of the open connections.
         held_back: Accounts of connections that are not read from.
+        receive_bytes: How much a connection may receive at once while there
+            is room.
         on_limited: Called with the reason each time a connection is limited.
     """
 
@@ -185,14 +188,14 @@
     ):
         self.limit_bytes = limit_bytes
         self.near_bytes = int(limit_bytes * NEAR_SHARE)
-        idle_connections = int(limit_bytes * IDLE_SHARE) // CONNECTION_BYTES
-        self.max_connections = min(max_connections, idle_connections)
+        self.max_connections = max_connections
         self.name = name
         self.clock = clock
         self.used_bytes = 0
         self.accounts: set[Account] = set()
         self.held_back: set[Account] = set()
         self.on_limited: Callable[[str], None] = lambda reason: None
+        self.receive_bytes = limit_bytes
         self._log_states: dict[str, _LogState] = {}
 
     @property
@@ -208,7 +211,7 @@
         """
         if self.used_bytes > self.near_bytes:
             return 0
-        return int(self.share_bytes * RECEIVE_SHARE)
+        return self.receive_bytes
 
     def open(
         self,
@@ -231,6 +234,7 @@
             self._close(min(waiting, key=_order_of_waiting), IDLE_CLOSED)
         account = Account(self, close, hold_back)
         self.accounts.add(account)
+        self.receive_bytes = int(self.share_bytes * RECEIVE_SHARE)
         account.change(CONNECTION_BYTES)
         return account
 
@@ -240,6 +244,7 @@
             return
         account.closed = True
         self.accounts.discard(account)
+        self.receive_bytes = int(self.share_bytes * RECEIVE_SHARE)
         self.held_back.discard(account)
         self.used_bytes -= account.held_bytes
         if self.held_back:
@@ -360,43 +365,27 @@
         memory_bytes: Memory of the machine.
         max_descriptors: Number of descriptors that the process may open.
     """
-    return _make_budget(
-        memory_bytes,
-        max_descriptors,
-        CLIENT_SHARE,
-        CLIENT_DESCRIPTOR_SHARE,
-        "clients",
+    limit_bytes = _compute_limit(memory_bytes, CLIENT_SHARE)
+    connections = (max_descriptors - FILE_DESCRIPTORS) * CLIENT_DESCRIPTOR_SHARE
+    idle_connections = limit_bytes * IDLE_SHARE // CONNECTION_BYTES
+    return Budget(
+        limit_bytes,
+        max(int(min(connections, idle_connections)), MIN_CONNECTIONS),
     )
 
 
-def make_internal_budget(memory_bytes: int, max_descriptors: int) -> Budget:
-    """Returns the budget for peers, the target and administration.
+def make_internal_budget(memory_bytes: int) -> Budget:
+    """Returns the budget for peers, the target and the platform.
+
+    The number of their connections is not limited: a connection that is closed
+    or refused would cost requests of ordinary callers.
 
-    See make_client_budget.
+    Args:
+        memory_bytes: Memory of the machine.
     """
-    return _make_budget(
-        memory_bytes,
-        max_descriptors,
-        INTERNAL_SHARE,
-        INTERNAL_DESCRIPTOR_SHARE,
-        "internal",
-    )
+    limit_bytes = _compute_limit(memory_bytes, INTERNAL_SHARE)
+    return Budget(limit_bytes, sys.maxsize, "internal")
 
 
-def _make_budget(
-    memory_bytes: int,
-    max_descriptors: int,
-    memory_share: float,
-    descriptor_share: float,
-    name: str,
-) -> Budget:
-    return Budget(
-        max(
-            int((memory_bytes - PROCESS_BYTES) * memory_share), MIN_LIMIT_BYTES
-        ),
-        max(
-            int((max_descriptors - FILE_DESCRIPTORS) * descriptor_share),
-            MIN_CONNECTIONS,
-        ),
-        name,
-    )
+def _compute_limit(memory_bytes: int, share: float) -> int:
+    return max(int((memory_bytes - PROCESS_BYTES) * share), MIN_LIMIT_BYTES)
