Shed calls only by what urgent requests really get; import usage on demand

Urgent requests that were refused arrived at several targets and were subtracted from the capacity each time. Nodes were up 0.6 to 1.2 s after the power; imports are a part of that.

Change: other requests than nested calls count once they get a slot. The modules of usage reports are imported only if the settings list the duty.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -4,6 +4,7 @@
 import random
 import sys
 import time
+import typing
 from typing import Any
 
 import anyio
@@ -21,7 +22,6 @@
 from waxwingferry.platform import operator_document
 from waxwingferry.platform import settings_file
 from waxwingferry.platform import store
-from waxwingferry.platform import usage_duty
 from waxwingferry.process import core
 from waxwingferry.process import logs
 from waxwingferry.process import platform
@@ -54,6 +54,9 @@
 LEAVE_DELAY_S = 0.3
 CHECK_INTERVAL_S = 1.0
 
+if typing.TYPE_CHECKING:
+    from waxwingferry.platform import usage_duty
+
 log = structlog.get_logger()
 
 
@@ -109,9 +112,7 @@
             header_fields.PlatformTargetProtocol(),
             self.make_limit,
         )
-        self.usage_duty = usage_duty.make_usage_duty(
-            self, table, client, settings
-        )
+        self.usage_duty = self._make_usage_duty(client)
         table.on_restored = self.handle_store_restored
         table.on_malformed = lambda: self.counters.events.inc(
             {"event": "row_malformed"}
@@ -170,6 +171,19 @@
         self.control_server = self.make_internal_server(self.handle_control)
         self.metrics_server = self.make_internal_server(self.handle_metrics)
 
+    def _make_usage_duty(
+        self, client: peers.PeerClient
+    ) -> "usage_duty.UsageDuty | None":
+        """Returns the duty of reporting usage if the settings list one."""
+        if self.settings.cloud_api is None:
+            return None
+        # Its modules would lengthen the start of nodes without duties.
+        from waxwingferry.platform import usage_duty
+
+        return usage_duty.make_usage_duty(
+            self, self.store, client, self.settings
+        )
+
     def make_internal_server(self, handler: serve.Handler) -> serve.Server:
         """Returns a server for the platform and the local target."""
         return serve.Server(
--- a/src/waxwingferry/process/protection/load_shedding.py
+++ b/src/waxwingferry/process/protection/load_shedding.py
@@ -43,7 +43,8 @@
         clock: Monotonic time in seconds.
 
     Attributes:
-        arrivals: Time and priority of each attempt in the last window.
+        arrivals: Time and priority of each attempt that was recorded in the
+            last window.
         counts: Number of these attempts, by priority.
     """
 
@@ -55,7 +56,11 @@
         self.counts: collections.Counter[int] = collections.Counter()
 
     def record(self, priority: int) -> None:
-        """Records the arrival of an attempt, nested or not."""
+        """Records the arrival of a nested call, or the dispatch of a request.
+
+        Other requests than nested calls are recorded only if they get a slot,
+        because those that are refused arrive at several targets.
+        """
         now_s = self.clock()
         self._drop_old(now_s)
         self.arrivals.append((now_s, priority))
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -477,9 +477,11 @@
         state = self.admission
         if state is None:
             return False
+        if attempt.depth <= 1:
+            return False
         priority = attempt.urgency.priority
         self.load_shedding.record(priority)
-        if attempt.depth <= 1 or (state.can_dispatch() and not state.queue):
+        if state.can_dispatch() and not state.queue:
             return False
         protocol = self.target_protocol or target.TargetProtocol()
         parent_id = protocol.find_parent_id(attempt)
@@ -516,6 +518,8 @@
                 refusal is None
                 and permit.reset_count == self.admission.limit.reset_count
             ):
+                if attempt.depth <= 1:
+                    self.load_shedding.record(attempt.urgency.priority)
                 return permit
             self.admission.withdraw(permit)
 
