Let the test of ports in use take a port that is free

Cause: the test bound the port behind the one that was allocated without a check.

Change: it binds the first port of the block that can be bound, and asserts the same for that one.

--- a/src/waxwingferry/bench/tests/test_ports.py
+++ b/src/waxwingferry/bench/tests/test_ports.py
@@ -1,5 +1,6 @@
 """Tests of port allocation to concurrent runs."""
 
+import errno
 import json
 import socket
 import subprocess
@@ -44,15 +45,27 @@
 def test_port_in_use_is_not_handed_out(socket_type: socket.SocketKind) -> None:
     """Guards against allocating a port that another program is bound to."""
     allocator = ports.PortAllocator()
-    port = allocator.allocate()
+    allocator.allocate()
     with socket.socket(type=socket_type) as holder:
         if socket_type == socket.SOCK_STREAM:
             # Connections of an earlier run may be in TIME_WAIT on the port.
             holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind((ports.HOST, port + 1))
+        port = _bind_first_free(holder, allocator.remaining_ports)
         if socket_type == socket.SOCK_STREAM:
             holder.listen()
-        assert allocator.allocate() > port + 1
+        assert allocator.allocate() > port
+
+
+def _bind_first_free(holder: socket.socket, candidates: list[int]) -> int:
+    """Binds a socket to the first port that no other program is bound to."""
+    for port in candidates:
+        try:
+            holder.bind((ports.HOST, port))
+        except OSError as error:
+            assert error.errno == errno.EADDRINUSE
+        else:
+            return port
+    raise AssertionError("no port of the block is free")
 
 
 def test_more_ports_than_one_block() -> None:
