Test the wiring of nested calls, and log why one is shed

Cause: the read-through found that the retry share of nested calls, the urgency of returning callers and the shedding at a target's node had tests of their parts only: each could be taken out without a failing test. The log line of a shed call had none of the inputs, and a constant said that a target which refuses has room, which nothing checks.

Change: tests of the wiring; test_keys and test_entry_limits share the code that takes an entry's calls, with the same assertions. The refusal of a shed call has its parent, the capacity and what was counted. The constant is named after what it depends on. What is refused and when is unchanged.

--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -17,9 +17,10 @@
 # Sent as Retry-After with most refusals. By then a queue that is full now has
 # advanced by about one service time.
 RETRY_AFTER_S = 0.25
-# After a refusal by a target that has room, for example a faulty one, a request
-# may come back at once; this covers the way back to its caller.
-ROOM_RETRY_AFTER_S = 0.02
+# After a refusal by the target itself, a request may come back at once; this
+# covers the way back to its caller. Nodes send a target no more than its slots,
+# so such a refusal is taken for a fault of the target and not for lack of room.
+TARGET_REFUSED_RETRY_AFTER_S = 0.02
 # Callers come back after at most this share of the time that they have left.
 MAX_RETRY_AFTER_SHARE = 1 / 3
 
@@ -171,7 +172,7 @@
         case outcome.Reason.CRASHES_TARGETS:
             return crash_suspects.SUSPECT_LIFETIME_S
         case outcome.Reason.TARGET_REFUSED:
-            return ROOM_RETRY_AFTER_S
+            return TARGET_REFUSED_RETRY_AFTER_S
         case (
             outcome.Reason.QUEUE_FULL
             | outcome.Reason.DISPLACED
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -472,29 +472,42 @@
             used_s / max(slowness, self.slowness(), 1.0),
         )
 
-    def _should_shed(self, attempt: calls.Attempt) -> bool:
-        """Returns whether a nested call is refused for lack of capacity."""
+    def _shed(self, attempt: calls.Attempt) -> outcome.NotRun | None:
+        """Returns the refusal of a nested call for lack of capacity, or None.
+
+        A call that can be sent at once is not refused.
+        """
         state = self.admission
-        if state is None:
-            return False
-        if attempt.depth <= 1:
-            return False
+        if state is None or attempt.depth <= 1:
+            return None
         priority = attempt.urgency.priority
         self.load_shedding.record(priority)
         if state.can_dispatch() and not state.queue:
-            return False
+            return None
         protocol = self.target_protocol or target.TargetProtocol()
         parent_id = protocol.find_parent_id(attempt)
-        return bool(parent_id) and self.load_shedding.should_refuse(
-            parent_id, priority, state.estimate_capacity_per_s()
+        capacity_per_s = state.estimate_capacity_per_s()
+        if not parent_id or not self.load_shedding.should_refuse(
+            parent_id, priority, capacity_per_s
+        ):
+            return None
+        return outcome.NotRun(
+            outcome.Reason.LOAD_SHED,
+            details={
+                "parent": parent_id,
+                "capacity_per_s": round(capacity_per_s, 1),
+                "recorded": dict(self.load_shedding.counts),
+                "window_s": load_shedding.WINDOW_S,
+            },
         )
 
     async def _admit(
         self, attempt: calls.Attempt
     ) -> admission.Permit | outcome.NotRun:
         """Waits for a slot at the current target, or refuses."""
-        if self._should_shed(attempt):
-            return outcome.NotRun(outcome.Reason.LOAD_SHED)
+        shed = self._shed(attempt)
+        if shed is not None:
+            return shed
         while True:
             refusal = self.check(attempt)
             if refusal is not None:
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -69,6 +69,7 @@
         _Reason.STALE_ATTEMPT,
     }
 )
+# LOAD_SHED is in none of these sets: other targets refuse the call as well.
 _OVERLOADED = frozenset(
     {
         _Reason.QUEUE_FULL,
--- a/src/waxwingferry/request/tests/test_answering.py
+++ b/src/waxwingferry/request/tests/test_answering.py
@@ -30,10 +30,10 @@
         )
 
 
-def test_caller_comes_back_at_once_after_a_target_with_room_refused():
+def test_caller_comes_back_at_once_after_the_target_itself_refused():
     """Waiting for room is useless where the refusal wasn't for lack of it."""
     retry_after_s = _choose(outcome.Reason.TARGET_REFUSED, 3.0, 0.5)
-    assert retry_after_s == answering.ROOM_RETRY_AFTER_S
+    assert retry_after_s == answering.TARGET_REFUSED_RETRY_AFTER_S
 
 
 def test_caller_of_a_quarantined_request_stays_away():
--- a/src/waxwingferry/request/tests/test_entry_limits.py
+++ b/src/waxwingferry/request/tests/test_entry_limits.py
@@ -9,9 +9,9 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.process import metrics
-from waxwingferry.request import answering
 from waxwingferry.request import calls
 from waxwingferry.request import entry
+from waxwingferry.request.tests import entry_calls
 from waxwingferry.version import document
 
 
@@ -122,23 +122,13 @@
         metrics.Metrics(),
         random.Random(1),
     )
-    taken: list[calls.Call] = []
-
-    async def read_body(_: object) -> calls.Body:
-        return calls.Body(b"")
-
-    async def run_call(_: object, call: calls.Call) -> None:
-        taken.append(call)
-
-    monkeypatch.setattr(answering, "read_body", read_body)
-    monkeypatch.setattr(node, "_run_call", run_call)
     monkeypatch.setattr(node.retry_policy, "count_call", lambda call: None)
     node.stop_deadline = calls.make_deadline(1.0)
     node.draining = draining
     connection = FakeConnection()
     headers = [("host", "a"), (calls.DEADLINE_HEADER, deadline_ms)]
     head = http1.RequestHead("GET", "/", headers)
-    await node.handle(cast(Any, connection), head)
+    taken = await entry_calls.take_calls(monkeypatch, node, connection, head)
     found = http1.find_header(connection.headers, "x-waxwing-reason")
     for call in taken:
         is_capped = call.deadline == node.stop_deadline
--- a/src/waxwingferry/request/tests/test_keys.py
+++ b/src/waxwingferry/request/tests/test_keys.py
@@ -15,7 +15,6 @@
 from waxwingferry.process import attempts
 from waxwingferry.process import background
 from waxwingferry.process import metrics
-from waxwingferry.request import answering
 from waxwingferry.request import attempt_runner
 from waxwingferry.request import calls
 from waxwingferry.request import entry
@@ -24,6 +23,7 @@
 from waxwingferry.request import peer
 from waxwingferry.request import receive
 from waxwingferry.request import running
+from waxwingferry.request.tests import entry_calls
 from waxwingferry.version import api_keys
 from waxwingferry.version import revision as revisions
 
@@ -114,20 +114,11 @@
     node = make_entry(revision or make_revision())
     if parent is not None:
         node.running.parents["p1"] = [parent]
-    taken: list[calls.Call] = []
-
-    async def read_body(_: object) -> calls.Body:
-        return calls.Body(b"")
-
-    async def run_call(_: object, call: calls.Call) -> None:
-        taken.append(call)
-
-    monkeypatch.setattr(answering, "read_body", read_body)
-    monkeypatch.setattr(node, "_run_call", run_call)
     monkeypatch.setattr(node.protocol, "find_request_id", lambda _: "p1.1")
     head = http1.RequestHead("POST", path, headers)
-    await node.handle(cast(Any, FakeConnection()), head)
-    (call,) = taken
+    (call,) = await entry_calls.take_calls(
+        monkeypatch, node, FakeConnection(), head
+    )
     return call
 
 
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -70,7 +70,7 @@
 
         yield outcome.Answer(http1.ResponseHead(200, []), receive_chunk)
 
-    async def run(self, name: str, results: dict) -> None:
+    async def run(self, name: str, results: dict, depth: int = 1) -> None:
         """Runs one attempt and records its outcome."""
         attempt = calls.Attempt(
             name,
@@ -81,7 +81,7 @@
             calls.Body(b""),
             calls.make_deadline(60),
             "m",
-            1,
+            depth,
             "n1",
         )
         async with self.receiver.execute(attempt) as result:
@@ -373,3 +373,67 @@
     assert refused
     facts = {"priority", "depth", "displaced_by", "late", "over_share"}
     assert all(facts <= line.keys() for line in refused)
+
+
+class NestingProtocol(target.TargetProtocol):
+    """Attempt IDs have the form "PARENT.CHILD"."""
+
+    def find_parent_id(self, attempt: calls.Attempt) -> str:
+        """See target.TargetProtocol."""
+        return attempt.attempt_id.partition(".")[0]
+
+
+@pytest.mark.anyio
+async def test_nested_calls_beyond_the_capacity_are_shed_by_parent(
+    monkeypatch,
+) -> None:
+    """Guards against calls that are served for parents that fail anyway."""
+    fixture = ReceiverFixture()
+    receiver = fixture.receiver
+    receiver.target_protocol = NestingProtocol()
+    assert receiver.admission is not None
+    monkeypatch.setattr(
+        receiver.admission, "estimate_capacity_per_s", lambda: 2.0
+    )
+    # Much fewer than nine tenths of the calls fit, but more than a fiftieth.
+    levels = {"kept": 0.02, "shed": 0.9}
+    monkeypatch.setattr(
+        receive.load_shedding, "compute_level", levels.__getitem__
+    )
+    results: dict = {}
+    async with anyio.create_task_group() as group:
+        # They take the target's slots, and one of them waits.
+        for name in ("a", "b", "c"):
+            group.start_soon(fixture.run, name, results)
+        await anyio.wait_all_tasks_blocked()
+        for number in range(20):
+            group.start_soon(fixture.run, f"shed.{number}", results, 2)
+        await anyio.wait_all_tasks_blocked()
+        assert results["shed.19"] is outcome.Reason.LOAD_SHED
+        group.start_soon(fixture.run, "kept.1", results, 2)
+        # Requests of callers are refused by the queue only.
+        group.start_soon(fixture.run, "shed", results, 1)
+        await anyio.wait_all_tasks_blocked()
+        assert results.get("kept.1") is not outcome.Reason.LOAD_SHED
+        assert results.get("shed") is not outcome.Reason.LOAD_SHED
+        fixture.release.set()
+
+
+@pytest.mark.anyio
+async def test_nested_call_that_can_be_sent_at_once_is_not_shed(
+    monkeypatch,
+) -> None:
+    """Guards against refusals while the target has a free slot."""
+    fixture = ReceiverFixture()
+    receiver = fixture.receiver
+    receiver.target_protocol = NestingProtocol()
+    assert receiver.admission is not None
+    monkeypatch.setattr(
+        receiver.admission, "estimate_capacity_per_s", lambda: 0.0
+    )
+    monkeypatch.setattr(receive.load_shedding, "compute_level", lambda _: 0.9)
+    fixture.release.set()
+    results: dict = {}
+    for number in range(20):
+        await fixture.run(f"p.{number}", results, 2)
+    assert set(results.values()) == {"answered"}
--- a/src/waxwingferry/request/tests/test_retry.py
+++ b/src/waxwingferry/request/tests/test_retry.py
@@ -96,6 +96,27 @@
     assert denials.count(None) == 5
 
 
+def test_nested_call_may_spend_the_whole_budget_after_overload() -> None:
+    """Guards against lost work of a request whose call can't come back."""
+    policy = retry.RetryPolicy(lambda: RATIO, test_routing.Clock())
+    external, nested = make_call(), make_call(depth=2)
+    for _ in range(100):
+        policy.count_call(external)
+    refused = outcome.NotRun(_Reason.TARGET_REFUSED)
+    denials = [policy.spend(external, refused, True) for _ in range(10)]
+    assert denials.count(None) == 5
+    denials = [policy.spend(nested, refused, True) for _ in range(10)]
+    assert denials.count(None) == 5
+
+
+def test_call_that_all_targets_refuse_alike_is_not_retried() -> None:
+    """Guards against attempts at targets that refuse the call as well."""
+    policy = retry.RetryPolicy(lambda: RATIO, test_routing.Clock())
+    shed = outcome.NotRun(_Reason.LOAD_SHED)
+    denial = policy.check(make_call(depth=2), shed, 1, 0.0)
+    assert denial is retry.Denial.FINAL
+
+
 def test_member_keeps_its_retries_while_another_floods() -> None:
     """Guards against one member using up all retries of a service."""
     policy = retry.RetryPolicy(lambda: RATIO, test_routing.Clock())
