--- a/src/waxwingferry/cli/explain.py
+++ b/src/waxwingferry/cli/explain.py
@@ -29,6 +29,8 @@
     outcome.Reason.NO_TARGET: "no target of the service could be used",
     outcome.Reason.BUSY: "the target's machine had turned slow",
     outcome.Reason.QUEUE_FULL: "the target had no slot and its queue was full",
+    outcome.Reason.LOAD_SHED: "targets refused all calls of some requests",
+    outcome.Reason.NO_ROOM: "connections of the node held too much memory",
     outcome.Reason.DISPLACED: "a more urgent request took its queue place",
     outcome.Reason.DEADLINE_TOO_SHORT: "too little time was left to be served",
     outcome.Reason.DOMAIN_OUT: "the target's failure domain was out",
--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -228,7 +228,7 @@
         self._refuse_expired(now_s)
         slowness = self.find_slowness()
         if slowness > self.checked_slowness:
-            self._refuse_hopeless(now_s)
+            self._refuse_too_late(now_s)
         self.checked_slowness = slowness
         self._dispatch_queued()
 
@@ -279,16 +279,16 @@
                 self._refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
                 continue
             self._dispatch(permit, now_s, cost_s)
-            self._refuse_hopeless(now_s)
+            self._refuse_too_late(now_s)
 
-    def _refuse_hopeless(self, now_s: float) -> None:
+    def _refuse_too_late(self, now_s: float) -> None:
         """Refuses queued attempts that would miss their deadline if sent now.
 
         Their callers learn it as soon as it is known, and their places go to
         attempts that can be served.
         """
         safe_s: dict[str, float] = {}
-        hopeless = []
+        too_late = []
         for permit in self.queue:
             if permit.route not in safe_s:
                 safe_s[permit.route] = self.estimate.find_safe_s(permit.route)
@@ -296,8 +296,8 @@
             if left_s < safe_s[permit.route] and self._will_miss_deadline(
                 permit, now_s, 0.0, True
             ):
-                hopeless.append(permit)
-        self._refuse_queued(hopeless, outcome.Reason.DEADLINE_TOO_SHORT)
+                too_late.append(permit)
+        self._refuse_queued(too_late, outcome.Reason.DEADLINE_TOO_SHORT)
 
     def _dispatch(self, permit: Permit, now_s: float, cost_s: float) -> None:
         self.running += 1
--- a/src/waxwingferry/process/protection/fairness.py
+++ b/src/waxwingferry/process/protection/fairness.py
@@ -103,8 +103,8 @@
             item: The item.
             cost_s: Estimated cost of the item.
         """
-        # Items may be taken out of the fair order. The virtual time follows
-        # the member that got least, so that the lead of others stays known.
+        # Items may be taken out of the fair order. The virtual time follows the
+        # member that got least, so that it is known how far others are ahead.
         self.virtual_time = self.find_least_start()
         queue.virtual_start += cost_s / queue.weight
         queue.running += 1
--- a/src/waxwingferry/process/protection/load_shedding.py
+++ b/src/waxwingferry/process/protection/load_shedding.py
@@ -79,7 +79,8 @@
     ) -> bool:
         """Returns whether a nested call, which was recorded, is refused.
 
-        More urgent attempts go first and leave the rest of the capacity.
+        The capacity for it is what more urgent nested calls, and more urgent
+        requests that got a slot, leave.
 
         Args:
             parent_id: ID of the request that makes the call.
--- a/src/waxwingferry/process/protection/precedence.py
+++ b/src/waxwingferry/process/protection/precedence.py
@@ -81,7 +81,7 @@
     """
     due_s = objective_s + priority * PRIORITY_STEP_S
     step = (
-        math.floor(due_s / URGENCY_STEP_S) if math.isfinite(due_s) else 1 << 62
+        math.floor(due_s / URGENCY_STEP_S) if math.isfinite(due_s) else MAX_STEP
     )
     return Rank(over_share, depth <= 1, over_served, late, step, work_s, due_s)
 
