Report refused requests without a service

benchmarks/refusal_report.py failed with a KeyError on the log line of a request that was refused before it was matched to a service. Such lines count under 'no service' now.

--- a/benchmarks/refusal_report.py
+++ b/benchmarks/refusal_report.py
@@ -103,8 +103,9 @@
             case "request answered":
                 second["answered"] += 1
             case "request refused":
-                name = f"{entry.fields['service']}, {entry.fields['reason']}"
-                requests[name] += 1
+                # Without a service if no route matched or no document is known.
+                service = entry.fields.get("service") or "no service"
+                requests[f"{service}, {entry.fields['reason']}"] += 1
                 second["refused"] += 1
             case "attempt refused":
                 service = services.get(entry.node, "unknown")
