Check a document before it is sent

Operators learned of a route that can never match, of a key that no caller can send, or of a removed route whose requests silently go to another one only after the change was in force. A few aliases in a YAML file could also stand for more values than fit into memory, and a file was read whole whatever its size.

The administration API, apply and the console show the same warnings, which never stop a change. YAML and files are bounded (1 MiB, 100,000 values, 40 levels), for settings as well.

Documents of the users' platform are not covered by the command.

--- a/src/waxwingferry/cli/main.py
+++ b/src/waxwingferry/cli/main.py
@@ -5,10 +5,12 @@
 
 import yaml
 
+from waxwingferry.cli import check
 from waxwingferry.cli import client
 from waxwingferry.cli import explain
 from waxwingferry.process import program
 from waxwingferry.process import settings
+from waxwingferry.version import checks
 from waxwingferry.version import document
 from waxwingferry.version import shown_keys
 
@@ -18,16 +20,40 @@
 
 
 def validate(file: str) -> int:
-    """Checks a document without sending it anywhere.
+    """Checks a document without sending it anywhere; warnings don't fail.
 
     Args:
         file: Path of the YAML file.
     """
-    _load_document(file)
+    checked = _load_document(file)
+    for item in checks.find_warnings(checked):
+        print(f"{file}: warning: {item.text}")
     print(f"{file}: good")
     return 0
 
 
+def check_document(
+    file: str, against: int = 0, offline: bool = False, json: bool = False
+) -> int:
+    """Checks a document, and prints what it would change for callers.
+
+    Exits with 0 if nothing was found, 1 for warnings and 2 for errors.
+
+    Args:
+        file: Path of the YAML file.
+        against: Revision to compare with; 0 is the one in force.
+        offline: Compare with nothing, and connect to no node.
+        json: Print JSON.
+    """
+    try:
+        report = check.check_file(file, against, offline)
+    except program.CommandError as error:
+        # Exit code 1 would say that there are only warnings.
+        raise program.UsageError(str(error)) from error
+    print(report.format_json() if json else report.format_text())
+    return report.find_exit_code()
+
+
 def show(revision: int = 0) -> int:
     """Prints the document in force, with its revision in the first line.
 
@@ -73,6 +99,8 @@
                 "\n".join(f"{file}: {line}" for line in errors)
             )
     revision = admin.put_document(data, number, why)
+    for item in checks.find_warnings(content):
+        print(f"warning: {item.text}")
     print(f"revision {revision} accepted; the next change is based on it")
     return 0
 
@@ -260,6 +288,7 @@
 
 COMMANDS = {
     "validate": validate,
+    "check": check_document,
     "apply": apply,
     "back": restore,
     "show": show,
--- a/src/waxwingferry/console/app.py
+++ b/src/waxwingferry/console/app.py
@@ -22,6 +22,7 @@
 from waxwingferry.cli import client
 from waxwingferry.process import program
 from waxwingferry.process import settings
+from waxwingferry.version import checks
 from waxwingferry.version import document
 from waxwingferry.version import shown_keys
 
@@ -79,6 +80,7 @@
     def _render(self, title: str, status: int = 200, **values: Any) -> Response:
         defaults: dict[str, Any] = {
             "errors": [],
+            "warnings": [],
             "text": None,
             "difference": None,
             "why": "",
@@ -171,6 +173,9 @@
             names = (f"revision {base}", "your change")
             return {
                 "difference": document.compare(before, edited, names),
+                "warnings": [
+                    item.text for item in checks.find_warnings(edited)
+                ],
                 "checked": text,
                 "base": base,
                 "why": why,
--- a/src/waxwingferry/process/admin.py
+++ b/src/waxwingferry/process/admin.py
@@ -3,8 +3,9 @@
     GET  /document            {"revision", "document"}
     GET  /document?revision=N returns an earlier revision in the same form
     PUT  /document            {"base", "document", "why", "change_id"}
-        200 {"revision"}; 409 conflict with another change; 422 {"errors"};
-        503 nothing written; 504 unknown, look up change_id in /history
+        200 {"revision", "warnings"}; 409 conflict with another change;
+        422 {"errors"}; 503 nothing written; 504 unknown, look up change_id in
+        /history
     GET  /history?last=N      {"history": [...]}, newest first
 
     GET  /choice?service=NAME {"targets": [...]}, with their current cost
@@ -36,6 +37,7 @@
 from waxwingferry.process.spreading import configuration
 from waxwingferry.process.spreading import members
 from waxwingferry.request import receive
+from waxwingferry.version import checks
 from waxwingferry.version import document
 from waxwingferry.version import shown_keys
 
@@ -272,7 +274,11 @@
             change_id=change_request.change_id,
             result=type(result).__name__,
         )
-        return _change_response(result, change_request.change_id)
+        return _change_response(
+            result,
+            change_request.change_id,
+            [item.text for item in checks.find_warnings(parsed_document)],
+        )
 
     async def serve(self, host: str, port: int, stop) -> None:
         """Serves until the awaitable returned by stop() completes."""
@@ -298,11 +304,11 @@
 
 
 def _change_response(
-    result: configuration.Result, change_id: str
+    result: configuration.Result, change_id: str, warnings: list[str]
 ) -> starlette.responses.Response:
     match result:
         case configuration.Accepted(revision):
-            return _json_response({"revision": revision})
+            return _json_response({"revision": revision, "warnings": warnings})
         case configuration.Conflict():
             return _json_response(
                 {
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -1,5 +1,6 @@
 """Settings of a node, read from a YAML file."""
 
+import io
 import pathlib
 import re
 from typing import Annotated
@@ -20,6 +21,13 @@
 _ModelType = TypeVar("_ModelType", bound=pydantic.BaseModel)
 
 MAX_SHOWN_VALUE_CHARS = 80
+# Twice what the administration API accepts as a document.
+MAX_FILE_BYTES = 1024 * 1024
+# Bounds on YAML with its aliases expanded. A few aliases of aliases could
+# otherwise stand for more values than fit into memory. The largest documents
+# foreseen have some 20,000 values.
+MAX_YAML_VALUES = 100_000
+MAX_YAML_DEPTH = 40
 # Unknown keys of such names hold secrets that were put in a wrong place.
 _SECRET_NAME = re.compile("key|token|secret", re.IGNORECASE)
 # Values below these keys are not shown in messages.
@@ -133,8 +141,40 @@
     random_seed: int | None = None
 
 
-class _UniqueKeyLoader(yaml.SafeLoader):
-    """Rejects duplicate keys; the base class silently keeps the last."""
+class Loader(yaml.SafeLoader):
+    """Rejects duplicate keys, which the base class ignores, and huge values."""
+
+    def __init__(self, stream):
+        super().__init__(stream)
+        self.depth = 0
+        self.values = 0
+        # Number of values of each complete node, with aliases expanded.
+        self.sizes: dict[int, int] = {}
+
+    def compose_node(self, parent, index):
+        """See yaml.SafeLoader."""
+        is_alias = self.check_event(yaml.events.AliasEvent)
+        mark = self.peek_event().start_mark
+        self.depth += 1
+        if self.depth > MAX_YAML_DEPTH:
+            raise yaml.composer.ComposerError(
+                None, None, f"nested over {MAX_YAML_DEPTH} levels", mark
+            )
+        values_before = self.values
+        node = super().compose_node(parent, index)
+        self.depth -= 1
+        if is_alias and id(node) not in self.sizes:
+            raise yaml.composer.ComposerError(
+                None, None, "an alias stands for what contains it", mark
+            )
+        self.values += self.sizes[id(node)] if is_alias else 1
+        if self.values > MAX_YAML_VALUES:
+            raise yaml.composer.ComposerError(
+                None, None, f"over {MAX_YAML_VALUES} values", mark
+            )
+        if not is_alias:
+            self.sizes[id(node)] = self.values - values_before
+        return node
 
     def construct_mapping(self, node, deep=False):
         """See yaml.SafeLoader."""
@@ -163,7 +203,7 @@
             and starts with the source.
     """
     try:
-        return yaml.load(text, _UniqueKeyLoader)  # noqa: S506
+        return yaml.load(text, Loader)  # noqa: S506
     except yaml.YAMLError as error:
         if hides_text:
             raise SettingsError(
@@ -188,10 +228,15 @@
     """Returns the text of a file.
 
     Raises:
-        SettingsError: The file can't be read or is not UTF-8.
+        SettingsError: The file can't be read, is too large or not UTF-8.
     """
     try:
-        return pathlib.Path(path).read_text(encoding="utf-8")
+        with pathlib.Path(path).open("rb") as file:
+            # The size is not asked for, since a pipe states none.
+            data = file.read(MAX_FILE_BYTES + 1)
+        if len(data) > MAX_FILE_BYTES:
+            raise SettingsError(f"{path}: larger than {MAX_FILE_BYTES} bytes")
+        return io.StringIO(data.decode("utf-8"), newline=None).read()
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except UnicodeDecodeError as error:
--- a/src/waxwingferry/version/shown_keys.py
+++ b/src/waxwingferry/version/shown_keys.py
@@ -25,6 +25,11 @@
     return key if is_shown(key) else _PREFIX + api_keys.shorten_digest(key)
 
 
+def show_digest(digest: bytes) -> str:
+    """Returns the text that stands for the key of a digest."""
+    return _PREFIX + digest.hex()[: api_keys.SHOWN_DIGEST_DIGITS]
+
+
 def hide(data: Any) -> Any:
     """Returns the JSON data of a document without its keys."""
     data = copy.deepcopy(data)
