State objective and priority of a route in the own document

Least-cost admission orders requests by priority and objective, but only the users' platform could state them for a route; a document of the project's own had priorities of workspaces alone.

Change: routes have objective_ms and priority. A document that uses neither is stored as before, so that nodes of earlier programs read it. The check warns of an objective after the deadline. Experiments: too-little-room (three kinds by priority under overload) and uneven (targets that differ by four times, most callers at the slowest failure domain).

The new tests of the document fail on the code before (unknown keys).

--- a/src/waxwingferry/bench/tests/test_scripts.py
+++ b/src/waxwingferry/bench/tests/test_scripts.py
@@ -26,6 +26,8 @@
     "routing",
     "silent-connection",
     "soak",
+    "too-little-room",
+    "uneven",
 }
 
 
--- a/src/waxwingferry/version/checks.py
+++ b/src/waxwingferry/version/checks.py
@@ -59,6 +59,12 @@
                 f"{_RESERVE_MS:g} ms are reserved for the way back, so each "
                 "request would be refused",
             )
+        if (route.objective_ms or 0) > route.deadline_ms:
+            yield (
+                f"{place}.objective_ms",
+                f"has no effect: the deadline of {route.deadline_ms} ms comes "
+                "first",
+            )
         if route.anonymous and not checked.workspaces:
             yield (
                 f"{place}.anonymous",
--- a/src/waxwingferry/version/document.py
+++ b/src/waxwingferry/version/document.py
@@ -44,6 +44,10 @@
         methods: Methods that match the route.
         idempotent: Whether a request may be executed more than once.
         deadline_ms: Time for the whole call, unless the caller gives less.
+        objective_ms: Latency objective; a response within it has its full
+            value. None stands for the deadline.
+        priority: Priority of the requests when targets lack capacity; 0 is
+            the highest.
         anonymous: Whether requests need no key of a workspace.
     """
 
@@ -54,16 +58,19 @@
     )
     idempotent: bool = False
     deadline_ms: Annotated[int, pydantic.Field(ge=1, le=600_000)] = 5000
+    objective_ms: Annotated[int, pydantic.Field(ge=1, le=600_000)] | None = None
+    priority: Annotated[int, pydantic.Field(ge=0, le=999)] = 0
     anonymous: bool = False
 
     @pydantic.model_serializer(mode="wrap")
     def omit_unused(
         self, handler: pydantic.SerializerFunctionWrapHandler
     ) -> dict[str, Any]:
-        """Omits a key that earlier programs refuse, unless it is used."""
+        """Omits keys that earlier programs refuse, unless they are used."""
         data = handler(self)
-        if not self.anonymous:
-            data.pop("anonymous", None)
+        for name in ("objective_ms", "priority", "anonymous"):
+            if not getattr(self, name):
+                data.pop(name, None)
         return data
 
 
@@ -243,7 +250,8 @@
             methods=route.methods,
             idempotent=route.idempotent,
             deadline_s=route.deadline_ms / 1000,
-            objective_s=route.deadline_ms / 1000,
+            objective_s=(route.objective_ms or route.deadline_ms) / 1000,
+            priority=route.priority,
             anonymous=route.anonymous,
         )
         for service in document.services
--- a/src/waxwingferry/version/tests/test_checks.py
+++ b/src/waxwingferry/version/tests/test_checks.py
@@ -33,6 +33,7 @@
         (make_document({"methods": ["CONNECT"]}), "routes.0.methods"),
         (make_document({"methods": ["GET", "GET"]}), "routes.0.methods"),
         (make_document({"deadline_ms": 2}), "routes.0.deadline_ms"),
+        (make_document({"objective_ms": 5001}), "routes.0.objective_ms"),
         (make_document({"anonymous": True}), "routes.0.anonymous"),
     ],
 )
@@ -111,6 +112,25 @@
     assert "s3cr" not in "".join(item.text for item in found)
 
 
+def test_objective_and_priority_of_a_route_are_in_force() -> None:
+    """Guards against priorities that only the users' platform can state."""
+    checked, _ = document.check(
+        make_document({"objective_ms": 300, "priority": 2})
+    )
+    assert checked is not None
+    route = document.make_revision(1, checked).match_route("GET", "/desk/a")
+    assert route is not None
+    assert (route.objective_s, route.priority) == (0.3, 2)
+    checked, _ = document.check(make_document())
+    assert checked is not None
+    route = document.make_revision(1, checked).match_route("GET", "/desk/a")
+    assert route is not None
+    assert (route.objective_s, route.priority) == (route.deadline_s, 0)
+    # Nodes of earlier programs refuse keys that they don't know.
+    stored = checked.model_dump(mode="json")["services"][0]["routes"][0]
+    assert not {"objective_ms", "priority"}.intersection(stored)
+
+
 def test_an_error_line_is_split_into_place_and_text() -> None:
     """Guards against findings whose line in the file can't be found."""
     _, errors = document.check({"services": 5, "extra": 1})
