Let a fault in one request end that request only

Cause: a failed assert in a handler ended the process with all its requests. Any other error closed the connection without a response, and with it the overlapping requests of that connection. In a background task (attempts and calls with a key) any error ended the process, and an attempt that failed after its dispatch would have been reported as fenced, which proves that it did not run. An error between the grant of a slot and its use kept the slot for good.

Change: invariants.py has two kinds of broken invariants: one that leaves other requests safe, and one that makes a promise of the process untrue. Each assert on the path of a request is one of them, or serves the type checker. A server answers a request whose handler failed with 500, unknown unless no attempt had begun. An answer of which nothing has been sent is replaced. Faults of background tasks end their task; a keyed attempt becomes unknown, not run if it was not dispatched, and its answer is cut. A dispatch is checked before it changes state, and a breach fails the attempt that it concerns, not the request that happens to be released. Slots are given back.

--- a/src/waxwingferry/connection/closing.py
+++ b/src/waxwingferry/connection/closing.py
@@ -1,6 +1,7 @@
 """Error responses, and the end of a server connection after them."""
 
 import contextlib
+from typing import Protocol
 
 import anyio
 import structlog
@@ -12,6 +13,8 @@
 LINGERING_CLOSE_S = 2.0
 LINGERING_CHECK_S = 0.02
 BODY_TOO_LARGE_STATUS = 413
+INTERNAL_ERROR_STATUS = 500
+INTERNAL_ERROR_REASON = "internal_error"
 NO_ROOM_REASON = "no_room"
 # Time after which a connection refused for lack of room may be tried again.
 RETRY_AFTER_S = 1
@@ -57,6 +60,33 @@
             return
 
 
+class FaultyConnection(Protocol):
+    """A connection, or what stands for it, whose request has failed."""
+
+    keep_alive: bool
+    may_have_run: bool
+
+    async def send_head(
+        self, status: int, headers: http1.Headers, body: bytes | None = None
+    ) -> None:
+        """See http1.ServerConnection."""
+
+
+async def send_fault_response(connection: FaultyConnection) -> None:
+    """Answers a request whose handler failed."""
+    connection.keep_alive = False
+    kind = "unknown" if connection.may_have_run else "not-run"
+    headers = [
+        ("x-waxwing-outcome", kind),
+        ("x-waxwing-reason", INTERNAL_ERROR_REASON),
+    ]
+    body = f"{INTERNAL_ERROR_REASON}\n".encode()
+    try:
+        await connection.send_head(INTERNAL_ERROR_STATUS, headers, body)
+    except http1.HttpError:
+        log.debug("error response not sent: connection lost")
+
+
 async def send_error_response(
     connection: http1.ServerConnection, error: http1.HttpError
 ) -> None:
@@ -78,3 +108,19 @@
         await connection.send_head(error.status, headers, body)
     except http1.HttpError:
         log.debug("error response not sent: connection lost")
+
+
+def discard(connection: http1.ServerConnection, stream: tcp.TcpStream) -> None:
+    """Closes a connection and releases what it holds at once.
+
+    The tasks of many others may run before its own tasks end.
+    """
+    stream.discard()
+    connection.reader.discard()
+    cancel(connection)
+
+
+def cancel(connection: http1.ServerConnection) -> None:
+    """Cancels all work for a connection, which closes it."""
+    if connection.scope is not None:
+        connection.scope.cancel()
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -15,6 +15,7 @@
 
 from waxwingferry.connection import budget as budgets
 from waxwingferry.connection import closing
+from waxwingferry.connection import faults
 from waxwingferry.connection import http1
 from waxwingferry.connection import message
 from waxwingferry.connection import pipeline
@@ -90,7 +91,11 @@
         changed: Set when a request or a connection has ended.
         listening: Set once the server accepts connections.
         port: Port that the server listens on.
-        failures: Number of connections ended by an unexpected error.
+        failures: Number of unexpected errors.
+        handler_states_runs: Whether the handler sets may_have_run of its
+            connection. Otherwise any request that fails may have run.
+        on_fault: Called with each unexpected error. It ends one request, or a
+            connection if its answer had begun or the error is its own.
         on_unanswered: Called with each request that was read and whose
             connection ended without a complete response.
         on_rejected: Called with each invalid request that gets an error
@@ -121,8 +126,10 @@
         self.listening = anyio.Event()
         self.listener: tcp.Listener | None = None
         self.failures = 0
+        self.handler_states_runs = False
         self.on_unanswered: OnUnanswered = ignore_report
         self.on_rejected: OnRejected = ignore_report
+        self.on_fault: faults.OnFault = faults.log_fault
         self.port = 0
 
     async def serve(self, host: str, port: int) -> None:
@@ -176,7 +183,7 @@
             stream = connection.stream
             assert isinstance(stream, tcp.Stream)
             if stream.is_open_and_idle():
-                _cancel(connection)
+                closing.cancel(connection)
         await anyio.sleep(CLOSE_INTERVAL_S)
         if self.connections and not self.idle:
             self.changed = anyio.Event()
@@ -189,13 +196,17 @@
         if isinstance(stream, tcp.TcpStream) and stream.account is not None:
             account = stream.account
             connection.use_account(account)
-            account.close = functools.partial(_discard, connection, stream)
+            account.close = functools.partial(
+                closing.discard, connection, stream
+            )
         self.connections.add(connection)
         self.began.set()
         try:
             async with stream:
                 await self._serve_until_end(connection)
                 await closing.close_lingering(connection)
+        except Exception as error:
+            self._record_fault(error)
         finally:
             if account is not None:
                 account.budget.release(account)
@@ -210,14 +221,12 @@
                 await self.serve_requests(connection)
         except http1.HttpError as error:
             log.debug("connection ended", error=str(error))
-        except AssertionError:
-            # After a violated invariant the state of the process can't be
-            # trusted, so it stops. Peers see a new incarnation after the
-            # restart.
-            raise
-        except Exception:
-            self.failures += 1
-            log.exception("connection ended by an unexpected error")
+        except Exception as error:
+            self._record_fault(error)
+
+    def _record_fault(self, error: Exception) -> None:
+        self.failures += 1
+        self.on_fault(error)
 
     async def serve_requests(self, connection: http1.ServerConnection) -> None:
         """Handles the requests of one connection until it has to close."""
@@ -359,6 +368,7 @@
     ) -> None:
         self._begin(connection)
         connection.begin_call(head)
+        connection.may_have_run = not self.handler_states_runs
         try:
             await self.handler(connection, head)
         except http1.HttpError as error:
@@ -367,6 +377,13 @@
                 # without an end of message.
                 raise
             await self._reject(connection, head, error)
+        except Exception as error:
+            self._record_fault(error)
+            if connection.answer_started and not pipeline.discard_held(
+                connection
+            ):
+                raise http1.ConnectionLostError("answer failed") from error
+            await closing.send_fault_response(connection)
         finally:
             connection.end_call()
             self.active.discard(connection)
@@ -426,19 +443,22 @@
         while True:
             await self._wait_for_check()
             now_s = time.monotonic()
-            self._cancel_disconnected_or_stalled(now_s)
-            for connection in list(self.idle):
-                since_s = connection.idle_since_s
-                if since_s and now_s - since_s > self.limits.idle_s:
-                    _cancel(connection)
+            try:
+                self._cancel_overdue(now_s)
+            except Exception as error:
+                self._record_fault(error)
             if self.interim_interval_s is None:
                 continue
             if now_s - last_interim_s >= self.interim_interval_s:
                 last_interim_s = now_s
                 self._start_interim_responses(task_group, now_s)
 
-    def _cancel_disconnected_or_stalled(self, now_s: float) -> None:
-        """Cancels calls whose client disconnected or stopped reading."""
+    def _cancel_overdue(self, now_s: float) -> None:
+        """Closes idle connections and those whose client is gone or stalls."""
+        for connection in list(self.idle):
+            since_s = connection.idle_since_s
+            if since_s and now_s - since_s > self.limits.idle_s:
+                closing.cancel(connection)
         for connection in self.active:
             if now_s - connection.call_started_s < CALL_CHECK_DELAY_S:
                 continue
@@ -448,7 +468,7 @@
             if stalled or (
                 isinstance(stream, tcp.Stream) and stream.is_closed_by_peer()
             ):
-                _cancel(connection)
+                closing.cancel(connection)
 
     def _start_interim_responses(
         self, task_group: anyio.abc.TaskGroup, now_s: float
@@ -462,25 +482,12 @@
             task_group.start_soon(_send_processing, connection)
 
 
-def _discard(connection: http1.ServerConnection, stream: tcp.TcpStream) -> None:
-    """Closes a connection and releases what it holds at once.
-
-    The tasks of many others may run before its own tasks end.
-    """
-    stream.discard()
-    connection.reader.discard()
-    _cancel(connection)
-
-
-def _cancel(connection: http1.ServerConnection) -> None:
-    if connection.scope is not None:
-        connection.scope.cancel()
-
-
 async def _send_processing(connection: http1.ServerConnection) -> None:
     try:
         await connection.send_interim(102, "Processing")
     except http1.HttpError as error:
         log.debug("interim response not sent", error=str(error))
+    except Exception:
+        log.exception("interim response failed")
     finally:
         connection.sending_interim = False
--- a/src/waxwingferry/process/background.py
+++ b/src/waxwingferry/process/background.py
@@ -6,6 +6,7 @@
 import anyio
 import anyio.abc
 
+from waxwingferry.connection import faults
 from waxwingferry.connection import http1
 
 
@@ -14,9 +15,15 @@
 
 
 class Background:
-    """A task group with the lifetime of the process."""
+    """A task group with the lifetime of the process.
 
-    def __init__(self):
+    Args:
+        on_fault: Called with each unexpected error. It ends the task in which
+            it is raised, and no other.
+    """
+
+    def __init__(self, on_fault: faults.OnFault = faults.log_fault):
+        self.on_fault = on_fault
         self.group: anyio.abc.TaskGroup | None = None
         self.active_count = 0
         self.task_ended = anyio.Event()
@@ -43,6 +50,8 @@
     async def _run_task(self, function: Callable[..., Awaitable], args) -> None:
         try:
             await function(*args)
+        except Exception as error:
+            self.on_fault(error)
         finally:
             self.active_count -= 1
             self.task_ended.set()
--- a/src/waxwingferry/process/protection/permits.py
+++ b/src/waxwingferry/process/protection/permits.py
@@ -41,6 +41,7 @@
         depth: Depth of the call; more than 1 for a nested call.
         request_id: ID of the request for log lines.
         refusal: Reason of the refusal, or None.
+        error: The broken invariant that ended it, or None.
         member_queue: Queue of the attempt's member.
         reset_count: Resets of the limit before the dispatch.
         is_trial: Whether it is sent although the estimate is against it.
@@ -61,6 +62,7 @@
     request_id: str = ""
     state: State = State.QUEUED
     refusal: outcome.NotRun | None = None
+    error: Exception | None = None
     member_queue: "fairness.MemberQueue[Permit] | None" = None
     reset_count: int = 0
     is_trial: bool = False
@@ -75,6 +77,18 @@
         """Records when the answer's head came; excludes slow readers' time."""
         self.head_received_s = now_s
 
+    def fail(self, error: Exception) -> None:
+        """Ends an attempt that was not sent because an invariant is broken."""
+        self.state = State.ENDED
+        self.error = error
+        self.wake()
+
+    def get_result(self) -> "Permit | outcome.NotRun":
+        """Returns the permit, or its refusal; raises the error, if any."""
+        if self.error is not None:
+            raise self.error
+        return self.refusal or self
+
     def wake(self) -> None:
         """Wakes the task waiting for this permit."""
         if self.event is not None:
--- a/src/waxwingferry/process/protection/tests/test_admission.py
+++ b/src/waxwingferry/process/protection/tests/test_admission.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from waxwingferry import invariants
 from waxwingferry.process.protection import admission as admissions
 from waxwingferry.process.protection import limit as limits
 from waxwingferry.process.protection import stated_limit
@@ -446,3 +447,31 @@
         assert permit.deadline_s > permit.started_s
         admission.release(permit, Ending.NOT_SENT)
     assert admission.running == 0
+
+
+def test_broken_invariant_ends_only_its_attempt() -> None:
+    """Guards against a breach that ends the request which happens to find it.
+
+    Attempts are dispatched when another one is released or submitted. The
+    target is closed between the choice of an attempt and its dispatch here.
+    """
+    clock = FakeClock()
+    reasons: list[outcome.Reason | None] = []
+    admission = make_warm_admission(
+        1, clock, find_closed_reason=lambda: reasons.pop() if reasons else None
+    )
+    running = admission.submit("a", clock.now_s + 9)
+    broken = admission.submit("a", clock.now_s + 9)
+    waiting = admission.submit("a", clock.now_s + 9)
+    reasons += [outcome.Reason.LEAVING, None]
+    admission.release(running, Ending.ANSWERED)
+    with pytest.raises(invariants.BrokenInvariantError):
+        broken.get_result()
+    assert waiting.state is State.RUNNING
+    assert admission.in_flight == 1
+    admission.release(waiting, Ending.ANSWERED)
+    assert admission.in_flight == 0
+    assert not admission.queue
+    with pytest.raises(invariants.BrokenInvariantError):
+        admission.release(waiting, Ending.ANSWERED)
+    assert admission.in_flight == 0
--- a/src/waxwingferry/process/spreading/current_document.py
+++ b/src/waxwingferry/process/spreading/current_document.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 
+from waxwingferry import invariants
 from waxwingferry.version import revision
 
 Parse = Callable[[int, Any], revision.Revision]
@@ -13,7 +14,7 @@
 log = structlog.get_logger()
 
 
-class OlderRevisionError(AssertionError):
+class OlderRevisionError(invariants.BrokenPromiseError):
     """An older revision would replace a newer one."""
 
 
@@ -83,7 +84,8 @@
 
     def _activate(self, newer: revision.Revision) -> None:
         if newer.number <= self.highest:
-            raise OlderRevisionError(f"{newer.number} after {self.highest}")
+            detail = f"{newer.number} after {self.highest}"
+            raise OlderRevisionError("document_order", detail)
         self.highest = newer.number
         self.revision = newer
         self.loaded.set()
--- a/src/waxwingferry/request/answer_recorder.py
+++ b/src/waxwingferry/request/answer_recorder.py
@@ -26,6 +26,7 @@
         status: Status of the answer, 0 before its head is available.
         headers: Header fields of the answer.
         complete: Whether the end of the answer was recorded.
+        may_have_run: Whether an attempt has begun.
         abandoned: Whether forwarding has ended, or the caller disconnected.
     """
 
@@ -37,6 +38,8 @@
         self.complete = False
         self.abandoned = False
         self.answer_started = False
+        self.keep_alive = True
+        self.may_have_run = False
         self.full_body: bytes | None = None
         self.parts: list[bytes] = []
         self.size = 0
--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -89,7 +89,7 @@
         while (chunk := await answer.receive_chunk()) is not None:
             await connection.send_chunk(chunk)
     except outcome.AnswerCutError as error:
-        if _discard_held(connection):
+        if pipeline.discard_held(connection):
             return outcome.Unknown(error.reason)
         raise http1.ConnectionLostError(
             "answer truncated by the target"
@@ -132,12 +132,6 @@
     return parts, True
 
 
-def _discard_held(connection: http1.ServerConnection) -> bool:
-    return (
-        isinstance(connection, pipeline.Exchange) and connection.discard_held()
-    )
-
-
 def _has_requests_behind(connection: http1.ServerConnection) -> bool:
     return (
         isinstance(connection, pipeline.Exchange)
--- a/src/waxwingferry/request/attempt_runner.py
+++ b/src/waxwingferry/request/attempt_runner.py
@@ -128,9 +128,12 @@
                         answer = await _read_answer(result, pipe)
         except outcome.AnswerCutError as error:
             pipe.error = error
+        except Exception as error:
+            pipe.fail(record.dispatched)
+            self.tasks.on_fault(error)
         finally:
-            self.records.finish(record, answer, not_run)
             pipe.close_sender()
+            self.records.finish(record, answer, not_run)
 
 
 class _Pipe:
@@ -150,6 +153,18 @@
             self.result = outcome.Answer(result.head, self.receive_chunk)
         self.outcome_ready.set()
 
+    def fail(self, was_dispatched: bool) -> None:
+        """Ends the outcome, or the answer, that a fault has interrupted."""
+        self.error = outcome.AnswerCutError("the attempt failed")
+        if self.outcome_ready.is_set():
+            return
+        reason = outcome.Reason.INTERNAL_ERROR
+        self.result = (
+            outcome.Unknown(reason, 500)
+            if was_dispatched
+            else outcome.NotRun(reason, 500)
+        )
+
     async def receive_outcome(self) -> outcome.Outcome:
         await self.outcome_ready.wait()
         return self.result
--- a/src/waxwingferry/request/outcome.py
+++ b/src/waxwingferry/request/outcome.py
@@ -63,6 +63,8 @@
     # Too many targets have ended while they ran the same request.
     CRASHES_TARGETS = "crashes_targets"
     ANSWER_MISMATCH = "answer_mismatch"
+    # The program itself failed while it handled the request.
+    INTERNAL_ERROR = "internal_error"
 
 
 class AnswerCutError(Exception):
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -526,7 +526,11 @@
             # The target or the state of its domain may have changed during
             # the wait, and a slot granted before a reset is not valid at the
             # cold target.
-            refusal = self.check(attempt)
+            try:
+                refusal = self.check(attempt)
+            except BaseException:
+                self.admission.withdraw(permit)
+                raise
             if (
                 refusal is None
                 and permit.reset_count == self.admission.limit.reset_count
@@ -620,13 +624,9 @@
         return route.name if route else ""
 
     def _count_refusal(self, result: outcome.Outcome) -> None:
-        match result:
-            case outcome.NotRun():
-                kind = "not_run"
-            case outcome.Unknown():
-                kind = "unknown"
-            case _:
-                return
+        if isinstance(result, outcome.Answer):
+            return
+        kind = "not_run" if isinstance(result, outcome.NotRun) else "unknown"
         self.counters.receive_refusals.inc(
             {"kind": kind, "reason": result.reason.value}
         )
