Restart failed background tasks, and drain after a broken promise

Cause: an error in gossip, the lease, the watch or any other task of the node ended the process at once, with all requests in progress.

A broken promise requests the stop that a signal would request: the leave is announced, requests in progress are answered, and the exit code is 1. Joining is not restarted: nothing runs on the node then.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -37,6 +37,7 @@
 from waxwingferry.process.spreading import watch
 from waxwingferry.request import answering
 
+EXIT_FAILURE = 1
 EXIT_USAGE = 2
 READY_PATH = "/-/ready"
 STATUS_PATH = "/status"
@@ -186,9 +187,11 @@
 
     def make_internal_server(self, handler: serve.Handler) -> serve.Server:
         """Returns a server for the platform and the local target."""
-        return serve.Server(
+        server = serve.Server(
             handler, limits=self.options.limits, budget=self.internal_budget
         )
+        server.on_fault = self.breaches.record
+        return server
 
     def make_limit(self, slots: int) -> stated_limit.StatedLimit:
         """Returns the concurrency limit of the local target."""
@@ -405,18 +408,19 @@
                 (self.metrics_server, settings.host, metrics_port),
             ):
                 group.start_soon(server.serve, host, port)
+            supervise = self.breaches.supervise
             for task in (
                 *self.control_tasks,
-                self.watcher.run,
-                self.sampler.run,
-                self.load_queries.run,
-                self.rollouts.run,
-                self.run_periodic_checks,
+                supervise(self.watcher.run),
+                supervise(self.sampler.run),
+                supervise(self.load_queries.run),
+                supervise(self.rollouts.run),
+                supervise(self.run_periodic_checks),
             ):
                 group.start_soon(task)
             if self.usage_duty is not None:
-                group.start_soon(self.usage_duty.run)
-            group.start_soon(self.datagrams.run, self.gossip.receive)
+                group.start_soon(supervise(self.usage_duty.run))
+            group.start_soon(self.datagrams.run, self.receive_datagram)
             log.info("node started", node=settings.node)
             await self.stop_requested.wait()
             stop_requested_s = time.monotonic()
@@ -476,6 +480,8 @@
     logs.configure_logs()
     node = PlatformNode(settings)
     anyio.run(node.run)
+    if node.breaches.promise_broken:
+        sys.exit(EXIT_FAILURE)
 
 
 if __name__ == "__main__":
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -18,6 +18,7 @@
 from waxwingferry.connection import serve
 from waxwingferry.process import attempts
 from waxwingferry.process import background
+from waxwingferry.process import breaches
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
 from waxwingferry.process import target
@@ -126,6 +127,9 @@
         self.ready = False
         self.counters = metrics.Metrics()
         self.stop_requested = anyio.Event()
+        self.breaches = breaches.Breaches(
+            self.counters, lambda: self.stop_requested.set()
+        )
         self.configured = configured
         self._make_control_plane(client)
         self.receiver = receive.Receiver(
@@ -140,7 +144,7 @@
         self.receiver.on_leaving = self.announce
         # Set if usage is reported.
         self.usage: local.LocalUsage | None = None
-        self.tasks = background.Background()
+        self.tasks = background.Background(self.breaches.record)
         self.runner = attempt_runner.AttemptRunner(
             self.receiver, attempts.Attempts(), self.tasks, self.counters
         )
@@ -174,9 +178,12 @@
         )
         self.caller_server.on_unanswered = self.record_unanswered
         self.caller_server.on_rejected = self.record_rejected
+        self.caller_server.handler_states_runs = True
+        self.caller_server.on_fault = self.breaches.record
         self.peer_server = make_peer_server(
             self.handle_peer, options.limits, self.internal_budget
         )
+        self.peer_server.on_fault = self.breaches.record
 
     def _make_control_plane(self, client: peers.PeerClient) -> None:
         """Creates the components that distribute document and membership."""
@@ -376,17 +383,27 @@
     @property
     def control_tasks(self) -> tuple[Callable, ...]:
         """Tasks to start with the node; most run until it stops."""
-        return (
-            self.tasks.run,
-            self.join,
-            self.lease.run,
-            self.synchronizer.run_fetcher,
-            self.synchronizer.run_suspect_checks,
-            self.synchronizer.run_pause_detection,
-            self.gossip.run_digests,
-            self.gossip.run_dissemination,
-            self.crash_reports.run,
+        supervised = map(
+            self.breaches.supervise,
+            (
+                self.lease.run,
+                self.synchronizer.run_fetcher,
+                self.synchronizer.run_suspect_checks,
+                self.synchronizer.run_pause_detection,
+                self.gossip.run_digests,
+                self.gossip.run_dissemination,
+                self.crash_reports.run,
+            ),
         )
+        # A node that can't join ends; nothing runs on it yet.
+        return (self.tasks.run, self.join, *supervised)
+
+    def receive_datagram(self, data: bytes, address: gossip.Address) -> None:
+        """Handles a datagram; one that causes an error is dropped."""
+        try:
+            self.gossip.receive(data, address)
+        except Exception as error:
+            self.breaches.record(error)
 
     async def leave(self) -> None:
         """Announces the leave and gives other nodes time to receive it."""
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -84,6 +84,8 @@
             limits=self.options.limits,
             budget=self.internal_budget,
         )
+        self.local_server.handler_states_runs = True
+        self.local_server.on_fault = self.breaches.record
         self.admin = admin.Admin(
             options.node,
             self.members,
@@ -185,12 +187,15 @@
                 self.peer_server.serve, options.host, options.peer_port
             )
             group.start_soon(self._serve_admin)
-            group.start_soon(self.claims.result_writer.run)
-            group.start_soon(self.prober.run)
-            group.start_soon(self.synchronizer.run_table_reader)
+            for task in (
+                self.claims.result_writer.run,
+                self.prober.run,
+                self.synchronizer.run_table_reader,
+            ):
+                group.start_soon(self.breaches.supervise(task))
             for task in self.control_tasks:
                 group.start_soon(task)
-            group.start_soon(self.datagrams.run, self.gossip.receive)
+            group.start_soon(self.datagrams.run, self.receive_datagram)
             log.info("node started", node=options.node)
             await self.stop_requested.wait()
             await self.stop()
@@ -245,7 +250,8 @@
     """Runs one node with the platform at the configured URL.
 
     Returns:
-        The exit code, a failure if a newer process superseded this node.
+        The exit code, a failure if a newer process superseded this node or a
+        promise of the process may be untrue.
     """
     rng: random.Random = random.SystemRandom()
     if options.random_seed is not None:
@@ -256,7 +262,8 @@
         table = http_table.HttpTable(client)
         node = Node(options, table, rng, peers.PeerClient())
         await node.run()
-    return program.EXIT_FAILURE if node.lease.superseded else 0
+    failed = node.lease.superseded or node.breaches.promise_broken
+    return program.EXIT_FAILURE if failed else 0
 
 
 def _first_error(group: BaseExceptionGroup) -> BaseException:
