Read the clock once for a decision on admission or a retry

Cause: the parts of a decision each read the clock, up to 18 times for one admission. If the process is paused between two readings, the parts go by different times. The budget of retries checked its bound with a window that had moved on since the event was allowed, and the check ended the process.

Change: decision_clock.DecisionClock stands still during a decision that does not wait. Admission with its limit, rate limit and estimate, and the retry policy with its budgets, use it. RatioBudget.spend reads the time once.

--- a/src/waxwingferry/process/choice/budget.py
+++ b/src/waxwingferry/process/choice/budget.py
@@ -151,15 +151,20 @@
     def available(self, share: float = 1.0) -> bool:
         """Returns whether one more event stays within a share of the budget."""
         self._advance()
+        return self._has_room(share)
+
+    def _has_room(self, share: float) -> bool:
         allowed = self._allowed()
         limit = max(allowed * share, min(allowed, self.min_events))
         return self.total_events + 1 <= limit
 
     def spend(self, share: float = 1.0) -> bool:
         """Spends one event if that stays within a share of the budget."""
-        if not self.available(share):
+        # The calls that allow the event may leave the window meanwhile.
+        index = self._advance()
+        if not self._has_room(share):
             return False
-        self.events[self._advance()] += 1
+        self.events[index] += 1
         self.total_events += 1
         if self.total_events > self._allowed():
             detail = f"{self.total_events} of {self._allowed()}"
--- a/src/waxwingferry/process/choice/tests/test_budget.py
+++ b/src/waxwingferry/process/choice/tests/test_budget.py
@@ -1,5 +1,6 @@
 """Retry, token and probe budgets over random histories."""
 
+import math
 import random
 
 import pytest
@@ -142,3 +143,29 @@
     body = probe.encode_load("in_flight=3,queue=1,limit=6")
     assert probe.decode_load(body, 5.0) == load_stats.LoadReport(3, 1, 6, 5.0)
     assert probe.decode_load(b"[1]", 5.0) is None
+
+
+@pytest.mark.parametrize("readings", range(6))
+def test_retry_budget_holds_if_the_window_moves_between_readings(
+    readings: int,
+) -> None:
+    """Guards against a spent retry whose calls have left the window since.
+
+    The check of the bound ended the process if it was paused at that moment.
+    """
+    now_s = 100.0
+    left = math.inf
+
+    def read_clock() -> float:
+        nonlocal now_s, left
+        left -= 1
+        if left == 0:
+            now_s += 60.0
+        return now_s
+
+    ratio_budget = budget.RatioBudget(0.1, read_clock)
+    for _ in range(20):
+        ratio_budget.count_call()
+    left = readings
+    ratio_budget.spend()
+    assert ratio_budget.total_events <= 2
--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -8,6 +8,7 @@
 
 from waxwingferry import invariants
 from waxwingferry.process.protection import admission_defaults as defaults
+from waxwingferry.process.protection import decision_clock
 from waxwingferry.process.protection import dispatch_check
 from waxwingferry.process.protection import estimate as estimates
 from waxwingferry.process.protection import fairness
@@ -21,14 +22,6 @@
 
 # Waiting attempts check this often whether the target still accepts work.
 RECHECK_INTERVAL_S = 0.25
-# Refusals for lack of capacity; they count against a kind's served share.
-CAPACITY_REASONS = frozenset(
-    {
-        outcome.Reason.QUEUE_FULL,
-        outcome.Reason.DISPLACED,
-        outcome.Reason.DEADLINE_TOO_SHORT,
-    }
-)
 
 Ending = permits.Ending
 State = permits.State
@@ -52,7 +45,7 @@
         rule: Growth rule of the default limit.
         make_limit: Creates the limit for a number of slots. Defaults to a
             limit.Limit with the rule.
-        clock: Returns the monotonic time in seconds.
+        clock: Returns the monotonic time in seconds. A decision reads it once.
         find_slowness: Returns the target's present service time relative to
             normal, 1 if it is not known.
     """
@@ -73,11 +66,14 @@
         self.find_closed_reason = find_closed_reason
         self.on_reset = on_reset
         self.clock = clock
+        self.now = decision_clock.DecisionClock(clock)
         self.limit = (
             make_limit(slots)
             if make_limit
             else limits.Limit(slots, rule, clock)
         )
+        if self.limit.clock is clock:
+            self.limit.clock = self.now
         self.queue: fairness.FairQueue[Permit] = fairness.FairQueue(weight)
         self.running = 0
         self.abandoned_until_s: list[float] = []
@@ -85,11 +81,13 @@
         self.earliest_deadline_s = math.inf
         self.find_slowness = find_slowness
         self.checked_slowness = 1.0
-        self.estimate = estimates.Estimate(clock, find_slowness=find_slowness)
+        self.estimate = estimates.Estimate(
+            self.now, find_slowness=find_slowness
+        )
         self.order = waiting_order.WaitingOrder(
             self.queue, self.estimate, self.limit
         )
-        self.rate_limit = rate_limit.RateLimit(clock)
+        self.rate_limit = rate_limit.RateLimit(self.now)
 
     @property
     def in_flight(self) -> int:
@@ -107,7 +105,7 @@
     ) -> Permit | outcome.NotRun:
         """Waits for a free slot; returns a refusal if there is none in time."""
         # Deadlines use the boot clock, the queue uses the monotonic clock.
-        now_s = self.clock()
+        now_s = self.now()
         objective = urgency.objective
         permit = self.submit(
             member,
@@ -129,6 +127,7 @@
             raise
         return permit.get_result()
 
+    @decision_clock.decision
     def submit(
         self,
         member: str,
@@ -154,7 +153,7 @@
         permit = Permit(
             self.estimate.find_route_key(route),
             deadline_s,
-            self.clock(),
+            self.now(),
             min(objective_s, deadline_s),
             priority,
             depth,
@@ -182,19 +181,21 @@
         elif permit.state is State.RUNNING:
             self.release(permit, Ending.NOT_SENT)
 
+    @decision_clock.decision
     def release(self, permit: Permit, ending: Ending) -> None:
         """Frees the slot of an attempt and updates the limit and estimate."""
         invariants.require(permit.state is State.RUNNING, "permit_released")
         assert permit.member_queue is not None
         permit.state = State.ENDED
         self.running -= 1
-        used_s = self.clock() - permit.started_s
+        used_s = self.now() - permit.started_s
         unsent = ending in (Ending.NOT_SENT, Ending.SHED, Ending.REFUSED)
         cost_s = 0.0 if unsent else used_s
         self.queue.finish(permit.member_queue, permit.charged_s, cost_s)
         self._record_result(permit, ending, used_s)
         self.advance()
 
+    @decision_clock.decision
     def resize(self, slots: int) -> None:
         """Sets the number of slots; attempts in flight continue."""
         self.limit.resize(slots)
@@ -210,9 +211,10 @@
             self.rate_limit.record_statement(None)
         self.on_reset(cause)
 
+    @decision_clock.decision
     def advance(self) -> None:
         """Refuses expired attempts, then dispatches queued ones."""
-        now_s = self.clock()
+        now_s = self.now()
         if self.abandoned_until_s:
             self.abandoned_until_s = [
                 until_s for until_s in self.abandoned_until_s if until_s > now_s
@@ -224,21 +226,21 @@
         self.checked_slowness = slowness
         self._dispatch_queued()
 
+    @decision_clock.decision
     def find_wait_s(self, permit: Permit) -> float:
         """Returns how long a queued attempt can wait until advance()."""
         wake_times_s = [permit.deadline_s, *self.abandoned_until_s]
         dispatch_time_s = self.find_dispatch_time_s()
         if math.isfinite(dispatch_time_s):
             wake_times_s.append(dispatch_time_s)
-        return min(
-            max(min(wake_times_s) - self.clock(), 0.0), RECHECK_INTERVAL_S
-        )
+        return min(max(min(wake_times_s) - self.now(), 0.0), RECHECK_INTERVAL_S)
 
+    @decision_clock.decision
     def can_dispatch(self) -> bool:
         """Returns whether one more request can be sent to the target now."""
         if self.in_flight >= self.limit.value:
             return False
-        return self.find_dispatch_time_s() <= self.clock()
+        return self.find_dispatch_time_s() <= self.now()
 
     def estimate_capacity_per_s(self) -> float:
         """Returns how many requests per second the target can take now."""
@@ -261,11 +263,10 @@
             if not self.can_dispatch():
                 return
             cost_s = max(self.estimate.find_mean_s(), waiting_order.MIN_COST_S)
-            permit = self.order.choose(self.clock())
+            now_s = self.now()
+            permit = self.order.choose(now_s)
             assert permit.member_queue is not None
             self.queue.take(permit.member_queue, permit, cost_s)
-            # The deadline may pass between two readings of the clock.
-            now_s = self.clock()
             if self._will_miss_deadline(permit, now_s, 0.0, bool(self.queue)):
                 self.queue.finish(permit.member_queue, cost_s, 0.0)
                 self._refuse(permit, outcome.Reason.DEADLINE_TOO_SHORT)
@@ -323,7 +324,7 @@
         match ending:
             case Ending.ANSWERED:
                 self.estimate.record(permit.route, used_s, slowness)
-                head_received_s = permit.head_received_s or self.clock()
+                head_received_s = permit.head_received_s or self.now()
                 if self.limit.record_answer(
                     permit.reset_count,
                     head_received_s - permit.started_s,
@@ -335,12 +336,10 @@
                     self.on_reset(limits.ResetCause.SHED)
             case Ending.REFUSED | Ending.LOST:
                 if permit.reset_count == self.limit.reset_count:
-                    lost = ending is Ending.LOST
-                    self.reset(
-                        limits.ResetCause.LOST
-                        if lost
-                        else limits.ResetCause.REFUSED
-                    )
+                    cause = limits.ResetCause.REFUSED
+                    if ending is Ending.LOST:
+                        cause = limits.ResetCause.LOST
+                    self.reset(cause)
             case Ending.ABANDONED:
                 self._abandon(permit, used_s, slowness)
 
@@ -349,12 +348,12 @@
         delay_s = self.estimate.find_cancel_delay_s(
             permit.route, used_s, slowness
         )
-        self.abandoned_until_s.append(self.clock() + delay_s)
+        self.abandoned_until_s.append(self.now() + delay_s)
         self.estimate.record_abandoned(permit.route, used_s, slowness)
 
     def _find_refusal(self, permit: Permit) -> outcome.Reason | None:
         """Returns why a new attempt is refused; makes room for it if not."""
-        now_s = self.clock()
+        now_s = self.now()
         if self.can_dispatch() and not self.queue:
             will_miss = self._will_miss_deadline(permit, now_s, 0.0, False)
             return outcome.Reason.DEADLINE_TOO_SHORT if will_miss else None
@@ -445,7 +444,7 @@
     def _trim_queue(self) -> None:
         """Evicts attempts that a queue with fewer slots has no room for."""
         while len(self.queue) > precedence.QUEUE_PER_SLOT * self.limit.slots:
-            now_s = self.clock()
+            now_s = self.now()
             items = list(self.queue)
             ranks = self.order.make_ranks(items, now_s)
             evicted = self.order.choose_evicted(items, ranks, now_s)
@@ -476,7 +475,7 @@
         self, permit: Permit, reason: outcome.Reason, displaced_by: str = ""
     ) -> None:
         """Ends an attempt, with the facts of the decision for the log."""
-        now_s = self.clock()
+        now_s = self.now()
         (rank,) = self.order.make_ranks([permit], now_s)
         permit.state = State.ENDED
         permit.refusal = outcome.NotRun(
@@ -496,6 +495,10 @@
         # Attempts without time for their work say nothing about the capacity.
         # They are often repeats of a request that was refused before.
         had_time = permit.deadline_s - permit.submitted_s >= rank.work_s
-        if reason in CAPACITY_REASONS and permit.depth <= 1 and had_time:
+        if (
+            reason in permits.CAPACITY_REASONS
+            and permit.depth <= 1
+            and had_time
+        ):
             self.order.served.record(permit.priority, False)
         permit.wake()
--- a/src/waxwingferry/process/protection/permits.py
+++ b/src/waxwingferry/process/protection/permits.py
@@ -8,6 +8,15 @@
 from waxwingferry.process.protection import fairness
 from waxwingferry.request import outcome
 
+# Refusals for lack of capacity; they count against a kind's served share.
+CAPACITY_REASONS = frozenset(
+    {
+        outcome.Reason.QUEUE_FULL,
+        outcome.Reason.DISPLACED,
+        outcome.Reason.DEADLINE_TOO_SHORT,
+    }
+)
+
 
 class Ending(enum.Enum):
     """Result of a dispatched attempt."""
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -255,7 +255,7 @@
         """Returns the slowness in a recent load report, 1 without one."""
         if self.sample is None or self.admission is None:
             return 1.0
-        age_s = self.admission.clock() - self.sampled_s
+        age_s = self.admission.now() - self.sampled_s
         if age_s > MAX_SLOWNESS_AGE_S:
             return 1.0
         return max(self.sample.slowness, 1.0)
--- a/src/waxwingferry/request/retry.py
+++ b/src/waxwingferry/request/retry.py
@@ -6,6 +6,7 @@
 
 from waxwingferry.process.choice import budget
 from waxwingferry.process.choice import routing
+from waxwingferry.process.protection import decision_clock
 from waxwingferry.request import calls
 from waxwingferry.request import outcome
 
@@ -175,7 +176,7 @@
     ):
         self.ratio = ratio
         self.slack = slack
-        self.clock = clock
+        self.now = decision_clock.DecisionClock(clock)
         self.services: dict[str, budget.RatioBudget] = {}
         self.members: dict[tuple[str, str], budget.RatioBudget] = {}
 
@@ -194,10 +195,10 @@
             # limited; further members of a service share one.
             name = (call.service, "")
         if call.service not in self.services:
-            self.services[call.service] = budget.RatioBudget(ratio, self.clock)
+            self.services[call.service] = budget.RatioBudget(ratio, self.now)
         if name not in self.members:
             self.members[name] = budget.RatioBudget(
-                ratio, self.clock, min_events=1.0
+                ratio, self.now, min_events=1.0
             )
         budgets = [self.services[call.service], self.members[name]]
         for retry_budget in budgets:
@@ -240,6 +241,7 @@
             return Denial.NO_TIME
         return None
 
+    @decision_clock.decision
     def spend(
         self,
         call: calls.Call,
