Use a target that restarts after its clock was set back

Cause: incarnations of a target are ordered by their start time. A target whose clock went back before its restart has an earlier one than the incarnation before it. Its heartbeats were confirmed and ignored, and so was its leave: it got requests until it ended. A deregistration took effect only for the incarnation that was there before.

Change: a heartbeat with an earlier start, of an incarnation that the node has not seen replaced, is not confirmed at first. A target that runs repeats it; if it still does 1.2 s later, and the present incarnation sent nothing in between, it takes the place of the present one. An incarnation displaced like this comes back only in the same way, so neither of two can be shut out for good. Health reports don't state a start, and closed connections don't show an end, as targets close idle ones. A deregistration is not confirmed while it is open which incarnation of the ID runs.

--- a/src/waxwingferry/process/protection/registration.py
+++ b/src/waxwingferry/process/protection/registration.py
@@ -1,8 +1,8 @@
 """Registration of the local target: heartbeats, incarnations, draining.
 
 Each start of a target is a new incarnation. Heartbeats that arrive late, even
-from an earlier incarnation, are ignored. An incarnation whose draining was
-confirmed never takes work again: the state is stored in this node's row of the
+from an earlier incarnation, are ignored; see succession. An incarnation whose
+draining was confirmed never takes work again: the state is stored in this node's row of the
 table, where a later process of the node finds it. While the table is
 unavailable, another node that knows the row takes its place.
 """
@@ -17,6 +17,7 @@
 
 from waxwingferry.process import target
 from waxwingferry.process.protection import stated_limit
+from waxwingferry.process.protection import succession
 from waxwingferry.process.spreading import lease
 from waxwingferry.process.spreading import members
 from waxwingferry.request import receive
@@ -88,6 +89,7 @@
         self.is_row_known = is_row_known
         self.clock = clock
         self.latest: Heartbeat | None = None
+        self.succession = succession.Succession()
         self.is_loaded: Callable[[], bool] = lambda: True
         self.draining_since_s: dict[str, float] = {}
         self.early_deregistrations: dict[str, float] = {}
@@ -115,6 +117,7 @@
             "draining" if row.state == "draining" else "ready",
         )
         self.latest = Heartbeat(target_id, started_ms, -1, 0.0, announcement)
+        self.succession.set_current(self.latest)
         announcement = self._apply_draining(target_id, announcement)
         log.info(
             "target restored from earlier process",
@@ -137,14 +140,28 @@
 
     async def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Handles a heartbeat; returns whether it is confirmed."""
-        if self._is_outdated(heartbeat):
+        earlier = self.latest
+        verdict = self.succession.judge(heartbeat, self.clock())
+        if verdict is not succession.Verdict.CURRENT:
             log.info(
-                "outdated heartbeat ignored",
+                "outdated heartbeat ignored"
+                if verdict is succession.Verdict.OUTDATED
+                else "heartbeat with an earlier start",
                 target=heartbeat.target_id,
                 born_ms=heartbeat.started_ms,
                 sequence=heartbeat.sequence,
             )
-            return True
+            return verdict is succession.Verdict.OUTDATED
+        if earlier is not None and heartbeat.started_ms < earlier.started_ms:
+            self.receiver.counters.events.inc(
+                {"event": "target_clock_set_back"}
+            )
+            log.warning(
+                "target restarted with an earlier start time",
+                target=heartbeat.target_id,
+                born_ms=heartbeat.started_ms,
+                earlier_born_ms=earlier.started_ms,
+            )
         self.latest = heartbeat
         announcement = self._apply_draining(
             heartbeat.target_id, heartbeat.announcement
@@ -152,16 +169,6 @@
         self._apply(announcement, heartbeat.warmup_left_s)
         return await self._confirm_draining(announcement.incarnation)
 
-    def _is_outdated(self, heartbeat: Heartbeat) -> bool:
-        latest = self.latest
-        if latest is None:
-            return False
-        if heartbeat.started_ms != latest.started_ms:
-            return heartbeat.started_ms < latest.started_ms
-        if heartbeat.target_id != latest.target_id:
-            return False
-        return heartbeat.sequence <= latest.sequence
-
     def _apply_draining(
         self, target_id: str, announcement: target.Announcement
     ) -> target.Announcement:
@@ -218,12 +225,20 @@
             if self.clock() - received_s <= CONFIRM_UNWRITTEN_S:
                 return False
             return self.is_loaded() and not self._is_predecessor(target_id)
+        claimant = self.succession.find_claimant(self.clock())
+        if claimant is not None and claimant.key[0] == target_id:
+            # It takes effect for the incarnation that turns out to run.
+            self.draining_since_s.setdefault(
+                target.format_incarnation(*claimant.key), self.clock()
+            )
         if latest.target_id != target_id:
-            return True
+            return claimant is None or claimant.key[0] != target_id
         incarnation = latest.announcement.incarnation
         self.draining_since_s.setdefault(incarnation, self.clock())
         self._apply(self._apply_draining(target_id, latest.announcement), 0.0)
-        return await self._confirm_draining(incarnation)
+        confirmed = await self._confirm_draining(incarnation)
+        # Only the incarnation that is current is stored as draining.
+        return confirmed and (claimant is None or claimant.key[0] != target_id)
 
     def _is_predecessor(self, target_id: str) -> bool:
         """Returns whether an earlier process of this node had the target."""
