Order the reads of stored decisions on version rollouts

Cause: several tasks of a node read all decisions. The response to an earlier read may come after that to a later one, and then replaced the versions of the rows and the decisions that count as stored by older ones. A write was then made on an old condition, and a stored decision counted as lost by a restore.

Change: version/stored_decisions.py keeps the decisions and the versions of their rows as one value. Reads are ordered by when they began, which the linearizable responses of the store make sufficient. A conflict shows a newer version than all reads that had begun. Also wraps a docstring of registration.

--- a/src/waxwingferry/process/protection/registration.py
+++ b/src/waxwingferry/process/protection/registration.py
@@ -2,9 +2,9 @@
 
 Each start of a target is a new incarnation. Heartbeats that arrive late, even
 from an earlier incarnation, are ignored; see succession. An incarnation whose
-draining was confirmed never takes work again: the state is stored in this node's row of the
-table, where a later process of the node finds it. While the table is
-unavailable, another node that knows the row takes its place.
+draining was confirmed never takes work again: the state is stored in this
+node's row of the table, where a later process of the node finds it. While the
+table is unavailable, another node that knows the row takes its place.
 """
 
 from collections.abc import Awaitable
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -25,6 +25,7 @@
 from waxwingferry.version import judgement
 from waxwingferry.version import messages
 from waxwingferry.version import revision
+from waxwingferry.version import stored_decisions
 
 # Share of the allowed exposure that is used before the decision. The rest
 # covers requests that are in flight when the version is found bad.
@@ -166,8 +167,7 @@
         # Whether the decisions were read after the newest restore of the store,
         # when other nodes had the time to write lost ones again.
         self.decisions_current = True
-        self.row_versions: dict[str, int] = {}
-        self.stored_decisions: dict[str, messages.Decision] = {}
+        self.stored = stored_decisions.StoredDecisions(decision_store)
         self.own_counts: dict[str, messages.TargetCounts] = {}
         # Sums of the counts that were pushed last.
         self.pushed: dict[str, int] = {}
@@ -410,9 +410,7 @@
 
     async def load_decisions(self) -> None:
         """Loads all decisions from the store; raises PlatformError."""
-        found = await self.decision_store.read_all()
-        self.row_versions = {item.service: version for item, version in found}
-        self.stored_decisions = {item.service: item for item, _ in found}
+        found = await self.stored.read()
         is_outdated = False
         for decision, version in found:
             if self._is_order_outdated(decision.service, version):
@@ -486,7 +484,7 @@
                     state=decision.state.value,
                 )
                 await self.decision_store.write(
-                    decision, self.row_versions.get(decision.service, 0)
+                    decision, self.stored.versions.get(decision.service, 0)
                 )
         except (platform.PlatformError, platform.ConflictError) as error:
             # The next attempt reads again what the store has.
@@ -499,14 +497,14 @@
         in_force = self.get_revision()
         return in_force is None or any(
             self._is_order_outdated(service, version)
-            for service, version in self.row_versions.items()
+            for service, version in self.stored.versions.items()
         )
 
     def _find_lost_decisions(self) -> list[messages.Decision]:
         lost = []
         for service, decision in self.decisions.items():
             progress = self._find_progress(service)
-            stored = self.stored_decisions.get(service)
+            stored = self.stored.find(service)
             if progress is None:
                 is_lost = stored is None
             elif self._is_decided(progress):
@@ -675,13 +673,12 @@
             ):
                 log.info("decision withdrawn", service=decision.service)
                 return
-            expected = self.row_versions.get(decision.service, 0)
+            expected = self.stored.versions.get(decision.service, 0)
             await self.decision_store.write(decision, expected)
         except platform.ConflictError as error:
             log.info("another decision came first", error=str(error))
-            self.row_versions[decision.service] = (
-                error.row.version if error.row else 0
-            )
+            version = error.row.version if error.row else 0
+            self.stored.record_conflict(decision.service, version)
             await self._try_load_decisions()
             return
         except platform.PlatformError as error:
