Let rows read from several pages stand for one version

Cause: the store gives out tables in pages, and a table may change between two of them. The operator's document could be made of rows of two versions: it had the number of the newest change without the one before, and as the number was taken, the changes that followed could not correct it until the next one. Member rows are read after the newest version that was read; a row of an earlier page that had changed in between was skipped by all later reads until its renewal.

It costs one request more if the store changed while several pages were read. Rows of the document and their version are one immutable value. The version of a member row in the table does not go back.

--- a/src/waxwingferry/platform/decisions.py
+++ b/src/waxwingferry/platform/decisions.py
@@ -3,6 +3,7 @@
 import structlog
 
 from waxwingferry.platform import parsing
+from waxwingferry.platform import reported_rows
 from waxwingferry.platform import store
 from waxwingferry.process import platform
 from waxwingferry.version import messages
@@ -25,7 +26,7 @@
 
     def __init__(self, table: store.StoreTable):
         self.table = table
-        self.malformed_rows = store.ReportedRows()
+        self.malformed_rows = reported_rows.ReportedRows()
 
     async def read_all(self) -> list[tuple[messages.Decision, int]]:
         """See version.rollout.DecisionStore."""
--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import dataclasses
 import math
 import re
 import time
@@ -40,6 +41,23 @@
 log = structlog.get_logger()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class TableState:
+    """Rows of the operator's table and the version that they stand for.
+
+    Both are replaced together, and never by an older state. The version of the
+    store orders states: it rises with each write, also over a restore.
+
+    Attributes:
+        rows: Values and versions of the rows by key; never changed in place.
+        version: Newest version of the store that was read, None before the
+            first read.
+    """
+
+    rows: dict[str, Any]
+    version: int | None = None
+
+
 class OperatorDocument(current_document.CurrentDocument):
     """Document in the operator's table, read in full once and then by changes.
 
@@ -72,11 +90,9 @@
         self.is_prober: Callable[[], bool] = lambda: False
         self.on_silent: Callable[[], None] = lambda: None
         self.silence_found_s = -math.inf
-        self.rows: dict[str, Any] = {}
+        self.state = TableState({})
         self.routes = RouteCache()
         self.reading = anyio.Lock()
-        # Newest version of the store that was read, None before the first read.
-        self.version: int | None = None
         # Whether a poll failed since the last successful one.
         self.poll_failed = False
         # Made with the first poll, because it needs a running event loop.
@@ -86,13 +102,23 @@
         # Whether an interrupted poll is followed by a read of the whole table.
         self.must_read = False
 
+    @property
+    def rows(self) -> dict[str, Any]:
+        """Rows of the newest state that was read."""
+        return self.state.rows
+
+    @property
+    def version(self) -> int | None:
+        """Version of the newest state that was read, or None."""
+        return self.state.version
+
     async def read(self) -> bool:
         """See process.current_document.CurrentDocument."""
         async with self.reading:
             return await self._read()
 
     async def _read(self) -> bool:
-        rows, version = await self.table.read_table(TABLE)
+        rows, version = await self.table.read_snapshot(TABLE)
         return self._replace_rows(rows, version)
 
     def interrupt_poll(self) -> None:
@@ -157,10 +183,10 @@
         if self.version is not None and version < self.version:
             log.info("read of the table was overtaken", version=version)
             return False
-        self.rows = {
+        content = {
             row.key: _make_content(row) for row in rows if row.value is not None
         }
-        self.version = version
+        self.state = TableState(content, version)
         number = max((row.version for row in rows), default=0)
         current = self.revision
         if current is not None and current.content != self.rows:
@@ -255,12 +281,13 @@
         version = max([version, *(row.version for row in rows)])
         if self.version is not None and version <= self.version:
             return False
+        content = dict(self.rows)
         for row in rows:
             if row.value is None:
-                self.rows.pop(row.key, None)
+                content.pop(row.key, None)
             else:
-                self.rows[row.key] = _make_content(row)
-        self.version = version
+                content[row.key] = _make_content(row)
+        self.state = TableState(content, version)
         if rows:
             self._apply_rows(max(row.version for row in rows))
         return bool(rows)
@@ -268,7 +295,7 @@
     def _apply_rows(self, version: int) -> bool:
         if CONFIG_KEY not in self.rows:
             return False
-        return self.apply_if_newer(version, dict(self.rows))
+        return self.apply_if_newer(version, self.rows)
 
     def _parse(self, number: int, content: Any) -> revision.Revision:
         try:
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -16,6 +16,7 @@
 from waxwingferry import decoding
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
+from waxwingferry.platform import reported_rows
 from waxwingferry.process import platform
 
 REQUEST_TIMEOUT_S = 1.5
@@ -26,7 +27,6 @@
 ERA_HEADER = "store-era"
 FIRST_ERA = 1
 _ERA = re.compile(r"[0-9]{1,9}")
-MAX_REPORTED_ROWS = 1000
 
 log = structlog.get_logger()
 
@@ -67,27 +67,6 @@
     has_more: bool = False
 
 
-class ReportedRows:
-    """Rows that were reported, so that each version is reported once.
-
-    Only the latest MAX_REPORTED_ROWS are remembered.
-
-    Attributes:
-        versions: Reported versions by key, the latest last.
-    """
-
-    def __init__(self):
-        self.versions: dict[str, int] = {}
-
-    def add(self, key: str, version: int) -> bool:
-        """Adds a row; returns whether this version was not reported yet."""
-        is_new = self.versions.pop(key, None) != version
-        self.versions[key] = version
-        while len(self.versions) > MAX_REPORTED_ROWS:
-            del self.versions[next(iter(self.versions))]
-        return is_new
-
-
 class StoreTable:
     """See process.platform.Table.
 
@@ -124,7 +103,7 @@
         self.unstated_restores = 0
         self.newest_version = 0
         self.on_malformed: Callable[[], None] = lambda: None
-        self.malformed_rows = ReportedRows()
+        self.malformed_rows = reported_rows.ReportedRows()
         self.malformed_era = ""
 
     @property
@@ -156,7 +135,7 @@
     ) -> list[platform.Row]:
         """See process.platform.Table."""
         table, start = _split_key(prefix)
-        rows, _ = await self.read_table(table, start)
+        rows, _ = await self.read_snapshot(table, start)
         return [
             row
             for row in rows
@@ -251,12 +230,38 @@
                 # Pages from before and after a restore don't belong together.
                 rows, version, next_key = [], 0, start
                 continue
-            version = version or self._record_version(page)
+            page_version = self._record_version(page)
+            version = version or page_version
             rows += self._convert_rows(page.rows)
             if not page.has_more or not page.rows:
                 return rows, version
             next_key = page.rows[-1].key + "\x00"
 
+    async def read_snapshot(
+        self, table: str, start: str = ""
+    ) -> tuple[list[platform.Row], int]:
+        """Returns rows of a table and the version that they stand for.
+
+        The table may change between two pages. The changes since the first one
+        complete the rows.
+
+        Args:
+            table: Name of the table.
+            start: First key to read.
+        """
+        rows, version = await (
+            self.read_table(table, start) if start else self.read_table(table)
+        )
+        newest = platform.make_version(self.restores, self.newest_version)
+        if len(rows) == 0 or newest <= version:
+            return rows, version
+        changes, version = await self.read_changes(table, version, 0.0)
+        found = {row.key: row for row in rows}
+        for row in changes:
+            if row.key >= f"{table}/{start}":
+                found[row.key] = row
+        return [row for row in found.values() if not _is_deleted(row)], version
+
     async def read_changes(
         self,
         table: str,
@@ -434,6 +439,10 @@
         return platform.get_era(version) != self.restores
 
 
+def _is_deleted(row: platform.Row) -> bool:
+    return row.value is None and not row.malformed
+
+
 def _split_key(key: str) -> tuple[str, str]:
     table, _, name = key.partition("/")
     return table, name
--- a/src/waxwingferry/platform/tests/test_store.py
+++ b/src/waxwingferry/platform/tests/test_store.py
@@ -4,6 +4,7 @@
 import pytest
 import structlog.testing
 
+from waxwingferry.platform import reported_rows
 from waxwingferry.platform import store
 from waxwingferry.platform.tests import fake_store
 from waxwingferry.process import platform
@@ -360,12 +361,12 @@
 
 def test_reported_rows_are_bounded() -> None:
     """Guards against memory that grows with the number of odd rows."""
-    reported = store.ReportedRows()
-    for number in range(store.MAX_REPORTED_ROWS + 5):
+    reported = reported_rows.ReportedRows()
+    for number in range(reported_rows.MAX_REPORTED_ROWS + 5):
         assert reported.add(f"members/n{number}", 1)
-    assert len(reported.versions) == store.MAX_REPORTED_ROWS
-    assert not reported.add(f"members/n{store.MAX_REPORTED_ROWS}", 1)
-    assert reported.add(f"members/n{store.MAX_REPORTED_ROWS}", 2)
+    assert len(reported.versions) == reported_rows.MAX_REPORTED_ROWS
+    assert not reported.add(f"members/n{reported_rows.MAX_REPORTED_ROWS}", 1)
+    assert reported.add(f"members/n{reported_rows.MAX_REPORTED_ROWS}", 2)
 
 
 async def test_a_request_after_a_timeout_uses_a_new_connection():
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -346,7 +346,7 @@
         self.apply(row, forward)
         record = self.records.get(row.node)
         if record is not None and record.row.incarnation == row.incarnation:
-            record.version = version
+            record.version = max(version, record.version)
             self.record_renewal(row.node)
 
     def record_renewal(self, node: str) -> None:
