Bound the drain after a broken promise

Cause: a stop waits for requests in progress, and long answers take any time. A process that may break a promise should not go on for that long.

Change: it ends 30 s after the breach if the drain is not over.

--- a/src/waxwingferry/process/breaches.py
+++ b/src/waxwingferry/process/breaches.py
@@ -22,6 +22,9 @@
 RESTART_DELAY_S = 1.0
 # Tracebacks are long, and an error may recur with each request.
 TRACEBACK_INTERVAL_S = 10.0
+# Time for the requests in progress after a broken promise. Long answers would
+# otherwise keep the process for any time.
+DRAIN_LIMIT_S = 30.0
 MAX_DETAIL_LENGTH = 200
 
 log = structlog.get_logger()
@@ -49,6 +52,7 @@
         self.request_stop = request_stop
         self.clock = clock
         self.promise_broken = False
+        self.promise_breach = anyio.Event()
         self.traced_s: dict[str, float] = {}
 
     def record(self, error: BaseException) -> None:
@@ -69,6 +73,7 @@
             if breaks_promise and not self.promise_broken:
                 self.promise_broken = True
                 try:
+                    self.promise_breach.set()
                     self.request_stop()
                 except Exception as failure:
                     _log_failure(failure)
@@ -92,6 +97,18 @@
             exc_info=error if is_due else None,
         )
 
+    async def limit_drain(
+        self, sleep: Callable[[float], Awaitable[None]] = anyio.sleep
+    ) -> None:
+        """Ends the process if it does not stop soon after a broken promise.
+
+        Raises:
+            invariants.BrokenPromiseError: The time is over.
+        """
+        await self.promise_breach.wait()
+        await sleep(DRAIN_LIMIT_S)
+        raise invariants.BrokenPromiseError("drain_limit")
+
     def supervise(
         self,
         task: Callable[[], Awaitable[None]],
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -396,7 +396,8 @@
             ),
         )
         # A node that can't join ends; nothing runs on it yet.
-        return (self.tasks.run, self.join, *supervised)
+        limit_drain = self.breaches.limit_drain
+        return (self.tasks.run, self.join, limit_drain, *supervised)
 
     def receive_datagram(self, data: bytes, address: gossip.Address) -> None:
         """Handles a datagram; one that causes an error is dropped."""
--- a/src/waxwingferry/process/tests/test_breaches.py
+++ b/src/waxwingferry/process/tests/test_breaches.py
@@ -106,6 +106,20 @@
     assert harness.stops == stops
 
 
+async def test_drain_after_a_broken_promise_is_bounded() -> None:
+    """Guards against a process that long answers keep after such a breach."""
+    harness = Harness()
+    delays_s = []
+
+    async def sleep(delay_s: float) -> None:
+        delays_s.append(delay_s)
+
+    harness.breaches.record(make_error(invariants.BrokenPromiseError))
+    with pytest.raises(invariants.BrokenPromiseError):
+        await harness.breaches.limit_drain(sleep)
+    assert delays_s == [breaches.DRAIN_LIMIT_S]
+
+
 async def test_node_drains_after_a_broken_promise() -> None:
     """Guards against requests that are cut off by a fault of another one.
 
