Start no requests behind an answer that may be long and cut

Cause: an answer above 64 KiB is sent before it is known to be whole.

Change: the entry remembers for each route whether it had a long answer in the last 600 s. Behind an answer of such a route, or of a route without an answer so far, the requests of the connection wait until it has been sent completely. Holding back the long answer instead would need memory without bound, and running the requests behind it twice would not give them an answer either. What remains is the first long answer of a route that had short ones; all requests behind it may be sent again.

--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -49,6 +49,7 @@
         head: Head of the current request.
         request_ended: Whether the request was received completely.
         answer_started: Whether sending of the final response has begun.
+        answer_bytes: Bytes of the body of the final response sent so far.
         keep_alive: Whether another request may follow.
         scope: Cancels all work on the connection.
         idle_since_s: Monotonic time when waiting for a request began, or 0.
@@ -78,6 +79,7 @@
         self.head: RequestHead | None = None
         self.request_ended = True
         self.answer_started = False
+        self.answer_bytes = 0
         self.chunked = False
         self.keep_alive = True
         self.continue_pending = False
@@ -205,6 +207,7 @@
         sent with chunked coding, which HTTP/1.0 clients don't support.
         """
         self.answer_started = True
+        self.answer_bytes = len(body or b"")
         headers = end_to_end_headers(headers)
         if status == 204:
             # RFC 9110, section 8.6: no Content-Length in a 204 response.
@@ -260,6 +263,7 @@
 
     async def send_chunk(self, chunk: bytes) -> None:
         """Sends a part of the body; waits while the client reads slowly."""
+        self.answer_bytes += len(chunk)
         if self.chunked:
             chunk = message.encode_chunk(chunk)
         await self._write(chunk)
--- a/src/waxwingferry/connection/pipeline.py
+++ b/src/waxwingferry/connection/pipeline.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 
 import anyio
 
@@ -168,7 +169,7 @@
                 await self.pending[0].take_turn()
             self.pending.popleft()
             self.connection.answer_started = True
-            self._notify()
+            self.notify()
             if self.pending:
                 await self.pending[0].take_turn()
         self.advancing = False
@@ -186,16 +187,24 @@
         while len(self.pending) >= MAX_OVERLAPPING:
             await self._changed.wait()
 
-    async def wait_for_response_in_progress(self) -> None:
-        """Returns once no response has been sent in part.
+    async def wait_for_whole_responses(
+        self, may_be_long: Callable[[message.RequestHead], bool]
+    ) -> None:
+        """Returns once no response can take further requests along.
 
-        If its rest is lost, the connection ends, and requests that were
-        started behind it get no response.
+        If the rest of a response that was sent in part is lost, the connection
+        ends, and requests that were started behind it get no response.
+
+        Args:
+            may_be_long: Tells whether the response to a request may be sent
+                before it is known to be whole.
         """
-        while (
-            self.pending
-            and self.pending[0].answer_started
-            and not self.pending[0].finished
+        while self.pending and (
+            (self.pending[0].answer_started and not self.pending[0].finished)
+            or any(
+                not exchange.finished and may_be_long(exchange.request)
+                for exchange in self.pending
+            )
         ):
             await self._changed.wait()
 
@@ -209,6 +218,7 @@
         requests = [exchange.request for exchange in self.pending]
         return [self.exclusive, *requests] if self.exclusive else requests
 
-    def _notify(self) -> None:
+    def notify(self) -> None:
+        """Wakes the tasks that wait for a change."""
         self._changed.set()
         self._changed = anyio.Event()
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -77,6 +77,8 @@
         limits: Limits on one client.
         may_overlap: Tells whether a request may run beside others of its
             connection; by default each waits for the response before it.
+        may_be_long: Tells whether the response to such a request may be sent
+            before it is known to be whole. Requests behind it wait then.
         budget: Memory and number of the connections, or None for no bound.
         listens_while_draining: Whether connections are accepted until all
             requests have ended, for clients that would take a refused
@@ -105,7 +107,9 @@
         may_overlap: Callable[[http1.RequestHead], bool] | None = None,
         listens_while_draining: bool = False,
         budget: budgets.Budget | None = None,
+        may_be_long: Callable[[http1.RequestHead], bool] = lambda head: False,
     ):
+        self.may_be_long = may_be_long
         self.handler = handler
         self.budget = budget
         self.may_overlap = may_overlap
@@ -278,7 +282,7 @@
                 await requests.wait_until_empty()
                 await closing.send_error_response(connection, refusal)
                 return
-            await requests.wait_for_response_in_progress()
+            await requests.wait_for_whole_responses(self.may_be_long)
             if requests.closing or (self.stopping and requests.pending):
                 # The client sends a request again that was sent behind a
                 # closing response.
@@ -337,6 +341,7 @@
         try:
             await self._serve_call(exchange, exchange.request)
             exchange.finished = True
+            requests.notify()
             if requests.pending[0] is exchange and not requests.advancing:
                 await self._send_due_responses(requests)
         except Exception as error:
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -169,7 +169,8 @@
         self.caller_server = serve.Server(
             self.entry.handle,
             limits=options.limits,
-            may_overlap=self.entry.may_overlap,
+            may_overlap=self.entry.overlaps.may_overlap,
+            may_be_long=self.entry.overlaps.may_be_long,
             budget=self.client_budget,
         )
         self.caller_server.on_unanswered = self.record_unanswered
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -28,6 +28,7 @@
 from waxwingferry.request import forward
 from waxwingferry.request import keys
 from waxwingferry.request import outcome
+from waxwingferry.request import overlapping
 from waxwingferry.request import retry
 from waxwingferry.request import running
 from waxwingferry.version import revision as revisions
@@ -112,6 +113,7 @@
         self.stop_deadline: calls.Deadline | None = None
         self.draining = False
         self.caller_ages = caller_age.CallerAges()
+        self.overlaps = overlapping.Overlaps(revision)
         self.max_in_flight = max_in_flight
         self.in_flight = 0
         self.retry_policy = retry.RetryPolicy(
@@ -172,19 +174,6 @@
             self.in_flight -= 1
             assert 0 <= self.in_flight <= self.max_in_flight
 
-    def may_overlap(self, head: http1.RequestHead) -> bool:
-        """Tells whether a request may run beside others of its connection.
-
-        A request that must not be repeated waits for its turn: if the
-        connection closes before that, its client knows that it has not run.
-        """
-        revision = self.revision()
-        if revision is None or head.has_body or head.version != "1.1":
-            return False
-        host = http1.find_header(head.headers, "host")
-        route = revision.match_route(head.method, head.target, host)
-        return route is not None and route.idempotent
-
     def _has_capacity(self, depth: int) -> bool:
         share = 1.0 if depth else EXTERNAL_SHARE
         return self.in_flight < self.max_in_flight * share
@@ -346,7 +335,7 @@
             history.record_choice(candidate.stats.load, self.router.clock())
             async with self._execute(candidate, attempt) as result:
                 if isinstance(result, outcome.Answer):
-                    cut = await self._relay(connection, result, attempt)
+                    cut = await self._relay(connection, call, result, attempt)
                     if cut is None:
                         self._log_answer(call, candidate, history, result)
                         return
@@ -371,12 +360,18 @@
     async def _relay(
         self,
         connection: http1.ServerConnection,
+        call: calls.Call,
         answer: outcome.Answer,
         attempt: calls.Attempt,
     ) -> outcome.Unknown | None:
-        cut = await answering.relay_answer(
-            connection, answer, attempt.attempt_id, protocol=self.protocol
-        )
+        whole = False
+        try:
+            cut = await answering.relay_answer(
+                connection, answer, attempt.attempt_id, protocol=self.protocol
+            )
+            whole = cut is None
+        finally:
+            self.overlaps.record_answer(call, connection, whole)
         if cut is None:
             self.counters.calls.inc({"outcome": "answered"})
         return cut
--- a/src/waxwingferry/request/tests/test_keys.py
+++ b/src/waxwingferry/request/tests/test_keys.py
@@ -308,7 +308,7 @@
     The connection stays usable only if the whole body has arrived.
     """
     node = make_entry(make_revision())
-    server = serve.Server(node.handle, may_overlap=node.may_overlap)
+    server = serve.Server(node.handle, may_overlap=node.overlaps.may_overlap)
     request = b"POST /keyed HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n%s"
     with anyio.fail_after(10):
         async with anyio.create_task_group() as group:
