Wait for a client that reads the end of an answer slowly

Cause: a connection was closed 2 s after its last response, however much of it the client had still to receive. A request that arrived then reset the connection, and the rest of the response was lost.

Change: the connection stays half open while the client takes the response. Without progress it is closed after the time allowed for sending one part (limits.send_s), or after 2 s if the server is stopping, so that a dead client doesn't hold up a planned stop.

--- a/src/waxwingferry/connection/closing.py
+++ b/src/waxwingferry/connection/closing.py
@@ -1,6 +1,8 @@
 """Error responses, and the end of a server connection after them."""
 
+from collections.abc import Callable
 import contextlib
+import time
 
 import anyio
 import structlog
@@ -11,6 +13,8 @@
 
 LINGERING_CLOSE_S = 2.0
 LINGERING_CHECK_S = 0.02
+# Later checks, which many clients that read slowly may need for a long time.
+SLOW_CHECK_S = 0.25
 BODY_TOO_LARGE_STATUS = 413
 NO_ROOM_REASON = "no_room"
 # Time after which a connection refused for lack of room may be tried again.
@@ -24,12 +28,21 @@
 log = structlog.get_logger()
 
 
-async def close_lingering(connection: http1.ServerConnection) -> None:
+async def close_lingering(
+    connection: http1.ServerConnection,
+    is_stopping: Callable[[], bool] = lambda: False,
+) -> None:
     """Closes the sending side, then discards received data for a while.
 
     Closing a socket with unread data resets the connection, and so does data
     that arrives later. Of a response, what the client's system has not
-    acknowledged is lost then.
+    acknowledged is lost then. While the client takes the response, it is waited
+    for as during the sending; a server that stops waits only LINGERING_CLOSE_S
+    for the next part.
+
+    Args:
+        connection: The connection.
+        is_stopping: Tells whether the server waits for the connection's end.
     """
     stream = connection.stream
     assert isinstance(stream, tcp.Stream)
@@ -41,20 +54,34 @@
     may_end = request_complete and stream.is_open_and_idle()
     if may_end and not stream.has_unacknowledged_data():
         return
-    with anyio.move_on_after(LINGERING_CLOSE_S):
-        try:
-            await stream.send_eof()
-            while not may_end or stream.has_unacknowledged_data():
-                with contextlib.suppress(TimeoutError):
-                    await stream.receive(timeout_s=LINGERING_CHECK_S)
-                    # The client may still be sending.
-                    may_end = False
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
-            return
+    left_bytes = stream.count_unacknowledged_bytes()
+    begin_s = progress_s = time.monotonic()
+    interval_s = LINGERING_CHECK_S
+    try:
+        await stream.send_eof()
+        while not may_end or left_bytes:
+            with contextlib.suppress(TimeoutError):
+                await stream.receive(timeout_s=interval_s)
+                # The client may still be sending.
+                may_end = False
+            now_s = time.monotonic()
+            count = stream.count_unacknowledged_bytes()
+            if count < left_bytes:
+                left_bytes = count
+                progress_s = now_s
+            patience_s = LINGERING_CLOSE_S
+            if left_bytes and not is_stopping():
+                patience_s = connection.limits.send_s
+            if now_s - progress_s > patience_s:
+                return
+            if now_s - begin_s > LINGERING_CLOSE_S:
+                interval_s = SLOW_CHECK_S
+    except (
+        anyio.EndOfStream,
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+    ):
+        return
 
 
 async def send_error_response(
--- a/src/waxwingferry/connection/serve.py
+++ b/src/waxwingferry/connection/serve.py
@@ -199,7 +199,7 @@
         try:
             async with stream:
                 await self._serve_until_end(connection)
-                await closing.close_lingering(connection)
+                await closing.close_lingering(connection, lambda: self.stopping)
         finally:
             if account is not None:
                 account.budget.release(account)
--- a/src/waxwingferry/connection/tcp.py
+++ b/src/waxwingferry/connection/tcp.py
@@ -17,6 +17,7 @@
 import os
 import select
 import socket
+import sys
 import termios
 from typing import Any
 
@@ -64,7 +65,11 @@
 
     def has_unacknowledged_data(self) -> bool:
         """Tells whether sent data may not have reached the peer's system."""
-        return False
+        return self.count_unacknowledged_bytes() > 0
+
+    def count_unacknowledged_bytes(self) -> int:
+        """Returns the number of sent bytes that the peer's system may lack."""
+        return 0
 
 
 class TcpStream(asyncio.BufferedProtocol, Stream):
@@ -306,17 +311,17 @@
         """Tells whether the peer has closed, even if data is unread."""
         return self.ended or self.closed or self.poll(select.POLLRDHUP)
 
-    def has_unacknowledged_data(self) -> bool:
+    def count_unacknowledged_bytes(self) -> int:
         """See Stream."""
         raw_socket = self.transport.get_extra_info("socket")
         if self.closed or raw_socket.fileno() < 0:
-            return False
+            return 0
         try:
             count = fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, bytes(4))
         except OSError as error:
             log.debug("length of the send queue not known", error=str(error))
-            return False
-        return any(count)
+            return 0
+        return int.from_bytes(count, sys.byteorder, signed=True)
 
     def poll(self, events: int) -> bool:
         """Tells whether one of the select.poll events is set on the socket."""
--- a/src/waxwingferry/connection/tests/test_closing.py
+++ b/src/waxwingferry/connection/tests/test_closing.py
@@ -1,16 +1,21 @@
 """The end of a connection takes no response along that was sent on it."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import socket
+import time
 
 import anyio
 import anyio.to_thread
 import pytest
 
+from waxwingferry.connection import closing
 from waxwingferry.connection import http1
+from waxwingferry.connection import message
 from waxwingferry.connection import serve
+from waxwingferry.connection import tcp
 from waxwingferry.connection.tests import wire
 
 GET = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -47,6 +52,15 @@
         await connection.send_head(200, [], BODY)
 
 
+async def connect_accepted(raw: socket.socket) -> tcp.TcpStream:
+    """Returns the stream of a socket that a listener accepted."""
+    raw.setblocking(False)
+    _, stream = await asyncio.get_running_loop().create_connection(
+        tcp.TcpStream, sock=raw.dup()
+    )
+    return stream
+
+
 async def connect_slow_reader(raw: socket.socket, port: int) -> None:
     """Opens a connection with a small receive buffer."""
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
@@ -104,6 +118,58 @@
     assert data.endswith(BODY)
 
 
+# 2 s after the response the socket was closed, however much of it the client
+# had still to receive. A request that arrived then reset the connection.
+async def test_a_request_does_not_cut_a_response_that_is_read_slowly(
+    monkeypatch,
+) -> None:
+    """Guards against a response lost because its client reads it slowly."""
+    monkeypatch.setattr(closing, "LINGERING_CLOSE_S", 0.2)
+    recorder = Recorder()
+
+    def read_slowly(raw: socket.socket) -> bytes:
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            while part := raw.recv(RECEIVE_BUFFER_BYTES):
+                data += part
+                raw.sendall(GET % 2)
+                time.sleep(0.1)
+        return data
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(recorder.server.serve, wire.HOST, 0)
+        await recorder.server.listening.wait()
+        with anyio.fail_after(TIMEOUT_S):
+            with socket.socket() as raw:
+                await connect_slow_reader(raw, recorder.server.port)
+                raw.sendall(CLOSING_GET)
+                data = await anyio.to_thread.run_sync(read_slowly, raw)
+        group.cancel_scope.cancel()
+    assert data.endswith(BODY)
+
+
+@pytest.mark.parametrize("stopping", [False, True])
+async def test_a_client_that_takes_no_response_is_not_waited_for(
+    stopping,
+) -> None:
+    """Guards against a drain, or a connection, without end."""
+    with socket.create_server((wire.HOST, 0)) as listener:
+        port = listener.getsockname()[1]
+        client = await anyio.to_thread.run_sync(
+            socket.create_connection, (wire.HOST, port)
+        )
+        accepted, _ = listener.accept()
+    with client, accepted, anyio.fail_after(TIMEOUT_S):
+        stream = await connect_accepted(accepted)
+        connection = http1.ServerConnection(
+            stream, message.Limits(send_s=0.3 if not stopping else 1000.0)
+        )
+        await stream.send(bytes(100_000))
+        stream.count_unacknowledged_bytes = lambda: 100_000  # type: ignore[method-assign]
+        await closing.close_lingering(connection, lambda: stopping)
+        await stream.aclose()
+
+
 # The drain ended with the last call, and the process ended with the drain.
 async def test_a_drain_waits_until_a_refusal_has_been_received() -> None:
     """Guards against a refusal lost with the unread rest of its request."""
