Refuse further attempts with a body that was begun, on every path

Cause: only the entry's loop asked whether a body can be sent again, and a body that was skipped for a refusal ended like a whole one for a later reader.

Change: calls.make_attempt, through which every attempt of an entry goes, raises BodyError unless calls.Body.can_be_sent. A reader of a body of which a part was discarded gets an error instead of an end.

Result: test_no_attempt_is_made_with_a_body_that_was_begun and test_a_body_that_was_skipped_has_no_end were seen failing on the code before. 74 further tests drive the paths over real nodes and an in-memory network: free retries, leaving, warm-up, stated rates, quarantine, restarted nodes, refusals and closed connections of targets, fences and claims. They passed on the code before as well: no path was found that sent a part of an upload again.

--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -48,6 +48,7 @@
     Attributes:
         head: Head of the current request.
         request_ended: Whether the request was received completely.
+        body_skipped: Whether a part of the request's body was discarded.
         answer_started: Whether sending of the final response has begun.
         answer_bytes: Bytes of the body of the final response sent so far.
         keep_alive: Whether another request may follow.
@@ -78,6 +79,7 @@
         )
         self.head: RequestHead | None = None
         self.request_ended = True
+        self.body_skipped = False
         self.answer_started = False
         self.answer_bytes = 0
         self.chunked = False
@@ -127,6 +129,7 @@
         head = self.reader.pop_event()
         self.head = head
         self.request_ended = False
+        self.body_skipped = False
         self.keep_alive = head.keep_alive
         self.continue_pending = head.has_body and head.expects_continue
         self.body_bytes = 0
@@ -154,8 +157,12 @@
 
         Raises:
             ReceiveTimeoutError: The body arrived below the minimum rate.
-            HttpError: The body is malformed or too large.
+            HttpError: The body is malformed or too large, or a part of it was
+                discarded.
         """
+        if self.body_skipped:
+            # Its end would be taken for that of the whole body.
+            raise message.HttpError("a part of the body was discarded")
         if self.request_ended:
             return None
         reader = self.reader
@@ -249,6 +256,7 @@
         """Discards the received part of a body that the handler didn't read."""
         queue = self.reader.queue
         while queue and not isinstance(queue[0], HttpError):
+            self.body_skipped = True
             if queue.popleft() is message_events.END_OF_MESSAGE:
                 self.request_ended = True
                 return
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -256,7 +256,13 @@
 def make_attempt(
     call: Call, number: int, incarnation: str, target_incarnation: str = ""
 ) -> Attempt:
-    """Returns an attempt for a call; numbers start from 1."""
+    """Returns an attempt for a call; numbers start from 1.
+
+    Raises:
+        BodyError: The call's body can't be sent whole any more.
+    """
+    if not call.body.can_be_sent():
+        raise BodyError("a part of the body was sent before", 502)
     return Attempt(
         f"{call.call_id}.{number}",
         call.service,
