--- a/src/waxwingferry/request/tests/test_further_attempts.py
+++ b/src/waxwingferry/request/tests/test_further_attempts.py
@@ -100,6 +100,37 @@
     check(cluster, LONG, send(cluster, LONG, chunked, prepare))
 
 
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize(
+    "step", [*uploads.NODE_STEPS, "refuse at once", "refuse in the middle"]
+)
+def test_a_refusal_does_not_wait_for_the_rest_of_an_upload(
+    step, chunked
+) -> None:
+    """Guards against a refusal that comes only at the deadline.
+
+    The client sends a part of the body and waits. Its deadline is later than
+    the time after which the test fails.
+    """
+    cluster = uploads.UploadCluster(5)
+    found: list[tuple[int, str, str]] = []
+
+    async def upload(cluster: uploads.UploadCluster) -> None:
+        for number, node in enumerate(cluster.nodes):
+            if step in uploads.NODE_STEPS:
+                cluster.refuse_at(number, step)
+            else:
+                cluster.target_steps[node.name] = [step]
+        headers, parts = uploads.encode(LONG, [100_000], chunked)
+        found.append(await cluster.upload(parts[:-1], headers))
+
+    uploads.run(cluster, upload)
+    status, result, _ = found[0]
+    assert (status, result) == (503, "not-run")
+    assert http1.find_header(cluster.answer.headers, "retry-after")
+    assert cluster.runs == []
+
+
 @pytest.mark.parametrize("chunked", [False, True])
 def test_a_claim_takes_no_upload_that_is_not_buffered(chunked) -> None:
     """Guards against a claimed call that could send its body only once."""
--- a/src/waxwingferry/request/tests/uploads.py
+++ b/src/waxwingferry/request/tests/uploads.py
@@ -67,6 +67,8 @@
         target_steps: For each target, what it does with the next requests;
             afterwards it runs them.
         received: Number of requests whose heads reached a target.
+        broken_off: Number of those whose bodies did not end.
+        answer: Head of the answer that the latest client got.
     """
 
     def __init__(self, seed: int):
@@ -74,6 +76,8 @@
         self.deadline_ms = DEADLINE_MS
         self.runs: list[Run] = []
         self.received = 0
+        self.broken_off = 0
+        self.answer = http1.ResponseHead(0, [])
         self.target_steps: dict[str, list[str]] = {}
 
     async def start(self, group) -> None:
@@ -110,15 +114,19 @@
             await connection.send_head(503, refusal, b"")
             return
         body = b""
-        while (chunk := await connection.receive_chunk()) is not None:
-            body += chunk
-            if len(body) < PART_BYTES:
-                continue
-            if step == "close in the middle":
-                await _close(connection)
-            if step == "refuse in the middle":
-                await connection.send_head(503, refusal, b"")
-                return
+        try:
+            while (chunk := await connection.receive_chunk()) is not None:
+                body += chunk
+                if len(body) < PART_BYTES:
+                    continue
+                if step == "close in the middle":
+                    await _close(connection)
+                if step == "refuse in the middle":
+                    await connection.send_head(503, refusal, b"")
+                    return
+        except http1.HttpError:
+            self.broken_off += 1
+            raise
         if step == "refuse at the end":
             await connection.send_head(503, refusal, b"")
             return
@@ -200,7 +208,8 @@
                 if end == "close":
                     await answered.wait()
                 else:
-                    found = await _receive(client)
+                    self.answer = await _receive(client)
+                    found = _summarize(self.answer)
                 group.cancel_scope.cancel()
         await client.close()
         return found
@@ -212,15 +221,20 @@
     raise http1.ConnectionLostError("closed")
 
 
-async def _receive(client: http1.ClientConnection) -> tuple[int, str, str]:
-    """Returns status, outcome and reason of a response."""
+async def _receive(client: http1.ClientConnection) -> http1.ResponseHead:
+    """Returns the head of a response; its status is 0 without one."""
     # Nothing is sent by this side; it only parses the response.
     client._write = _ignore  # type: ignore[method-assign]
     await client.send_request("POST", "/", [])
     try:
         head = await client.receive_head(HANG_S)
     except http1.HttpError:
-        return 0, "", ""
+        head = http1.ResponseHead(0, [])
+    return head
+
+
+def _summarize(head: http1.ResponseHead) -> tuple[int, str, str]:
+    """Returns status, outcome and reason."""
     find = http1.find_header
     return (
         head.status,
