Compare the bodies that targets ran with those that were sent

The soak, at-most-once and graceful-stop compare them with what was sent; the soak and at-most-once also send uploads of up to 300,000 bytes without a key, with a length or in chunks.

--- a/src/waxwingferry/bench/callers.py
+++ b/src/waxwingferry/bench/callers.py
@@ -8,12 +8,18 @@
 
 import anyio
 
+from waxwingferry.bench import bodies
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
 from waxwingferry.bench import load
 
 WRITE_SHARE = 0.3
 RESEND_DELAY_S = 0.2
+# Uploads have no idempotency key, since nodes must buffer the bodies of keyed
+# requests. Nodes buffer 65,536 bytes of others and pass the rest on.
+UPLOAD_SIZES = (1_000, 65_536, 65_537, 150_000, 300_000)
+UPLOAD_CHUNK_BYTES = 20_000
+TRANSFER_BODY = b'{"quota_kg": 100}'
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,14 +30,22 @@
         request_id: Sent as x-request-id; writes also use it as their
             idempotency key.
         write: Whether the call is a write, which must not run twice.
+        upload_bytes: Length of the body if the call is an upload, or 0.
         sends: Result of each send, in order.
     """
 
     request_id: str
     service: str
     write: bool
+    upload_bytes: int = 0
     sends: list[load.Result] = dataclasses.field(default_factory=list)
 
+    def make_body(self) -> bytes:
+        """Returns the body of the call's request."""
+        if self.upload_bytes:
+            return bodies.make_body(self.request_id, self.upload_bytes)
+        return TRANSFER_BODY if self.write else b""
+
     def answered(self) -> bool:
         """Returns whether the last send was answered with status 200."""
         if not self.sends:
@@ -131,6 +145,8 @@
             are exponential with this rate.
         give_up_s: Time after which a call is not sent again.
         write_share: Share of calls that are writes.
+        upload_share: Share of the writes that are uploads, which are sent
+            again only if they have not run.
     """
 
     def __init__(
@@ -143,6 +159,7 @@
         calls_per_s: float = 12.0,
         give_up_s: float = 20.0,
         write_share: float = WRITE_SHARE,
+        upload_share: float = 0.0,
     ):
         self.name = name
         self.rng = rng
@@ -152,6 +169,7 @@
         self.calls_per_s = calls_per_s
         self.give_up_s = give_up_s
         self.write_share = write_share
+        self.upload_share = upload_share
         self.client = load.Client()
 
     async def run(self, duration_s: float) -> None:
@@ -170,6 +188,8 @@
             self.rng.choice(self.services),
             self.rng.random() < self.write_share,
         )
+        if entry.write and self.rng.random() < self.upload_share:
+            entry.upload_bytes = self.rng.choice(UPLOAD_SIZES)
         self.call_log.entries.append(entry)
         started_s = time.monotonic()
         while time.monotonic() < started_s + self.give_up_s:
@@ -178,20 +198,24 @@
             self.call_log.record(entry, result)
             if entry.answered():
                 return
+            if entry.upload_bytes and result.outcome != "not-run":
+                return
             await anyio.sleep(RESEND_DELAY_S)
 
     def _make_request(self, entry: CallRecord) -> load.Request:
         address = ("127.0.0.1", self.rng.choice(self.nodes).ports["caller"])
         service, request_id = entry.service, entry.request_id
         if entry.write:
+            is_upload = bool(entry.upload_bytes)
             return load.Request(
                 address,
                 "POST",
                 f"/{service}/transfers",
-                f"{service} transfer",
+                f"{service} {'upload' if is_upload else 'transfer'}",
                 request_id,
-                [("idempotency-key", request_id)],
-                b'{"quota_kg": 100}',
+                [] if is_upload else [("idempotency-key", request_id)],
+                entry.make_body(),
+                is_upload * self.rng.choice((0, UPLOAD_CHUNK_BYTES)),
             )
         path = f"/{service}/prices/crab"
         return load.Request(address, "GET", path, f"{service} read", request_id)
--- a/src/waxwingferry/bench/experiments/at_most_once.py
+++ b/src/waxwingferry/bench/experiments/at_most_once.py
@@ -4,7 +4,7 @@
 (SIGSTOP, SIGCONT), connections between nodes are cut or go silent, and the
 platform is down, slow or loses answers. Callers retry with the same
 idempotency key through another node. The targets' ledgers persist across
-restarts and show how often each transfer ran.
+restarts and show how often each transfer ran, and with which body.
 """
 
 import random
@@ -14,6 +14,7 @@
 import anyio
 import httpx
 
+from waxwingferry.bench import callers
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
 from waxwingferry.bench import transfers
@@ -150,7 +151,9 @@
     options: experiment.Options,
     report: experiment.Report,
 ) -> None:
-    load = transfers.TransferCallers(running.instances, rng)
+    load = transfers.TransferCallers(
+        running.instances, rng, upload_sizes=callers.UPLOAD_SIZES
+    )
     async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
         injector = FaultInjector(running, relays, rng, client)
         async with anyio.create_task_group() as group:
--- a/src/waxwingferry/bench/experiments/graceful_stop.py
+++ b/src/waxwingferry/bench/experiments/graceful_stop.py
@@ -16,6 +16,7 @@
 import anyio.to_thread
 import httpx
 
+from waxwingferry.bench import bodies
 from waxwingferry.bench import callers
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
@@ -28,6 +29,9 @@
 SLOW_FACTOR = 60.0
 WARM_UP_S = 3.0
 STOP_TIMEOUT_S = 20.0
+# Nodes buffer 65,536 bytes of a body and pass the rest on as it arrives.
+WRITE_BYTES = (0, 1_000, 65_536, 100_000)
+UPLOAD_CHUNK_BYTES = 20_000
 
 DOCUMENT = {
     "services": [
@@ -98,7 +102,7 @@
             await anyio.sleep(1.0)
             group.start_soon(_stop_target, running, stop_times_s, report)
         _check_results(report, recorder)
-        _check_ledgers(report, running, stop_times_s)
+        _check_ledgers(report, running, recorder, stop_times_s)
     return report
 
 
@@ -108,13 +112,18 @@
     kind = rng.choices(
         ["read", "write", "slow", "chain"], [0.5, 0.3, 0.05, 0.15]
     )[0]
+    request_id = f"{kind}-{number}"
+    # The requests of the warm-up have the same IDs, and so the same bodies.
+    size = WRITE_BYTES[number % len(WRITE_BYTES)] if kind == "write" else 0
     paths = {"slow": "/registry/slow", "chain": "/registry/chain/1"}
     return load.Request(
         ("127.0.0.1", rng.choice(ports)),
         "POST" if kind == "write" else "GET",
         paths.get(kind, "/registry/prices"),
         kind,
-        f"{kind}-{number}",
+        request_id,
+        body=bodies.make_body(request_id, size),
+        chunk_bytes=rng.choice((0, UPLOAD_CHUNK_BYTES)) if size else 0,
     )
 
 
@@ -185,12 +194,16 @@
     return "cut off"
 
 
-def _check_ledgers(report, running, stop_times_s) -> None:
+def _check_ledgers(report, running, recorder, stop_times_s) -> None:
     table = experiment.Table(
         "work that reached a target after its stop was asked for",
         ["target", "begun after", "last after s"],
     )
     ledgers = running.read_ledgers()
+    sent = {
+        item.request.request_id: item.request.body for item in recorder.results
+    }
+    bodies.check_bodies(report, ledgers, sent)
     for name, stopped_s in stop_times_s.items():
         start_ages_s = [item["started_s"] - stopped_s for item in ledgers[name]]
         late_ages_s = [age_s for age_s in start_ages_s if age_s > 0]
--- a/src/waxwingferry/bench/experiments/soak.py
+++ b/src/waxwingferry/bench/experiments/soak.py
@@ -1,12 +1,12 @@
 """Long randomised run that combines all faults and checks the guarantees.
 
-Callers read and write while nodes and targets are killed, paused, restarted
-and drained, network paths between nodes are delayed, blocked in one direction,
-reset and made silent, targets turn cold or slow, shed load, truncate or swap
-their answers, or state a rate or that they leave, the platform is down, slow or
-loses answers, failure domains are set to "out" and back to "in", and operators
-change the document concurrently.
-The targets' ledgers show which requests ran.
+Callers read, write and upload while nodes and targets are killed, paused,
+restarted and drained, network paths between nodes are delayed, blocked in one
+direction, reset and made silent, targets turn cold or slow, shed load, truncate
+or swap their answers, or state a rate or that they leave, the platform is down,
+slow or loses answers, failure domains are set to "out" and back to "in", and
+operators change the document concurrently.
+The targets' ledgers show which requests ran, and with which bodies.
 """
 
 import bisect
@@ -19,6 +19,7 @@
 import anyio
 import httpx
 
+from waxwingferry.bench import bodies
 from waxwingferry.bench import callers
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
@@ -30,6 +31,7 @@
 MAX_PROPAGATION_S = 3.0
 MEAN_FAULT_INTERVAL_S = 0.7
 SAMPLE_INTERVAL_S = 0.5
+UPLOAD_SHARE = 0.3
 
 # A target that states a rate may get RATE_EXCESS_RATIO times that rate, and
 # RATE_EXCESS_REQUESTS, in any RATE_WINDOW_S from RATE_NOTICE_S after that on.
@@ -54,6 +56,7 @@
     ANSWERS_INTACT,
     REFUSALS_TRUE,
     AT_MOST_ONCE,
+    bodies.WHOLE_BODIES,
     COLD_TARGET_LIMIT,
     STATED_RATE,
     STATED_LEAVE,
@@ -67,6 +70,7 @@
     ANSWERS_INTACT,
     REFUSALS_TRUE,
     AT_MOST_ONCE,
+    bodies.WHOLE_BODIES,
     MONOTONIC_REVISIONS,
 )
 
@@ -160,6 +164,7 @@
                             names,
                             call_log,
                             give_up_s=8.0,
+                            upload_share=UPLOAD_SHARE,
                         )
                         workload.start_soon(caller.run, options.duration_s)
                 await anyio.sleep(MAX_PROPAGATION_S + 2 * SAMPLE_INTERVAL_S)
@@ -173,6 +178,8 @@
     report = experiment.Report()
     ledgers = running.read_ledgers()
     _check_calls(report, call_log, ledgers)
+    sent = {entry.request_id: entry.make_body() for entry in call_log.entries}
+    bodies.check_bodies(report, ledgers, sent)
     _check_cold(report, ledgers, injector)
     _check_stated_rates(report, ledgers, injector)
     _check_stated_leaves(report, ledgers, injector)
--- a/src/waxwingferry/bench/load.py
+++ b/src/waxwingferry/bench/load.py
@@ -13,6 +13,7 @@
 import anyio
 from hdrh import histogram
 
+from waxwingferry.bench import bodies
 from waxwingferry.connection import http1
 from waxwingferry.connection import pool
 
@@ -29,6 +30,8 @@
         target: Path of the request.
         label: Name under which its latency is recorded.
         request_id: Sent as x-request-id; the response must echo it.
+        chunk_bytes: Size of the chunks that the body is sent in, or 0 to send
+            it with its length.
     """
 
     address: tuple[str, int]
@@ -38,6 +41,7 @@
     request_id: str
     headers: http1.Headers = dataclasses.field(default_factory=list)
     body: bytes = b""
+    chunk_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -174,8 +178,12 @@
                 ("x-request-id", request.request_id),
                 *request.headers,
             ]
+            body, rest = request.body, None
+            if request.chunk_bytes:
+                rest = bodies.iterate_parts(body, request.chunk_bytes)
+                body = b""
             await connection.send_request(
-                request.method, request.target, headers, request.body
+                request.method, request.target, headers, body, rest
             )
             head = await connection.receive_head(self.timeout_s)
             while head.status < 200:
--- a/src/waxwingferry/bench/transfers.py
+++ b/src/waxwingferry/bench/transfers.py
@@ -8,6 +8,8 @@
 import anyio
 import httpx
 
+from waxwingferry.bench import bodies
+from waxwingferry.bench import callers
 from waxwingferry.bench import cluster
 from waxwingferry.bench import experiment
 from waxwingferry.bench import load
@@ -52,6 +54,8 @@
         instances: Instances whose nodes transfers are sent to.
         rng: Source of all random choices.
         prefix: Prefix of the transfers' ids.
+        upload_sizes: Lengths of the bodies of transfers without a key; by
+            default they are as short as the others.
 
     Attributes:
         sends: Results of all sends.
@@ -62,7 +66,9 @@
         instances: list[cluster.Instance],
         rng: random.Random,
         prefix: str = "t",
+        upload_sizes: tuple[int, ...] = (),
     ):
+        self.upload_sizes = upload_sizes
         self.prefix = prefix.replace(" ", "-")
         self.instances = instances
         self.rng = rng
@@ -98,6 +104,11 @@
     async def send(self, transfer_id: str, request_id: str, keyed: bool):
         """Sends a transfer once to a random node and records the result."""
         instance = self.rng.choice(self.instances)
+        body, chunk_bytes = callers.TRANSFER_BODY, 0
+        if self.upload_sizes and not keyed:
+            size = self.rng.choice(self.upload_sizes)
+            body = bodies.make_body(request_id, size)
+            chunk_bytes = self.rng.choice((0, callers.UPLOAD_CHUNK_BYTES))
         request = load.Request(
             ("127.0.0.1", instance.ports["caller"]),
             "POST",
@@ -105,7 +116,8 @@
             transfer_id,
             request_id,
             [("idempotency-key", transfer_id)] if keyed else [],
-            b'{"quota_kg": 100}',
+            body,
+            chunk_bytes,
         )
         result = await self.client.send(request, time.monotonic())
         self.sends.append(result)
@@ -134,6 +146,10 @@
             )
         for send in self.sends:
             self._check_send(send, executed_ids, report)
+        sent = {
+            send.request.request_id: send.request.body for send in self.sends
+        }
+        bodies.check_bodies(report, ledgers, sent)
 
     def _check_send(
         self,
--- a/src/waxwingferry/emulator/target.py
+++ b/src/waxwingferry/emulator/target.py
@@ -30,6 +30,7 @@
 from waxwingferry.connection import message
 from waxwingferry.connection import pool
 from waxwingferry.connection import serve
+from waxwingferry.emulator import ledger as ledgers
 from waxwingferry.process import signals
 from waxwingferry.process import target as target_interface
 from waxwingferry.request import calls
@@ -135,35 +136,6 @@
     behaviour: Behaviour = Behaviour()
 
 
-@dataclasses.dataclass(slots=True)
-class LedgerEntry:
-    """One request that started to run.
-
-    Attributes:
-        entry_id: ID of the entry, unique across restarts of the target.
-        request: The caller's x-request-id.
-        attempt: ID of the attempt.
-        key: Idempotency key, or empty.
-        write: Whether the request has an effect that must not repeat.
-        state: running, done, failed, refused, expired or cancelled.
-        started_s: Wall-clock time of the start.
-        overload: Whether it started above the current capacity of the target.
-        ended_s: Wall-clock time of the end, or 0 while it runs.
-    """
-
-    entry_id: str
-    request: str
-    attempt: str
-    key: str
-    member: str
-    path: str
-    write: bool
-    started_s: float
-    state: str = "running"
-    overload: bool = False
-    ended_s: float = 0.0
-
-
 class SpeedVariation:
     """Random slowdown of a target that changes within milliseconds.
 
@@ -206,7 +178,7 @@
         self.incarnation = f"{random.SystemRandom().getrandbits(32):08x}"
         self.in_flight = 0
         self.counts: collections.Counter[str] = collections.Counter()
-        self.ledger: list[LedgerEntry] = []
+        self.ledger: list[ledgers.LedgerEntry] = []
         self.served_since_cold = 0
         self.load_history: collections.deque[tuple[float, int]] = (
             collections.deque()
@@ -239,8 +211,9 @@
         parts = []
         while (chunk := await connection.receive_chunk()) is not None:
             parts.append(chunk)
+        body = b"".join(parts)
         if head.target.startswith("/_"):
-            await self._handle_control(connection, head, b"".join(parts))
+            await self._handle_control(connection, head, body)
             return
         attempt = http1.find_header(head.headers, calls.ATTEMPT_HEADER)
         response_headers = [
@@ -257,7 +230,7 @@
             response_headers.append((target_interface.NOT_RUN_HEADER, "true"))
             await connection.send_head(503, response_headers, b"refused\n")
             return
-        await self._run(connection, head, response_headers)
+        await self._run(connection, head, body, response_headers)
 
     def _make_statement(self) -> http1.Headers:
         headers = []
@@ -277,8 +250,8 @@
         matches = head.target.startswith(behaviour.fail_path)
         return matches and self.rng.random() < behaviour.refuse_share
 
-    async def _run(self, connection, head, response_headers) -> None:
-        entry = self._record_start(head)
+    async def _run(self, connection, head, body, response_headers) -> None:
+        entry = self._record_start(head, body)
         try:
             with anyio.move_on_after(_remaining_s(head)) as scope:
                 await self._process(head)
@@ -306,17 +279,11 @@
             self.served_since_cold += 1
             self._append_to_ledger_file(entry)
 
-    def _record_start(self, head: http1.RequestHead) -> LedgerEntry:
-        find = http1.find_header
-        entry = LedgerEntry(
-            f"{self.incarnation}-{len(self.ledger)}",
-            find(head.headers, "x-request-id"),
-            find(head.headers, calls.ATTEMPT_HEADER),
-            find(head.headers, calls.KEY_HEADER),
-            find(head.headers, calls.MEMBER_HEADER),
-            head.target,
-            head.method not in ("GET", "HEAD"),
-            time.time(),
+    def _record_start(
+        self, head: http1.RequestHead, body: bytes
+    ) -> ledgers.LedgerEntry:
+        entry = ledgers.make_entry(
+            f"{self.incarnation}-{len(self.ledger)}", head, body
         )
         self.ledger.append(entry)
         self.in_flight += 1
@@ -331,7 +298,7 @@
         self._append_to_ledger_file(entry)
         return entry
 
-    def _append_to_ledger_file(self, entry: LedgerEntry) -> None:
+    def _append_to_ledger_file(self, entry: ledgers.LedgerEntry) -> None:
         # The file is line buffered: the operating system has each entry at
         # once, so a killed process loses no request that had started.
         if self.ledger_file is not None:
