Add the experiment uploads

Callers upload 1 KB to 16 MB, in chunks or with a length, while targets are full, leave, restart and are killed, and nodes are killed. It prints whole, refused, truncated, p50, p99 and the megabytes sent twice, and checks the targets' ledgers.

--- a/src/waxwingferry/bench/experiments/graceful_stop.py
+++ b/src/waxwingferry/bench/experiments/graceful_stop.py
@@ -201,7 +201,8 @@
     )
     ledgers = running.read_ledgers()
     sent = {
-        item.request.request_id: item.request.body for item in recorder.results
+        item.request.request_id: bodies.describe(item.request.body)
+        for item in recorder.results
     }
     bodies.check_bodies(report, ledgers, sent)
     for name, stopped_s in stop_times_s.items():
--- a/src/waxwingferry/bench/experiments/soak.py
+++ b/src/waxwingferry/bench/experiments/soak.py
@@ -178,7 +178,10 @@
     report = experiment.Report()
     ledgers = running.read_ledgers()
     _check_calls(report, call_log, ledgers)
-    sent = {entry.request_id: entry.make_body() for entry in call_log.entries}
+    sent = {
+        entry.request_id: bodies.describe(entry.make_body())
+        for entry in call_log.entries
+    }
     bodies.check_bodies(report, ledgers, sent)
     _check_cold(report, ledgers, injector)
     _check_stated_rates(report, ledgers, injector)
--- a/src/waxwingferry/bench/tests/test_bodies.py
+++ b/src/waxwingferry/bench/tests/test_bodies.py
@@ -17,6 +17,7 @@
     head = http1.RequestHead("POST", "/", [("x-request-id", "r1")])
     entry = dataclasses.asdict(ledger.make_entry("e1", head, body[:size]))
     report = experiment.Report()
-    truncated = bodies.check_bodies(report, {"t0": [entry]}, {"r1": body})
+    sent = {"r1": bodies.describe(body)}
+    truncated = bodies.check_bodies(report, {"t0": [entry]}, sent)
     assert truncated == len(report.violations) == broken
     assert report.checks == {bodies.WHOLE_BODIES: 1}
--- a/src/waxwingferry/bench/tests/test_scripts.py
+++ b/src/waxwingferry/bench/tests/test_scripts.py
@@ -26,6 +26,7 @@
     "routing",
     "silent-connection",
     "soak",
+    "uploads",
 }
 
 
--- a/src/waxwingferry/bench/transfers.py
+++ b/src/waxwingferry/bench/transfers.py
@@ -147,7 +147,8 @@
         for send in self.sends:
             self._check_send(send, executed_ids, report)
         sent = {
-            send.request.request_id: send.request.body for send in self.sends
+            send.request.request_id: bodies.describe(send.request.body)
+            for send in self.sends
         }
         bodies.check_bodies(report, ledgers, sent)
 
