Log and count when requests begin to wait behind a route's answers

The decision whether requests wait behind an answer depends on the earlier answers of its route. The change is logged with the size, at most once in 600 s for each route, and counted as the event long_answers.

--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -113,7 +113,10 @@
         self.stop_deadline: calls.Deadline | None = None
         self.draining = False
         self.caller_ages = caller_age.CallerAges()
-        self.overlaps = overlapping.Overlaps(revision)
+        self.overlaps = overlapping.Overlaps(
+            revision,
+            on_long=lambda: counters.events.inc({"event": "long_answers"}),
+        )
         self.max_in_flight = max_in_flight
         self.in_flight = 0
         self.retry_policy = retry.RetryPolicy(
--- a/src/waxwingferry/request/overlapping.py
+++ b/src/waxwingferry/request/overlapping.py
@@ -13,6 +13,8 @@
 import math
 import time
 
+import structlog
+
 from waxwingferry.connection import http1
 from waxwingferry.request import calls
 from waxwingferry.version import revision as revisions
@@ -22,6 +24,8 @@
 # Until then its short answers hold up the requests behind them as well.
 LONG_ANSWER_MEMORY_S = 600.0
 
+log = structlog.get_logger()
+
 
 class Overlaps:
     """Decides by the document and by the answers of each route.
@@ -33,6 +37,7 @@
     Args:
         revision: Returns the newest document known, or None.
         clock: Monotonic time in seconds.
+        on_long: Called when a route that had no long answers has one.
 
     Attributes:
         long_until_s: For each route with an answer, the time until which its
@@ -43,7 +48,9 @@
         self,
         revision: Callable[[], revisions.Revision | None],
         clock: Callable[[], float] = time.monotonic,
+        on_long: Callable[[], None] = lambda: None,
     ):
+        self.on_long = on_long
         self.revision = revision
         self.clock = clock
         self.long_until_s: collections.OrderedDict[str, float] = (
@@ -91,11 +98,22 @@
         """
         if call.method == "HEAD" or not call.idempotent:
             return
-        if connection.answer_bytes > calls.MAX_BUFFERED_BODY_BYTES:
-            until_s = self.clock() + LONG_ANSWER_MEMORY_S
-        elif whole:
-            until_s = self.long_until_s.get(call.route, -math.inf)
-        else:
+        until_s = self.long_until_s.get(call.route, -math.inf)
+        size = connection.answer_bytes
+        if size > calls.MAX_BUFFERED_BODY_BYTES:
+            now_s = self.clock()
+            if until_s <= now_s:
+                # At most one line for a route in LONG_ANSWER_MEMORY_S.
+                log.info(
+                    "requests wait behind the answers of a route",
+                    route=call.route,
+                    request=call.request_id,
+                    sent_bytes=size,
+                    whole=whole,
+                )
+                self.on_long()
+            until_s = now_s + LONG_ANSWER_MEMORY_S
+        elif not whole:
             return
         self.long_until_s[call.route] = until_s
         if len(self.long_until_s) > MAX_ROUTES:
--- a/src/waxwingferry/request/tests/test_cut_answers.py
+++ b/src/waxwingferry/request/tests/test_cut_answers.py
@@ -187,7 +187,10 @@
     """Guards against routes without bound, and one long answer for ever."""
     clock = fakes.Clock()
     revision = document.make_revision(1, make_document())
-    overlaps = overlapping.Overlaps(lambda: revision, clock)
+    counted: list[None] = []
+    overlaps = overlapping.Overlaps(
+        lambda: revision, clock, lambda: counted.append(None)
+    )
     head = http1.RequestHead("GET", "/pack/1", [])
     route = revision.match_route("GET", "/pack/1", "")
     assert route is not None
@@ -195,14 +198,18 @@
 
     def record(name: str, size: int, whole: bool) -> None:
         connection = cast(Any, types.SimpleNamespace(answer_bytes=size))
-        call = types.SimpleNamespace(method="GET", idempotent=True, route=name)
+        call = types.SimpleNamespace(
+            method="GET", idempotent=True, route=name, request_id="r"
+        )
         overlaps.record_answer(cast(Any, call), connection, whole)
 
     record(route.name, 10, False)
     assert overlaps.may_be_long(head)
     record(route.name, 10, True)
     assert not overlaps.may_be_long(head)
-    record(route.name, calls.MAX_BUFFERED_BODY_BYTES + 1, False)
+    for _ in range(2):
+        record(route.name, calls.MAX_BUFFERED_BODY_BYTES + 1, False)
+    assert len(counted) == 1
     record(route.name, 10, True)
     assert overlaps.may_be_long(head)
     clock.now_s += overlapping.LONG_ANSWER_MEMORY_S
