--- a/src/waxwingferry/bench/tests/test_scripts.py
+++ b/src/waxwingferry/bench/tests/test_scripts.py
@@ -28,6 +28,7 @@
     "soak",
     "too-little-room",
     "uneven",
+    "uploads",
 }
 
 
--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -49,7 +49,9 @@
     Attributes:
         head: Head of the current request.
         request_ended: Whether the request was received completely.
+        body_skipped: Whether a part of the request's body was discarded.
         answer_started: Whether sending of the final response has begun.
+        answer_bytes: Bytes of the body of the final response sent so far.
         keep_alive: Whether another request may follow.
         scope: Cancels all work on the connection.
         idle_since_s: Monotonic time when waiting for a request began, or 0.
@@ -79,7 +81,9 @@
         )
         self.head: RequestHead | None = None
         self.request_ended = True
+        self.body_skipped = False
         self.answer_started = False
+        self.answer_bytes = 0
         self.chunked = False
         self.keep_alive = True
         self.continue_pending = False
@@ -128,6 +132,7 @@
         head = self.reader.pop_event()
         self.head = head
         self.request_ended = False
+        self.body_skipped = False
         self.keep_alive = head.keep_alive
         self.continue_pending = head.has_body and head.expects_continue
         self.body_bytes = 0
@@ -155,8 +160,12 @@
 
         Raises:
             ReceiveTimeoutError: The body arrived below the minimum rate.
-            HttpError: The body is malformed or too large.
+            HttpError: The body is malformed or too large, or a part of it was
+                discarded.
         """
+        if self.body_skipped:
+            # Its end would be taken for that of the whole body.
+            raise message.HttpError("a part of the body was discarded")
         if self.request_ended:
             return None
         reader = self.reader
@@ -208,6 +217,7 @@
         sent with chunked coding, which HTTP/1.0 clients don't support.
         """
         self.answer_started = True
+        self.answer_bytes = len(body or b"")
         headers = end_to_end_headers(headers)
         if status == 204:
             # RFC 9110, section 8.6: no Content-Length in a 204 response.
@@ -249,6 +259,7 @@
         """Discards the received part of a body that the handler didn't read."""
         queue = self.reader.queue
         while queue and not isinstance(queue[0], HttpError):
+            self.body_skipped = True
             if queue.popleft() is message_events.END_OF_MESSAGE:
                 self.request_ended = True
                 return
@@ -263,6 +274,7 @@
 
     async def send_chunk(self, chunk: bytes) -> None:
         """Sends a part of the body; waits while the client reads slowly."""
+        self.answer_bytes += len(chunk)
         if self.chunked:
             chunk = message.encode_chunk(chunk)
         await self._write(chunk)
