Bound clients of the administration API

Cause: hypercorn served the administration API. It has no setting for the number of connections or for clients that don't read, and it collected what arrived.

Change: the Starlette application runs on the server of the other ports through a small ASGI adapter. Bounded are connections (limits.admin_connections, 64), their memory together, heads (16 KiB), bodies (512 KiB, announced or sent), the time that both may stay unfinished, responses that are not read, and pipelined requests. Reasons are counted in waxwingferry_client_limits_total and logged as on the other ports. A change still goes on if its client disconnects. HTTP/2 and websockets, which the library accepted, are no longer spoken on the port.

--- a/src/waxwingferry/connection/budget.py
+++ b/src/waxwingferry/connection/budget.py
@@ -37,7 +37,9 @@
 # request costs while it is forwarded, and for other processes.
 CLIENT_SHARE = 0.2
 INTERNAL_SHARE = 0.25
-# Descriptors reserved for files.
+# The largest documents of a few operators at once.
+ADMIN_SHARE = 0.02
+# Descriptors reserved for files and the administration API.
 FILE_DESCRIPTORS = 200
 # Share of the other descriptors for connections of clients. A request in
 # progress needs another one to a peer or the target.
@@ -387,5 +389,16 @@
     return Budget(limit_bytes, sys.maxsize, "internal")
 
 
+def make_admin_budget(memory_bytes: int, max_connections: int) -> Budget:
+    """Returns the budget for the connections of the administration API.
+
+    Args:
+        memory_bytes: Memory of the machine.
+        max_connections: Number of connections that may be open.
+    """
+    limit_bytes = _compute_limit(memory_bytes, ADMIN_SHARE)
+    return Budget(limit_bytes, max_connections, "administration")
+
+
 def _compute_limit(memory_bytes: int, share: float) -> int:
     return max(int((memory_bytes - PROCESS_BYTES) * share), MIN_LIMIT_BYTES)
--- a/src/waxwingferry/process/admin.py
+++ b/src/waxwingferry/process/admin.py
@@ -20,8 +20,6 @@
 from typing import Any
 
 import aioprometheus
-import hypercorn.asyncio
-import hypercorn.config
 import pydantic
 import starlette.applications
 import starlette.requests
@@ -29,6 +27,8 @@
 import starlette.routing
 import structlog
 
+from waxwingferry.connection import budget
+from waxwingferry.process import admin_server
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
 from waxwingferry.process import settings
@@ -274,17 +274,14 @@
         )
         return _change_response(result, change_request.change_id)
 
-    async def serve(self, host: str, port: int, stop) -> None:
+    async def serve(
+        self, host: str, port: int, stop, connections: budget.Budget
+    ) -> None:
         """Serves until the awaitable returned by stop() completes."""
-        config = hypercorn.config.Config()
-        config.bind = [f"{host}:{port}"]
-        config.loglevel = "warning"
-        config.graceful_timeout = 1.0
-        await hypercorn.asyncio.serve(
-            self.make_app(),  # type: ignore[arg-type]
-            config,
-            shutdown_trigger=stop,
+        server = admin_server.AdminServer(
+            self.make_app(), connections, MAX_BODY_BYTES
         )
+        await server.run(host, port, stop)
 
 
 async def _read_body(request: starlette.requests.Request) -> bytes | None:
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -1,5 +1,6 @@
 """waxwingferry-node: the sidecar process of each target."""
 
+import functools
 import json
 import random
 
@@ -94,6 +95,13 @@
             self.get_control_status,
             self.explain_choice,
         )
+        limits = options.limits
+        self.admin_budget = budget.make_admin_budget(
+            limits.memory_mb * budget.MIB, limits.admin_connections
+        )
+        self.admin_budget.on_limited = functools.partial(
+            self.counters.record_limited, self.admin_budget.name
+        )
 
     def get_probe_rate(self) -> float:
         """Returns the allowed rate of probes per second."""
@@ -202,7 +210,10 @@
         options = self.settings
         try:
             await self.admin.serve(
-                options.host, options.admin_port, self.stopped.wait
+                options.host,
+                options.admin_port,
+                self.stopped.wait,
+                self.admin_budget,
             )
         finally:
             # Its requests may also have been cancelled, after a while.
--- a/src/waxwingferry/process/settings.py
+++ b/src/waxwingferry/process/settings.py
@@ -66,6 +66,7 @@
         blank_bytes: Blank lines before a request.
         framing_bytes: Chunk sizes, extensions and trailers of a body that are
             allowed beside as many bytes as the body has.
+        admin_connections: Connections of the administration API.
     """
 
     memory_mb: Annotated[int, pydantic.Field(ge=64)] = 512
@@ -82,6 +83,8 @@
     framing_bytes: Annotated[int, pydantic.Field(ge=4096)] = (
         message.DEFAULT_LIMITS.framing_bytes
     )
+    # At most 3 of 4 descriptors that are reserved for other than callers.
+    admin_connections: Annotated[int, pydantic.Field(ge=1, le=150)] = 64
 
 
 class NodeSettings(_StrictModel):
