Import what a node needs later on demand, and start without collections

Cause: nodes load statistics, hashlib, secrets, pathlib and urllib.parse (with fractions, hmac and ipaddress) at every start, though a node without ejections, API keys, claims and usage reports calls none of them. During the start the garbage collector traverses objects that all live as long as the process.

Change: deferred.Module imports a module at the first use of an attribute; an import that fails is logged and ends the process with SystemExit, which handlers of requests don't catch. The store's queries are formatted by connection.query. Settings are opened and the incarnation is drawn without pathlib and secrets. The node program pauses the collection before its imports; when all listeners accept, it resumes it without the objects made until then.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -1,5 +1,11 @@
 """Node program for the users' platform: connects its parts and runs it."""
 
+from waxwingferry.process import garbage
+
+if __name__ == "__main__":
+    # Most of a start are the imports that follow.
+    garbage.pause()
+
 import os
 import random
 import sys
@@ -397,13 +403,14 @@
                 self.stop_requested,
                 self.reload,
             )
-            for server, host, port in (
+            listeners = (
                 (self.caller_server, *settings.outbound_address),
                 (self.readiness_server, *settings.readiness_address),
                 (self.control_server, *settings.control_address),
                 (self.peer_server, settings.host, settings.first_internal_port),
                 (self.metrics_server, settings.host, metrics_port),
-            ):
+            )
+            for server, host, port in listeners:
                 group.start_soon(server.serve, host, port)
             for task in (
                 *self.control_tasks,
@@ -418,6 +425,9 @@
                 group.start_soon(self.usage_duty.run)
             group.start_soon(self.datagrams.run, self.gossip.receive)
             log.info("node started", node=settings.node)
+            for server, _, _ in listeners:
+                await server.listening.wait()
+            garbage.resume()
             await self.stop_requested.wait()
             stop_requested_s = time.monotonic()
             if self.usage_duty is not None:
--- a/src/waxwingferry/platform/settings_file.py
+++ b/src/waxwingferry/platform/settings_file.py
@@ -3,7 +3,6 @@
 import dataclasses
 import math
 import os
-import pathlib
 import tomllib
 from typing import Any
 
@@ -198,7 +197,8 @@
         SettingsError: Names the key, its value and what is allowed.
     """
     try:
-        data = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        with open(path, "rb") as file:
+            data = tomllib.load(file)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except (RecursionError, ValueError) as error:
--- a/src/waxwingferry/platform/store.py
+++ b/src/waxwingferry/platform/store.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 import re
 from typing import Any
-import urllib.parse
 
 import msgspec
 import structlog
@@ -16,6 +15,7 @@
 from waxwingferry import decoding
 from waxwingferry.connection import exchange
 from waxwingferry.connection import http1
+from waxwingferry.connection import query
 from waxwingferry.process import platform
 
 REQUEST_TIMEOUT_S = 1.5
@@ -283,7 +283,7 @@
         """
         if self._is_from_other_era(after_version):
             raise HistoryExpiredError("store was restored from a copy")
-        query = urllib.parse.urlencode(
+        fields = query.format_query(
             {
                 "table": table,
                 "after": platform.get_number(after_version),
@@ -292,7 +292,7 @@
         )
         reply = await self._send_request(
             "GET",
-            f"/-/rows-feed?{query}",
+            f"/-/rows-feed?{fields}",
             timeout_s=wait_s + margin_s,
         )
         if reply.status == 410:
@@ -328,8 +328,8 @@
     ) -> RowsResponse:
         # The parameter "target" is the exclusive end of the key range.
         params = {"table": table, "part": "", "from": start, "target": end}
-        query = urllib.parse.urlencode({k: v for k, v in params.items() if v})
-        reply = await self._send_request("GET", f"/-/rows-get?{query}")
+        fields = query.format_query({k: v for k, v in params.items() if v})
+        reply = await self._send_request("GET", f"/-/rows-get?{fields}")
         _check_status(reply)
         return _decode_response(reply)
 
--- a/src/waxwingferry/process/choice/outliers.py
+++ b/src/waxwingferry/process/choice/outliers.py
@@ -1,10 +1,16 @@
 """Outlier ejection of targets with a far higher error rate than others."""
 
 import math
-import statistics
+import typing
 
+from waxwingferry import deferred
 from waxwingferry.process.choice import known_target
 
+if typing.TYPE_CHECKING:
+    import statistics
+else:
+    statistics = deferred.Module("statistics")
+
 MAX_EJECTED_SHARE = 0.34
 MIN_OUTCOMES = 5
 MIN_ERROR_RATE = 0.4
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -4,8 +4,8 @@
 import dataclasses
 import functools
 import math
+import os
 import random
-import secrets
 from typing import Literal
 
 import anyio
@@ -121,7 +121,7 @@
         self.rng = rng
         # IDs never depend on the configured seed: two processes with the same
         # seed would mistake each other's claims and attempts for their own.
-        self.incarnation = secrets.token_hex(8)
+        self.incarnation = os.urandom(8).hex()
         self.id_rng = random.SystemRandom()
         self.ready = False
         self.counters = metrics.Metrics()
--- a/src/waxwingferry/process/protection/limit.py
+++ b/src/waxwingferry/process/protection/limit.py
@@ -10,8 +10,15 @@
 import dataclasses
 import enum
 import math
-import statistics
 import time
+import typing
+
+from waxwingferry import deferred
+
+if typing.TYPE_CHECKING:
+    import statistics
+else:
+    statistics = deferred.Module("statistics")
 
 INITIAL_LIMIT = 1
 # With exponential service times, the median of this many answers exceeds three
--- a/src/waxwingferry/process/usage/messages.py
+++ b/src/waxwingferry/process/usage/messages.py
@@ -9,15 +9,22 @@
 
 from collections.abc import Iterable
 import dataclasses
+import typing
 from typing import Any
-import urllib.parse
 
 import msgspec
 
 from waxwingferry import decoding
+from waxwingferry import deferred
+from waxwingferry.connection import query
 from waxwingferry.process.usage import records
 from waxwingferry.process.usage import windows
 
+if typing.TYPE_CHECKING:
+    from urllib import parse as url_parsing
+else:
+    url_parsing = deferred.Module("urllib.parse")
+
 PATH = "/usage"
 # Ages beyond the retention of records count as that.
 MAX_AGE_MS = 10**9
@@ -78,14 +85,14 @@
 
 def format_question(question: Question) -> str:
     """Returns the request target of a question."""
-    query = urllib.parse.urlencode(
+    fields = query.format_query(
         {
             "from_age_ms": question.from_age_ms,
             "to_age_ms": question.to_age_ms,
             "holder": question.holder,
         }
     )
-    return f"{PATH}?{query}"
+    return f"{PATH}?{fields}"
 
 
 def parse_question(target: str) -> Question:
@@ -96,7 +103,7 @@
     """
     try:
         values = dict(
-            urllib.parse.parse_qsl(
+            url_parsing.parse_qsl(
                 target.partition("?")[2], max_num_fields=8, strict_parsing=True
             )
         )
--- a/src/waxwingferry/request/claim.py
+++ b/src/waxwingferry/request/claim.py
@@ -9,15 +9,15 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import hashlib
 import random
 import re
 import time
+import typing
 from typing import Any
-import urllib.parse
 
 import anyio
 
+from waxwingferry import deferred
 from waxwingferry.connection import http1
 from waxwingferry.process import background
 from waxwingferry.process import metrics
@@ -28,6 +28,13 @@
 from waxwingferry.request import claim_results
 from waxwingferry.request import outcome
 
+if typing.TYPE_CHECKING:
+    import hashlib
+    from urllib import parse as url_parsing
+else:
+    hashlib = deferred.Module("hashlib")
+    url_parsing = deferred.Module("urllib.parse")
+
 PREFIX = "claims/"
 REPLAYED_HEADER = "x-waxwing-replayed"
 KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
@@ -370,7 +377,7 @@
 def make_row_key(call: calls.Call) -> str:
     """Returns the key of a claim's row; quoting makes it unambiguous."""
     parts = (call.service, call.member, call.key)
-    return PREFIX + "/".join(urllib.parse.quote(part, "") for part in parts)
+    return PREFIX + "/".join(url_parsing.quote(part, "") for part in parts)
 
 
 def make_digest(call: calls.Call) -> str:
--- a/src/waxwingferry/version/api_keys.py
+++ b/src/waxwingferry/version/api_keys.py
@@ -6,7 +6,14 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
-import hashlib
+import typing
+
+from waxwingferry import deferred
+
+if typing.TYPE_CHECKING:
+    import hashlib
+else:
+    hashlib = deferred.Module("hashlib")
 
 # Longer keys are most likely another text that was pasted by mistake.
 MAX_KEY_CHARS = 200
