Shorten the waits of a start that nothing requires

Cause: a node that joins read the document and then the members. Its first write to the table was delayed by up to 3 s even if its target leaves, though the target gets no 200 before that write; and a leave that was reported before the node had a row was answered 503 at once, and repeated a second later.

Change: document and members are read at the same time; the first error ends both. The delay of the first write ends when the target leaves. A leave is still confirmed only when the table or, later, a peer has it.

--- a/src/waxwingferry/process/protection/registration.py
+++ b/src/waxwingferry/process/protection/registration.py
@@ -236,12 +236,15 @@
         """Waits until draining, if any, would survive this process."""
         if incarnation not in self.draining_since_s:
             return True
+        with anyio.move_on_after(CONFIRM_WAIT_S):
+            # While the node joins, it has no row yet.
+            await self.node_lease.wait_written(
+                await self.node_lease.wait_announced()
+            )
+            return True
         row = self.membership.own
         if row is None:
             return False
-        with anyio.move_on_after(CONFIRM_WAIT_S):
-            await self.node_lease.wait_written(row)
-            return True
         waited_s = self.clock() - self.draining_since_s[incarnation]
         log.warning(
             "draining not yet stored in the table",
--- a/src/waxwingferry/process/protection/tests/test_registration.py
+++ b/src/waxwingferry/process/protection/tests/test_registration.py
@@ -105,6 +105,42 @@
     assert row.value["state"] == "draining"
 
 
+async def test_a_leave_while_the_node_joins_is_confirmed_once_stored(
+    harness, monkeypatch
+):
+    """Guards against a leave that is refused because the node has no row yet.
+
+    Load pattern: a node starts while its target leaves; the target repeated its
+    report a second later.
+    """
+    monkeypatch.setattr(registration, "CONFIRM_WAIT_S", 5.0)
+    publish = harness.registration.publish_member
+    harness.registration.publish_member = lambda: None
+    confirmed = []
+
+    async def send() -> None:
+        confirmed.append(await harness.send_heartbeat(state="draining"))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(send)
+        await anyio.wait_all_tasks_blocked()
+        assert confirmed == []
+        publish()
+        await anyio.wait_all_tasks_blocked()
+        assert confirmed == []
+        await harness.node_lease.write_once()
+    assert confirmed == [True]
+    assert harness.table.value("members/n0")["state"] == "draining"
+
+
+async def test_a_leave_is_not_confirmed_while_the_node_has_no_row(harness):
+    """Guards against a confirmed leave that nothing outside the node knows."""
+    harness.registration.publish_member = lambda: None
+    assert not await harness.send_heartbeat(state="draining")
+    harness.clock.now_s += registration.CONFIRM_UNWRITTEN_S + 0.1
+    assert not await harness.send_heartbeat(sequence=2, state="draining")
+
+
 async def test_draining_is_confirmed_in_time_without_the_table(harness):
     """An unavailable table must not block a draining target."""
     await harness.send_heartbeat()
--- a/src/waxwingferry/process/spreading/lease.py
+++ b/src/waxwingferry/process/spreading/lease.py
@@ -140,7 +140,7 @@
 
     async def run(self) -> None:
         """Writes the row when it changes and before its lease expires."""
-        await self.sleep(self.rng.uniform(0, STARTUP_WRITE_JITTER_S))
+        await self._delay_first_write()
         while not self.superseded:
             await self._write_until_done()
             wait_s = RENEW_INTERVAL_S * self.rng.uniform(1 - JITTER, 1)
@@ -149,6 +149,29 @@
             if self.may_be_lost:
                 await self._delay_write()
 
+    async def _delay_first_write(self) -> None:
+        """Spreads the first writes of nodes that start together.
+
+        A leave is not delayed, because the target waits for its confirmation.
+        """
+        delayed = True
+        async with anyio.create_task_group() as group:
+
+            async def wait() -> None:
+                nonlocal delayed
+                await self.sleep(self.rng.uniform(0, STARTUP_WRITE_JITTER_S))
+                delayed = False
+                group.cancel_scope.cancel()
+
+            group.start_soon(wait)
+            while delayed:
+                self.membership.own_changed = anyio.Event()
+                own = self.membership.own
+                if own is not None and own.state != "ready":
+                    group.cancel_scope.cancel()
+                    return
+                await self.membership.own_changed.wait()
+
     def handle_restore(self) -> None:
         """Checks the row, as the table was restored from an older copy."""
         self.written_row = None
@@ -230,6 +253,13 @@
         self.row_written.set()
         self.row_written = anyio.Event()
 
+    async def wait_announced(self) -> members.MemberRow:
+        """Returns the row of this node once it has one."""
+        while self.membership.own is None:
+            # Each write comes after an announcement.
+            await self.row_written.wait()
+        return self.membership.own
+
     async def wait_written(self, row: members.MemberRow) -> None:
         """Returns once the table has the row or a newer one of this node."""
         while self.written_row is None or self.written_row.order < row.order:
--- a/src/waxwingferry/process/spreading/synchronizer.py
+++ b/src/waxwingferry/process/spreading/synchronizer.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import random
+from typing import Any
 
 import anyio
 import structlog
@@ -224,9 +225,26 @@
         return self.configured.apply_if_newer(number, content)
 
     async def _read_table(self) -> None:
+        """Reads the document and the members at the same time.
+
+        Raises:
+            platform.PlatformError: One of them could not be read.
+        """
         self.reads += 2
-        await self.configured.read()
-        await self.node_lease.read_rows()
+        errors: list[platform.PlatformError] = []
+
+        async def read(function: Callable[[], Awaitable[Any]]) -> None:
+            try:
+                await function()
+            except platform.PlatformError as error:
+                errors.append(error)
+                group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(read, self.configured.read)
+            group.start_soon(read, self.node_lease.read_rows)
+        if errors:
+            raise errors[0]
 
     async def run_table_reader(self) -> None:
         """Reads changes from the table every 30 s."""
--- a/src/waxwingferry/process/spreading/tests/test_lease.py
+++ b/src/waxwingferry/process/spreading/tests/test_lease.py
@@ -47,6 +47,50 @@
         return self.members.own
 
 
+async def run_first_write(state: str) -> fakes.Table:
+    """Returns the table after a start whose delay of the write does not end."""
+    table, clock = fakes.Table(), fakes.Clock()
+    process = NodeProcess(table, clock, 2000.0, "new")
+    process.members.announce(msgspec.structs.replace(process.own, state=state))
+    process.lease.sleep = lambda _: anyio.sleep_forever()
+    async with anyio.create_task_group() as group:
+        group.start_soon(process.lease.run)
+        await anyio.wait_all_tasks_blocked()
+        group.cancel_scope.cancel()
+    return table
+
+
+async def test_the_first_write_of_a_leave_is_not_delayed():
+    """Guards against a target that waits 3 s for its leave to be confirmed.
+
+    Load pattern: nodes start while their targets leave. The report of the leave
+    was answered 503 until the node wrote its first row.
+    """
+    table = await run_first_write("draining")
+    assert table.value("members/n1")["state"] == "draining"
+
+
+async def test_the_first_write_of_a_ready_node_is_delayed():
+    """Guards against a burst of writes when many nodes start together."""
+    assert not (await run_first_write("ready")).rows
+
+
+async def test_a_leave_during_the_delay_of_the_first_write_is_written():
+    """Guards against a leave that is only noticed at the start."""
+    table, clock = fakes.Table(), fakes.Clock()
+    process = NodeProcess(table, clock, 2000.0, "new")
+    process.lease.sleep = lambda _: anyio.sleep_forever()
+    async with anyio.create_task_group() as group:
+        group.start_soon(process.lease.run)
+        await anyio.wait_all_tasks_blocked()
+        process.members.announce(
+            msgspec.structs.replace(process.own, state="draining")
+        )
+        await anyio.wait_all_tasks_blocked()
+        group.cancel_scope.cancel()
+    assert table.value("members/n1")["state"] == "draining"
+
+
 async def test_restart_after_a_clock_step_back_outranks_the_old_row():
     """Guards against peers that ignore the rows of a restarted node."""
     table, clock = fakes.Table(), fakes.Clock()
--- a/src/waxwingferry/process/spreading/tests/test_synchronizer.py
+++ b/src/waxwingferry/process/spreading/tests/test_synchronizer.py
@@ -119,6 +119,52 @@
     assert synced.configured.number == 4
 
 
+async def test_document_and_members_are_read_at_the_same_time(
+    synced, monkeypatch
+):
+    """Guards against a start that waits for two responses of the platform.
+
+    Load pattern: all nodes start after a loss of power while requests pile up.
+    """
+    members_requested = anyio.Event()
+    scan = synced.node_lease.table.scan
+
+    async def scan_and_tell(*args):
+        members_requested.set()
+        return await scan(*args)
+
+    async def read_after_it():
+        await members_requested.wait()
+
+    monkeypatch.setattr(synced.node_lease.table, "scan", scan_and_tell)
+    monkeypatch.setattr(synced.configured, "read", read_after_it)
+    with anyio.fail_after(1):
+        await synced.load_initial_state()
+
+
+@pytest.mark.parametrize("failing", ["document", "members"])
+async def test_peers_are_asked_if_one_of_the_reads_fails(
+    synced, monkeypatch, failing
+):
+    """Guards against a node that waits for a response that does not come."""
+
+    async def fail(*_):
+        raise platform.PlatformError("outage")
+
+    async def hang(*_):
+        await anyio.sleep_forever()
+
+    functions = [fail, hang] if failing == "document" else [hang, fail]
+    monkeypatch.setattr(synced.configured, "read", functions[0])
+    monkeypatch.setattr(synced.node_lease.table, "scan", functions[1])
+    synced.client.documents = {SEEDS[0]: 3}
+    synced.client.rows = {SEEDS[0]: [fakes.make_row(1)]}
+    with anyio.fail_after(1):
+        await synced.load_initial_state()
+    assert synced.configured.number == 3
+    assert set(synced.membership.records) == {"n1"}
+
+
 async def test_node_without_platform_and_seeds_does_not_start(synced):
     """Guards against a node that announces itself without a document."""
     synced.node_lease.table.down = True
