Open the control address of a node before its modules are loaded

Cause: of the calls of targets to the control address that get no 200, those at a start are refused, because nothing listens while the node loads its modules. A target repeats a report up to a second later, and its node announces it only then.

Change: platform.start opens the control address first; the reports wait in the queue of the socket and are answered once the node runs. If the settings or the address can't be used, the start goes on and reports this as before. Only the local target uses the address; callers and other nodes are refused until the node can answer.

Two tests of test_start fail without the early socket.

--- a/src/waxwingferry/connection/tcp.py
+++ b/src/waxwingferry/connection/tcp.py
@@ -25,6 +25,7 @@
 import structlog
 
 from waxwingferry.connection import budget as budgets
+from waxwingferry.connection import early_listeners
 
 READ_AHEAD_BYTES = 65536
 # Largest number of bytes received at once. The event loop's own buffer has 256
@@ -358,8 +359,12 @@
         accept: Called with each new connection.
     """
     loop = asyncio.get_running_loop()
+    address: dict[str, Any] = {"host": host, "port": port}
+    opened = early_listeners.take(host, port)
+    if opened is not None:
+        address = {"sock": opened}
     server = await loop.create_server(
-        lambda: TcpStream(accept), host, port, backlog=ACCEPT_BATCH
+        lambda: TcpStream(accept), backlog=ACCEPT_BATCH, **address
     )
     # The event loop accepts as many connections at once as its backlog has.
     with socket.socket(fileno=os.dup(server.sockets[0].fileno())) as listener:
--- a/src/waxwingferry/platform/__main__.py
+++ b/src/waxwingferry/platform/__main__.py
@@ -2,12 +2,13 @@
 
 import signal
 
-from waxwingferry.process import garbage
-
 # SIGHUP would end the process while it loads its modules and settings.
 # process.signals.receive_signals() unblocks it.
 signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
-garbage.pause()
+
+from waxwingferry.platform import start  # noqa: E402
+
+start.begin()
 
 from waxwingferry.platform import main  # noqa: E402
 
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -1,10 +1,10 @@
 """Node program for the users' platform: connects its parts and runs it."""
 
-from waxwingferry.process import garbage
+from waxwingferry.platform import start
 
 if __name__ == "__main__":
     # Most of a start are the imports that follow.
-    garbage.pause()
+    start.begin()
 
 import os
 import random
@@ -427,7 +427,7 @@
             log.info("node started", node=settings.node)
             for server, _, _ in listeners:
                 await server.listening.wait()
-            garbage.resume()
+            start.complete()
             await self.stop_requested.wait()
             stop_requested_s = time.monotonic()
             if self.usage_duty is not None:
--- a/src/waxwingferry/platform/settings_file.py
+++ b/src/waxwingferry/platform/settings_file.py
@@ -10,8 +10,9 @@
 
 from waxwingferry.connection import message
 from waxwingferry.platform import parsing
+from waxwingferry.platform import start
 
-PATH_VARIABLE = "WAXWINGFERRY_SETTINGS"
+PATH_VARIABLE = start.PATH_VARIABLE
 
 log = structlog.get_logger()
 
