Query the seeds at the same time while the store does not answer

Cause: a node that starts without the store asked its seeds and contacts one after the other, and each may be silent for 2 s.

Change: they are asked at the same time; all of them are still waited for, so that the newest document is found.

No run with dead VMs was made.

--- a/src/waxwingferry/process/spreading/synchronizer.py
+++ b/src/waxwingferry/process/spreading/synchronizer.py
@@ -124,9 +124,14 @@
         return await self._load_from_peers()
 
     async def _load_from_peers(self) -> bool:
-        """Queries several nodes, so that the newest document is found."""
+        """Queries several nodes, so that the newest document is found.
+
+        They are queried at the same time, as each may be silent for 2 s.
+        """
         found = False
-        for address in self._find_peers():
+
+        async def load(address: gossip.Address) -> None:
+            nonlocal found
             try:
                 rows = await self.client.fetch_members(address)
                 self.membership.apply_all(rows)
@@ -135,6 +140,10 @@
                 found = True
             except peers.PeerError as error:
                 log.info("peer request failed", error=str(error))
+
+        async with anyio.create_task_group() as group:
+            for address in self._find_peers():
+                group.start_soon(load, address)
         return found and self.configured.number > 0
 
     async def complete_members(self) -> None:
--- a/src/waxwingferry/process/spreading/tests/test_synchronizer.py
+++ b/src/waxwingferry/process/spreading/tests/test_synchronizer.py
@@ -119,6 +119,32 @@
     assert synced.configured.number == 4
 
 
+async def test_a_silent_seed_does_not_delay_the_others(synced, monkeypatch):
+    """Guards against a start that waits for one dead seed after the other.
+
+    Load pattern: all nodes start after a loss of power, some VMs and the
+    platform stay away, and requests pile up.
+    """
+    synced.node_lease.table.down = True
+    synced.client.documents = dict.fromkeys(SEEDS, 4)
+    synced.client.rows = {address: [fakes.make_row(1)] for address in SEEDS}
+    asked = set()
+    all_asked = anyio.Event()
+    fetch_members = synced.client.fetch_members
+
+    async def wait_for_all(address):
+        asked.add(address)
+        if len(asked) == len(SEEDS):
+            all_asked.set()
+        await all_asked.wait()
+        return await fetch_members(address)
+
+    monkeypatch.setattr(synced.client, "fetch_members", wait_for_all)
+    with anyio.fail_after(1):
+        await synced.load_initial_state()
+    assert synced.configured.number == 4
+
+
 async def test_document_and_members_are_read_at_the_same_time(
     synced, monkeypatch
 ):
