--- a/src/waxwingferry/connection/closing.py
+++ b/src/waxwingferry/connection/closing.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 import contextlib
-from typing import Protocol
 import time
+from typing import Protocol
 
 import anyio
 import structlog
--- a/src/waxwingferry/platform/__main__.py
+++ b/src/waxwingferry/platform/__main__.py
@@ -6,6 +6,10 @@
 # process.signals.receive_signals() unblocks it.
 signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
 
+from waxwingferry.platform import start  # noqa: E402
+
+start.begin()
+
 from waxwingferry.platform import main  # noqa: E402
 
 if __name__ == "__main__":
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -1,5 +1,11 @@
 """Node program for the users' platform: connects its parts and runs it."""
 
+from waxwingferry.platform import start
+
+if __name__ == "__main__":
+    # Most of a start are the imports that follow.
+    start.begin()
+
 import os
 import random
 import sys
@@ -400,13 +406,14 @@
                 self.stop_requested,
                 self.reload,
             )
-            for server, host, port in (
+            listeners = (
                 (self.caller_server, *settings.outbound_address),
                 (self.readiness_server, *settings.readiness_address),
                 (self.control_server, *settings.control_address),
                 (self.peer_server, settings.host, settings.first_internal_port),
                 (self.metrics_server, settings.host, metrics_port),
-            ):
+            )
+            for server, host, port in listeners:
                 group.start_soon(server.serve, host, port)
             supervise = self.breaches.supervise
             for task in (
@@ -422,6 +429,9 @@
                 group.start_soon(supervise(self.usage_duty.run))
             group.start_soon(self.datagrams.run, self.receive_datagram)
             log.info("node started", node=settings.node)
+            for server, _, _ in listeners:
+                await server.listening.wait()
+            start.complete()
             await self.stop_requested.wait()
             stop_requested_s = time.monotonic()
             if self.usage_duty is not None:
--- a/src/waxwingferry/process/spreading/synchronizer.py
+++ b/src/waxwingferry/process/spreading/synchronizer.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import random
+from typing import Any
 
 import anyio
 import structlog
@@ -123,9 +124,14 @@
         return await self._load_from_peers()
 
     async def _load_from_peers(self) -> bool:
-        """Queries several nodes, so that the newest document is found."""
+        """Queries several nodes, so that the newest document is found.
+
+        They are queried at the same time, as each may be silent for 2 s.
+        """
         found = False
-        for address in self._find_peers():
+
+        async def load(address: gossip.Address) -> None:
+            nonlocal found
             try:
                 rows = await self.client.fetch_members(address)
                 self.membership.apply_all(rows)
@@ -134,6 +140,10 @@
                 found = True
             except peers.PeerError as error:
                 log.info("peer request failed", error=str(error))
+
+        async with anyio.create_task_group() as group:
+            for address in self._find_peers():
+                group.start_soon(load, address)
         return found and self.configured.number > 0
 
     async def complete_members(self) -> None:
@@ -224,9 +234,26 @@
         return self.configured.apply_if_newer(number, content)
 
     async def _read_table(self) -> None:
+        """Reads the document and the members at the same time.
+
+        Raises:
+            platform.PlatformError: One of them could not be read.
+        """
         self.reads += 2
-        await self.configured.read()
-        await self.node_lease.read_rows()
+        errors: list[platform.PlatformError] = []
+
+        async def read(function: Callable[[], Awaitable[Any]]) -> None:
+            try:
+                await function()
+            except platform.PlatformError as error:
+                errors.append(error)
+                group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(read, self.configured.read)
+            group.start_soon(read, self.node_lease.read_rows)
+        if errors:
+            raise errors[0]
 
     async def run_table_reader(self) -> None:
         """Reads changes from the table every 30 s."""
