--- a/src/waxwingferry/process/choice/load_stats.py
+++ b/src/waxwingferry/process/choice/load_stats.py
@@ -172,10 +172,13 @@
     Attributes:
         latency_s: Moving average of the time to the first byte; 0 if none.
         utilisation: Moving average of the work of other entries per slot.
+        usual_slowness: Least slowness in recent reports of the targets.
     """
 
     latency_s: float = 0.0
     latency_at_s: float = -math.inf
+    usual_slowness: float = 1.0
+    usual_at_s: float = -math.inf
     utilisation: float = 0.0
     utilisation_at_s: float = -math.inf
 
--- a/src/waxwingferry/process/choice/routing.py
+++ b/src/waxwingferry/process/choice/routing.py
@@ -17,13 +17,13 @@
 from waxwingferry.process.choice import known_target
 from waxwingferry.process.choice import load_stats
 from waxwingferry.process.choice import outliers
+from waxwingferry.process.protection import usual_speed
 
 REFUSAL_COOLDOWN_S = 1.0
-# A target this many times slower than normal is a worse choice than any other
-# target with a free slot: the machines of targets differ by less in the steady
-# state.
-SLOW_FACTOR = 2.0
 STALE_REPORT_S = 1.0
+# The usual slowness of a service changes when its targets get warm; finding it
+# takes a look at each target.
+USUAL_SLOWNESS_INTERVAL_S = 0.1
 
 # Work per slot below which a target gets a retry after queue_full. It is 3 at a
 # target whose queue is full for one of several members, since a member queues
@@ -232,6 +232,39 @@
             drawn = self._sample(pool, size)
         return drawn[:size]
 
+    def update_usual_slowness(
+        self, candidates: list[known_target.Candidate]
+    ) -> None:
+        """Finds the least slowness of a service's targets now and then.
+
+        Load pattern: all targets of a service are in their warm-up. None is
+        slow then, compared with what else the entry can choose.
+
+        Args:
+            candidates: All targets of one service.
+        """
+        if not candidates:
+            return
+        now_s = self.clock()
+        service = self.service_stats(candidates[0].service)
+        if now_s - service.usual_at_s < USUAL_SLOWNESS_INTERVAL_S:
+            return
+        service.usual_at_s = now_s
+        service.usual_slowness = min(
+            (
+                max(item.stats.load.slowness, 1.0)
+                for item in candidates
+                if now_s - item.stats.load.at_s < STALE_REPORT_S
+            ),
+            default=1.0,
+        )
+
+    def is_slow(self, candidate: known_target.Candidate, now_s: float) -> bool:
+        """Returns whether a target is much slower than the others' best."""
+        slowness = cost.estimate_slowness(candidate.stats.load, now_s)
+        usual = self.service_stats(candidate.service).usual_slowness
+        return usual_speed.is_slow(slowness, usual)
+
     def is_free(self, candidate: known_target.Candidate) -> bool:
         """Returns whether a target has room and runs at its usual speed."""
         now_s = self.clock()
@@ -242,7 +275,7 @@
         )
         return (
             not load.busy
-            and not is_slow(candidate, now_s)
+            and not self.is_slow(candidate, now_s)
             and not must_wait(candidate, now_s)
             and estimate.utilisation < cost.CROWDING_THRESHOLD
         )
@@ -447,11 +480,6 @@
     return "ejected" if item.stats.ejected_until_s > now_s else ""
 
 
-def is_slow(item: known_target.Candidate, now_s: float) -> bool:
-    """Returns whether the newest report shows the target's machine as slow."""
-    return cost.estimate_slowness(item.stats.load, now_s) >= SLOW_FACTOR
-
-
 def must_wait(item: known_target.Candidate, now_s: float) -> bool:
     """Returns whether the target's stated rate allows no request now."""
     return item.stats.load.find_wait_s(now_s) > 0
--- a/src/waxwingferry/process/protection/limit.py
+++ b/src/waxwingferry/process/protection/limit.py
@@ -123,6 +123,10 @@
         """Returns the earliest monotonic time for the next request."""
         return -math.inf
 
+    def is_cold(self) -> bool:
+        """Returns whether the target has stated that it warms up."""
+        return False
+
     def find_max_rate_per_s(self) -> float:
         """Returns the requests per second that the rate limit allows."""
         return math.inf
--- a/src/waxwingferry/process/protection/stated_limit.py
+++ b/src/waxwingferry/process/protection/stated_limit.py
@@ -39,6 +39,7 @@
         self.warmup_rate_per_s = warmup_rate_per_s
         self.value = slots
         self.warmup_until_s = clock() + RATE_WINDOW_S
+        self.cold_until_s = -math.inf
         self.dispatch_times_s: collections.deque[float] = collections.deque()
 
     def resize(self, slots: int) -> None:
@@ -63,7 +64,11 @@
 
     def set_warmup_left(self, left_s: float) -> None:
         """Sets the remaining warm-up time in seconds."""
-        self.warmup_until_s = self.clock() + left_s
+        self.warmup_until_s = self.cold_until_s = self.clock() + left_s
+
+    def is_cold(self) -> bool:
+        """See limit.Limit."""
+        return self.clock() < self.cold_until_s
 
     def is_warming_up(self) -> bool:
         """Returns whether the rate is limited now."""
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -386,6 +386,7 @@
     ) -> list[known_target.Candidate]:
         """Returns the targets that a version rollout allows for a call."""
         targets = self.membership.by_service.get(call.service, [])
+        self.router.update_usual_slowness(targets)
         if self.rollouts is None:
             return targets
         canary = call.canary and not history.attempts_made
@@ -444,7 +445,7 @@
             now_s = self.router.clock()
             if (
                 chosen is not None
-                and not routing.is_slow(chosen, now_s)
+                and not self.router.is_slow(chosen, now_s)
                 and not routing.must_wait(chosen, now_s)
             ):
                 return chosen
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -13,12 +13,12 @@
 from waxwingferry.connection import http1
 from waxwingferry.process import metrics
 from waxwingferry.process import target
-from waxwingferry.process.choice import routing
 from waxwingferry.process.protection import admission
 from waxwingferry.process.protection import crash_suspects
 from waxwingferry.process.protection import limit as limits
 from waxwingferry.process.protection import load_shedding
 from waxwingferry.process.protection import stated_limit
+from waxwingferry.process.protection import usual_speed
 from waxwingferry.process.usage import records
 from waxwingferry.request import calls
 from waxwingferry.request import fingerprint
@@ -101,6 +101,7 @@
         self.link: target.TargetClient | None = None
         self.replaced_links: list[target.TargetClient] = []
         self.admission: admission.Admission | None = None
+        self.warmup_slowness = usual_speed.WarmupSlowness()
         self.leaving = False
         self.closed = False
 
@@ -124,6 +125,7 @@
             self.replaced_links.append(self.link)
             self.link = self._make_link(announcement)
             self.sample = None
+            self.warmup_slowness = usual_speed.WarmupSlowness()
             self.admission.reset(limits.ResetCause.INCARNATION)
         self.link.announcement = announcement
         self.admission.resize(announcement.slots)
@@ -232,6 +234,7 @@
             self.record_statement(
                 self.link.announcement.incarnation, sample.statement
             )
+        self.warmup_slowness.record(sample.slowness, limit.is_cold())
         # Attempts that can't be served at the present speed are refused now.
         self.admission.advance()
         self.on_sample()
@@ -244,7 +247,10 @@
         return (
             bool(state.queue)
             or not state.can_dispatch()
-            or self.slowness() >= routing.SLOW_FACTOR
+            or usual_speed.is_slow(
+                self.slowness(),
+                self.warmup_slowness.find_usual(state.limit.is_cold()),
+            )
         )
 
     def slowness(self) -> float:
