Shed nested calls by the time that they take

The capacity was estimated from the mean service time of all kinds: requests that wait for calls of their own hold a slot for 0.35 s, nested calls for 0.03 s, so calls that fit were refused.

Change: attempts are recorded with their work. The rate limit counts attempts, and slots are compared with the time that each kind takes; the smaller of both decides.

--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -13,6 +13,7 @@
 from waxwingferry.process.protection import estimate as estimates
 from waxwingferry.process.protection import fairness
 from waxwingferry.process.protection import limit as limits
+from waxwingferry.process.protection import load_shedding
 from waxwingferry.process.protection import permits
 from waxwingferry.process.protection import precedence
 from waxwingferry.process.protection import rate_limit
@@ -241,10 +242,11 @@
             return False
         return self.find_dispatch_time_s() <= self.now()
 
-    def estimate_capacity_per_s(self) -> float:
-        """Returns how many requests per second the target can take now."""
-        mean_s = max(self.estimate.find_mean_s(), waiting_order.MIN_COST_S)
-        return min(self.limit.value / mean_s, self.limit.find_max_rate_per_s())
+    def find_capacity(self) -> load_shedding.Capacity:
+        """Returns what the target can take now."""
+        return load_shedding.Capacity(
+            self.limit.find_max_rate_per_s(), self.limit.value
+        )
 
     def find_dispatch_time_s(self) -> float:
         """Returns the earliest time that the rate limits allow a request."""
--- a/src/waxwingferry/process/protection/estimate.py
+++ b/src/waxwingferry/process/protection/estimate.py
@@ -105,6 +105,13 @@
         """Returns the expected service time of any route at present."""
         return self._apply_slowness(self.all.mean())
 
+    def find_route_mean_s(self, route: str) -> float:
+        """Returns the expected service time of a route at present."""
+        times = self.routes.get(route)
+        if times is None or len(times) < MIN_SAMPLES:
+            return self.find_mean_s()
+        return self._apply_slowness(times.mean())
+
     def find_work_s(self, route: str) -> float:
         """Returns the time in which a route is probably served at present."""
         times = self.routes.get(route)
--- a/src/waxwingferry/process/protection/load_shedding.py
+++ b/src/waxwingferry/process/protection/load_shedding.py
@@ -14,6 +14,7 @@
 
 import collections
 from collections.abc import Callable
+import dataclasses
 import math
 import time
 
@@ -36,46 +37,72 @@
     return xxhash.xxh3_64_intdigest(parent_id.encode()) / _HASH_RANGE
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Capacity:
+    """What a target can take.
+
+    Attributes:
+        rate_per_s: Attempts per second that its rate limit allows.
+        slots: Attempts that it can run at the same time.
+    """
+
+    rate_per_s: float = math.inf
+    slots: float = math.inf
+
+
 class LoadShedding:
     """Decides which nested calls a target refuses for lack of capacity.
 
+    The rate limit counts attempts, and slots are taken for as long as an
+    attempt runs. A nested call often takes a tenth of the time of the other
+    requests of its target, so many more of them fit than by their mean.
+
     Args:
         clock: Monotonic time in seconds.
 
     Attributes:
-        arrivals: Time and priority of each attempt that was recorded in the
-            last window.
+        arrivals: Time, priority and work of each attempt that was recorded in
+            the last window.
         counts: Number of these attempts, by priority.
+        works_s: Sum of their work, by priority.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
-        self.arrivals: collections.deque[tuple[float, int]] = (
+        self.arrivals: collections.deque[tuple[float, int, float]] = (
             collections.deque()
         )
         self.counts: collections.Counter[int] = collections.Counter()
+        self.works_s: dict[int, float] = collections.defaultdict(float)
 
-    def record(self, priority: int) -> None:
+    def record(self, priority: int, work_s: float = 0.0) -> None:
         """Records the arrival of a nested call, or the dispatch of a request.
 
         Other requests than nested calls are recorded only if they get a slot,
         because those that are refused arrive at several targets.
+
+        Args:
+            priority: Priority of the attempt; 0 is the highest.
+            work_s: Time for which it probably takes a slot.
         """
         now_s = self.clock()
         self._drop_old(now_s)
-        self.arrivals.append((now_s, priority))
+        self.arrivals.append((now_s, priority, work_s))
         self.counts[priority] += 1
+        self.works_s[priority] += work_s
 
     def _drop_old(self, now_s: float) -> None:
         oldest_s = now_s - WINDOW_S
         while self.arrivals and self.arrivals[0][0] <= oldest_s:
-            _, priority = self.arrivals.popleft()
+            _, priority, work_s = self.arrivals.popleft()
             self.counts[priority] -= 1
+            self.works_s[priority] -= work_s
             if not self.counts[priority]:
                 del self.counts[priority]
+                del self.works_s[priority]
 
     def should_refuse(
-        self, parent_id: str, priority: int, capacity_per_s: float
+        self, parent_id: str, priority: int, capacity: Capacity
     ) -> bool:
         """Returns whether a nested call, which was recorded, is refused.
 
@@ -85,17 +112,29 @@
         Args:
             parent_id: ID of the request that makes the call.
             priority: Priority of the call; 0 is the highest.
-            capacity_per_s: Attempts per second that the target can take.
+            capacity: What the target can take.
         """
-        span_s = max(self.clock() - self.arrivals[0][0], MIN_SPAN_S)
-        urgent = sum(
-            count for rank, count in self.counts.items() if rank < priority
-        )
         competing = self.counts[priority]
-        capacity = max(capacity_per_s * span_s - urgent, 0.0)
+        left = self._find_capacity_left(priority, capacity)
         # Random arrivals vary by about the square root of their mean; the
         # queue takes such a short excess.
-        expected = capacity + math.sqrt(capacity)
+        expected = left + math.sqrt(left)
         if competing < MIN_ARRIVALS or competing <= expected:
             return False
-        return compute_level(parent_id) >= capacity / competing
+        return compute_level(parent_id) >= left / competing
+
+    def _find_capacity_left(self, priority: int, capacity: Capacity) -> float:
+        """Returns how many calls fit beside what is more urgent."""
+        span_s = max(self.clock() - self.arrivals[0][0], MIN_SPAN_S)
+        urgent = sum(
+            count for rank, count in self.counts.items() if rank < priority
+        )
+        left = max(capacity.rate_per_s * span_s - urgent, 0.0)
+        mean_s = self.works_s[priority] / self.counts[priority]
+        if mean_s <= 0:
+            return left
+        urgent_s = sum(
+            work_s for rank, work_s in self.works_s.items() if rank < priority
+        )
+        free_s = max(capacity.slots * span_s - urgent_s, 0.0)
+        return min(left, free_s / mean_s)
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -478,6 +478,17 @@
             used_s / max(slowness, self.slowness(), 1.0),
         )
 
+    def _record_demand(self, attempt: calls.Attempt) -> None:
+        """Records an attempt for the decisions on nested calls."""
+        assert self.admission is not None
+        estimate = self.admission.estimate
+        self.load_shedding.record(
+            attempt.urgency.priority,
+            estimate.find_route_mean_s(
+                estimate.find_route_key(self._find_route(attempt))
+            ),
+        )
+
     def _shed(self, attempt: calls.Attempt) -> outcome.NotRun | None:
         """Returns the refusal of a nested call for lack of capacity, or None.
 
@@ -487,22 +498,27 @@
         if state is None or attempt.depth <= 1:
             return None
         priority = attempt.urgency.priority
-        self.load_shedding.record(priority)
+        self._record_demand(attempt)
         if state.can_dispatch() and not state.queue:
             return None
         protocol = self.target_protocol or target.TargetProtocol()
         parent_id = protocol.find_parent_id(attempt)
-        capacity_per_s = state.estimate_capacity_per_s()
+        capacity = state.find_capacity()
         if not parent_id or not self.load_shedding.should_refuse(
-            parent_id, priority, capacity_per_s
+            parent_id, priority, capacity
         ):
             return None
         return outcome.NotRun(
             outcome.Reason.LOAD_SHED,
             details={
                 "parent": parent_id,
-                "capacity_per_s": round(capacity_per_s, 1),
+                "rate_per_s": round(min(capacity.rate_per_s, 1e6), 1),
+                "slots": capacity.slots,
                 "recorded": dict(self.load_shedding.counts),
+                "work_ms": {
+                    rank: round(work_s * 1000)
+                    for rank, work_s in self.load_shedding.works_s.items()
+                },
                 "window_s": load_shedding.WINDOW_S,
             },
         )
@@ -542,7 +558,7 @@
                 and permit.reset_count == self.admission.limit.reset_count
             ):
                 if attempt.depth <= 1:
-                    self.load_shedding.record(attempt.urgency.priority)
+                    self._record_demand(attempt)
                 return permit
             self.admission.withdraw(permit)
 
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -11,6 +11,7 @@
 from waxwingferry.connection import http1
 from waxwingferry.process import metrics
 from waxwingferry.process import target
+from waxwingferry.process.protection import load_shedding
 from waxwingferry.request import calls
 from waxwingferry.request import fingerprint
 from waxwingferry.request import outcome
@@ -393,7 +394,9 @@
     receiver.target_protocol = NestingProtocol()
     assert receiver.admission is not None
     monkeypatch.setattr(
-        receiver.admission, "estimate_capacity_per_s", lambda: 2.0
+        receiver.admission,
+        "find_capacity",
+        lambda: load_shedding.Capacity(2.0),
     )
     # Much fewer than nine tenths of the calls fit, but more than a fiftieth.
     levels = {"kept": 0.02, "shed": 0.9}
@@ -429,7 +432,9 @@
     receiver.target_protocol = NestingProtocol()
     assert receiver.admission is not None
     monkeypatch.setattr(
-        receiver.admission, "estimate_capacity_per_s", lambda: 0.0
+        receiver.admission,
+        "find_capacity",
+        lambda: load_shedding.Capacity(0.0),
     )
     monkeypatch.setattr(receive.load_shedding, "compute_level", lambda _: 0.9)
     fixture.release.set()
