Make the clock of a decision and the check of a dispatch cheaper

Change: a decision within a decision does not hold the clock again, and the check of a dispatch makes no calls. What is checked is unchanged.

The tests of process/protection and test_paused_clock.py pass.

--- a/src/waxwingferry/process/protection/decision_clock.py
+++ b/src/waxwingferry/process/protection/decision_clock.py
@@ -29,21 +29,11 @@
     def __init__(self, clock: Callable[[], float]):
         self.clock = clock
         self.held_s = 0.0
-        self.holders = 0
+        self.is_held = False
 
     def __call__(self) -> float:
         """Returns the time of the decision, or the present time without one."""
-        return self.held_s if self.holders else self.clock()
-
-    def __enter__(self) -> None:
-        """Holds the clock."""
-        if not self.holders:
-            self.held_s = self.clock()
-        self.holders += 1
-
-    def __exit__(self, *_: object) -> None:
-        """Releases the clock."""
-        self.holders -= 1
+        return self.held_s if self.is_held else self.clock()
 
 
 class Decider(Protocol):
@@ -61,7 +51,15 @@
     def decide(
         self: _Decider, *args: _Parameters.args, **kwargs: _Parameters.kwargs
     ) -> _Result:
-        with self.now:
+        now = self.now
+        if now.is_held:
+            # It is a part of another decision.
+            return method(self, *args, **kwargs)
+        now.held_s = now.clock()
+        now.is_held = True
+        try:
             return method(self, *args, **kwargs)
+        finally:
+            now.is_held = False
 
     return decide
--- a/src/waxwingferry/process/protection/dispatch_check.py
+++ b/src/waxwingferry/process/protection/dispatch_check.py
@@ -28,13 +28,12 @@
     Raises:
         invariants.BrokenInvariantError: The attempt must not be sent.
     """
-    invariants.require(
-        in_flight <= limit.value <= limit.slots,
-        "in_flight",
-        (in_flight, limit.value, limit.slots),
-    )
-    invariants.require(closed_reason is None, "target_closed", closed_reason)
-    invariants.require(
-        permit.state is permits.State.QUEUED, "permit_queued", permit.state
-    )
-    invariants.require(permit.deadline_s > now_s, "permit_deadline")
+    if not in_flight <= limit.value <= limit.slots:
+        detail = (in_flight, limit.value, limit.slots)
+        raise invariants.BrokenInvariantError("in_flight", detail)
+    if closed_reason is not None:
+        raise invariants.BrokenInvariantError("target_closed", closed_reason)
+    if permit.state is not permits.State.QUEUED:
+        raise invariants.BrokenInvariantError("permit_queued", permit.state)
+    if not permit.deadline_s > now_s:
+        raise invariants.BrokenInvariantError("permit_deadline")
