--- a/src/waxwingferry/request/overlapping.py
+++ b/src/waxwingferry/request/overlapping.py
@@ -41,7 +41,8 @@
 
     Attributes:
         long_until_s: For each route with an answer, the time until which its
-            answers may be long; the least recently used route comes first.
+            answers may be long; the route that was asked for least recently
+            comes first.
     """
 
     def __init__(
