--- a/src/waxwingferry/bench/tests/test_ports.py
+++ b/src/waxwingferry/bench/tests/test_ports.py
@@ -41,6 +41,35 @@
     assert not set(own_ports) & set(other_ports)
 
 
+_DROPPED_ALLOCATOR = """
+import gc
+from waxwingferry.bench import ports
+print([ports.PortAllocator().allocate() for _ in range(3)], flush=True)
+gc.collect()
+input()
+"""
+
+
+def test_ports_of_a_dropped_allocator_stay_reserved() -> None:
+    """Guards against ports that another run gets before they are bound.
+
+    Tests make an allocator for one call, and their nodes start later.
+    """
+    with subprocess.Popen(
+        [sys.executable, "-c", _DROPPED_ALLOCATOR],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as other:
+        assert other.stdout is not None
+        other_ports = json.loads(other.stdout.readline())
+        allocator = ports.PortAllocator()
+        own_ports = [allocator.allocate() for _ in range(ports.BLOCK_SIZE)]
+        other.communicate("\n")
+    assert len(set(other_ports)) == 3
+    assert not set(own_ports) & set(other_ports)
+
+
 @pytest.mark.parametrize("socket_type", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
 def test_port_in_use_is_not_handed_out(socket_type: socket.SocketKind) -> None:
     """Guards against allocating a port that another program is bound to."""
