Keep the ports of a test of the early report reserved

Cause: the test freed its allocator, and with it the lock on its ports, before the node had ended.

Change: the test keeps the allocator. What it checks is unchanged.

--- a/src/waxwingferry/platform/tests/test_start.py
+++ b/src/waxwingferry/platform/tests/test_start.py
@@ -162,7 +162,9 @@
         "PYTHONPATH",
         os.pathsep.join([str(tmp_path), os.environ.get("PYTHONPATH", "")]),
     )
-    data = test_signals.make_settings(ports.PortAllocator())
+    # Reserves the ports until the process has ended.
+    free_ports = ports.PortAllocator()
+    data = test_signals.make_settings(free_ports)
     data["self"]["app-addr"] = "127.0.0.1:80"
     control = parsing.parse_address(data["network"]["listen"]["control"])
     heartbeat = {
