Move the description of shedding and the usual slowness to their modules

No decision changes; the log line of a shed call has null in place of a very large rate if there is no limit.

--- a/src/waxwingferry/process/choice/load_stats.py
+++ b/src/waxwingferry/process/choice/load_stats.py
@@ -8,6 +8,11 @@
 LATENCY_EWMA_WEIGHT = 0.2
 MIN_SERVICE_EWMA_WEIGHT = 0.02
 SERVICE_HALF_LIFE_S = 0.5
+# The usual slowness of a service changes when its targets get warm; finding it
+# takes a look at each target.
+USUAL_SLOWNESS_INTERVAL_S = 0.1
+# Slow phases last about half a second; older reports say little.
+USUAL_SLOWNESS_AGE_S = 1.0
 OUTCOME_EWMA_WEIGHT = 0.1
 OVERLOAD_HALF_LIFE_S = 0.1
 MAX_OVERLOAD = 4.0
@@ -196,6 +201,28 @@
         self.utilisation += weight * (value - self.utilisation)
         self.utilisation_at_s = now_s
 
+    def update_usual_slowness(self, candidates: list, now_s: float) -> None:
+        """Finds the least slowness in recent reports, now and then.
+
+        Load pattern: all targets of a service are in their warm-up. None is
+        slow then, compared with what else the entry can choose.
+
+        Args:
+            candidates: All targets of the service.
+            now_s: Monotonic time.
+        """
+        if now_s - self.usual_at_s < USUAL_SLOWNESS_INTERVAL_S:
+            return
+        self.usual_at_s = now_s
+        self.usual_slowness = min(
+            (
+                max(item.stats.load.slowness, 1.0)
+                for item in candidates
+                if now_s - item.stats.load.at_s < USUAL_SLOWNESS_AGE_S
+            ),
+            default=1.0,
+        )
+
     def current_utilisation(self, now_s: float) -> float:
         """Returns the average, which decays while there are no reports."""
         age_s = now_s - self.utilisation_at_s
--- a/src/waxwingferry/process/choice/routing.py
+++ b/src/waxwingferry/process/choice/routing.py
@@ -22,9 +22,6 @@
 
 REFUSAL_COOLDOWN_S = 1.0
 STALE_REPORT_S = 1.0
-# The usual slowness of a service changes when its targets get warm; finding it
-# takes a look at each target.
-USUAL_SLOWNESS_INTERVAL_S = 0.1
 
 # Work per slot below which a target gets a retry after queue_full. It is 3 at a
 # target whose queue is full for one of several members, since a member queues
@@ -237,29 +234,10 @@
     def update_usual_slowness(
         self, candidates: list[known_target.Candidate]
     ) -> None:
-        """Finds the least slowness of a service's targets now and then.
-
-        Load pattern: all targets of a service are in their warm-up. None is
-        slow then, compared with what else the entry can choose.
-
-        Args:
-            candidates: All targets of one service.
-        """
-        if not candidates:
-            return
-        now_s = self.clock()
-        service = self.service_stats(candidates[0].service)
-        if now_s - service.usual_at_s < USUAL_SLOWNESS_INTERVAL_S:
-            return
-        service.usual_at_s = now_s
-        service.usual_slowness = min(
-            (
-                max(item.stats.load.slowness, 1.0)
-                for item in candidates
-                if now_s - item.stats.load.at_s < STALE_REPORT_S
-            ),
-            default=1.0,
-        )
+        """Updates what is_slow() compares all targets of a service with."""
+        if candidates:
+            service = self.service_stats(candidates[0].service)
+            service.update_usual_slowness(candidates, self.clock())
 
     def is_slow(self, candidate: known_target.Candidate, now_s: float) -> bool:
         """Returns whether a target is much slower than the others' best."""
--- a/src/waxwingferry/process/protection/load_shedding.py
+++ b/src/waxwingferry/process/protection/load_shedding.py
@@ -17,6 +17,7 @@
 import dataclasses
 import math
 import time
+from typing import Any
 
 import xxhash
 
@@ -123,6 +124,22 @@
             return False
         return compute_level(parent_id) >= left / competing
 
+    def describe(self, parent_id: str, capacity: Capacity) -> dict[str, Any]:
+        """Returns the facts of a decision for the log."""
+        rate_per_s = capacity.rate_per_s
+        return {
+            "parent": parent_id,
+            # JSON has no infinity.
+            "rate_per_s": rate_per_s if math.isfinite(rate_per_s) else None,
+            "slots": capacity.slots,
+            "recorded": dict(self.counts),
+            "work_ms": {
+                rank: round(work_s * 1000)
+                for rank, work_s in self.works_s.items()
+            },
+            "window_s": WINDOW_S,
+        }
+
     def _find_capacity_left(self, priority: int, capacity: Capacity) -> float:
         """Returns how many calls fit beside what is more urgent."""
         span_s = max(self.clock() - self.arrivals[0][0], MIN_SPAN_S)
--- a/src/waxwingferry/process/protection/tests/test_usual_speed.py
+++ b/src/waxwingferry/process/protection/tests/test_usual_speed.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from waxwingferry.process import target
+from waxwingferry.process.choice import load_stats
 from waxwingferry.process.choice import routing
 from waxwingferry.process.choice.tests import test_routing
 from waxwingferry.process.protection import usual_speed
@@ -60,7 +61,7 @@
     router.update_usual_slowness(candidates)
     assert all(map(router.is_free, candidates))
     # Once one is warm, the others count as slow again.
-    clock.now_s += 2 * routing.USUAL_SLOWNESS_INTERVAL_S
+    clock.now_s += 2 * load_stats.USUAL_SLOWNESS_INTERVAL_S
     set_slowness(candidates, [2.0, 2.0, 1.0], clock.now_s)
     router.update_usual_slowness(candidates)
     assert list(map(router.is_free, candidates)) == [False, False, True]
@@ -72,7 +73,7 @@
     router = test_routing.make_router(1, clock, routing.Policy.STATED)
     candidates = test_routing.make_candidates(3)
     set_slowness(candidates, [1.0, 1.0, 1.0], clock.now_s)
-    clock.now_s += routing.STALE_REPORT_S
+    clock.now_s += load_stats.USUAL_SLOWNESS_AGE_S
     set_slowness(candidates[1:], [2.0, 2.0], clock.now_s)
     router.update_usual_slowness(candidates)
     assert router.is_free(candidates[1])
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -510,17 +510,7 @@
             return None
         return outcome.NotRun(
             outcome.Reason.LOAD_SHED,
-            details={
-                "parent": parent_id,
-                "rate_per_s": round(min(capacity.rate_per_s, 1e6), 1),
-                "slots": capacity.slots,
-                "recorded": dict(self.load_shedding.counts),
-                "work_ms": {
-                    rank: round(work_s * 1000)
-                    for rank, work_s in self.load_shedding.works_s.items()
-                },
-                "window_s": load_shedding.WINDOW_S,
-            },
+            details=self.load_shedding.describe(parent_id, capacity),
         )
 
     async def _admit(
