--- a/benchmarks/request_prospects.py
+++ b/benchmarks/request_prospects.py
@@ -174,7 +174,8 @@
         share = capacity_per_s * span_s / self.counts[0]
         # The rule only answers for one parent; the highest level is refused
         # whenever any is.
-        is_over = self.should_refuse(HIGHEST_PARENT, 0, capacity_per_s)
+        capacity = load_shedding.Capacity(capacity_per_s)
+        is_over = self.should_refuse(HIGHEST_PARENT, 0, capacity)
         return share if is_over else 1.0
 
 
@@ -403,8 +404,10 @@
         called = self.rng.randrange(len(self.lower))
         state = self.lower[called]
         level = load_shedding.compute_level(request.request_id)
+        # The lower targets run calls only, so that the mean of all is theirs.
+        mean_s = max(state.estimate.find_mean_s(), waiting_order.MIN_COST_S)
         share = self.shedding[called].find_share(
-            level, state.estimate_capacity_per_s()
+            level, state.find_capacity().slots / mean_s
         )
         has_room = state.can_dispatch() and not state.queue
         if level >= share and not has_room:
