Check configs of the users' platform before they are written

The check of a document covered the project's own form only, while the operators of the users' platform write op/config as JSON.

Nodes parse documents as before; parse_document is what they use.

--- a/src/waxwingferry/bench/tests/test_ports.py
+++ b/src/waxwingferry/bench/tests/test_ports.py
@@ -1,5 +1,6 @@
 """Tests of port allocation to concurrent runs."""
 
+from collections.abc import Iterator
 import contextlib
 import json
 import socket
@@ -20,23 +21,29 @@
 """
 
 
-def test_runs_beside_each_other_take_different_ports() -> None:
-    """Guards against concurrent runs that allocate the same ports.
-
-    A port that nothing listens on yet looks free to another process, so only
-    the lock file of its block keeps the other process away.
-    """
+@contextlib.contextmanager
+def _run_beside(code: str) -> Iterator[list[int]]:
+    """Yields the ports that another process printed, while it runs."""
     with subprocess.Popen(
-        [sys.executable, "-c", _OTHER_PROCESS],
+        [sys.executable, "-c", code],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
     ) as other:
         assert other.stdout is not None
-        other_ports = json.loads(other.stdout.readline())
+        yield json.loads(other.stdout.readline())
+        other.communicate("\n")
+
+
+def test_runs_beside_each_other_take_different_ports() -> None:
+    """Guards against concurrent runs that allocate the same ports.
+
+    A port that nothing listens on yet looks free to another process, so only
+    the lock file of its block keeps the other process away.
+    """
+    with _run_beside(_OTHER_PROCESS) as other_ports:
         allocator = ports.PortAllocator()
         own_ports = [allocator.allocate() for _ in range(3)]
-        other.communicate("\n")
     assert len(other_ports) == 3
     assert not set(own_ports) & set(other_ports)
 
@@ -55,17 +62,9 @@
 
     Tests make an allocator for one call, and their nodes start later.
     """
-    with subprocess.Popen(
-        [sys.executable, "-c", _DROPPED_ALLOCATOR],
-        stdin=subprocess.PIPE,
-        stdout=subprocess.PIPE,
-        text=True,
-    ) as other:
-        assert other.stdout is not None
-        other_ports = json.loads(other.stdout.readline())
+    with _run_beside(_DROPPED_ALLOCATOR) as other_ports:
         allocator = ports.PortAllocator()
         own_ports = [allocator.allocate() for _ in range(ports.BLOCK_SIZE)]
-        other.communicate("\n")
     assert len(set(other_ports)) == 3
     assert not set(own_ports) & set(other_ports)
 
--- a/src/waxwingferry/cli/check.py
+++ b/src/waxwingferry/cli/check.py
@@ -6,12 +6,14 @@
 from typing import Any
 
 from waxwingferry.cli import client
+from waxwingferry.platform import config_check
 from waxwingferry.process import admin
 from waxwingferry.process import settings
 from waxwingferry.version import changes
 from waxwingferry.version import checks
 from waxwingferry.version import document
 from waxwingferry.version import findings
+from waxwingferry.version import revision as revisions
 from waxwingferry.version import shown_keys
 
 
@@ -35,13 +37,13 @@
     Attributes:
         file: Path of the file.
         found: Findings and their lines.
-        base: Revision that the document was compared with, or None.
+        base: Revision or file that the document was compared with, or None.
         changes: What would change for callers and operators.
     """
 
     file: str
     found: list[tuple[findings.Finding, int]]
-    base: int | None = None
+    base: int | str | None = None
     changes: list[str] = dataclasses.field(default_factory=list)
 
     def find_exit_code(self) -> ExitCode:
@@ -60,7 +62,8 @@
         if not lines:
             lines.append(f"{self.file}: good")
         if self.base is not None:
-            lines.append(f"changes against revision {self.base}:")
+            kind = "revision " if isinstance(self.base, int) else ""
+            lines.append(f"changes against {kind}{self.base}:")
             lines += [f"  {line}" for line in self.changes or ["none"]]
         return "\n".join(lines)
 
@@ -83,6 +86,50 @@
         return json.dumps(data, indent=2)
 
 
+def check_platform_file(file: str, against_file: str) -> Report:
+    """Returns the report on a config of the users' platform.
+
+    Args:
+        file: Path of the config as JSON.
+        against_file: Path of the config in force, or empty to compare with
+            nothing. The operator has it; no node is asked.
+
+    Raises:
+        settings.SettingsError: A file is not readable, or no JSON; or the
+            config in force is invalid.
+    """
+    text = _read_json(file)
+    config = settings.parse_yaml(text, file, hides_text=True)
+    report = Report(file, [])
+    try:
+        checked = config_check.parse(config)
+    except revisions.DocumentError as error:
+        finding = findings.make_error(str(error))
+        report.found = [(finding, findings.LineIndex(text).find_line(""))]
+        return report
+    lines = findings.LineIndex(text)
+    report.found = [
+        (item, lines.find_line(item.place))
+        for item in config_check.find_warnings(config)
+    ]
+    if against_file:
+        data = settings.parse_yaml(
+            _read_json(against_file), against_file, hides_text=True
+        )
+        try:
+            old = config_check.parse(data)
+        except revisions.DocumentError as error:
+            raise settings.SettingsError(f"{against_file}: {error}") from error
+        report.base = against_file
+        report.changes = list(changes.describe(old, checked))
+    return report
+
+
+def _read_json(file: str) -> str:
+    """Returns JSON that can be read as YAML, which allows no tabs."""
+    return settings.read_file(file).expandtabs(1)
+
+
 def check_file(file: str, against: int, offline: bool) -> Report:
     """Returns the report on a file.
 
--- a/src/waxwingferry/cli/main.py
+++ b/src/waxwingferry/cli/main.py
@@ -33,7 +33,12 @@
 
 
 def check_document(
-    file: str, against: int = 0, offline: bool = False, json: bool = False
+    file: str,
+    against: int = 0,
+    offline: bool = False,
+    json: bool = False,
+    platform: bool = False,
+    against_file: str = "",
 ) -> int:
     """Checks a document, and prints what it would change for callers.
 
@@ -44,9 +49,17 @@
         against: Revision to compare with; 0 is the one in force.
         offline: Compare with nothing, and connect to no node.
         json: Print JSON.
+        platform: The file is a config of the users' platform as JSON, which is
+            compared with a file and not with a revision.
+        against_file: Path of that file, the config in force.
     """
+    if against_file and not platform:
+        raise program.UsageError("--against_file: needs --platform")
     try:
-        report = check.check_file(file, against, offline)
+        if platform:
+            report = check.check_platform_file(file, against_file)
+        else:
+            report = check.check_file(file, against, offline)
     except program.CommandError as error:
         # Exit code 1 would say that there are only warnings.
         raise program.UsageError(str(error)) from error
--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -298,19 +298,7 @@
         return self.apply_if_newer(version, self.rows)
 
     def _parse(self, number: int, content: Any) -> revision.Revision:
-        try:
-            parsed = _make_revision(number, content, self.bounds, self.routes)
-        except (
-            ArithmeticError,
-            AttributeError,
-            LookupError,
-            RecursionError,
-            TypeError,
-            ValueError,
-        ) as error:
-            raise revision.DocumentError(repr(error)) from error
-        except parsing.ValueFormatError as error:
-            raise revision.DocumentError(str(error)) from error
+        parsed = parse_document(number, content, self.bounds, self.routes)
         self._check_config_version(parsed)
         return parsed
 
@@ -382,6 +370,38 @@
         return [route for _, route in kept.values()]
 
 
+def parse_document(
+    number: int,
+    content: dict[str, Any],
+    bounds: settings_file.Bounds,
+    routes: RouteCache,
+) -> revision.Revision:
+    """Returns the revision that rows of the operator describe.
+
+    Args:
+        number: Number of the revision.
+        content: Values and versions of the rows by key.
+        bounds: Bounds of the deployment.
+        routes: Routes of the config before.
+
+    Raises:
+        revision.DocumentError: The rows are invalid.
+    """
+    try:
+        return _make_revision(number, content, bounds, routes)
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise revision.DocumentError(repr(error)) from error
+    except parsing.ValueFormatError as error:
+        raise revision.DocumentError(str(error)) from error
+
+
 def _make_revision(
     number: int,
     content: dict[str, Any],
--- a/src/waxwingferry/version/checks.py
+++ b/src/waxwingferry/version/checks.py
@@ -14,7 +14,7 @@
 
 # HTTP methods whose request targets are no paths (RFC 9112, section 3.2).
 _METHODS_WITHOUT_PATH = frozenset({"CONNECT"})
-_RESERVE_MS = calls.RETURN_RESERVE_S * 1000
+RESERVE_MS = calls.RETURN_RESERVE_S * 1000
 
 
 def find_warnings(checked: document.Document) -> list[findings.Finding]:
@@ -41,7 +41,7 @@
 
 def _check_routes(checked: document.Document) -> Iterator[tuple[str, str]]:
     for place, route in _list_routes(checked):
-        reason = _find_unmatchable_reason(route.path_prefix)
+        reason = find_unmatchable_reason(route.path_prefix)
         if reason:
             yield f"{place}.path_prefix", f"can never match: {reason}"
         methods = set(route.methods)
@@ -52,11 +52,11 @@
             )
         if len(methods) < len(route.methods):
             yield f"{place}.methods", "names a method twice"
-        if route.deadline_ms <= _RESERVE_MS:
+        if route.deadline_ms <= RESERVE_MS:
             yield (
                 f"{place}.deadline_ms",
                 f"{route.deadline_ms} ms leave no time for a target: "
-                f"{_RESERVE_MS:g} ms are reserved for the way back, so each "
+                f"{RESERVE_MS:g} ms are reserved for the way back, so each "
                 "request would be refused",
             )
         if (route.objective_ms or 0) > route.deadline_ms:
@@ -72,7 +72,7 @@
             )
 
 
-def _find_unmatchable_reason(path_prefix: str) -> str:
+def find_unmatchable_reason(path_prefix: str) -> str:
     """Returns why no request path begins with a prefix, or an empty text."""
     if "?" in path_prefix:
         return "paths are compared without their query"
@@ -120,13 +120,13 @@
         if not workspace.keys:
             yield place, f"no caller can be of {workspace.name!r} without a key"
         for index, key in enumerate(workspace.keys):
-            reason = _find_unpresentable_reason(key)
+            reason = find_unpresentable_reason(key)
             if reason:
                 # The key itself must not be shown.
                 yield f"{place}.{index}", f"can never be presented: {reason}"
 
 
-def _find_unpresentable_reason(key: str) -> str:
+def find_unpresentable_reason(key: str) -> str:
     """Returns why no request can present a key, or an empty text."""
     if not key.isascii():
         return "callers can send only ASCII"
