Test the wiring of shedding and of the usual slowness; check weights only

Found in a read of the whole change. The check of a platform config ended with a KeyError for a path with an empty list of weights and no service, which nodes take. The choice of the entry by the usual slowness, and the work that a receiver records for an attempt, had no test that fails without them.

Change: the check looks at a path's service only if it has no weights. No decision of a node changes.

--- a/src/waxwingferry/platform/config_check.py
+++ b/src/waxwingferry/platform/config_check.py
@@ -122,7 +122,7 @@
     used = {
         share["service"]
         for _, _, path in _list_paths(config)
-        for share in path.get("weighted-targets") or [path]
+        for share in path.get("weighted-targets", [path])
     }
     for index, item in enumerate(config["services"]):
         if item["name"] not in used:
--- a/src/waxwingferry/platform/tests/test_config_check.py
+++ b/src/waxwingferry/platform/tests/test_config_check.py
@@ -59,6 +59,7 @@
             {"weighted-targets": make_shares(("desk", 0))},
             ["weighted-targets"],
         ),
+        ({"weighted-targets": []}, ["weighted-targets"]),
         (
             {"weighted-targets": make_shares(("desk", 1), ("dusk", 1))},
             ["weighted-targets.1.service"],
@@ -67,9 +68,22 @@
 )
 def test_a_path_without_the_meant_effect_is_found(changes, places) -> None:
     """Guards against paths that nodes take and that refuse each request."""
+    config = make_config(**changes)
+    # Only the path is looked at, also if it leads to no service.
+    config["virtual-hosts"].append(
+        {"authority": "b.example", "paths": [PATH | {"name": "other"}]}
+    )
     prefix = "virtual-hosts.0.paths.0."
-    assert list_places(make_config(**changes)) == [
-        prefix + place for place in places
+    assert list_places(config) == [prefix + place for place in places]
+
+
+def test_a_path_without_a_service_of_its_own_is_checked() -> None:
+    """Guards against a traceback for weights in place of a service."""
+    config = make_config(**{"weighted-targets": []})
+    del config["virtual-hosts"][0]["paths"][0]["service"]
+    assert list_places(config) == [
+        "virtual-hosts.0.paths.0.weighted-targets",
+        "services.0",
     ]
 
 
--- a/src/waxwingferry/request/tests/test_receive.py
+++ b/src/waxwingferry/request/tests/test_receive.py
@@ -422,6 +422,23 @@
         fixture.release.set()
 
 
+@pytest.mark.anyio
+async def test_demand_is_recorded_with_the_work_of_its_route() -> None:
+    """Guards against calls that are shed as if they took no slot."""
+    fixture = ReceiverFixture()
+    state = fixture.receiver.admission
+    assert state is not None
+    for _ in range(100):
+        state.estimate.record("s", 0.5)
+    fixture.release.set()
+    results: dict = {}
+    await fixture.run("p.1", results, 2)
+    await fixture.run("q", results, 1)
+    works_s = fixture.receiver.load_shedding.works_s
+    assert fixture.receiver.load_shedding.counts == {0: 2}
+    assert works_s[0] == pytest.approx(1.0, rel=0.1)
+
+
 @pytest.mark.anyio
 async def test_nested_call_that_can_be_sent_at_once_is_not_shed(
     monkeypatch,
--- a/src/waxwingferry/request/tests/test_reporting_choice.py
+++ b/src/waxwingferry/request/tests/test_reporting_choice.py
@@ -39,6 +39,8 @@
 
     Attributes:
         busy: Whether all targets report that they are busy.
+        slowness: Slowness that all targets report.
+        at_s: Time of the reports.
         silent: Whether no node reports.
         asked: The groups of nodes that were asked.
         on_wait: Called while the entry waits for reports.
@@ -46,6 +48,8 @@
 
     def __init__(self):
         self.busy = False
+        self.slowness = 1.0
+        self.at_s = 100.0
         self.silent = False
         self.asked: list[list[str]] = []
         self.on_wait = lambda: None
@@ -62,7 +66,10 @@
         self.on_wait()
         for item in candidates:
             item.load = load_stats.LoadReport(
-                limit=6, at_s=100.0, busy=self.busy
+                limit=6,
+                at_s=self.at_s,
+                busy=self.busy,
+                slowness=self.slowness,
             )
         return [] if self.silent else list(candidates)
 
@@ -71,7 +78,7 @@
     """An entry in domain d1 that knows eight targets in four domains."""
 
     def __init__(self):
-        clock = fakes.Clock()
+        self.clock = clock = fakes.Clock()
         clock.now_s = 100.0
         self.members = members.Membership("entry", clock)
         for number in range(8):
@@ -102,6 +109,21 @@
         return await self.entry._choose_reporting(CALL, self.history)
 
 
+async def test_cold_targets_count_as_free_while_all_are_cold():
+    """Guards against a wait in a queue beside idle targets in warm-up."""
+    harness = Harness()
+    harness.queries.slowness = 2.0
+    await harness.choose()
+    harness.clock.now_s += 2 * load_stats.USUAL_SLOWNESS_INTERVAL_S
+    harness.queries.at_s = harness.clock.now_s
+    harness.queries.asked.clear()
+    harness.history = attempt_history.AttemptHistory()
+    assert await harness.choose() is not None
+    # Other domains need not be asked, and the attempt may still be rerouted.
+    assert len(harness.queries.asked) == 1
+    assert harness.history.may_reroute()
+
+
 async def test_other_domains_are_not_asked_while_a_near_target_is_free():
     """Guards against datagrams and requests between failure domains."""
     harness = Harness()
