--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -27,7 +27,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.5
 # A process that ends is started again after a short delay.
-RESTART_DELAY_S = 0.3
+RESTART_DELAY_S = 0.2
 BOUNDS = {
     "seed-lag": "3s",
     "reuse-delay": "2s",
@@ -307,6 +307,7 @@
     Attributes:
         runs: Requests that it began to work on.
         leaving: Whether it has said that it leaves.
+        cold_until_s: Time of the record until which it is cold.
         respond: Writes the answer to a request that has run; replaced by cases
             in which a backend is faulty.
         confirmed_s: Time at which its leave was confirmed, or None.
@@ -335,6 +336,7 @@
         self.running = 0
         self.runs: list[Run] = []
         self.leaving = False
+        self.cold_until_s = 0.0
         self.confirmed_s: float | None = None
         self.confirmed = asyncio.Event()
         self.address = ("", 0)
@@ -373,6 +375,7 @@
     async def report(self, state: str) -> bool:
         """Sends one liveness report; returns whether it was confirmed."""
         self.sequence += 1
+        left_s = self.cold_until_s - self.record.now_s()
         body = {
             "address": f"{self.address[0]}:{self.address[1]}",
             "born": self.born,
@@ -385,7 +388,7 @@
             "status": {
                 "state": state,
                 "sequence": self.sequence,
-                "warmup-left": "0ms",
+                "warmup-left": f"{max(int(left_s * 1000), 0)}ms",
             },
         }
         return await self.call(f"{self.instance}/heartbeat", body)
@@ -455,6 +458,10 @@
     def _answer_health(self) -> bytes:
         status = "503 Leaving" if self.leaving else "200 OK"
         headers = [("x-waxwingferry-instance-id", self.instance)]
+        left_s = self.cold_until_s - self.record.now_s()
+        if left_s > 0:
+            field = "x-waxwingferry-warmup-ms"
+            headers.append((field, str(int(left_s * 1000))))
         return encode(f"HTTP/1.1 {status}", [*headers, self.load_field()])
 
     def load_field(self) -> tuple[str, str]:
