--- a/review/10/case.py
+++ b/review/10/case.py
@@ -14,7 +14,7 @@
 WARMUP_PER_S = 20
 # warmup-per-s x cold-over + cold-slack
 BOUND = 20 * 1.5 + 5
-REQUESTS_PER_S = 160
+REQUESTS_PER_S = 240
 ROUNDS = 3
 
 
@@ -31,7 +31,7 @@
     fleet.store.put("op", "config", config)
     for machine in fleet.machines:
         await machine.start()
-    backend = await fleet.add_backend(shop, "i-1", work_s=0.03)
+    backend = await fleet.add_backend(shop, "i-1", work_s=0.02)
     await fleet.add_backend(other, "i-2")
     await fleet.wait_ready(fleet.machines)
     await asyncio.sleep(6.0)
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -27,7 +27,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.5
 # A process that ends is started again after a short delay.
-RESTART_DELAY_S = 0.2
+RESTART_DELAY_S = 0.1
 BOUNDS = {
     "seed-lag": "3s",
     "reuse-delay": "2s",
