Require a report from a target that was restored from its row

Cause: a restart took the stored row as proof that the target takes work, for as long as the process ran. The log shows "draining not yet stored in the table", the confirmation, the restart, and "target restored from earlier process" with state "ready" and no heartbeat in between, while the health path answered 503.

Fix: a restored target that doesn't call itself healthy takes no work until it reports, and neither does any restored target that has not reported within 2 s. The target itself is what is left of an unstored leave when all processes have ended, so it is asked.

--- a/src/waxwingferry/platform/header_fields.py
+++ b/src/waxwingferry/platform/header_fields.py
@@ -29,6 +29,7 @@
 # Set by the node itself; values sent by a caller are removed.
 _NODE_SET_HEADERS = frozenset({CALLER_SERVICE, EXPECTED_TARGET, DEADLINE_MS})
 # Larger times are as good as none.
+HEALTHY_STATUS = 200
 MAX_DEADLINE_MS = 999_999_999
 _TIME_LEFT = re.compile(r"-?[0-9]{1,30}(?:\.[0-9]{1,30})?")
 _MILLISECONDS = re.compile(r"[0-9]{1,9}")
@@ -199,9 +200,16 @@
         load,
         warmup_left_s=warmup_left_s,
         statement=_parse_statement(reply.headers),
+        healthy=_is_healthy(reply),
     )
 
 
+def _is_healthy(reply: exchange.Reply) -> bool:
+    # A target that has no room for the check says nothing about its health.
+    has_no_room = bool(http1.find_header(reply.headers, NOT_RUN))
+    return reply.status == HEALTHY_STATUS or has_no_room
+
+
 def _parse_statement(headers: http1.Headers) -> target.Statement:
     return target.Statement(
         target.parse_rate(http1.find_header(headers, MAX_RATE)),
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -282,8 +282,12 @@
         sample = await self.fetch_load(row.service, target_id)
         if sample is None or self.receiver.link is not None:
             return
-        self.registration.restore_target(row, *self.settings.target_address)
+        self.registration.restore_target(
+            row, *self.settings.target_address, sample.healthy
+        )
         self.receiver.record_sample(sample)
+        await anyio.sleep(registration.REPORT_WAIT_S)
+        self.registration.require_report()
 
     async def resync(self) -> None:
         """Reads members and decisions, which the change feed does not include.
--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import anyio
+import msgspec
 import pytest
 
 from waxwingferry.bench import ports
@@ -13,6 +14,7 @@
 from waxwingferry.platform import settings_file
 from waxwingferry.platform.tests import test_settings_file
 from waxwingferry.process import target
+from waxwingferry.process.protection import registration
 from waxwingferry.process.spreading import gossip
 from waxwingferry.process.tests import fakes
 from waxwingferry.version import revision
@@ -197,3 +199,97 @@
             await announced.wait()
             group.cancel_scope.cancel()
     assert node.ready
+
+
+def restart_beside_target(
+    node: main.PlatformNode, monkeypatch, status: int
+) -> None:
+    """Lets the node find a ready row of its predecessor in the table.
+
+    Args:
+        node: The node that starts.
+        monkeypatch: The pytest fixture.
+        status: Status of the target's health path.
+    """
+    service = revision.Service("desk", health_path="/health")
+    node.document.revision = revision.Revision(1, {}, [], {"desk": service})
+    row = fakes.make_row(1, target="i-1:7", incarnation="earlier")
+    node.members.apply(msgspec.structs.replace(row, node=node.settings.node))
+    reply = exchange.Reply(status, [(header_fields.TARGET_ID, "i-1")], b"")
+
+    async def respond(*_):
+        return reply
+
+    monkeypatch.setattr(node.target_client, "request", respond)
+
+
+def takes_work(node: main.PlatformNode) -> bool:
+    """Returns whether the node would send a request to its target."""
+    return node.receiver.find_closed_reason() is None
+
+
+def make_report(node: main.PlatformNode) -> registration.Heartbeat:
+    """Returns a heartbeat of the target that was there before the restart."""
+    announcement = target.Announcement(
+        "desk", "v1", 6, *node.settings.target_address, "i-1:7"
+    )
+    return registration.Heartbeat("i-1", 7, 40, 0.0, announcement)
+
+
+# The leave was confirmed without the table; all nodes that knew were killed.
+async def test_a_stored_row_does_not_outweigh_a_target_that_leaves(
+    node, monkeypatch
+):
+    """Guards against requests to a target whose confirmed leave was forgotten.
+
+    48 of them ran 6 to 16 s after the confirmation.
+    """
+    restart_beside_target(node, monkeypatch, status=503)
+    with anyio.move_on_after(0.1):
+        await node.restore_target()
+    assert not takes_work(node)
+
+
+# A health path may be wrong, and the leave may have been seen by nobody alive.
+async def test_a_restored_target_that_does_not_report_gets_no_more_work(
+    node, monkeypatch
+):
+    """Guards against a forgotten leave of a target that seems healthy."""
+    monkeypatch.setattr(registration, "REPORT_WAIT_S", 0.0, raising=False)
+    restart_beside_target(node, monkeypatch, status=200)
+    await node.restore_target()
+    assert not takes_work(node)
+    node.ready = True
+    await node.registration.handle_heartbeat(make_report(node))
+    assert takes_work(node)
+    assert node.members.own is not None
+    assert node.members.own.state == "ready"
+
+
+@pytest.mark.parametrize("status", [200, 503])
+async def test_a_restored_target_that_reports_gets_work(
+    node, monkeypatch, status
+):
+    """Guards against a sound target that is given up after a restart."""
+    monkeypatch.setattr(registration, "REPORT_WAIT_S", 0.05, raising=False)
+    restart_beside_target(node, monkeypatch, status)
+    async with anyio.create_task_group() as group:
+        group.start_soon(node.restore_target)
+        await anyio.wait_all_tasks_blocked()
+        assert takes_work(node) is (status == 200)
+        await node.registration.handle_heartbeat(make_report(node))
+    assert takes_work(node)
+
+
+async def test_a_restored_target_that_is_waited_for_can_leave(
+    node, monkeypatch
+):
+    """Guards against a leave that a restarted node never announces."""
+    monkeypatch.setattr(registration, "CONFIRM_WAIT_S", 0.01)
+    node.ready = True
+    restart_beside_target(node, monkeypatch, status=503)
+    with anyio.move_on_after(0.1):
+        await node.restore_target()
+    await node.registration.handle_deregistration("i-1")
+    assert node.members.own is not None
+    assert node.members.own.state == "draining"
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -358,7 +358,8 @@
     def make_row(self, announcement: target.Announcement) -> members.MemberRow:
         """Returns the member row to announce for this node."""
         state: Literal["ready", "draining", "leaving"] = announcement.state
-        if state == "ready" and self.receiver.leaving:
+        takes_no_work = self.receiver.leaving or self.receiver.unreported
+        if state == "ready" and takes_no_work:
             state = "leaving"
         return members.MemberRow(
             node=self.options.node,
--- a/src/waxwingferry/process/protection/registration.py
+++ b/src/waxwingferry/process/protection/registration.py
@@ -5,6 +5,10 @@
 draining was confirmed never takes work again: the state is stored in this
 node's row of the table, where a later process of the node finds it. While the
 table is unavailable, another node that knows the row takes its place.
+
+All processes that know an unstored state may end. A later process therefore
+takes the stored row only for a short time as proof that the target takes work;
+after that the target must have reported it itself.
 """
 
 from collections.abc import Awaitable
@@ -27,6 +31,10 @@
 # While the table is unavailable, draining is confirmed after it was announced
 # to the other nodes by datagrams for this long, if one of them has the row.
 CONFIRM_UNWRITTEN_S = 1.2
+# Targets report every 1.5 s, or a second after a report that was not confirmed.
+REPORT_WAIT_S = 2.0
+# Sequence of the heartbeat that stands for the row of an earlier process.
+RESTORED_SEQUENCE = -1
 
 log = structlog.get_logger()
 
@@ -95,16 +103,23 @@
         self.early_deregistrations: dict[str, float] = {}
 
     def restore_target(
-        self, row: members.MemberRow, host: str, port: int
+        self,
+        row: members.MemberRow,
+        host: str,
+        port: int,
+        healthy: bool = True,
     ) -> None:
         """Restores the target of an earlier process of this node.
 
         Without this, the target would get no work until its next heartbeat.
+        The row may be older than a leave that could not be stored, so a target
+        that doesn't call itself healthy has to report first.
 
         Args:
             row: Member row of the earlier process.
             host: IP address that the target listens on.
             port: Port that the target listens on.
+            healthy: Whether the target calls itself healthy now.
         """
         target_id, started_ms = target.split_incarnation(row.target)
         announcement = target.Announcement(
@@ -116,16 +131,53 @@
             row.target,
             "draining" if row.state == "draining" else "ready",
         )
-        self.latest = Heartbeat(target_id, started_ms, -1, 0.0, announcement)
+        self.latest = Heartbeat(
+            target_id, started_ms, RESTORED_SEQUENCE, 0.0, announcement
+        )
         self.succession.set_current(self.latest)
         announcement = self._apply_draining(target_id, announcement)
+        self.receiver.unreported = not healthy
         log.info(
             "target restored from earlier process",
             target=row.target,
             state=announcement.state,
+            healthy=healthy,
+            row_state=row.state,
+            row_generation=row.generation,
         )
         self._apply(announcement, 0.0)
 
+    def require_report(self) -> None:
+        """Gives a restored target no more work until it reports.
+
+        Called REPORT_WAIT_S after the restore.
+        """
+        if self.latest is None or self.latest.sequence != RESTORED_SEQUENCE:
+            return
+        if self.receiver.unreported:
+            return
+        log.warning(
+            "restored target has not reported",
+            target=self.latest.announcement.incarnation,
+            waited_s=REPORT_WAIT_S,
+        )
+        self.receiver.unreported = True
+        assert self.receiver.admission is not None
+        self.receiver.admission.advance()
+        self.publish_member()
+
+    def _record_report(self) -> None:
+        """Lets a target that was waited for take work again."""
+        if not self.receiver.unreported:
+            return
+        assert self.latest is not None
+        log.info(
+            "restored target has reported",
+            target=self.latest.announcement.incarnation,
+        )
+        self.receiver.unreported = False
+        self.publish_member()
+
     def apply_predecessor(self) -> None:
         """Applies what an earlier process stored to the latest heartbeat.
 
@@ -167,6 +219,7 @@
             heartbeat.target_id, heartbeat.announcement
         )
         self._apply(announcement, heartbeat.warmup_left_s)
+        self._record_report()
         return await self._confirm_draining(announcement.incarnation)
 
     def _apply_draining(
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -130,6 +130,7 @@
         incarnation: Incarnation of the target; empty if not reported.
         statement: What the target states besides its load, or None if it was
             not read.
+        healthy: Whether the target calls itself healthy and doesn't leave.
     """
 
     running: int
@@ -139,6 +140,7 @@
     warmup_left_s: float | None = None
     incarnation: str = ""
     statement: Statement | None = None
+    healthy: bool = True
 
 
 def parse_rate(text: str) -> float | None:
--- a/src/waxwingferry/request/receive.py
+++ b/src/waxwingferry/request/receive.py
@@ -69,6 +69,8 @@
         leaving: Whether the node has announced that it is leaving. Other
             nodes send work until they have received the announcement.
         closed: Whether new work is refused because the node is leaving.
+        unreported: Whether the target gets no work until it reports, because
+            only an earlier process of this node knew that it takes work.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         self.warmup_slowness = usual_speed.WarmupSlowness()
         self.leaving = False
         self.closed = False
+        self.unreported = False
 
     def apply_announcement(self, announcement: target.Announcement) -> bool:
         """Applies an announcement; returns whether it changed anything."""
@@ -276,7 +279,8 @@
         """Returns why the target accepts no work, or None."""
         if self.link is None:
             return outcome.Reason.NO_TARGET
-        if self.closed or self.link.announcement.state == "draining":
+        is_draining = self.link.announcement.state == "draining"
+        if self.closed or is_draining or self.unreported:
             return outcome.Reason.LEAVING
         if self.domain_is_out():
             return outcome.Reason.DOMAIN_OUT
