Announce the own row again when the rows of peers differ

Without the platform a node could stay unknown to all others: its row was older than those in digests, the others agreed with each other and fetched nothing, and the node itself only fetched theirs.

--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -349,6 +349,10 @@
             self.synced_s = self.clock()
             self.sync_from = address
             self.fetch_requested.set()
+            own = self.membership.own
+            if own is not None:
+                # If the other nodes lack only this row, none of them fetches.
+                self.add_row(own)
 
     def send_digest(
         self, address: Address, kind: Literal["digest", "reply"] = "digest"
--- a/src/waxwingferry/process/spreading/tests/test_gossip.py
+++ b/src/waxwingferry/process/spreading/tests/test_gossip.py
@@ -100,6 +100,19 @@
     assert _agree(network)
 
 
+# A row that is older than those in digests was fetched by nobody: the nodes that
+# lacked it agreed with each other, and its node only fetched theirs.
+def test_a_node_that_was_cut_off_becomes_known_without_the_platform():
+    """Guards against a node that none of the others knows."""
+    network = _make_network(4, fakes.Faults())
+    lonely = ("127.0.0.1", 10_009)
+    network.groups = {lonely: 1}
+    network.run(2 * gossip.RECENT_S)
+    network.groups = {}
+    network.run(3 * gossip.SYNC_INTERVAL_S, lambda: _agree(network))
+    assert _agree(network)
+
+
 def test_leave_spreads_without_the_platform():
     """Guards against calls sent to a node that announced its leave."""
     network = _make_network(3, fakes.Faults())
