Choose nodes for roles from one list of those that are there

Cause: the two nodes that probe the store were gone. The row of a node whose target drains never said that the node leaves, and nobody sends such a node work, so no refused connection made it a suspect.

Fix: one list (Membership.list_role_nodes) for all roles. A stopping node says so in its row beside what its target does. Nodes that may have a role and were not heard from are checked by a connection. Shares of a limit count nodes that are only cut off, but not those that left.

--- a/src/waxwingferry/platform/operator_document.py
+++ b/src/waxwingferry/platform/operator_document.py
@@ -99,6 +99,8 @@
         self.poll_scope: anyio.CancelScope | None = None
         # Whether the present poll is a long one.
         self.polls_long = False
+        # Whether the newest poll was that of a probing node.
+        self.probes = False
         # Whether an interrupted poll is followed by a read of the whole table.
         self.must_read = False
 
@@ -251,6 +253,9 @@
         is_prober = self.is_prober()
         if is_prober:
             wait_s, margin_s = PROBE_WAIT_S, PROBE_MARGIN_S
+        if is_prober != self.probes:
+            self.probes = is_prober
+            log.info("probing of the store changed", probes=is_prober)
         self.polls_long = not is_prober
         try:
             return await self.table.read_changes(
--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -16,6 +16,7 @@
 from waxwingferry.process import target
 from waxwingferry.process.protection import registration
 from waxwingferry.process.spreading import gossip
+from waxwingferry.process.spreading import members
 from waxwingferry.process.tests import fakes
 from waxwingferry.version import revision
 
@@ -293,3 +294,25 @@
     await node.registration.handle_deregistration("i-1")
     assert node.members.own is not None
     assert node.members.own.state == "draining"
+
+
+# The bench's planned removal: the target drains, then its node gets SIGTERM.
+async def test_a_node_whose_target_drains_announces_that_it_stops(node):
+    """Guards against a removed node that counts as a member for an hour."""
+    apply_document(node, 6.9)
+    node.ready = True
+    node.announce()
+    other = members.Membership("zz", fakes.Clock())
+    other.announce(msgspec.structs.replace(fakes.make_row(1), node="zz"))
+    assert node.receiver.link is not None
+    node.receiver.apply_announcement(
+        msgspec.structs.replace(
+            node.receiver.link.announcement, state="draining"
+        )
+    )
+    await node.leave()
+    assert node.members.own is not None
+    assert node.members.own.state == "draining"
+    other.apply(node.members.own)
+    assert not other.is_live(node.settings.node, node.incarnation)
+    assert not node.members.is_prober()
--- a/src/waxwingferry/platform/usage_duty.py
+++ b/src/waxwingferry/platform/usage_duty.py
@@ -160,7 +160,7 @@
             record.row
             for record in self.node.members.records.values()
             if record.age_s <= members.LEASE_TTL_S
-            and not (record.suspect and record.row.state == "leaving")
+            and not (record.suspect and record.row.has_left)
         ]
 
     async def ask(
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -374,6 +374,7 @@
             slots=announcement.slots,
             generation=self.lease.generation,
             target=announcement.incarnation,
+            stopping=self.receiver.leaving,
         )
 
     async def join(self) -> None:
--- a/src/waxwingferry/process/spreading/gossip.py
+++ b/src/waxwingferry/process/spreading/gossip.py
@@ -256,7 +256,7 @@
         if datagram.sender == self.membership.node:
             return
         self._record_contact(address)
-        self.membership.clear_suspect(datagram.sender)
+        self.membership.record_contact(datagram.sender)
         self.membership.apply_all(datagram.rows)
         for suspect in datagram.suspects:
             self.membership.request_check(suspect.node, suspect.incarnation)
@@ -325,7 +325,7 @@
             self._count_malformed(address, error)
             return
         self._record_contact(address)
-        self.membership.clear_suspect(push.node)
+        self.membership.record_contact(push.node)
         self.on_load(push)
 
     def _request_document(self, address: Address, revision: int) -> None:
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -42,6 +42,13 @@
 SUSPECT_RETRY_MAX_S = 10.0
 # Nodes that check whether the connections to the table are silent.
 PROBERS = 2
+# A node that may have a role and was not heard from for this long is checked.
+SILENCE_LIMIT_S = 4.0
+# Nodes at each end of an order of roles that are checked, so that it is known
+# whether the successors of those that are gone are there.
+CHECKED_RANKS = 3
+# A stopping node gets messages for this long, as it still handles requests.
+STOP_TIME_S = 10.0
 MAX_MEMBERS = 5000
 
 log = structlog.get_logger()
@@ -79,7 +86,10 @@
         generation: Orders the processes of one node.
         change: Orders the rows of one process.
         host: IP address of the node's peer listener.
+        state: Whether the target takes work; "leaving" if it does but the node
+            gives it none.
         target: Incarnation of the target, or empty.
+        stopping: Whether the node process stops, whatever its target does.
     """
 
     node: Name
@@ -95,12 +105,18 @@
     generation: Generation = 0
     change: Counter = 0
     target: OptionalIncarnation = ""
+    stopping: bool = False
 
     @property
     def order(self) -> tuple[int, int, str]:
         """Sort key; of two rows of a node, the greater one is newer."""
         return (self.generation, self.change, self.incarnation)
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the node announced its leave."""
+        return self.stopping or self.state == "leaving"
+
     @property
     def address(self) -> tuple[str, int]:
         """Address of the node's peer listener."""
@@ -127,6 +143,7 @@
             "generation": 0,
             "change": 0,
             "target": "",
+            "stopping": False,
             **data,
             "node": node,
         }
@@ -153,10 +170,13 @@
         suspect: Whether this node failed to connect to the member.
         check_requested: Whether a peer reported the member as suspect, so
             that this node has to check it.
+        heard_s: Monotonic time at which the member was last heard from, or its
+            row was received.
     """
 
     row: MemberRow
     changed_s: float
+    heard_s: float
     version: int = 0
     age_s: float = 0.0
     suspect: bool = False
@@ -210,6 +230,7 @@
         self.usable_targets: dict[str, list[known_target.Candidate]] | None = (
             None
         )
+        self.member_count: int | None = None
         self.fingerprint = 0
         self.last_table_read_s: float | None = None
 
@@ -224,6 +245,11 @@
             self.usable_targets = self._group_usable()
         return self.usable_targets
 
+    def _clear_derived(self) -> None:
+        """Clears what is computed again from the records when needed."""
+        self.usable_targets = None
+        self.member_count = None
+
     def announce(self, row: MemberRow) -> None:
         """Sets this node's own row and increments its change number."""
         invariants.require_promise(row.node == self.node, "own_row_node")
@@ -286,10 +312,11 @@
             invariants.require(row.order > old.row.order, "member_row_order")
             self.fingerprint ^= old.row.fingerprint()
         self.fingerprint ^= row.fingerprint()
-        self.records[row.node] = Record(row, self.clock())
+        now_s = self.clock()
+        self.records[row.node] = Record(row, now_s, now_s)
         self._record_state(row)
         self._update_candidate(row)
-        self.usable_targets = None
+        self._clear_derived()
 
     def record_leaving(self, target: str) -> None:
         """Records that a target stated in a response that it leaves.
@@ -304,7 +331,7 @@
         for record in self.records.values():
             if record.row.target == target:
                 self._update_candidate(record.row)
-        self.usable_targets = None
+        self._clear_derived()
 
     def _record_state(self, row: MemberRow) -> None:
         """Records whether a node's process announces that its target leaves."""
@@ -355,7 +382,7 @@
         if record is None:
             return
         if record.age_s > LEASE_TTL_S:
-            self.usable_targets = None
+            self._clear_derived()
         record.age_s = 0.0
 
     def age_leases(self) -> list[Record]:
@@ -371,7 +398,7 @@
         step_s = min(now_s - last_s, MAX_AGE_STEP_S)
         for record in self.records.values():
             record.age_s += step_s
-        self.usable_targets = None
+        self._clear_derived()
         old = [
             record
             for node, record in self.records.items()
@@ -435,10 +462,17 @@
         if record.suspect:
             return False
         record.suspect = True
-        self.usable_targets = None
+        self._clear_derived()
         log.warning("member does not answer", node=node)
         return True
 
+    def record_contact(self, node: str) -> None:
+        """Records that a node was heard from or accepted a connection."""
+        record = self.records.get(node)
+        if record is not None:
+            record.heard_s = self.clock()
+            self.clear_suspect(node)
+
     def clear_suspect(self, node: str) -> None:
         """Clears the suspicion of a node that is reachable again."""
         record = self.records.get(node)
@@ -447,7 +481,7 @@
         record.suspect = False
         record.suspect_delay_s = SUSPECT_RETRY_MIN_S
         log.info("member answers again", node=node)
-        self.usable_targets = None
+        self._clear_derived()
 
     def _is_current(self, node: str) -> bool:
         record = self.records[node]
@@ -494,44 +528,115 @@
         return [] if record is None else [self._mark_leaving(record.row)]
 
     def peers(self) -> list[MemberRow]:
-        """Returns the other nodes that are not suspects."""
+        """Returns the other nodes that messages are sent to.
+
+        These are the nodes that are neither suspects nor have stopped.
+        """
+        stopped_before_s = self.clock() - STOP_TIME_S
         return [
             record.row
             for node, record in self.records.items()
-            if node != self.node and not record.suspect
+            if node != self.node
+            and not record.suspect
+            and not (
+                record.row.stopping and record.changed_s < stopped_before_s
+            )
         ]
 
-    def is_prober(self) -> bool:
-        """Tells whether this node is one of the last ones by name.
+    def list_role_nodes(self) -> list[MemberRow]:
+        """Returns the nodes that may have a role in the cluster, by name.
 
-        They are of different failure domains if there are several. A node
-        without a target is none, so that nodes that start together and don't
-        know each other yet do not all probe.
+        Every choice of nodes for a role is made from this list. It has no
+        suspects, no nodes with an expired lease and none that announced their
+        leave. This node is in it once it or an earlier process of it has
+        announced itself.
         """
-        rows = self.peers()
-        if self.own is not None:
+        rows = [
+            record.row
+            for node, record in self.records.items()
+            if node != self.node and self._may_have_role(record.row)
+        ]
+        if self.own is None:
+            # Whether the earlier process left doesn't matter: this one is here.
+            rows += [self.predecessor] if self.predecessor else []
+        elif not self.own.has_left:
             rows.append(self.own)
-        rows = [row for row in rows if row.state != "leaving"]
-        rows.sort(key=lambda row: row.node, reverse=True)
+        rows.sort(key=lambda row: row.node)
+        return rows
+
+    def list_role_names(self) -> list[str]:
+        """Returns the names of list_role_nodes."""
+        return [row.node for row in self.list_role_nodes()]
+
+    def _may_have_role(self, row: MemberRow) -> bool:
+        return not row.has_left and self._is_current(row.node)
+
+    def count_members(self) -> int:
+        """Returns the number of nodes that share a limit.
+
+        A node that this one can't reach may use its share, so suspects count
+        until their leases expire. Nodes that announced their leave don't.
+        """
+        if self.member_count is None:
+            others = sum(
+                record.age_s <= LEASE_TTL_S and not record.row.stopping
+                for node, record in self.records.items()
+                if node != self.node
+            )
+            self.member_count = others + 1
+        return self.member_count
+
+    def rank_probers(self) -> list[str]:
+        """Returns the nodes in the order in which they probe the table.
+
+        The last ones by name come first, and of these one for each failure
+        domain.
+        """
+        rows = self.list_role_nodes()[::-1]
         last_by_domain: dict[str, str] = {}
         for row in rows:
             last_by_domain.setdefault(row.failure_domain, row.node)
         names = [*last_by_domain.values(), *(row.node for row in rows)]
-        return self.node in list(dict.fromkeys(names))[:PROBERS]
+        return list(dict.fromkeys(names))
+
+    def is_prober(self) -> bool:
+        """Tells whether this node is one of the first in rank_probers.
+
+        A node without a target is none, so that nodes that start together and
+        don't know each other yet do not all probe.
+        """
+        return self.node in self.rank_probers()[:PROBERS]
+
+    def find_silent(self) -> list[MemberRow]:
+        """Returns nodes that may have a role and were not heard from lately.
+
+        If nobody sends a node work, no refused connection shows that it is
+        gone.
+        """
+        names = self.list_role_names()
+        chosen = {
+            *names[:CHECKED_RANKS],
+            *names[-CHECKED_RANKS:],
+            *self.rank_probers()[:CHECKED_RANKS],
+        }
+        heard_before_s = self.clock() - SILENCE_LIMIT_S
+        return [
+            record.row
+            for node in sorted(chosen - {self.node})
+            if (record := self.records[node]).heard_s < heard_before_s
+        ]
 
     def is_duty_candidate(self) -> bool:
         """Tells whether this node is the one that takes duties over.
 
-        It is the first live ready node in the order of is_prober. A node that
+        It is the last live ready node by name. A node that
         has not announced itself is none, because it may not know the others.
         """
         if self.own is None or self.own.state != "ready":
             return False
         return not any(
-            node > self.node
-            and record.row.state == "ready"
-            and self._is_current(node)
-            for node, record in self.records.items()
+            row.node > self.node and row.state == "ready"
+            for row in self.list_role_nodes()
         )
 
     def is_live(self, node: str, incarnation: str) -> bool:
@@ -544,8 +649,7 @@
         return (
             record is not None
             and record.row.incarnation == incarnation
-            and record.row.state != "leaving"
-            and self._is_current(node)
+            and self._may_have_role(record.row)
         )
 
     def apply_all(self, rows: Iterable[MemberRow]) -> int:
--- a/src/waxwingferry/process/spreading/synchronizer.py
+++ b/src/waxwingferry/process/spreading/synchronizer.py
@@ -25,6 +25,8 @@
 FEED_HEAD_START_S = 1.0
 SUSPECT_CHECK_INTERVAL_S = 0.5
 MAX_CONCURRENT_CHECKS = 32
+# Checks of one silent node in that interval, by all nodes together.
+SILENT_CHECKS = 2
 PAUSE_CHECK_INTERVAL_S = 0.5
 # A process that did not run for this long may have missed a document.
 PAUSE_LIMIT_S = 5.0
@@ -343,18 +345,31 @@
             log.info("members not fetched", error=str(error))
 
     async def run_suspect_checks(self) -> None:
-        """Checks suspects by opening a connection."""
+        """Checks suspects and silent nodes by opening a connection."""
         while True:
             await anyio.sleep(SUSPECT_CHECK_INTERVAL_S)
             due = self.membership.find_suspects()
+            due += self._choose_silent()
             chosen = due[:MAX_CONCURRENT_CHECKS]
             async with anyio.create_task_group() as group:
                 for row in chosen:
                     group.start_soon(self._check_member, row)
 
+    def _choose_silent(self) -> list[members.MemberRow]:
+        """Returns the silent nodes that this node checks now.
+
+        A few nodes check each of them and tell the others if it is gone.
+        """
+        share = SILENT_CHECKS / self.membership.count_members()
+        return [
+            row
+            for row in self.membership.find_silent()
+            if self.rng.random() < share
+        ]
+
     async def _check_member(self, row: members.MemberRow) -> None:
         if await peers.is_alive(row.address):
-            self.membership.clear_suspect(row.node)
+            self.membership.record_contact(row.node)
             return
         self.counters.events.inc({"event": "member_suspected"})
         if self.membership.mark_suspect(row.node):
--- a/src/waxwingferry/process/spreading/tests/test_gossip.py
+++ b/src/waxwingferry/process/spreading/tests/test_gossip.py
@@ -100,8 +100,8 @@
     assert _agree(network)
 
 
-# A row that is older than those in digests was fetched by nobody: the nodes that
-# lacked it agreed with each other, and its node only fetched theirs.
+# A row that is older than those in digests was fetched by nobody: the nodes
+# that lacked it agreed with each other, and its node only fetched theirs.
 def test_a_node_that_was_cut_off_becomes_known_without_the_platform():
     """Guards against a node that none of the others knows."""
     network = _make_network(4, fakes.Faults())
