Let nodes that are there judge version rollouts

Cause: the first two nodes by name judge, and the list was that of all nodes but suspects. Nodes that announced their leave stay members for an hour and become no suspects, as nobody sends them work. So the counts went to ended processes, and no live node had a rank that judges.

Counts are pushed again to new judges, which would otherwise lack those of targets that get no more requests. Stops and decisions still go to nodes that stop, as these still route requests. The exposure and the retry slack are divided by count_members, so that a node that is cut off keeps its part and one that left doesn't.

--- a/src/waxwingferry/process/spreading/version_rollouts.py
+++ b/src/waxwingferry/process/spreading/version_rollouts.py
@@ -44,10 +44,8 @@
         slack: Requests that it may receive beyond the share, over all nodes.
     """
 
-    def list_nodes() -> list[str]:
-        return sorted(
-            {membership.node, *(row.node for row in membership.peers())}
-        )
+    def list_peers() -> list[str]:
+        return [row.node for row in membership.peers()]
 
     def send(node: str, item: messages.Message) -> None:
         type_byte = TYPE_BYTES[type(item)]
@@ -58,11 +56,13 @@
         lambda: configured.revision,
         lambda service: membership.by_service.get(service, []),
         decision_store,
-        list_nodes,
+        membership.list_role_names,
         send,
         share,
         slack,
     )
+    rollouts.peers = list_peers
+    rollouts.count_nodes = membership.count_members
     handlers: dict[type, Callable[[Any], None]] = {
         messages.TargetCounts: rollouts.receive_counts,
         messages.Decision: rollouts.receive_decision,
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -132,9 +132,7 @@
         revision = self.revision()
         if revision is None or not revision.budgets.retry_slack:
             return 0.0
-        return revision.budgets.retry_slack / max(
-            len(self.membership.records), 1
-        )
+        return revision.budgets.retry_slack / self.membership.count_members()
 
     async def handle(
         self, connection: http1.ServerConnection, head: http1.RequestHead
--- a/src/waxwingferry/version/rollout.py
+++ b/src/waxwingferry/version/rollout.py
@@ -137,6 +137,11 @@
             get.
         exposure_slack: Additional requests that it may get, over all nodes.
         clock: Monotonic time in seconds.
+
+    Attributes:
+        peers: Returns the other nodes that messages are sent to. Nodes that
+            must not judge may still route requests.
+        count_nodes: Returns the number of nodes that share the slack.
     """
 
     def __init__(
@@ -160,6 +165,12 @@
         self.exposure_share = exposure_share
         self.exposure_slack = exposure_slack
         self.clock = clock
+        self.peers: Callable[[], list[str]] = lambda: [
+            item for item in judges() if item != node
+        ]
+        self.count_nodes: Callable[[], int] = lambda: max(len(judges()), 1)
+        # Rank of this node among the judges, as last logged.
+        self.logged_rank: int | None = None
         self.progress_by_service: dict[str, _RolloutProgress] = {}
         self.decisions: dict[str, messages.Decision] = {}
         # Whether the decisions from before the start of this process are known.
@@ -169,8 +180,8 @@
         self.decisions_current = True
         self.stored = stored_decisions.StoredDecisions(decision_store)
         self.own_counts: dict[str, messages.TargetCounts] = {}
-        # Sums of the counts that were pushed last.
-        self.pushed: dict[str, int] = {}
+        # Sums of the counts that were pushed last, and to which judges.
+        self.pushed: dict[str, tuple[int, list[str]]] = {}
         # Time of the newest restore of the store, and whether this node has
         # not yet checked which decisions it lost.
         self.restored_s: float | None = None
@@ -303,7 +314,7 @@
         """
         if self.first_revision is None or order.number <= self.first_revision:
             return 0.0
-        return self.exposure_slack / max(len(self.judges()), 1)
+        return self.exposure_slack / self.count_nodes()
 
     def _is_decided(self, progress: _RolloutProgress) -> bool:
         decision = self.decisions.get(progress.order.service)
@@ -549,10 +560,7 @@
                     continue
                 own_counts = self.own_counts.get(service)
                 if due and own_counts is not None:
-                    total = sum(item.total for item in own_counts.routes)
-                    if self.pushed.get(service) != total:
-                        self.pushed[service] = total
-                        self._push_counts(own_counts)
+                    self._push_counts(own_counts)
                 await self._judge(progress)
             if due:
                 last_push_s = self.clock()
@@ -563,7 +571,7 @@
 
     async def _send_queries(self, in_force: revision.Revision) -> None:
         """Queries a node per open rollout, and the store if not yet loaded."""
-        others = [node for node in self.judges() if node != self.node]
+        others = self.peers()
         for service in in_force.rollouts:
             progress = self._find_progress(service)
             if progress is None or self._is_decided(progress) or not others:
@@ -580,7 +588,13 @@
             await self._try_load_decisions()
 
     def _push_counts(self, own_counts: messages.TargetCounts) -> None:
-        for judge in self.judges()[:JUDGE_COUNT]:
+        """Sends changed counts to the judges, and all counts to new judges."""
+        judges = self.judges()[:JUDGE_COUNT]
+        total = sum(item.total for item in own_counts.routes)
+        if self.pushed.get(own_counts.service) == (total, judges):
+            return
+        self.pushed[own_counts.service] = (total, judges)
+        for judge in judges:
             if judge == self.node:
                 self.receive_counts(own_counts)
             else:
@@ -589,6 +603,7 @@
     async def _judge(self, progress: _RolloutProgress) -> None:
         ranked = self.judges()
         rank = ranked.index(self.node) if self.node in ranked else len(ranked)
+        self._log_rank(progress, rank, ranked)
         if rank >= JUDGE_COUNT or not self._knows_decisions():
             return
         elapsed_s = (
@@ -619,6 +634,21 @@
         )
         await self._write(decision)
 
+    def _log_rank(
+        self, progress: _RolloutProgress, rank: int, ranked: list[str]
+    ) -> None:
+        """Logs who judges when this node begins to judge or ceases to."""
+        rank = min(rank, JUDGE_COUNT)
+        if rank == self.logged_rank:
+            return
+        self.logged_rank = rank
+        log.info(
+            "judge of version rollouts",
+            service=progress.order.service,
+            judges=ranked[:JUDGE_COUNT],
+            judges_itself=rank < JUDGE_COUNT,
+        )
+
     def _decide(
         self, progress: _RolloutProgress, elapsed_s: float
     ) -> tuple[messages.State | None, str]:
@@ -692,9 +722,8 @@
             await anyio.sleep(REPEAT_INTERVAL_S)
 
     def _broadcast(self, item: messages.Message) -> None:
-        for node in self.judges():
-            if node != self.node:
-                self.send(node, item)
+        for node in self.peers():
+            self.send(node, item)
 
     async def _try_load_decisions(self) -> None:
         try:
