Owe a cold target's rate to the earlier process of the node

Cause: the window of the warm-up rate began empty in the new process. The log shows that the target was restored, and its warm-up time read, before the first request, and that the earlier process had ended.

Fix: a cold target gets nothing until one window after the start of the process. The wait counts in the decision to refuse, so nothing waits past its deadline. Targets that started with their node are served at once.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -6,6 +6,7 @@
     # Most of a start are the imports that follow.
     start.begin()
 
+import math
 import os
 import random
 import sys
@@ -59,6 +60,8 @@
 MAX_HEALTH_BODY_BYTES = 64 * 1024
 # Time for peers to receive the datagrams that announce the leave of this node.
 LEAVE_DELAY_S = 0.3
+# Processes that start together start within this time of each other.
+JOINT_START_S = 0.3
 CHECK_INTERVAL_S = 1.0
 
 if typing.TYPE_CHECKING:
@@ -201,7 +204,28 @@
 
     def make_limit(self, slots: int) -> stated_limit.StatedLimit:
         """Returns the concurrency limit of the local target."""
-        return stated_limit.StatedLimit(slots, self.get_warmup_rate)
+        return stated_limit.StatedLimit(
+            slots,
+            self.get_warmup_rate,
+            earlier_until_s=start.BEGAN_S
+            if self._may_be_served_before()
+            else -math.inf,
+        )
+
+    def _may_be_served_before(self) -> bool:
+        """Tells whether an earlier process may have sent the target requests.
+
+        After a loss of power target and node start together, and none has.
+        """
+        link = self.receiver.link
+        if link is None:
+            return True
+        incarnation = link.announcement.incarnation
+        earlier = self.members.predecessor
+        if earlier is not None and earlier.target == incarnation:
+            return True
+        _, started_ms = target.split_incarnation(incarnation)
+        return started_ms / 1000 < start.BEGAN_UNIX_S - JOINT_START_S
 
     def get_warmup_rate(self) -> float:
         """Returns the maximum requests per second of the target in warm-up."""
--- a/src/waxwingferry/platform/start.py
+++ b/src/waxwingferry/platform/start.py
@@ -12,6 +12,7 @@
 """
 
 import os
+import time
 import tomllib
 
 from waxwingferry.connection import early_listeners
@@ -19,6 +20,10 @@
 from waxwingferry.process import garbage
 
 PATH_VARIABLE = "WAXWINGFERRY_SETTINGS"
+# Monotonic and wall-clock time at which this process began, as this module is
+# imported first. An earlier process of the node had ended by then.
+BEGAN_S = time.monotonic()
+BEGAN_UNIX_S = time.time()
 
 
 def begin() -> None:
--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -2,6 +2,7 @@
 
 import copy
 import dataclasses
+import time
 
 import anyio
 import msgspec
@@ -12,6 +13,7 @@
 from waxwingferry.platform import header_fields
 from waxwingferry.platform import main
 from waxwingferry.platform import settings_file
+from waxwingferry.platform import start
 from waxwingferry.platform.tests import test_settings_file
 from waxwingferry.process import target
 from waxwingferry.process.protection import registration
@@ -203,7 +205,7 @@
 
 
 def restart_beside_target(
-    node: main.PlatformNode, monkeypatch, status: int
+    node: main.PlatformNode, monkeypatch, status: int, warmup_ms: int = 0
 ) -> None:
     """Lets the node find a ready row of its predecessor in the table.
 
@@ -211,12 +213,19 @@
         node: The node that starts.
         monkeypatch: The pytest fixture.
         status: Status of the target's health path.
+        warmup_ms: Time for which the target is cold.
     """
-    service = revision.Service("desk", health_path="/health")
+    service = revision.Service(
+        "desk", health_path="/health", warmup_rate_per_s=20.0, warmup_s=3.0
+    )
     node.document.revision = revision.Revision(1, {}, [], {"desk": service})
     row = fakes.make_row(1, target="i-1:7", incarnation="earlier")
     node.members.apply(msgspec.structs.replace(row, node=node.settings.node))
-    reply = exchange.Reply(status, [(header_fields.TARGET_ID, "i-1")], b"")
+    headers = [
+        (header_fields.TARGET_ID, "i-1"),
+        (header_fields.WARMUP_MS, str(warmup_ms)),
+    ]
+    reply = exchange.Reply(status, headers, b"")
 
     async def respond(*_):
         return reply
@@ -316,3 +325,67 @@
     other.apply(node.members.own)
     assert not other.is_live(node.settings.node, node.incarnation)
     assert not node.members.is_prober()
+
+
+def find_dispatch_delay_s(node: main.PlatformNode) -> float:
+    """Returns the time until the target may get its next request."""
+    admission = node.receiver.admission
+    assert admission is not None
+    due_s = admission.limit.find_dispatch_time_s()
+    return max(due_s - time.monotonic(), 0.0)
+
+
+# The killed process had used up the rate of the second; its successor used it
+# up once more.
+@pytest.mark.parametrize(("warmup_ms", "waits"), [(2500, True), (0, False)])
+async def test_a_cold_target_gets_its_rate_once_over_a_restart(
+    node, monkeypatch, warmup_ms, waits
+):
+    """Guards against twice the warm-up rate when a node is killed (FAILBACK).
+
+    A cold target that bears 20 requests a second got 58 in one.
+    """
+    monkeypatch.setattr(start, "BEGAN_S", time.monotonic(), raising=False)
+    restart_beside_target(node, monkeypatch, 200, warmup_ms)
+    with anyio.move_on_after(0.1):
+        await node.restore_target()
+    delay_s = find_dispatch_delay_s(node)
+    assert (0.5 < delay_s <= 1.0) if waits else delay_s == 0
+    # What can't be sent before its deadline is refused at once.
+    admission = node.receiver.admission
+    wait_s = admission.limit.estimate_rate_limit_wait_s(0)
+    assert (wait_s > 0.5) is waits
+
+
+async def test_a_cold_target_that_started_with_its_node_gets_work_at_once(
+    node, monkeypatch
+):
+    """Guards against a second without work after a loss of power."""
+    monkeypatch.setattr(start, "BEGAN_S", time.monotonic(), raising=False)
+    monkeypatch.setattr(start, "BEGAN_UNIX_S", time.time(), raising=False)
+    restart_beside_target(node, monkeypatch, status=200)
+    announcement = target.Announcement(
+        "desk",
+        "v1",
+        6,
+        *node.settings.target_address,
+        f"i-2:{time.time() * 1000:.0f}",
+    )
+    await node.registration.handle_heartbeat(
+        registration.Heartbeat("i-2", 9, 1, 3.0, announcement)
+    )
+    assert node.receiver.admission.limit.is_cold()
+    assert find_dispatch_delay_s(node) == 0
+
+
+async def test_the_window_of_an_earlier_process_is_waited_out_once(
+    node, monkeypatch
+):
+    """Guards against a cold target that gets nothing after that window."""
+    monkeypatch.setattr(
+        start, "BEGAN_S", time.monotonic() - 1.01, raising=False
+    )
+    restart_beside_target(node, monkeypatch, 200, warmup_ms=2500)
+    with anyio.move_on_after(0.1):
+        await node.restore_target()
+    assert find_dispatch_delay_s(node) == 0
