Reject responses that have no valid status line

Here 000 to 099, and 199 with a body, raised an AttributeError in the request or in the task that reads the health path; 600 to 999 and status lines of HTTP/0.9, HTTP/2.0, RTSP and ICE reached the client as answers.

Cause: the parser takes any three digits and status lines of three protocols, and only 101 was checked.

The head of a response is now checked where it is made, for responses of targets, nodes, health paths and the store: version, status 100 to 599, no body of an interim response, first byte H.

--- a/src/waxwingferry/connection/client.py
+++ b/src/waxwingferry/connection/client.py
@@ -125,6 +125,7 @@
                 reading.make_response_head,
                 _RESPONSE_LIMITS,
             )
+            self.reader.first_byte = b"H"
         self.method = method
         self.requests_sent += 1
         self.ended = False
--- a/src/waxwingferry/connection/message.py
+++ b/src/waxwingferry/connection/message.py
@@ -183,6 +183,10 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+# RFC 9110, section 15. Other codes are no valid responses.
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
 STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}"
     for status in http.HTTPStatus
--- a/src/waxwingferry/connection/reader.py
+++ b/src/waxwingferry/connection/reader.py
@@ -30,6 +30,8 @@
 # Memory that is not reported to on_change, to save time: a small request.
 UNCOUNTED_BYTES = 8192
 
+HTTP_VERSIONS = ("1.0", "1.1")
+
 _HOST_VALUE = re.compile(r"[A-Za-z0-9._~%!$&'()*+,;=:\[\]-]*")
 _ABSOLUTE_FORM = re.compile(r"(?i:https?)://([^/?#]+)([^#]*)")
 
@@ -54,6 +56,8 @@
         limits: Maximum sizes.
 
     Attributes:
+        first_byte: First byte of each message, or empty for any. The parser
+            accepts status lines of protocols that resemble HTTP.
         pending: Received bytes, of which those from position on are not
             parsed yet.
         steps: Blocks parsed and events taken since the reader last suspended.
@@ -73,6 +77,7 @@
         self.events = message_events.Events(make_head, limits)
         self.parser = make_parser(self.events)
         self.events.parser = self.parser
+        self.first_byte = b""
         self.pending = b""
         self.position = 0
         self.steps = 0
@@ -190,6 +195,14 @@
         events = self.events
         if events.failed:
             return
+        if (
+            self.first_byte
+            and not events.in_message
+            and not self._may_begin_message(data)
+        ):
+            events.fail(message.HttpError("no status line of HTTP"))
+            self._record_change()
+            return
         if not events.queue:
             events.queued_bytes = 0
         block_bytes = events.block_bytes + len(data)
@@ -219,6 +232,11 @@
                 self._parse_until_event()
         self._record_change()
 
+    def _may_begin_message(self, data: bytes) -> bool:
+        """Returns whether the first byte after blank lines may be received."""
+        start = data.lstrip(b"\r\n")[:1]
+        return not start or start == self.first_byte
+
     def parse_all(self) -> None:
         """Parses what is pending, for a caller that waits for a later event."""
         while self.pending:
@@ -286,7 +304,7 @@
     """Validates and returns the head of a request."""
     parser = events.parser
     version = parser.get_http_version()
-    if version not in ("1.0", "1.1"):
+    if version not in HTTP_VERSIONS:
         raise message.HttpError(f"HTTP/{version} is not supported", 505)
     if parser.should_upgrade():
         raise message.HttpError("CONNECT and upgrades are not supported", 501)
@@ -348,14 +366,22 @@
 
 
 def make_response_head(events: message_events.Events) -> message.ResponseHead:
-    """Validates and returns the head of a response."""
+    """Validates and returns the head of a response.
+
+    The parser accepts any three digits as a status, and other protocols.
+    """
     parser = events.parser
+    version = parser.get_http_version()
+    if version not in HTTP_VERSIONS:
+        raise message.HttpError(f"response has version {version}")
     status = parser.get_status_code()
+    if not message.MIN_STATUS <= status <= message.MAX_STATUS:
+        raise message.HttpError(f"response has no valid status: {status:03}")
     if status == 101:
         raise message.HttpError(
             "response switches protocols without a request to do so"
         )
-    self_delimited = status in (204, 304) or status < 200
+    self_delimited = status in (204, 304) or status < message.MIN_FINAL_STATUS
     for name, value in events.headers:
         if name == "content-length":
             self_delimited = True
@@ -366,6 +392,11 @@
                     f"unsupported transfer coding {value!r}"
                 )
             self_delimited = True
+    has_body = events.body_left or message.find_header(
+        events.headers, "transfer-encoding"
+    )
+    if status < message.MIN_FINAL_STATUS and has_body:
+        raise message.HttpError("interim response with a body")
     return message.ResponseHead(
         status, events.headers, parser.should_keep_alive(), self_delimited
     )
--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -364,13 +364,9 @@
     monkeypatch.setattr(start, "BEGAN_S", time.monotonic(), raising=False)
     monkeypatch.setattr(start, "BEGAN_UNIX_S", time.time(), raising=False)
     restart_beside_target(node, monkeypatch, status=200)
-    announcement = target.Announcement(
-        "desk",
-        "v1",
-        6,
-        *node.settings.target_address,
-        f"i-2:{time.time() * 1000:.0f}",
-    )
+    host, port = node.settings.target_address
+    incarnation = f"i-2:{time.time() * 1000:.0f}"
+    announcement = target.Announcement("desk", "v1", 6, host, port, incarnation)
     await node.registration.handle_heartbeat(
         registration.Heartbeat("i-2", 9, 1, 3.0, announcement)
     )
--- a/src/waxwingferry/request/claim_results.py
+++ b/src/waxwingferry/request/claim_results.py
@@ -12,6 +12,7 @@
 import structlog
 
 from waxwingferry import invariants
+from waxwingferry.connection import message
 from waxwingferry.process import metrics
 from waxwingferry.process import platform
 
@@ -30,7 +31,10 @@
 class _Answer(msgspec.Struct):
     """Stored answer of a call; the body is None if it was not kept."""
 
-    status: Annotated[int, msgspec.Meta(ge=100, le=599)]
+    status: Annotated[
+        int,
+        msgspec.Meta(ge=message.MIN_FINAL_STATUS, le=message.MAX_STATUS),
+    ]
     headers: list[tuple[str, str]]
     body: str | None
 
