--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -305,7 +305,7 @@
     assert node.members.own.state == "draining"
 
 
-# The bench's planned removal: the target drains, then its node gets SIGTERM.
+# A planned removal: the target drains, then its node gets SIGTERM.
 async def test_a_node_whose_target_drains_announces_that_it_stops(node):
     """Guards against a removed node that counts as a member for an hour."""
     apply_document(node, 6.9)
