--- a/src/waxwingferry/platform/header_fields.py
+++ b/src/waxwingferry/platform/header_fields.py
@@ -28,8 +28,8 @@
 
 # Set by the node itself; values sent by a caller are removed.
 _NODE_SET_HEADERS = frozenset({CALLER_SERVICE, EXPECTED_TARGET, DEADLINE_MS})
-# Larger times are as good as none.
 HEALTHY_STATUS = 200
+# Larger times are as good as none.
 MAX_DEADLINE_MS = 999_999_999
 _TIME_LEFT = re.compile(r"-?[0-9]{1,30}(?:\.[0-9]{1,30})?")
 _MILLISECONDS = re.compile(r"[0-9]{1,9}")
--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -60,7 +60,8 @@
 MAX_HEALTH_BODY_BYTES = 64 * 1024
 # Time for peers to receive the datagrams that announce the leave of this node.
 LEAVE_DELAY_S = 0.3
-# Processes that start together start within this time of each other.
+# A target that started this long before its node, or later, counts as started
+# together with it: after a loss of power they start in any order.
 JOINT_START_S = 0.3
 CHECK_INTERVAL_S = 1.0
 
--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -114,7 +114,7 @@
 
     @property
     def has_left(self) -> bool:
-        """Whether the node announced its leave."""
+        """Whether the node leaves, or gives its target no work for now."""
         return self.stopping or self.state == "leaving"
 
     @property
@@ -546,7 +546,7 @@
     def list_role_nodes(self) -> list[MemberRow]:
         """Returns the nodes that may have a role in the cluster, by name.
 
-        Every choice of nodes for a role is made from this list. It has no
+        Probers, judges and the candidate for duties are chosen from it. It has no
         suspects, no nodes with an expired lease and none that announced their
         leave. This node is in it once it or an earlier process of it has
         announced itself.
