--- a/src/waxwingferry/process/spreading/members.py
+++ b/src/waxwingferry/process/spreading/members.py
@@ -546,9 +546,9 @@
     def list_role_nodes(self) -> list[MemberRow]:
         """Returns the nodes that may have a role in the cluster, by name.
 
-        Probers, judges and the candidate for duties are chosen from it. It has no
-        suspects, no nodes with an expired lease and none that announced their
-        leave. This node is in it once it or an earlier process of it has
+        Probers, judges and the candidate for duties are chosen from it. It has
+        no suspects, no nodes with an expired lease and none that announced
+        their leave. This node is in it once it or an earlier process of it has
         announced itself.
         """
         rows = [
