--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # Python programs of the standard library, so that they are only compiled.
 set -euo pipefail
 cd "$(dirname "$0")"
-python="${PYTHON:-python3.11}"
+python="${PYTHON:-$(command -v python3.11 || command -v python3)}"
 "$python" - common-3/*.py 1[1-5]/*.py <<'EOF'
 import sys
 
