review: a report without a start time brings back a backend that left

A heartbeat without the field for the start time is taken for one of another start of the backend, at time 0. It is accepted once the backend itself is silent, as it is after it has deregistered; its leave is kept for the other start only.

The stand-in's health path tells a leave now.

--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -273,11 +273,14 @@
         self.free = asyncio.Semaphore(slots)
         self.running = 0
         self.waiting = 0
+        self.leaves = False
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection, one request at a time."""
+        self.writers.add(writer)
         try:
             while head := await read_head(reader):
                 if not await self._serve_request(head, reader, writer):
@@ -286,6 +289,7 @@
         except (ConnectionError, EOFError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def _load_fields(self) -> dict[str, str]:
@@ -300,7 +304,8 @@
         body = await read_body(reader, head)
         if head.start[1] == "/health":
             fields = {INSTANCE: self.instance, **self._load_fields()}
-            writer.write(format_response(200, fields))
+            status = 503 if self.leaves else 200
+            writer.write(format_response(status, fields))
             return True
         attempt_id = head.fields.get(ATTEMPT_ID, "")
         expected = head.fields.get(EXPECTED, self.instance)
