--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -424,16 +424,13 @@
     return Answer(status, True, body, head.fields)
 
 
-def find_ports() -> dict[str, int]:
-    """Returns ports that are free on the addresses of all machines."""
+def find_ports(addresses: list[str]) -> dict[str, int]:
+    """Returns ports that are free on all of some addresses."""
     while True:
         first = random.randrange(20000, 60000, 32)
         try:
-            for port in range(first, first + 24):
-                with socket.socket() as item:
-                    item.bind(("0.0.0.0", port))
-                with socket.socket(type=socket.SOCK_DGRAM) as item:
-                    item.bind(("0.0.0.0", port))
+            for address in addresses:
+                _check_ports(address, first)
         except OSError:
             continue
         names = ("app", "inbound", "outbound", "ready", "control", "store")
@@ -441,6 +438,14 @@
         return {"internal": first, **ports}
 
 
+def _check_ports(address: str, first: int) -> None:
+    for port in range(first, first + 24):
+        with socket.socket() as item:
+            item.bind((address, port))
+        with socket.socket(type=socket.SOCK_DGRAM) as item:
+            item.bind((address, port))
+
+
 class World:
     """A small deployment: store, machines with their targets and nodes.
 
@@ -475,7 +480,6 @@
         self.max_fds = max_fds
         self.record = Record()
         self.runs: collections.Counter[str] = collections.Counter()
-        self.ports = find_ports()
         net = random.randrange(1, 250)
         self.machines = [
             Machine(f"sidecar-{i}", f"127.77.{net}.{i + 10}", zone, service)
@@ -483,6 +487,9 @@
         ]
         self.store = Store()
         self.store_ip = f"127.77.{net}.5"
+        self.ports = find_ports(
+            [self.store_ip, *(machine.ip for machine in self.machines)]
+        )
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         self.tasks: list[asyncio.Task] = []
         self.servers: list[asyncio.Server] = []
