Answer calls in progress before a stopping node is killed

What callers saw: a node that got SIGTERM was killed at the end of its grace time with requests that it had read long before.

Cause: the deadline of a call was fixed when the call began. Only calls that began after SIGTERM got a deadline before SIGKILL; calls in progress kept theirs, and the drain waited for them.

Fix: the deadline in force is the earlier one of the call and of the process (calls.Cutoff), which a stop sets. Waits read it again at intervals of 0.25 s at most, or use a cancel scope that moves with it. When it passes, the attempt is resolved as after any timeout: withdrawn from the other node's queue, which confirms it, and refused as not run; otherwise, also without a confirmation, the outcome is unknown. The time before the kill now includes that of resolving.

Test: request/tests/test_stops.py, one case for each wait.

--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -20,6 +20,7 @@
 from waxwingferry.process.spreading import gossip
 from waxwingferry.process.spreading import members
 from waxwingferry.process.tests import fakes
+from waxwingferry.request import calls
 from waxwingferry.version import revision
 
 pytestmark = pytest.mark.anyio
@@ -125,8 +126,7 @@
     monkeypatch.setattr(settings_file, "load", lambda _: settings)
     node.reload()
     await node.leave()
-    assert node.entry.stop_deadline is not None
-    assert node.entry.stop_deadline.remaining_s() < 3.0
+    assert calls.Deadline(node.entry.cutoff.at_s).remaining_s() < 3.0
 
 
 async def test_calls_state_the_service_of_the_reloaded_settings(
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -11,6 +11,7 @@
 import anyio
 import structlog
 
+from waxwingferry import boot_clock
 from waxwingferry.connection import budget
 from waxwingferry.connection import closing
 from waxwingferry.connection import http1
@@ -45,11 +46,13 @@
 from waxwingferry.request import outcome
 from waxwingferry.request import peer
 from waxwingferry.request import receive
+from waxwingferry.request import resolve
 from waxwingferry.version import revision
 
 INTERIM_INTERVAL_S = 0.2
-# Time before the process is killed by which the last calls must end.
-STOP_RESERVE_S = 0.3
+# Time before the process is killed by which the last calls must end: the fate
+# of their attempts is resolved after that, and the answers are sent.
+STOP_RESERVE_S = resolve.RESOLVE_GRACE_S + 0.2
 TASK_DRAIN_TIMEOUT_S = 5.0
 
 log = structlog.get_logger()
@@ -118,6 +121,8 @@
     ):
         self.options = options
         self.stop_grace_s = options.stop_grace_s
+        # Boot clock time at which the stop began, or None before that.
+        self.stop_began_s: float | None = None
         self.table = table
         self.rng = rng
         # IDs never depend on the configured seed: two processes with the same
@@ -409,13 +414,25 @@
         except Exception as error:
             self.breaches.record(error)
 
+    def _move_cutoff(self) -> None:
+        """Makes all calls end in time before the process is killed."""
+        assert self.stop_began_s is not None
+        end_s = math.inf
+        if self.stop_grace_s is not None:
+            end_s = self.stop_began_s + self.stop_grace_s - STOP_RESERVE_S
+        self.entry.cutoff.move(end_s)
+        log.info(
+            "calls must end",
+            node=self.options.node,
+            calls=self.entry.in_flight,
+            grace_s=self.stop_grace_s,
+        )
+
     async def leave(self) -> None:
         """Announces the leave and gives other nodes time to receive it."""
         log.info("node stopping", node=self.options.node)
-        if self.stop_grace_s is not None:
-            self.entry.stop_deadline = calls.make_deadline(
-                self.stop_grace_s - STOP_RESERVE_S
-            )
+        self.stop_began_s = boot_clock.read_s()
+        self._move_cutoff()
         self.receiver.leaving = True
         if not self.lease.superseded:
             self.announce()
--- a/src/waxwingferry/process/protection/admission.py
+++ b/src/waxwingferry/process/protection/admission.py
@@ -104,9 +104,13 @@
         depth: int = 1,
         request_id: str = "",
     ) -> Permit | outcome.NotRun:
-        """Waits for a free slot; returns a refusal if there is none in time."""
+        """Waits for a free slot; returns a refusal if there is none in time.
+
+        The deadline may move during the wait.
+        """
         # Deadlines use the boot clock, the queue uses the monotonic clock.
         now_s = self.now()
+        end_s = deadline.end_s
         objective = urgency.objective
         permit = self.submit(
             member,
@@ -122,6 +126,11 @@
                 permit.event = anyio.Event()
                 with anyio.move_on_after(self.find_wait_s(permit)):
                     await permit.event.wait()
+                if deadline.end_s != end_s:
+                    end_s = deadline.end_s
+                    self.move_deadline(
+                        permit, self.now() + deadline.remaining_s()
+                    )
                 self.advance()
         except BaseException:
             self.withdraw(permit)
@@ -173,6 +182,24 @@
         invariants.require(fits, "queue_length", len(self.queue))
         return permit
 
+    @decision_clock.decision
+    def move_deadline(self, permit: Permit, deadline_s: float) -> None:
+        """Moves the deadline of an attempt that waits.
+
+        Load pattern: an entry node stops, and the process is killed before the
+        deadlines of its calls. Those that can be served in time keep their
+        places; the others are refused now, so that they can turn elsewhere.
+        """
+        if permit.state is not State.QUEUED:
+            return
+        permit.move_deadline(deadline_s)
+        self.earliest_deadline_s = min(self.earliest_deadline_s, deadline_s)
+        now_s = self.now()
+        items = [item for item in self.queue if item is not permit] + [permit]
+        ranks = self.order.make_ranks(items, now_s)
+        if self._should_reject(items, ranks, now_s):
+            self._refuse_queued([permit], outcome.Reason.DEADLINE_TOO_SHORT)
+
     def withdraw(self, permit: Permit) -> None:
         """Cancels an attempt that was not sent to the target."""
         if permit.state is State.QUEUED:
--- a/src/waxwingferry/process/protection/permits.py
+++ b/src/waxwingferry/process/protection/permits.py
@@ -90,6 +90,11 @@
     def __post_init__(self):
         """Computes what stays the same while the attempt waits."""
         self.due = precedence.find_due(self.objective_s, self.priority)
+        self.move_deadline(self.deadline_s)
+
+    def move_deadline(self, deadline_s: float) -> None:
+        """Sets another deadline while the attempt waits."""
+        self.deadline_s = deadline_s
         self.lifetime_s = max(self.deadline_s - self.submitted_s, 1e-9)
 
     def record_head(self, now_s: float) -> None:
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import functools
 import re
 import sys
 import time
@@ -372,14 +373,7 @@
             self.protocol.accepts_close_delimited
         )
         try:
-            await connection.send_request(
-                attempt.method,
-                attempt.request_target,
-                self.protocol.make_headers(attempt, self.announcement),
-                attempt.body.buffered,
-                attempt.body.rest,
-                max(deadline.remaining_s(), 0),
-            )
+            await self._send(connection, attempt)
             head = await self._receive_head(connection, attempt)
         except (TimeoutError, http1.ReceiveTimeoutError):
             connection.reusable = False
@@ -390,6 +384,23 @@
             return outcome.Unknown(reason or outcome.Reason.CONNECTION_LOST)
         return self._classify_response(connection, attempt, head)
 
+    async def _send(
+        self, connection: http1.ClientConnection, attempt: calls.Attempt
+    ) -> None:
+        send = functools.partial(
+            connection.send_request,
+            attempt.method,
+            attempt.request_target,
+            self.protocol.make_headers(attempt, self.announcement),
+            attempt.body.buffered,
+            attempt.body.rest,
+        )
+        if attempt.body.is_small():
+            await send(timeout_s=max(attempt.deadline.remaining_s(), 0))
+            return
+        with attempt.deadline.enforce():
+            await send()
+
     async def _find_end_reason(
         self, attempt: calls.Attempt, error: http1.HttpError
     ) -> outcome.Reason | None:
@@ -409,7 +420,7 @@
         interim_count = 0
         skipped_bytes = 0
         while True:
-            head = await connection.receive_head(deadline.remaining_s())
+            head = await _receive_next_head(connection, deadline)
             if head.status < 200:
                 interim_count += 1
                 if interim_count > MAX_INTERIM_RESPONSES:
@@ -487,6 +498,23 @@
         )
 
 
+async def _receive_next_head(
+    connection: http1.ClientConnection, deadline: calls.Deadline
+) -> http1.ResponseHead:
+    """Returns the next head; follows a deadline that moves meanwhile.
+
+    Raises:
+        http1.ReceiveTimeoutError: The deadline has passed.
+    """
+    while True:
+        timeout_s = min(deadline.remaining_s(), calls.DEADLINE_CHECK_INTERVAL_S)
+        try:
+            return await connection.receive_head(timeout_s)
+        except http1.ReceiveTimeoutError:
+            if deadline.remaining_s() <= 0:
+                raise
+
+
 def _check_skipped_bytes(count: int) -> None:
     if count > MAX_SKIPPED_BYTES:
         raise http1.HttpError(
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -2,9 +2,14 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
+import math
 import re
 
+import anyio
+
 from waxwingferry import boot_clock
 from waxwingferry.connection import http1
 
@@ -38,6 +43,9 @@
 # failure domain.
 RETURN_RESERVE_S = 0.002
 MAX_BUFFERED_BODY_BYTES = 65536
+# A request with such a body fits into the send buffer of an idle connection, so
+# that sending it does not wait.
+SMALL_BODY_BYTES = 4096
 
 # Fields that only nodes set; values sent by callers are removed.
 INTERNAL_HEADERS = frozenset(
@@ -59,6 +67,9 @@
 
 # Timeout for the next chunk of an answer after the deadline has passed.
 PROGRESS_TIMEOUT_S = 5.0
+# Waits without a cancel scope read their deadline again at least this often,
+# because a stop may have moved it. Shorter than any grace time of a stop.
+DEADLINE_CHECK_INTERVAL_S = 0.25
 
 
 class BodyError(Exception):
@@ -73,6 +84,31 @@
         self.status = status
 
 
+class Cutoff:
+    """The time by which the calls of this process must end.
+
+    It also applies to calls that are in progress when it is set or moved.
+
+    Attributes:
+        at_s: Time on the boot clock; infinite until the process stops.
+        scopes: Cancel scopes of waits in progress, with their deadlines.
+        moved: Set when the time has been moved, and then replaced.
+    """
+
+    def __init__(self):
+        self.at_s = math.inf
+        self.scopes: dict[anyio.CancelScope, Deadline] = {}
+        self.moved = anyio.Event()
+
+    def move(self, at_s: float) -> None:
+        """Sets the time; waits in progress end by it."""
+        self.at_s = at_s
+        for deadline in self.scopes.values():
+            deadline.move_scopes()
+        self.moved.set()
+        self.moved = anyio.Event()
+
+
 @dataclasses.dataclass(slots=True)
 class Deadline:
     """A point in time on the boot clock, in seconds.
@@ -84,22 +120,70 @@
     take longer as long as it makes progress: aborting it would lose an answer
     that the target is sending, and the duration of a long download is not
     known in advance.
+
+    Attributes:
+        at_s: The time, unless the process has to end the call earlier.
+        cutoff: Limits the time, or None if another process took the call.
+        scopes: Cancel scopes of waits in progress.
     """
 
     at_s: float
+    cutoff: Cutoff | None = None
+    scopes: list[anyio.CancelScope] = dataclasses.field(
+        default_factory=list, compare=False, repr=False
+    )
+
+    @property
+    def end_s(self) -> float:
+        """The time in force. It moves with the cutoff."""
+        if self.cutoff is None or self.cutoff.at_s > self.at_s:
+            return self.at_s
+        return self.cutoff.at_s
 
     def remaining_s(self) -> float:
         """Returns the time left in seconds, possibly negative."""
-        return self.at_s - boot_clock.read_s()
+        return self.end_s - boot_clock.read_s()
+
+    def is_cut_off(self) -> bool:
+        """Returns whether the process has to end the call earlier."""
+        return self.end_s < self.at_s
+
+    def move(self, at_s: float) -> None:
+        """Sets the time; waits in progress follow."""
+        self.at_s = at_s
+        self.move_scopes()
+
+    def move_scopes(self) -> None:
+        """Applies the time in force to the waits in progress."""
+        for scope in self.scopes:
+            scope.deadline = anyio.current_time() + self.remaining_s()
+
+    @contextlib.contextmanager
+    def enforce(self) -> Iterator[None]:
+        """Limits what is done in the context, also if the deadline moves.
+
+        Raises:
+            TimeoutError: The deadline has passed.
+        """
+        with anyio.fail_after(max(self.remaining_s(), 0)) as scope:
+            self.scopes.append(scope)
+            if self.cutoff is not None:
+                self.cutoff.scopes[scope] = self
+            try:
+                yield
+            finally:
+                self.scopes.remove(scope)
+                if self.cutoff is not None:
+                    del self.cutoff.scopes[scope]
 
     def chunk_timeout_s(self) -> float:
         """Returns the timeout for the next chunk of an answer's body."""
         return max(self.remaining_s(), PROGRESS_TIMEOUT_S)
 
 
-def make_deadline(remaining_s: float) -> Deadline:
+def make_deadline(remaining_s: float, cutoff: Cutoff | None = None) -> Deadline:
     """Returns the deadline that lies remaining_s seconds ahead."""
-    return Deadline(boot_clock.read_s() + remaining_s)
+    return Deadline(boot_clock.read_s() + remaining_s, cutoff)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -161,6 +245,10 @@
     buffered: bytes
     rest: BodyStream | None = None
 
+    def is_small(self) -> bool:
+        """Returns whether sending it takes no time worth limiting."""
+        return self.rest is None and len(self.buffered) <= SMALL_BODY_BYTES
+
     def can_be_sent(self) -> bool:
         """Returns whether the whole body can be sent, perhaps once more.
 
--- a/src/waxwingferry/request/claim.py
+++ b/src/waxwingferry/request/claim.py
@@ -224,7 +224,7 @@
         )
         limit_s = max(call.deadline.remaining_s(), 0)
         try:
-            with anyio.fail_after(limit_s):
+            with call.deadline.enforce():
                 found = await self._acquire(claim, call, answer)
         except (platform.PlatformError, TimeoutError) as error:
             if limit_s > OUTAGE_BACKOFF_S and not isinstance(
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -80,8 +80,8 @@
         rollouts: Version rollouts, or None if they are not supported.
         load_queries: Asks nodes for their load before a choice, or None if
             loads are learned in other ways.
-        stop_deadline: Time by which calls must end because the process is
-            killed soon after, or None.
+        cutoff: Time by which calls must end because the process is killed
+            soon after.
         draining: Whether calls that could last longer than the process are
             refused. Before that, callers can't know of the stop yet.
     """
@@ -117,7 +117,7 @@
         self.traffic_splitter = traffic_split.TrafficSplitter(rng)
         self.rollouts: rollout.RolloutController | None = None
         self.load_queries: load_queries.LoadQueries | None = None
-        self.stop_deadline: calls.Deadline | None = None
+        self.cutoff = calls.Cutoff()
         self.draining = False
         self.caller_ages = caller_age.CallerAges()
         self.overlaps = overlapping.Overlaps(
@@ -252,12 +252,12 @@
             caller_deadline = calls.make_deadline(context.deadline_ms / 1000)
             deadline_s = min(deadline_s, context.deadline_ms / 1000)
         # Set before the body is read, so that this time counts as well.
-        deadline = calls.make_deadline(deadline_s)
-        if self.stop_deadline and deadline.at_s > self.stop_deadline.at_s:
-            if self.draining:
-                return outcome.NotRun(outcome.Reason.LEAVING)
-            # The caller gets an answer before the process is killed.
-            deadline = self.stop_deadline
+        deadline = calls.make_deadline(deadline_s, self.cutoff)
+        if self.draining and deadline.is_cut_off():
+            return outcome.NotRun(outcome.Reason.LEAVING)
+        body = await _read_body(connection, head, deadline)
+        if isinstance(body, outcome.NotRun):
+            return body
         headers = http1.end_to_end_headers(head.headers)
         if revision.workspaces:
             headers = keys.remove_fields(
@@ -274,7 +274,7 @@
             method=head.method,
             request_target=head.target,
             headers=self.protocol.prepare_request_headers(headers),
-            body=await answering.read_body(connection),
+            body=body,
             deadline=deadline,
             member=member,
             depth=context.depth + 1,
@@ -614,3 +614,20 @@
             load_age_ms=history.load_age_ms,
             slowness=history.slowness,
         )
+
+
+async def _read_body(
+    connection: http1.ServerConnection,
+    head: http1.RequestHead,
+    deadline: calls.Deadline,
+) -> calls.Body | outcome.NotRun:
+    """Reads the start of a body, or refuses if its client is too slow."""
+    if not head.has_body:
+        return await answering.read_body(connection)
+    try:
+        with deadline.enforce():
+            return await answering.read_body(connection)
+    except TimeoutError:
+        if deadline.is_cut_off():
+            return outcome.NotRun(outcome.Reason.LEAVING)
+        return outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -267,7 +267,6 @@
     monitor: silence.SilenceMonitor,
 ) -> http1.ResponseHead:
     """Sends an attempt and returns the head of the final answer."""
-    left_s = max(attempt.deadline.remaining_s(), 0)
     send = functools.partial(
         connection.send_request,
         attempt.method,
@@ -276,12 +275,12 @@
         attempt.body.buffered,
         attempt.body.rest,
     )
-    if attempt.body.rest is None:
+    if attempt.body.is_small():
         # Both steps have their own timeouts, which are cheaper than a cancel
         # scope for each call.
-        await send(timeout_s=left_s)
+        await send(timeout_s=max(attempt.deadline.remaining_s(), 0))
         return await monitor.receive_head()
-    with anyio.fail_after(left_s):
+    with attempt.deadline.enforce():
         await silence.send_monitored(connection, monitor, send)
         return await monitor.receive_head()
 
--- a/src/waxwingferry/request/silence.py
+++ b/src/waxwingferry/request/silence.py
@@ -83,14 +83,14 @@
 
     async def _receive(self, receive: Callable[[float], Awaitable]):
         deadline = self.attempt.deadline
-        wait_s = deadline.remaining_s()
-        if self.in_body:
-            wait_s = deadline.chunk_timeout_s()
-        end_s = time.monotonic() + wait_s
+        chunk_end_s = time.monotonic() + deadline.chunk_timeout_s()
         timeout_s = SUSPECT_AFTER_S
         suspected = False
         while True:
-            remaining_s = end_s - time.monotonic()
+            # The deadline may have moved.
+            remaining_s = deadline.remaining_s()
+            if self.in_body:
+                remaining_s = chunk_end_s - time.monotonic()
             try:
                 result = await receive(min(max(remaining_s, 0), timeout_s))
                 self.node_silent = False
@@ -102,12 +102,12 @@
                     raise ConnectionSilentError(
                         "connection is silent"
                     ) from error
-            suspected = await self._check_before(end_s)
+            suspected = await self._check_within(remaining_s - timeout_s)
             timeout_s = CONFIRM_AFTER_S if suspected else SUSPECT_AFTER_S
 
-    async def _check_before(self, end_s: float) -> bool:
+    async def _check_within(self, remaining_s: float) -> bool:
         try:
-            with anyio.fail_after(max(end_s - time.monotonic(), 0)):
+            with anyio.fail_after(max(remaining_s, 0)):
                 return await self.check_connection()
         except TimeoutError as error:
             raise http1.ReceiveTimeoutError(
--- a/src/waxwingferry/request/tests/test_entry_limits.py
+++ b/src/waxwingferry/request/tests/test_entry_limits.py
@@ -129,7 +129,7 @@
         random.Random(1),
     )
     monkeypatch.setattr(node.retry_policy, "count_call", lambda call: None)
-    node.stop_deadline = calls.make_deadline(1.0)
+    node.cutoff.move(calls.make_deadline(1.0).at_s)
     node.draining = draining
     connection = FakeConnection()
     headers = [("host", "a"), (calls.DEADLINE_HEADER, deadline_ms)]
@@ -137,7 +137,8 @@
     taken = await entry_calls.take_calls(monkeypatch, node, connection, head)
     found = http1.find_header(connection.headers, "x-waxwing-reason")
     for call in taken:
-        is_capped = call.deadline == node.stop_deadline
+        assert call.deadline.remaining_s() <= 1.0
+        is_capped = call.deadline.is_cut_off()
         found = "end of the process" if is_capped else "own deadline"
     assert found == expected
 
--- /dev/null
+++ b/src/waxwingferry/request/tests/test_stops.py
@@ -0,0 +1,137 @@
+"""Calls in progress at a node that is killed before their deadlines."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import time
+
+import anyio
+import pytest
+
+from waxwingferry.connection import http1
+from waxwingferry.process import core
+from waxwingferry.process import platform
+from waxwingferry.request import calls
+from waxwingferry.request import claim
+from waxwingferry.request import claim_results
+from waxwingferry.request.tests import network
+from waxwingferry.request.tests import simulation
+
+# Time from the stop to the end of the calls, and to the kill.
+CUTOFF_S = 0.6
+KILL_S = CUTOFF_S + core.STOP_RESERVE_S
+
+
+def make_cluster(target: str) -> simulation.SimulatedCluster:
+    """Returns a cluster whose only target takes longer than a stop."""
+    cluster = simulation.SimulatedCluster(seed=1)
+    cluster.deadline_ms = 20_000
+    cluster.service_times_s = (10.0,)
+    cluster.targets = {target}
+    return cluster
+
+
+def fill(cluster: simulation.SimulatedCluster) -> None:
+    """Makes all requests wait for a slot."""
+    for node in cluster.nodes:
+        assert node.receiver.admission is not None
+        node.receiver.admission.can_dispatch = lambda: False  # type: ignore[method-assign]
+
+
+def hold_key(cluster: simulation.SimulatedCluster) -> None:
+    """Makes another call hold the key of the request."""
+    call = calls.Call(
+        "c", "registry", "POST", "/transfers", [], calls.Body(b"{}"),
+        calls.make_deadline(1.0), "", 1, False, key="k1",
+    )  # fmt: skip
+    other = claim_results.Claim(
+        claim.make_row_key(call), "other", claim.make_digest(call)
+    )
+    value = other.make_row_value(claim_results.CLAIMED)
+    cluster.table.apply([platform.Write(other.row_key, value, 0)])
+
+
+def do_nothing(cluster: simulation.SimulatedCluster) -> None:
+    """Lets the request run."""
+
+
+async def send(cluster: simulation.SimulatedCluster) -> str:
+    """Sends a request; returns its outcome."""
+    return (await cluster.send("n1", "r1")).outcome
+
+
+async def send_keyed(cluster: simulation.SimulatedCluster) -> str:
+    """Sends a request with a key; returns its outcome."""
+    return (await cluster.send("n1", "r1", "k1")).outcome
+
+
+async def send_part(cluster: simulation.SimulatedCluster) -> str:
+    """Sends a request whose body does not end; returns its outcome."""
+    stream = await cluster.network.connect("n1", network.CALLER_PORT)
+    connection = http1.ClientConnection(stream)
+    fields = [("content-length", "9")]
+    await connection.send_request("POST", "/transfers", fields, b"part")
+    head = await connection.receive_head(2.0)
+    await connection.close()
+    return http1.find_header(head.headers, "x-waxwing-outcome")
+
+
+# At a stop, only calls that began after it were given an earlier deadline. The
+# others waited until the process was killed and got no answer.
+@pytest.mark.parametrize(
+    ("target", "prepare", "send_request", "frozen", "expected"),
+    [
+        pytest.param(
+            "n2", fill, send, False, "not-run", id="slot at another node"
+        ),
+        pytest.param(
+            "n2", do_nothing, send, False, "unknown", id="another node's target"
+        ),
+        pytest.param(
+            "n2", fill, send, True, "unknown", id="frozen node with a slot"
+        ),
+        pytest.param(
+            "n1", fill, send, False, "not-run", id="slot at the own node"
+        ),
+        pytest.param(
+            "n1", do_nothing, send, False, "unknown", id="own target"
+        ),
+        pytest.param("n2", do_nothing, send_part, False, "not-run", id="body"),
+        pytest.param(
+            "n2", hold_key, send_keyed, False, "unknown", id="key"
+        ),
+    ],
+)  # fmt: skip
+def test_a_call_in_progress_is_answered_before_the_kill(
+    target: str,
+    prepare: Callable[[simulation.SimulatedCluster], None],
+    send_request: Callable[[simulation.SimulatedCluster], Awaitable[str]],
+    frozen: bool,
+    expected: str,
+) -> None:
+    """Guards against calls that a stop leaves without an answer (LOST)."""
+    outcomes: list[str] = []
+
+    async def play(cluster: simulation.SimulatedCluster) -> None:
+        async def request() -> None:
+            outcomes.append(await send_request(cluster))
+
+        prepare(cluster)
+        # All nodes learn of the target.
+        await anyio.sleep(0.3)
+        async with anyio.create_task_group() as group:
+            group.start_soon(request)
+            await anyio.sleep(0.3)
+            cluster.nodes[1].frozen = frozen
+            stopped_s = time.monotonic()
+            end = calls.make_deadline(CUTOFF_S)
+            cluster.nodes[0].entry.cutoff.move(end.at_s)
+            with anyio.move_on_after(KILL_S):
+                while not outcomes:  # noqa: ASYNC110
+                    await anyio.sleep(0.01)
+            answered_after_s = time.monotonic() - stopped_s
+            group.cancel_scope.cancel()
+        assert answered_after_s < KILL_S
+        assert outcomes == [expected]
+        assert expected == "unknown" or not cluster.ledger
+
+    simulation.run_clusters([make_cluster(target)], play)
