Apply a grace time that is reloaded during a stop

What callers saw: nothing so far; shown by a test. If a SIGHUP or a changed settings file shortened the grace time while a node stopped, its calls kept to the longer one and were cut off by the kill.

Cause: the end of the calls was computed once, when the stop began, and a reload only set the time for a later stop.

Fix: the node remembers when the stop began and moves the end of its calls with each reload, earlier or later. Waits in progress follow, as at the stop itself.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -497,7 +497,7 @@
         except settings_file.SettingsError as error:
             log.error("settings not reloaded", error=str(error))
             return
-        self.stop_grace_s = self.settings.stop_grace_s
+        self.set_stop_grace(self.settings.stop_grace_s)
         log.info(
             "settings reloaded",
             node=self.settings.node,
--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -118,14 +118,19 @@
     assert await request_readiness(node) == 503
 
 
-async def test_a_stop_keeps_to_a_reloaded_time(node, tmp_path, monkeypatch):
+# A reload during the stop changed nothing for it.
+@pytest.mark.parametrize("during_stop", [False, True])
+async def test_a_stop_keeps_to_a_reloaded_time(node, monkeypatch, during_stop):
     """Guards against calls cut off by a kill that is earlier than expected."""
     settings = dataclasses.replace(node.settings, stop_grace_s=3.0)
     assert node.settings.stop_grace_s == 6.0
     monkeypatch.setenv(settings_file.PATH_VARIABLE, "settings.toml")
     monkeypatch.setattr(settings_file, "load", lambda _: settings)
+    if during_stop:
+        await node.leave()
     node.reload()
-    await node.leave()
+    if not during_stop:
+        await node.leave()
     assert calls.Deadline(node.entry.cutoff.at_s).remaining_s() < 3.0
 
 
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -414,6 +414,14 @@
         except Exception as error:
             self.breaches.record(error)
 
+    def set_stop_grace(self, grace_s: float | None) -> None:
+        """Sets the time to stop; a stop in progress keeps to it as well."""
+        if grace_s == self.stop_grace_s:
+            return
+        self.stop_grace_s = grace_s
+        if self.stop_began_s is not None:
+            self._move_cutoff()
+
     def _move_cutoff(self) -> None:
         """Makes all calls end in time before the process is killed."""
         assert self.stop_began_s is not None
