End the opening of a connection with the call's deadline

What callers saw: a call whose target's node did not answer a connect was refused up to 1 s after its deadline; at a node that stops, possibly not before the kill.

Cause: opening a connection had its own timeout of 1 s and did not read the deadline of the call that waits for it.

Fix: pools open a connection within the deadline of the attempt, which moves with a stop. Nothing was sent, so the refusal as not run is true. Taking an idle connection, the usual case, costs nothing more.

--- a/src/waxwingferry/connection/pool.py
+++ b/src/waxwingferry/connection/pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import time
 
 import anyio
@@ -77,13 +78,22 @@
         self.clock = clock
         self.idle: list[http1.ClientConnection] = []
 
-    async def acquire(self) -> http1.ClientConnection:
+    async def acquire(
+        self,
+        limit: Callable[
+            [], contextlib.AbstractContextManager
+        ] = contextlib.nullcontext,
+    ) -> http1.ClientConnection:
         """Returns an idle connection, or opens a new one.
 
         Idle connections are checked without sending anything: a request sent
         on a connection that the peer has closed would have an unknown
         outcome.
 
+        Args:
+            limit: Makes the context in which a connection is opened. It may
+                raise TimeoutError.
+
         Raises:
             ConnectError: No connection could be opened.
         """
@@ -95,7 +105,13 @@
             ):
                 return connection
             await connection.close()
-        stream = await self.connect(self.host, self.port)
+        try:
+            with limit():
+                stream = await self.connect(self.host, self.port)
+        except TimeoutError as error:
+            raise ConnectError(
+                f"no time to connect to {self.host}:{self.port}"
+            ) from error
         return http1.ClientConnection(stream)
 
     async def release(self, connection: http1.ClientConnection) -> None:
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -294,7 +294,7 @@
     ) -> AsyncIterator[outcome.Outcome]:
         """Sends an attempt; the body can be read inside the context."""
         try:
-            connection = await self.pool.acquire()
+            connection = await self.pool.acquire(attempt.deadline.enforce)
         except pool.ConnectError:
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -78,7 +78,7 @@
         """
         peer_pool = self._pool(candidate)
         try:
-            connection = await peer_pool.acquire()
+            connection = await peer_pool.acquire(attempt.deadline.enforce)
         except pool.ConnectError:
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
--- a/src/waxwingferry/request/tests/test_stops.py
+++ b/src/waxwingferry/request/tests/test_stops.py
@@ -9,10 +9,14 @@
 
 from waxwingferry.connection import http1
 from waxwingferry.process import core
+from waxwingferry.process import metrics
 from waxwingferry.process import platform
+from waxwingferry.process.choice import known_target
 from waxwingferry.request import calls
 from waxwingferry.request import claim
 from waxwingferry.request import claim_results
+from waxwingferry.request import forward
+from waxwingferry.request import outcome
 from waxwingferry.request.tests import network
 from waxwingferry.request.tests import simulation
 
@@ -135,3 +139,25 @@
         assert expected == "unknown" or not cluster.ledger
 
     simulation.run_clusters([make_cluster(target)], play)
+
+
+# A connection that can't be opened took its whole timeout of 1 s.
+async def _hang(host: str, port: int) -> network.Stream:
+    await anyio.sleep(60)
+    raise AssertionError
+
+
+@pytest.mark.anyio
+async def test_opening_a_connection_ends_with_the_deadline() -> None:
+    """Guards against refusals that come after the deadline."""
+    forwarder = forward.Forwarder(metrics.Metrics(), _hang)
+    attempt = calls.Attempt(
+        "a.1", "s", "GET", "/", [], calls.Body(b""),
+        calls.make_deadline(0.1), "", 1, "i",
+    )  # fmt: skip
+    candidate = known_target.Candidate(
+        "n2", "s", "v1", "r1", "d1", "n2", 1, "i", "ready", 1
+    )
+    with anyio.fail_after(0.5):
+        async with forwarder.execute(candidate, attempt) as result:
+            assert isinstance(result, outcome.NotRun)
