Tell other nodes of deadlines that a stop has moved

What callers saw: requests that a stopping node had in the queue of another node learned only at the end of the grace time that they would not be served. The other node could meanwhile send them to its target, whose answer nobody waited for.

Cause: the other node knew only the deadline that the attempt was sent with, so that its decisions on what can still be served used the wrong time.

Fix: a node that moves the end of its calls sends each node that holds attempts their new deadlines, and again for those that had not arrived yet. That node refuses at once what it can't serve in time; the rest keeps its place in the queue. If an update is lost, the end of the call at its entry node resolves the attempt.

--- a/src/waxwingferry/process/attempts.py
+++ b/src/waxwingferry/process/attempts.py
@@ -23,6 +23,7 @@
 
 from waxwingferry import invariants
 from waxwingferry.connection import http1
+from waxwingferry.request import calls
 from waxwingferry.request import outcome
 
 RETENTION_S = 60.0
@@ -72,6 +73,7 @@
         answer: Retained answer of a finished attempt, if any.
         sent_bytes: Bytes of the answer's body written to the connection.
         scope: Cancels the attempt while it is queued.
+        deadline: Deadline of the attempt, None of a fence.
         ended: Set when the attempt is finished or fenced.
     """
 
@@ -84,6 +86,7 @@
     answer: RetainedAnswer | None = None
     sent_bytes: int = 0
     scope: anyio.CancelScope | None = None
+    deadline: calls.Deadline | None = None
     ended: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
@@ -206,6 +209,22 @@
                 record.scope.cancel()
         return record.state is State.FENCED
 
+    def move_deadline(self, attempt_id: str, at_s: float) -> bool:
+        """Moves the deadline of an attempt that has not ended.
+
+        Args:
+            attempt_id: ID of the attempt.
+            at_s: Time on the boot clock.
+
+        Returns:
+            Whether the attempt is known.
+        """
+        record = self.records.get(attempt_id)
+        if record is None or record.deadline is None:
+            return False
+        record.deadline.move(at_s)
+        return True
+
     def get_resolution(self, attempt_id: str, node_time_ms: int) -> Resolution:
         """Returns the resolution of an attempt without creating a fence."""
         self._evict()
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -401,12 +401,17 @@
                 self.gossip.run_digests,
                 self.gossip.run_dissemination,
                 self.crash_reports.run,
+                self.run_deadline_updates,
             ),
         )
         # A node that can't join ends; nothing runs on it yet.
         limit_drain = self.breaches.limit_drain
         return (self.tasks.run, self.join, limit_drain, *supervised)
 
+    async def run_deadline_updates(self) -> None:
+        """Tells other nodes when the calls taken here must end earlier."""
+        await self.entry.forwarder.deadline_updates.run(self.entry.cutoff)
+
     def receive_datagram(self, data: bytes, address: gossip.Address) -> None:
         """Handles a datagram; one that causes an error is dropped."""
         try:
--- a/src/waxwingferry/request/attempt_runner.py
+++ b/src/waxwingferry/request/attempt_runner.py
@@ -64,6 +64,7 @@
             self.counters.events.inc({"event": record.reason.value})
             yield record
             return
+        record.deadline = attempt.deadline
         attempt.on_dispatch = lambda: self.records.dispatch(record)
         run = self._run_detached if attempt.keyed else self._run_attached
         async with run(attempt, record) as result:
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -396,12 +396,17 @@
     ]
 
 
-def remaining_ms(attempt: Attempt) -> int:
+def find_next_hop_ms(deadline: Deadline) -> int:
     """Returns the time left for the next hop, in milliseconds."""
-    remaining_s = attempt.deadline.remaining_s() - RETURN_RESERVE_S
+    remaining_s = deadline.remaining_s() - RETURN_RESERVE_S
     return max(int(remaining_s * 1000), 0)
 
 
+def remaining_ms(attempt: Attempt) -> int:
+    """Returns the time left for the next hop, in milliseconds."""
+    return find_next_hop_ms(attempt.deadline)
+
+
 def attempt_headers(attempt: Attempt) -> http1.Headers:
     """Returns the fields of an attempt, including those that nodes set."""
     headers = forwarded_headers(attempt)
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -18,6 +18,7 @@
 from waxwingferry.process.choice import known_target
 from waxwingferry.process.choice import routing
 from waxwingferry.request import calls
+from waxwingferry.request import deadline_updates
 from waxwingferry.request import outcome
 from waxwingferry.request import resolve
 from waxwingferry.request import silence
@@ -59,6 +60,7 @@
         self.counters = counters
         self.connect = connect
         self.resolver = resolve.Resolver(connect, counters)
+        self.deadline_updates = deadline_updates.DeadlineUpdates(connect)
         self.pools: dict[tuple[str, int], pool.Pool] = {}
         self.node_times: dict[tuple[str, int], NodeTime] = {}
 
@@ -83,7 +85,8 @@
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
         try:
-            result = await self._run(connection, candidate, attempt)
+            with self.deadline_updates.track(candidate, attempt):
+                result = await self._run(connection, candidate, attempt)
             if isinstance(result, _AnswerLost):
                 await self._discard_connection(connection, peer_pool, result)
                 result = await self.resolver.resolve(
--- a/src/waxwingferry/request/peer.py
+++ b/src/waxwingferry/request/peer.py
@@ -1,6 +1,7 @@
 """Handles requests of other nodes."""
 
 import anyio
+import structlog
 
 from waxwingferry import decoding
 from waxwingferry import invariants
@@ -12,6 +13,7 @@
 from waxwingferry.request import attempt_runner
 from waxwingferry.request import call_context
 from waxwingferry.request import calls
+from waxwingferry.request import deadline_updates
 from waxwingferry.request import forward
 from waxwingferry.request import keys
 from waxwingferry.request import outcome
@@ -20,6 +22,8 @@
 
 MAX_RESOLVE_WAIT_S = 5.0
 
+log = structlog.get_logger()
+
 
 class PeerHandler:
     """Runs attempts for other nodes, and reports the state of earlier ones.
@@ -111,7 +115,7 @@
         self, connection: http1.ServerConnection, head: http1.RequestHead
     ) -> None:
         """Handles a request that concerns this node itself."""
-        await answering.read_body(connection)
+        body = await answering.read_body(connection)
         extra = self._node_headers()
         if head.target == probe.PROBE_PATH:
             answer = probe.encode_load(self.receiver.format_load())
@@ -120,6 +124,9 @@
         if head.target == forward.NODE_TIME_PATH:
             await connection.send_head(200, extra, b"")
             return
+        if head.target == deadline_updates.PATH:
+            await self._move_deadlines(connection, body)
+            return
         if not head.target.startswith(resolve.ATTEMPTS_PATH):
             await connection.send_head(404, extra, b"")
             return
@@ -136,6 +143,21 @@
             connection, attempt_id, resolution, is_resolve
         )
 
+    async def _move_deadlines(
+        self, connection: http1.ServerConnection, body: calls.Body
+    ) -> None:
+        """Handles the news that deadlines of another node's calls moved."""
+        if body.rest is not None:
+            await connection.send_head(413, self._node_headers(), b"")
+            return
+        try:
+            reply = deadline_updates.receive(self.records, body.buffered)
+        except decoding.DecodingError as error:
+            log.warning("malformed deadlines", error=str(error))
+            await connection.send_head(400, self._node_headers(), b"")
+            return
+        await connection.send_head(200, self._node_headers(), reply)
+
     async def _wait_for_end(
         self, attempt_id: str, head: http1.RequestHead
     ) -> None:
--- a/src/waxwingferry/request/tests/simulation.py
+++ b/src/waxwingferry/request/tests/simulation.py
@@ -245,6 +245,9 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self.tasks.run)
                 group.start_soon(self.claims.result_writer.run)
+                group.start_soon(
+                    self.forwarder.deadline_updates.run, self.entry.cutoff
+                )
                 for port, server in handlers.items():
                     group.start_soon(server.run_periodic_checks, group)
                     self.cluster.accept(self, port, server, group)
--- a/src/waxwingferry/request/tests/test_stops.py
+++ b/src/waxwingferry/request/tests/test_stops.py
@@ -141,6 +141,44 @@
     simulation.run_clusters([make_cluster(target)], play)
 
 
+# The other node kept the deadline that the attempt was sent with, and sent the
+# target work that the stopping node could not wait for.
+@pytest.mark.parametrize(
+    ("work_s", "expected"),
+    [(5.0, ("not-run", False)), (0.01, ("answered", True))],
+)
+def test_a_call_keeps_its_place_if_it_can_be_served_before_the_kill(
+    work_s: float, expected: tuple[str, bool]
+) -> None:
+    """Guards against work that ends too late, and refusals without need."""
+
+    async def play(cluster: simulation.SimulatedCluster) -> None:
+        cluster.service_times_s = (0.01,)
+        await anyio.sleep(0.3)
+        target = cluster.nodes[1].receiver.admission
+        assert target is not None
+        for _ in range(100):
+            target.estimate.record("POST /transfers", work_s, 1.0)
+        fill(cluster)
+        results: list[tuple[str, bool]] = []
+        is_open = anyio.Event()
+
+        async def request() -> None:
+            results.append((await send(cluster), is_open.is_set()))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(request)
+            await anyio.sleep(0.1)
+            end = calls.make_deadline(CUTOFF_S * 2)
+            cluster.nodes[0].entry.cutoff.move(end.at_s)
+            await anyio.sleep(CUTOFF_S)
+            is_open.set()
+            del target.can_dispatch
+        assert results == [expected]
+
+    simulation.run_clusters([make_cluster("n2")], play)
+
+
 # A connection that can't be opened took its whole timeout of 1 s.
 async def _hang(host: str, port: int) -> network.Stream:
     await anyio.sleep(60)
