Answer calls whose target pauses in a short answer before the kill

What callers saw: nothing so far; shown by a test. A short answer of the node's own target is read whole before its head is sent. If the target paused in it while the node stopped, the node was killed and the caller got no answer.

Cause: the wait for the next part of an answer has a timeout of its own, which no stop shortened. Remote targets were not affected: their nodes send nothing either before a short answer is whole, so that the entry node waits for a head.

Fix: reading what is needed before the head ends with the process's cutoff; the outcome is unknown (504). An answer whose head has been sent goes on until the kill.

--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -1,6 +1,8 @@
 """Streams bodies and answers between a caller's connection and an attempt."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
 import random
 
 from waxwingferry.connection import http1
@@ -44,6 +46,9 @@
     attempt_id: str,
     extra: http1.Headers | None = None,
     protocol: call_context.CallerProtocol = call_context.DEFAULT_PROTOCOL,
+    limit_start: Callable[
+        [], contextlib.AbstractContextManager[None]
+    ] = contextlib.nullcontext,
 ) -> outcome.Unknown | None:
     """Forwards an answer chunk by chunk.
 
@@ -53,6 +58,15 @@
     truncated one. For these callers a body of unknown length is buffered, up
     to MAX_COLLECTED_BYTES.
 
+    Args:
+        connection: Connection of the caller, or of the entry node.
+        answer: The answer.
+        attempt_id: ID of the attempt.
+        extra: Further header fields.
+        protocol: Header fields exchanged with callers.
+        limit_start: Makes the context in which the part is read that is needed
+            before the head is sent. It may raise TimeoutError.
+
     Returns:
         None if the answer was forwarded, or the reason why no part of it was
         sent.
@@ -71,7 +85,10 @@
         *(extra or []),
     ]
     try:
-        parts, complete = await _read_start(connection, answer)
+        with limit_start():
+            parts, complete = await _read_start(connection, answer)
+    except TimeoutError:
+        return outcome.Unknown(outcome.Reason.TIMEOUT, 504)
     except outcome.AnswerCutError as error:
         return outcome.Unknown(error.reason)
     if not complete and not _can_stream(connection, headers):
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -176,6 +176,14 @@
                 if self.cutoff is not None:
                     del self.cutoff.scopes[scope]
 
+    def enforce_cutoff(self) -> contextlib.AbstractContextManager[None]:
+        """Limits what is done in the context by the cutoff alone.
+
+        Raises:
+            TimeoutError: The process has to end the call.
+        """
+        return Deadline(math.inf, self.cutoff).enforce()
+
     def chunk_timeout_s(self) -> float:
         """Returns the timeout for the next chunk of an answer's body."""
         return max(self.remaining_s(), PROGRESS_TIMEOUT_S)
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -382,7 +382,11 @@
         whole = False
         try:
             cut = await answering.relay_answer(
-                connection, answer, attempt.attempt_id, protocol=self.protocol
+                connection,
+                answer,
+                attempt.attempt_id,
+                protocol=self.protocol,
+                limit_start=call.deadline.enforce_cutoff,
             )
             whole = cut is None
         finally:
--- a/src/waxwingferry/request/tests/simulation.py
+++ b/src/waxwingferry/request/tests/simulation.py
@@ -151,6 +151,9 @@
             (calls.ATTEMPT_HEADER, find(head.headers, calls.ATTEMPT_HEADER)),
             ("x-request-id", find(head.headers, "x-request-id")),
         ]
+        if self.cluster.stalls_in_answers:
+            await connection.send_head(200, [*echoed, ("content-length", "9")])
+            await anyio.sleep_forever()
         sample = self.rng.random()
         if sample < self.cluster.target_fault_rate:
             echoed.append((target.NOT_RUN_HEADER, "true"))
@@ -273,6 +276,7 @@
 
     Attributes:
         deadline_ms: Deadline of all requests.
+        stalls_in_answers: Whether targets send only the head of an answer.
     """
 
     def __init__(
@@ -288,6 +292,7 @@
         self.deadline_ms = 900
         self.target_fault_rate = 0.05 if fault_rate else 0.0
         self.targets = {"n1", "n2", "n3"}
+        self.stalls_in_answers = False
         self.rows: dict[str, members.MemberRow] = {}
         self.outcomes: collections.Counter[str] = collections.Counter()
 
--- a/src/waxwingferry/request/tests/test_stops.py
+++ b/src/waxwingferry/request/tests/test_stops.py
@@ -54,6 +54,11 @@
     cluster.table.apply([platform.Write(other.row_key, value, 0)])
 
 
+def stall(cluster: simulation.SimulatedCluster) -> None:
+    """Makes targets pause behind the heads of their answers."""
+    cluster.stalls_in_answers = True
+
+
 def do_nothing(cluster: simulation.SimulatedCluster) -> None:
     """Lets the request run."""
 
@@ -99,6 +104,12 @@
         pytest.param(
             "n1", do_nothing, send, False, "unknown", id="own target"
         ),
+        pytest.param(
+            "n1", stall, send, False, "unknown", id="rest of a short answer"
+        ),
+        pytest.param(
+            "n1", stall, send_keyed, False, "unknown", id="rest with a key"
+        ),
         pytest.param("n2", do_nothing, send_part, False, "not-run", id="body"),
         pytest.param(
             "n2", hold_key, send_keyed, False, "unknown", id="key"
