Count the grace time of a stop from its signal

Cause: the end of the calls was derived from the beginning of the stop, whatever had caused it. A signal to stop that came later during such a stop changed nothing.

Fix: the first SIGTERM or SIGINT is recorded, also during a stop, and moves the end of the calls. After a broken promise alone the drain limit counts. A process that a newer one supersedes keeps to the grace time as before.

--- a/src/waxwingferry/platform/main.py
+++ b/src/waxwingferry/platform/main.py
@@ -434,6 +434,7 @@
                 received,
                 self.stop_requested,
                 self.reload,
+                self.record_stop_signal,
             )
             listeners = (
                 (self.caller_server, *settings.outbound_address),
--- a/src/waxwingferry/platform/tests/test_main.py
+++ b/src/waxwingferry/platform/tests/test_main.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from waxwingferry import invariants
 from waxwingferry.bench import ports
 from waxwingferry.connection import exchange
 from waxwingferry.platform import header_fields
@@ -15,6 +16,8 @@
 from waxwingferry.platform import settings_file
 from waxwingferry.platform import start
 from waxwingferry.platform.tests import test_settings_file
+from waxwingferry.process import breaches
+from waxwingferry.process import core
 from waxwingferry.process import target
 from waxwingferry.process.protection import registration
 from waxwingferry.process.spreading import gossip
@@ -134,6 +137,23 @@
     assert calls.Deadline(node.entry.cutoff.at_s).remaining_s() < 3.0
 
 
+# All calls of a node that stopped by itself were ended after the grace time.
+@pytest.mark.parametrize(
+    ("is_signalled", "expected_s"),
+    [(False, breaches.DRAIN_LIMIT_S), (True, 6.0)],
+)
+async def test_only_a_signal_to_stop_begins_the_grace_time(
+    node, is_signalled, expected_s
+):
+    """Guards against calls that are ended although no kill is near."""
+    node.breaches.record(invariants.BrokenPromiseError("place"))
+    await node.leave()
+    if is_signalled:
+        node.record_stop_signal()
+    left_s = calls.Deadline(node.entry.cutoff.at_s).remaining_s()
+    assert expected_s - 2.0 < left_s + core.STOP_RESERVE_S <= expected_s
+
+
 async def test_calls_state_the_service_of_the_reloaded_settings(
     node, monkeypatch
 ):
--- a/src/waxwingferry/process/core.py
+++ b/src/waxwingferry/process/core.py
@@ -121,8 +121,10 @@
     ):
         self.options = options
         self.stop_grace_s = options.stop_grace_s
-        # Boot clock time at which the stop began, or None before that.
+        # Boot clock times at which the stop began and at which the first signal
+        # to stop came, which may be later, or None before that.
         self.stop_began_s: float | None = None
+        self.stop_signal_s: float | None = None
         self.table = table
         self.rng = rng
         # IDs never depend on the configured seed: two processes with the same
@@ -427,13 +429,31 @@
         if self.stop_began_s is not None:
             self._move_cutoff()
 
+    def record_stop_signal(self) -> None:
+        """Records that the process is killed after the grace time."""
+        if self.stop_signal_s is not None:
+            return
+        self.stop_signal_s = boot_clock.read_s()
+        if self.stop_began_s is not None:
+            self._move_cutoff()
+
+    def _find_kill_s(self) -> float:
+        """Returns the boot clock time at which the process ends by force."""
+        assert self.stop_began_s is not None
+        ends_s = [math.inf]
+        signal_s = self.stop_signal_s
+        if self.breaches.promise_broken:
+            ends_s.append(self.stop_began_s + breaches.DRAIN_LIMIT_S)
+        elif signal_s is None:
+            # A newer process has superseded this one, which is probably ended.
+            signal_s = self.stop_began_s
+        if signal_s is not None and self.stop_grace_s is not None:
+            ends_s.append(signal_s + self.stop_grace_s)
+        return min(ends_s)
+
     def _move_cutoff(self) -> None:
         """Makes all calls end in time before the process is killed."""
-        assert self.stop_began_s is not None
-        end_s = math.inf
-        if self.stop_grace_s is not None:
-            end_s = self.stop_began_s + self.stop_grace_s - STOP_RESERVE_S
-        self.entry.cutoff.move(end_s)
+        self.entry.cutoff.move(self._find_kill_s() - STOP_RESERVE_S)
         log.info(
             "calls must end",
             node=self.options.node,
--- a/src/waxwingferry/process/node.py
+++ b/src/waxwingferry/process/node.py
@@ -184,6 +184,7 @@
                 received,
                 self.stop_requested,
                 signals.reject_reload,
+                self.record_stop_signal,
             )
             group.start_soon(
                 self.caller_server.serve, options.host, options.caller_port
--- a/src/waxwingferry/process/signals.py
+++ b/src/waxwingferry/process/signals.py
@@ -34,7 +34,10 @@
 
 
 async def handle_signals(
-    signals: Signals, stop_requested: anyio.Event, reload: Callable[[], None]
+    signals: Signals,
+    stop_requested: anyio.Event,
+    reload: Callable[[], None],
+    on_stop: Callable[[], None] = lambda: None,
 ) -> None:
     """Handles signals until it is cancelled.
 
@@ -42,6 +45,7 @@
         signals: The received signals.
         stop_requested: Set on SIGTERM or SIGINT; further ones change nothing.
         reload: Called on SIGHUP.
+        on_stop: Called on SIGTERM or SIGINT, once for each.
     """
     async for number in signals:
         log.info(
@@ -53,6 +57,7 @@
             reload()
         else:
             stop_requested.set()
+            on_stop()
 
 
 def reject_reload() -> None:
