Stop nodes with long queues in the killed-stop experiment

What it guards against: calls in progress at SIGTERM, waiting at other nodes, whose deadlines lie behind the kill.

Change: 150 long calls, more than all targets can run until the kill, are sent in the second before the SIGTERM, and another node stops 0 to 3 s after the first. The check and its bounds are as they were.

--- a/src/waxwingferry/bench/experiments/killed_stop.py
+++ b/src/waxwingferry/bench/experiments/killed_stop.py
@@ -1,10 +1,11 @@
 """Stops a node, kills it after a while, and checks that no call is cut off.
 
-Callers hold connections to one node open, and send a long call on one after
-the other until the process has ended. The node gets SIGTERM, then further
-signals to reload and to stop, and SIGKILL if it still runs when the time in its
-settings is over. Only a call that was sent early and still ran shortly before
-the kill may be cut off.
+Callers send more long calls to one node than all targets can run until the
+kill, so that many wait in queues. Others hold connections to it open, and send
+a long call on one after the other until the process has ended. The node gets
+SIGTERM, then further signals to reload and to stop, and SIGKILL if it still
+runs when the time in its settings is over. Another node stops beside it. Only a
+call that was sent early and still ran shortly before the kill may be cut off.
 """
 
 import contextlib
@@ -27,6 +28,11 @@
 GRACE_S = 6.0
 CONNECTION_COUNT = 30
 SEND_INTERVAL_S = 0.2
+# Calls that are in progress at SIGTERM, and the time in which they are sent.
+EARLY_COUNT = 150
+EARLY_TIME_S = 1.0
+# The other node gets SIGTERM at a random time of this length after the first.
+OTHER_STOP_TIME_S = 3.0
 SIGNAL_INTERVAL_S = 0.5
 # A connection that a request meets while it is being closed ends within this.
 CLOSE_TIME_S = 0.2
@@ -98,9 +104,25 @@
         clients = [http1.ClientConnection(stream) for stream in connections]
         for number, client in enumerate(clients):
             await _exchange(client, "GET", SHORT_PATH, f"short-{number}")
-        stop_s = time.monotonic()
         async with anyio.create_task_group() as group:
+            stop_s = time.monotonic() + EARLY_TIME_S
+            for number in range(EARLY_COUNT):
+                stream = await pool.connect_tcp(
+                    "127.0.0.1", stopped.ports["caller"]
+                )
+                connections.append(stream)
+                call = Call(f"early-{number}", time.monotonic() - stop_s)
+                calls.append(call)
+                client = http1.ClientConnection(stream)
+                group.start_soon(_call, client, rng, call)
+                await anyio.sleep(EARLY_TIME_S / EARLY_COUNT)
+            stop_s = time.monotonic()
             group.start_soon(_stop, stopped.node, report)
+            group.start_soon(
+                _terminate_later,
+                running.instances[1].node,
+                rng.uniform(0, OTHER_STOP_TIME_S),
+            )
             for number, client in enumerate(clients):
                 call = Call(f"long-{number}", time.monotonic() - stop_s)
                 calls.append(call)
@@ -129,6 +151,14 @@
     report.figures["stopped_after_s"] = time.monotonic() - begin_s
 
 
+async def _terminate_later(
+    process: subprocess.Popen | None, delay_s: float
+) -> None:
+    assert process is not None
+    await anyio.sleep(delay_s)
+    process.terminate()
+
+
 async def _call(
     client: http1.ClientConnection, rng: random.Random, call: Call
 ) -> None:
@@ -164,7 +194,7 @@
         for entry in ledger
     }
     table = experiment.Table(
-        "calls on connections that were open before SIGTERM",
+        "calls of a node that stops",
         ["sent after s", "lasted s", "result", "run", "run ended after s"],
     )
     for call in calls:
