Limit pauses in answers and bodies without a cancel scope

Change: the reader of a target's answer waits in steps and knows whether a part of the answer has been sent to the caller. A body that has arrived whole needs no limit.

Tests: request/tests/test_stops.py passes unchanged.

--- a/src/waxwingferry/connection/http1.py
+++ b/src/waxwingferry/connection/http1.py
@@ -189,6 +189,13 @@
             self.account.change(len(event))
         return event
 
+    def is_request_received(self) -> bool:
+        """Tells whether the rest of the request can be read without a wait."""
+        if self.request_ended:
+            return True
+        queue = self.reader.queue
+        return bool(queue) and queue[-1] is message_events.END_OF_MESSAGE
+
     async def _receive_at_min_rate(self) -> None:
         limits = self.limits
         allowed_s = (
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -515,6 +515,29 @@
                 raise
 
 
+async def _receive_next_chunk(
+    connection: http1.ClientConnection, attempt: calls.Attempt
+) -> bytes | None:
+    """Returns the next part of a body, or None at its end.
+
+    Raises:
+        http1.ReceiveTimeoutError: None came in time, or the process must end
+            the attempt.
+    """
+    end_s = time.monotonic() + attempt.deadline.chunk_timeout_s()
+    while True:
+        timeout_s = min(
+            end_s - time.monotonic(), calls.DEADLINE_CHECK_INTERVAL_S
+        )
+        if attempt.deadline.is_cut_off() and not attempt.answer_forwarded:
+            timeout_s = min(timeout_s, attempt.deadline.remaining_s())
+        try:
+            return await connection.receive_chunk(timeout_s)
+        except http1.ReceiveTimeoutError:
+            if attempt.is_due() or time.monotonic() >= end_s:
+                raise
+
+
 def _check_skipped_bytes(count: int) -> None:
     if count > MAX_SKIPPED_BYTES:
         raise http1.HttpError(
@@ -535,9 +558,8 @@
 
     async def receive_chunk() -> bytes | None:
         nonlocal received_bytes
-        wait_s = attempt.deadline.chunk_timeout_s()
         try:
-            part = await connection.receive_chunk(wait_s)
+            part = await _receive_next_chunk(connection, attempt)
         except http1.HttpError as error:
             connection.reusable = False
             reason = await find_end_reason(attempt, error)
--- a/src/waxwingferry/request/answering.py
+++ b/src/waxwingferry/request/answering.py
@@ -2,7 +2,6 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
-import contextlib
 import random
 
 from waxwingferry.connection import http1
@@ -46,9 +45,7 @@
     attempt_id: str,
     extra: http1.Headers | None = None,
     protocol: call_context.CallerProtocol = call_context.DEFAULT_PROTOCOL,
-    limit_start: Callable[
-        [], contextlib.AbstractContextManager[None]
-    ] = contextlib.nullcontext,
+    on_forward: Callable[[], None] = lambda: None,
 ) -> outcome.Unknown | None:
     """Forwards an answer chunk by chunk.
 
@@ -64,8 +61,7 @@
         attempt_id: ID of the attempt.
         extra: Further header fields.
         protocol: Header fields exchanged with callers.
-        limit_start: Makes the context in which the part is read that is needed
-            before the head is sent. It may raise TimeoutError.
+        on_forward: Called before the first part of the answer is sent.
 
     Returns:
         None if the answer was forwarded, or the reason why no part of it was
@@ -85,14 +81,12 @@
         *(extra or []),
     ]
     try:
-        with limit_start():
-            parts, complete = await _read_start(connection, answer)
-    except TimeoutError:
-        return outcome.Unknown(outcome.Reason.TIMEOUT, 504)
+        parts, complete = await _read_start(connection, answer)
     except outcome.AnswerCutError as error:
         return outcome.Unknown(error.reason)
     if not complete and not _can_stream(connection, headers):
         return outcome.Unknown(outcome.Reason.ANSWER_CUT)
+    on_forward()
     if connection.is_head_request():
         await connection.send_head(head.status, headers)
         return None
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -176,14 +176,6 @@
                 if self.cutoff is not None:
                     del self.cutoff.scopes[scope]
 
-    def enforce_cutoff(self) -> contextlib.AbstractContextManager[None]:
-        """Limits what is done in the context by the cutoff alone.
-
-        Raises:
-            TimeoutError: The process has to end the call.
-        """
-        return Deadline(math.inf, self.cutoff).enforce()
-
     def chunk_timeout_s(self) -> float:
         """Returns the timeout for the next chunk of an answer's body."""
         return max(self.remaining_s(), PROGRESS_TIMEOUT_S)
@@ -321,6 +313,8 @@
             target is tried.
         target_incarnation: Incarnation of the target that it is meant for;
             empty for any.
+        answer_forwarded: Whether a part of its answer has been sent to the
+            caller.
         workspace: Workspace whose key the caller presented, or "".
         on_dispatch: Called before the first byte is sent to the target;
             returns False if the attempt is fenced and must not be sent.
@@ -347,6 +341,17 @@
     urgency: Urgency = Urgency()
     workspace: str = ""
     on_dispatch: Callable[[], bool] | None = None
+    answer_forwarded: bool = False
+
+    def is_due(self) -> bool:
+        """Returns whether the process must end it, unless an answer has begun.
+
+        The caller could not be told anything else then.
+        """
+        deadline = self.deadline
+        if self.answer_forwarded or not deadline.is_cut_off():
+            return False
+        return deadline.remaining_s() <= 0
 
 
 def make_attempt(
--- a/src/waxwingferry/request/entry.py
+++ b/src/waxwingferry/request/entry.py
@@ -380,13 +380,17 @@
         attempt: calls.Attempt,
     ) -> outcome.Unknown | None:
         whole = False
+
+        def record_forward() -> None:
+            attempt.answer_forwarded = True
+
         try:
             cut = await answering.relay_answer(
                 connection,
                 answer,
                 attempt.attempt_id,
                 protocol=self.protocol,
-                limit_start=call.deadline.enforce_cutoff,
+                on_forward=record_forward,
             )
             whole = cut is None
         finally:
@@ -626,7 +630,7 @@
     deadline: calls.Deadline,
 ) -> calls.Body | outcome.NotRun:
     """Reads the start of a body, or refuses if its client is too slow."""
-    if not head.has_body:
+    if not head.has_body or connection.is_request_received():
         return await answering.read_body(connection)
     try:
         with deadline.enforce():
