Forget nodes that hold no attempt any more

Cause: the deadlines of attempts at other nodes were kept by address, and the empty entry of each address that a node ever had stayed. Tracking an attempt also took a generator for each.

Change: an entry goes with its last attempt, and attempts are added and removed by plain calls.

--- a/src/waxwingferry/request/deadline_updates.py
+++ b/src/waxwingferry/request/deadline_updates.py
@@ -9,8 +9,6 @@
     -> {"unknown": [ATTEMPT]}: attempts that have not arrived, or have ended
 """
 
-from collections.abc import Iterator
-import contextlib
 from typing import Annotated
 
 import anyio
@@ -79,18 +77,23 @@
         self.connect = connect
         self.sent: dict[Address, dict[str, calls.Deadline]] = {}
 
-    @contextlib.contextmanager
-    def track(
+    def add(
         self, candidate: known_target.Candidate, attempt: calls.Attempt
-    ) -> Iterator[None]:
-        """Tracks an attempt while the context is active."""
+    ) -> None:
+        """Adds an attempt that another node is about to get."""
         address = (candidate.host, candidate.peer_port)
         deadlines = self.sent.setdefault(address, {})
         deadlines[attempt.attempt_id] = attempt.deadline
-        try:
-            yield
-        finally:
-            del deadlines[attempt.attempt_id]
+
+    def remove(
+        self, candidate: known_target.Candidate, attempt: calls.Attempt
+    ) -> None:
+        """Removes an attempt whose outcome, or loss, is known."""
+        address = (candidate.host, candidate.peer_port)
+        deadlines = self.sent[address]
+        del deadlines[attempt.attempt_id]
+        if not deadlines:
+            del self.sent[address]
 
     async def run(self, cutoff: calls.Cutoff) -> None:
         """Sends updates each time the cutoff has moved, until cancelled."""
@@ -105,13 +108,14 @@
         """Tells all nodes that hold attempts of their present deadlines."""
         async with anyio.create_task_group() as group:
             for address, deadlines in self.sent.items():
-                if deadlines:
-                    group.start_soon(self._send_to, address, list(deadlines))
+                group.start_soon(self._send_to, address, deadlines)
 
-    async def _send_to(self, address: Address, pending: list[str]) -> None:
+    async def _send_to(
+        self, address: Address, deadlines: dict[str, calls.Deadline]
+    ) -> None:
         """Tells one node until it knows all attempts that are in progress."""
         client = exchange.Client(*address, self.connect)
-        deadlines = self.sent[address]
+        pending = list(deadlines)
         count = len(pending)
         try:
             for number in range(MAX_SENDS):
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -85,8 +85,11 @@
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
         try:
-            with self.deadline_updates.track(candidate, attempt):
+            self.deadline_updates.add(candidate, attempt)
+            try:
                 result = await self._run(connection, candidate, attempt)
+            finally:
+                self.deadline_updates.remove(candidate, attempt)
             if isinstance(result, _AnswerLost):
                 await self._discard_connection(connection, peer_pool, result)
                 result = await self.resolver.resolve(
--- a/src/waxwingferry/request/tests/test_stops.py
+++ b/src/waxwingferry/request/tests/test_stops.py
@@ -155,11 +155,15 @@
 # The other node kept the deadline that the attempt was sent with, and sent the
 # target work that the stopping node could not wait for.
 @pytest.mark.parametrize(
-    ("work_s", "expected"),
-    [(5.0, ("not-run", False)), (0.01, ("answered", True))],
+    ("work_s", "loses_update", "expected"),
+    [
+        (5.0, False, ("not-run", False)),
+        (5.0, True, ("not-run", False)),
+        (0.01, False, ("answered", True)),
+    ],
 )
 def test_a_call_keeps_its_place_if_it_can_be_served_before_the_kill(
-    work_s: float, expected: tuple[str, bool]
+    work_s: float, loses_update: bool, expected: tuple[str, bool]
 ) -> None:
     """Guards against work that ends too late, and refusals without need."""
 
@@ -180,9 +184,11 @@
         async with anyio.create_task_group() as group:
             group.start_soon(request)
             await anyio.sleep(0.1)
-            end = calls.make_deadline(CUTOFF_S * 2)
-            cluster.nodes[0].entry.cutoff.move(end.at_s)
-            await anyio.sleep(CUTOFF_S)
+            if loses_update:
+                lost = [("silent", 0, 0)]
+                cluster.network.scripted_faults[simulation.PEER_PORT] = lost
+            cluster.nodes[0].entry.cutoff.move(calls.make_deadline(1.5).at_s)
+            await anyio.sleep(1.1)
             is_open.set()
             del target.can_dispatch
         assert results == [expected]
