Watch for heartbeats only while a body is streamed

The method that tells whether the process must end an attempt says so by its name.

Tests: those of request/ pass; no behaviour that a caller sees has changed.

--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -534,7 +534,7 @@
         try:
             return await connection.receive_chunk(timeout_s)
         except http1.ReceiveTimeoutError:
-            if attempt.is_due() or time.monotonic() >= end_s:
+            if attempt.must_end() or time.monotonic() >= end_s:
                 raise
 
 
--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -343,10 +343,11 @@
     on_dispatch: Callable[[], bool] | None = None
     answer_forwarded: bool = False
 
-    def is_due(self) -> bool:
-        """Returns whether the process must end it, unless an answer has begun.
+    def must_end(self) -> bool:
+        """Returns whether the process is near its end.
 
-        The caller could not be told anything else then.
+        Once the caller has a part of the answer it can't be told anything else,
+        so that the attempt may go on until the process is killed.
         """
         deadline = self.deadline
         if self.answer_forwarded or not deadline.is_cut_off():
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -287,7 +287,10 @@
         await send(timeout_s=max(attempt.deadline.remaining_s(), 0))
         return await monitor.receive_head()
     with attempt.deadline.enforce():
-        await silence.send_monitored(connection, monitor, send)
+        if attempt.body.rest is None:
+            await send()
+        else:
+            await silence.send_monitored(connection, monitor, send)
         return await monitor.receive_head()
 
 
