End the resolving of an attempt with a deadline that moved

What callers saw: nothing so far; shown by a test. A call whose connection to another node was lost, and whose attempt that node didn't tell about, was still being resolved when its own node was killed at the end of a stop, and got no answer.

Cause: the end of resolving was computed from the deadline when it began.

Evidence: request/tests/test_stops.py, test_resolving_an_attempt_ends_before_the_kill, failed on (no result 0.7 s after a cutoff 0.1 s ahead) and passes.

Fix: the time left is computed again before each query. Without a confirmation by then the outcome stays unknown.

--- a/src/waxwingferry/request/resolve.py
+++ b/src/waxwingferry/request/resolve.py
@@ -110,11 +110,8 @@
         attempt: calls.Attempt,
         unresolved: outcome.Unknown,
     ) -> outcome.Outcome:
-        end_s = max(attempt.deadline.remaining_s(), 0) + RESOLVE_GRACE_S
-        if attempt.idempotent:
-            end_s = min(end_s, IDEMPOTENT_RESOLVE_LIMIT_S)
-        end_s += time.monotonic()
-        while (left_s := end_s - time.monotonic()) > 0:
+        begin_s = time.monotonic()
+        while (left_s := _find_left_s(attempt, begin_s)) > 0:
             wait_s = min(MAX_SERVER_WAIT_S, left_s / 2) if attempt.keyed else 0
             status = await self._query(
                 candidate, attempt, "POST", left_s, wait_s
@@ -176,6 +173,21 @@
                 await connection.close()
 
 
+def _find_left_s(attempt: calls.Attempt, begin_s: float) -> float:
+    """Returns the time left for resolving; the deadline may have moved.
+
+    Args:
+        attempt: The attempt.
+        begin_s: Monotonic time at which resolving began.
+    """
+    spent_s = time.monotonic() - begin_s
+    # The deadline may have passed before resolving began.
+    left_s = max(attempt.deadline.remaining_s(), -spent_s) + RESOLVE_GRACE_S
+    if attempt.idempotent:
+        left_s = min(left_s, IDEMPOTENT_RESOLVE_LIMIT_S - spent_s)
+    return left_s
+
+
 def is_status(head: http1.ResponseHead) -> bool:
     """Returns whether a response tells the status of an attempt.
 
--- a/src/waxwingferry/request/tests/test_stops.py
+++ b/src/waxwingferry/request/tests/test_stops.py
@@ -17,6 +17,7 @@
 from waxwingferry.request import claim_results
 from waxwingferry.request import forward
 from waxwingferry.request import outcome
+from waxwingferry.request import resolve
 from waxwingferry.request.tests import network
 from waxwingferry.request.tests import simulation
 
@@ -196,23 +197,51 @@
     simulation.run_clusters([make_cluster("n2")], play)
 
 
-# A connection that can't be opened took its whole timeout of 1 s.
 async def _hang(host: str, port: int) -> network.Stream:
     await anyio.sleep(60)
     raise AssertionError
 
 
-@pytest.mark.anyio
-async def test_opening_a_connection_ends_with_the_deadline() -> None:
-    """Guards against refusals that come after the deadline."""
-    forwarder = forward.Forwarder(metrics.Metrics(), _hang)
+def make_attempt(
+    deadline: calls.Deadline,
+) -> tuple[known_target.Candidate, calls.Attempt]:
+    """Returns an attempt at a node that can't be reached, and its target."""
     attempt = calls.Attempt(
-        "a.1", "s", "GET", "/", [], calls.Body(b""),
-        calls.make_deadline(0.1), "", 1, "i",
-    )  # fmt: skip
+        "a.1", "s", "GET", "/", [], calls.Body(b""), deadline, "", 1, "i"
+    )
     candidate = known_target.Candidate(
         "n2", "s", "v1", "r1", "d1", "n2", 1, "i", "ready", 1
     )
+    return candidate, attempt
+
+
+# A connection that can't be opened took its whole timeout of 1 s.
+@pytest.mark.anyio
+async def test_opening_a_connection_ends_with_the_deadline() -> None:
+    """Guards against refusals that come after the deadline."""
+    forwarder = forward.Forwarder(metrics.Metrics(), _hang)
+    candidate, attempt = make_attempt(calls.make_deadline(0.1))
     with anyio.fail_after(0.5):
         async with forwarder.execute(candidate, attempt) as result:
             assert isinstance(result, outcome.NotRun)
+
+
+# A node that can't be reached was asked until the deadline of the call's start.
+@pytest.mark.anyio
+async def test_resolving_an_attempt_ends_before_the_kill() -> None:
+    """Guards against calls that get no answer after a lost connection."""
+    resolver = resolve.Resolver(_hang, metrics.Metrics())
+    cutoff = calls.Cutoff()
+    attempt = make_attempt(calls.make_deadline(20.0, cutoff))
+    unresolved = outcome.Unknown(outcome.Reason.CONNECTION_LOST)
+    results: list[outcome.Outcome] = []
+
+    async def resolve_attempt() -> None:
+        results.append(await resolver.resolve(*attempt, unresolved))
+
+    with anyio.fail_after(KILL_S):
+        async with anyio.create_task_group() as group:
+            group.start_soon(resolve_attempt)
+            await anyio.sleep(0.1)
+            cutoff.move(calls.make_deadline(0.1).at_s)
+    assert results == [unresolved]
