Take a refusal of another node without its body

What callers saw: nothing so far; shown by a test. If the head of another node's refusal came and the rest was held up, the call waited until its deadline before it was sent to another target or refused, at a stopping node possibly until the kill.

Cause: the body of a refusal is read only so that its connection can be used again, but with the time of the call.

Evidence: request/tests/test_stops.py, test_a_refusal_is_not_held_up_by_its_body, failed on (no result within 1.1 s for a deadline of 20 s) and passes.

Fix: it is waited for 0.5 s at most for each part, the time of other queries to nodes. Otherwise the connection is closed.

--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -327,11 +327,16 @@
 async def _skip_body(
     connection: http1.ClientConnection, deadline: calls.Deadline
 ) -> None:
-    """Reads the short body of a refusal, so that the connection is reusable."""
+    """Reads the short body of a refusal, so that the connection is reusable.
+
+    The call goes on without it if it doesn't follow its head soon.
+    """
     if not connection.reusable:
         return
     try:
-        while await connection.receive_chunk(max(deadline.remaining_s(), 0)):
+        while await connection.receive_chunk(
+            min(max(deadline.remaining_s(), 0), resolve.QUERY_TIMEOUT_S)
+        ):
             pass
     except http1.HttpError:
         connection.reusable = False
--- a/src/waxwingferry/request/tests/test_stops.py
+++ b/src/waxwingferry/request/tests/test_stops.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import time
+from typing import Any
 
 import anyio
 import pytest
@@ -245,3 +246,43 @@
             await anyio.sleep(0.1)
             cutoff.move(calls.make_deadline(0.1).at_s)
     assert results == [unresolved]
+
+
+class StallingStream:
+    """A connection to a node that refuses without the body of its response."""
+
+    def __init__(self):
+        self.responses = [
+            b"HTTP/1.1 200 OK\r\nx-waxwing-node-time: 1\r\n"
+            b"x-waxwing-incarnation: i\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 503 Busy\r\nx-waxwing-attempt: a.1\r\n"
+            b"x-waxwing-outcome: not-run\r\nx-waxwing-reason: busy\r\n"
+            b"content-length: 5\r\n\r\n",
+        ]
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        """Returns the next response, as far as it comes."""
+        if not self.responses:
+            await anyio.sleep_forever()
+        return self.responses.pop(0)
+
+    async def send(self, data: bytes) -> None:
+        """Drops data."""
+
+    async def aclose(self) -> None:
+        """Does nothing."""
+
+
+# The refusal was known, and its body was waited for until the deadline.
+@pytest.mark.anyio
+async def test_a_refusal_is_not_held_up_by_its_body() -> None:
+    """Guards against calls that wait for a body that nobody needs."""
+
+    async def connect(host: str, port: int) -> Any:
+        return StallingStream()
+
+    forwarder = forward.Forwarder(metrics.Metrics(), connect)
+    attempt = make_attempt(calls.make_deadline(20.0))
+    with anyio.fail_after(KILL_S):
+        async with forwarder.execute(*attempt) as result:
+            assert result == outcome.NotRun(outcome.Reason.BUSY)
