Test a streamed upload that a stop finds in progress

One more case of test_a_call_in_progress_is_answered_before_the_kill: a body above 64 KiB whose rest does not come.

No other code changed.

--- a/src/waxwingferry/request/tests/test_stops.py
+++ b/src/waxwingferry/request/tests/test_stops.py
@@ -75,17 +75,22 @@
     return (await cluster.send("n1", "r1", "k1")).outcome
 
 
-async def send_part(cluster: simulation.SimulatedCluster) -> str:
+async def send_part(cluster: simulation.SimulatedCluster, size: int = 4) -> str:
     """Sends a request whose body does not end; returns its outcome."""
     stream = await cluster.network.connect("n1", network.CALLER_PORT)
     connection = http1.ClientConnection(stream)
-    fields = [("content-length", "9")]
-    await connection.send_request("POST", "/transfers", fields, b"part")
+    fields = [("content-length", str(size + 1))]
+    await connection.send_request("POST", "/transfers", fields, bytes(size))
     head = await connection.receive_head(2.0)
     await connection.close()
     return http1.find_header(head.headers, "x-waxwing-outcome")
 
 
+async def send_upload(cluster: simulation.SimulatedCluster) -> str:
+    """Sends a part of a body that is streamed; returns the outcome."""
+    return await send_part(cluster, 2 * calls.MAX_BUFFERED_BODY_BYTES)
+
+
 # At a stop, only calls that began after it were given an earlier deadline. The
 # others waited until the process was killed and got no answer.
 @pytest.mark.parametrize(
@@ -113,6 +118,9 @@
             "n1", stall, send_keyed, False, "unknown", id="rest with a key"
         ),
         pytest.param("n2", do_nothing, send_part, False, "not-run", id="body"),
+        pytest.param(
+            "n2", do_nothing, send_upload, False, "unknown", id="upload"
+        ),
         pytest.param(
             "n2", hold_key, send_keyed, False, "unknown", id="key"
         ),
