Don't blame a target for a connect that the deadline ended

What callers would have seen, since: a call whose deadline passed while a connection was opened was refused as connection_refused. That reason costs no retry budget, so that the call went on to each other target with no time left, and counts against a target that may be sound; entries leave it out for a second.

Cause: the pool turned the end of the limit into the error for a failed connect.

Fix: the limit's own error reaches the forwarder and the client of the target, which refuse as deadline_too_short. That isn't counted against the target.

--- a/src/waxwingferry/connection/pool.py
+++ b/src/waxwingferry/connection/pool.py
@@ -91,11 +91,11 @@
         outcome.
 
         Args:
-            limit: Makes the context in which a connection is opened. It may
-                raise TimeoutError.
+            limit: Makes the context in which a connection is opened.
 
         Raises:
             ConnectError: No connection could be opened.
+            TimeoutError: The limit ended it before that was known.
         """
         while self.idle:
             connection = self.idle.pop()
@@ -105,13 +105,8 @@
             ):
                 return connection
             await connection.close()
-        try:
-            with limit():
-                stream = await self.connect(self.host, self.port)
-        except TimeoutError as error:
-            raise ConnectError(
-                f"no time to connect to {self.host}:{self.port}"
-            ) from error
+        with limit():
+            stream = await self.connect(self.host, self.port)
         return http1.ClientConnection(stream)
 
     async def release(self, connection: http1.ClientConnection) -> None:
--- a/src/waxwingferry/process/target.py
+++ b/src/waxwingferry/process/target.py
@@ -295,6 +295,9 @@
         """Sends an attempt; the body can be read inside the context."""
         try:
             connection = await self.pool.acquire(attempt.deadline.enforce)
+        except TimeoutError:
+            yield outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+            return
         except pool.ConnectError:
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
--- a/src/waxwingferry/request/forward.py
+++ b/src/waxwingferry/request/forward.py
@@ -81,6 +81,9 @@
         peer_pool = self._pool(candidate)
         try:
             connection = await peer_pool.acquire(attempt.deadline.enforce)
+        except TimeoutError:
+            yield outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
+            return
         except pool.ConnectError:
             yield outcome.NotRun(outcome.Reason.CONNECTION_REFUSED)
             return
--- a/src/waxwingferry/request/tests/test_stops.py
+++ b/src/waxwingferry/request/tests/test_stops.py
@@ -214,7 +214,8 @@
     candidate, attempt = make_attempt(calls.make_deadline(0.1))
     with anyio.fail_after(0.5):
         async with forwarder.execute(candidate, attempt) as result:
-            assert isinstance(result, outcome.NotRun)
+            # Nothing is known against the target, and no other has time left.
+            assert result == outcome.NotRun(outcome.Reason.DEADLINE_TOO_SHORT)
 
 
 # A node that can't be reached was asked until the deadline of the call's start.
