Correct four comments on moved deadlines

Found by reading the whole change again. One said that all waits without a cancel scope read their deadline each 0.25 s: those for another node take 0.4 s. It also said that no grace time is shorter, which no check ensures. One promised that a small body never waits to be sent; one docstring and one comment did not say what they meant.

Comments only.

--- a/src/waxwingferry/request/calls.py
+++ b/src/waxwingferry/request/calls.py
@@ -43,8 +43,8 @@
 # failure domain.
 RETURN_RESERVE_S = 0.002
 MAX_BUFFERED_BODY_BYTES = 65536
-# A request with such a body fits into the send buffer of an idle connection, so
-# that sending it does not wait.
+# A request with such a body usually fits into the send buffer of an idle
+# connection, so that sending it does not wait.
 SMALL_BODY_BYTES = 4096
 
 # Fields that only nodes set; values sent by callers are removed.
@@ -67,8 +67,8 @@
 
 # Timeout for the next chunk of an answer after the deadline has passed.
 PROGRESS_TIMEOUT_S = 5.0
-# Waits without a cancel scope read their deadline again at least this often,
-# because a stop may have moved it. Shorter than any grace time of a stop.
+# Waits for the local target read their deadline again after this time, because
+# a stop may have moved it. A cancel scope for each would cost more.
 DEADLINE_CHECK_INTERVAL_S = 0.25
 
 
@@ -344,7 +344,7 @@
     answer_forwarded: bool = False
 
     def must_end(self) -> bool:
-        """Returns whether the process is near its end.
+        """Returns whether it must end now because the process does.
 
         Once the caller has a part of the answer it can't be told anything else,
         so that the attempt may go on until the process is killed.
--- a/src/waxwingferry/request/deadline_updates.py
+++ b/src/waxwingferry/request/deadline_updates.py
@@ -128,7 +128,7 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await client.close()
-        # The deadlines of the others end here only, and they are resolved.
+        # Of the others the deadline is known here only; they are resolved then.
         log.info(
             "deadlines moved at another node",
             host=address[0],
